--- /dev/null
+++ b/borageyard/__init__.py
@@ -0,0 +1,1 @@
+"""Serving system for multi-stage model pipelines."""
--- /dev/null
+++ b/borageyard/border.py
@@ -0,0 +1,134 @@
+"""Checks documents from outside against their generated models."""
+
+import dataclasses
+import json
+import pathlib
+from typing import TypeVar
+
+import pydantic
+
+ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
+
+MAX_SHOWN_CHARS = 120
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """One fault of a document: where, what stands there, what was expected."""
+
+    path: str
+    found: str
+    expected: str
+
+    def __str__(self) -> str:
+        """Returns one line for a person."""
+        place = f'{self.path}:'
+        return ' '.join(
+            (place, 'found', f'{self.found};', 'expected', self.expected),
+        )
+
+
+class DocumentError(Exception):
+    """A document that does not fit its model."""
+
+    def __init__(self, source: str, problems: tuple[Problem, ...]) -> None:
+        """Keeps all faults of the document.
+
+        Args:
+            source: Name of the file or message.
+            problems: Every fault found.
+        """
+        lines = '\n'.join(f'{source}: {problem}' for problem in problems)
+        super().__init__(lines)
+        self.source = source
+        self.problems = problems
+
+
+def shown(found: object) -> str:
+    """Returns a short JSON text of a value for an error message."""
+    text = json.dumps(found, default=str)
+    if len(text) > MAX_SHOWN_CHARS:
+        return f'{text[:MAX_SHOWN_CHARS]}...'
+    return text
+
+
+def check_document(
+    model: type[ModelT],
+    document: object,
+    source: str,
+) -> ModelT:
+    """Checks a decoded document.
+
+    Args:
+        model: Generated model that the document must fit.
+        document: Decoded JSON or msgpack.
+        source: Name for error messages.
+
+    Returns:
+        The checked model.
+
+    Raises:
+        DocumentError: If the document does not fit.
+    """
+    try:
+        return model.model_validate(document)
+    except pydantic.ValidationError as error:
+        problems = tuple(
+            Problem(
+                path=json_path(fault['loc']),
+                found=shown(fault['input']),
+                expected=fault['msg'],
+            )
+            for fault in error.errors()
+        )
+        raise DocumentError(source, problems) from error
+
+
+def parse_json(text: str | bytes, source: str) -> object:
+    """Decodes JSON text.
+
+    Args:
+        text: The JSON text.
+        source: Name for error messages.
+
+    Returns:
+        The decoded document.
+
+    Raises:
+        DocumentError: If the text is not JSON.
+    """
+    try:
+        return json.loads(text)
+    except (ValueError, RecursionError) as error:
+        problem = Problem('$', 'text that is not JSON', str(error))
+        raise DocumentError(source, (problem,)) from error
+
+
+def load_json(path: str) -> object:
+    """Reads a JSON file.
+
+    Args:
+        path: Path of the file.
+
+    Returns:
+        The decoded document.
+
+    Raises:
+        DocumentError: If the file can't be read or is not JSON.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        problem = Problem('$', 'a file that cannot be read', str(error))
+        raise DocumentError(path, (problem,)) from error
+    return parse_json(text, path)
+
+
+def json_path(location: tuple[int | str, ...]) -> str:
+    """Returns the JSON path of a pydantic location."""
+    parts = (
+        f'[{part}]' if isinstance(part, int) else f'.{part}'
+        for part in location
+    )
+    joined = ''.join(parts)
+    return f'${joined}'
--- /dev/null
+++ b/borageyard/configuration.py
@@ -0,0 +1,248 @@
+"""Configuration of a deployment: checked as a whole, immutable inside."""
+
+import dataclasses
+import hashlib
+import json
+import types
+from collections.abc import Callable, Iterator, Mapping
+from typing import TypeVar
+
+import pydantic
+
+from .border import DocumentError, Problem, check_document, shown
+from .generated.configuration import ConfigurationDocument
+
+BuiltT = TypeVar('BuiltT')
+
+REQUEST_INPUT = 'request'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Organisation:
+    """A customer whose callers share weights and limits."""
+
+    name: str
+    weight: float
+    limit_requests_per_s: float
+    burst_requests: int
+    token_sha256: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Model:
+    """A model, the version declared for it and its adapters."""
+
+    name: str
+    version: str
+    size_bytes: int
+    adapters: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A set of targets that do the same work."""
+
+    name: str
+    kind: str
+    idempotent: bool
+    fencing: bool
+    model: str
+    max_in_flight: int
+    typical_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stage:
+    """One step of a pipeline."""
+
+    name: str
+    service: str
+    inputs: tuple[str, ...]
+    timeout_ms: int
+    operation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pipeline:
+    """A chain of stages under one deadline."""
+
+    name: str
+    deadline_ms: int
+    stages: tuple[Stage, ...]
+    output: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """A whole configuration with its version and digest."""
+
+    version: int
+    digest: str
+    claim_window_ms: int
+    clock_skew_ms: int
+    permission_ms: int
+    organisations: Mapping[str, Organisation]
+    models: Mapping[str, Model]
+    services: Mapping[str, Service]
+    pipelines: Mapping[str, Pipeline]
+
+    def model_version(self, service: Service) -> str:
+        """Returns the declared version of a service's model, or ''."""
+        model = self.models.get(service.model)
+        return model.version if model else ''
+
+    def needs_claim(self, pipeline: Pipeline) -> bool:
+        """Tells whether a pipeline has a stage that may not be repeated."""
+        return any(
+            not self.services[stage.service].idempotent
+            for stage in pipeline.stages
+        )
+
+
+def parse_configuration(
+    document: object,
+    version: int,
+    source: str = 'configuration',
+) -> Configuration:
+    """Checks a configuration document as a whole.
+
+    Args:
+        document: Decoded JSON.
+        version: Version under which it is in force.
+        source: Name for error messages.
+
+    Returns:
+        The immutable configuration.
+
+    Raises:
+        DocumentError: If a field or a reference is wrong.
+    """
+    checked = check_document(ConfigurationDocument, document, source)
+    problems = tuple(_find_problems(checked))
+    if problems:
+        raise DocumentError(source, problems)
+    return _build(checked, version)
+
+
+def digest_of(document: ConfigurationDocument) -> str:
+    """Returns the SHA-256 of a document in canonical JSON."""
+    canonical = json.dumps(
+        document.model_dump(mode='json'),
+        sort_keys=True,
+        separators=(',', ':'),
+    )
+    return hashlib.sha256(canonical.encode()).hexdigest()
+
+
+def _find_problems(checked: ConfigurationDocument) -> Iterator[Problem]:
+    for name, service in checked.services.items():
+        if service.model and service.model not in checked.models:
+            yield Problem(
+                f'$.services.{name}.model',
+                shown(service.model),
+                'the name of one of $.models',
+            )
+    for name in checked.pipelines:
+        yield from _find_stage_problems(checked, name)
+
+
+def _find_stage_problems(
+    checked: ConfigurationDocument,
+    name: str,
+) -> Iterator[Problem]:
+    pipeline = checked.pipelines[name]
+    path = f'$.pipelines.{name}'
+    known = {REQUEST_INPUT}
+    for index, stage in enumerate(pipeline.stages):
+        place = f'{path}.stages[{index}]'
+        if stage.service not in checked.services:
+            yield Problem(
+                f'{place}.service',
+                shown(stage.service),
+                'the name of one of $.services',
+            )
+        if stage.name in known:
+            yield Problem(
+                f'{place}.name',
+                shown(stage.name),
+                'a name that no earlier stage has',
+            )
+        for source in stage.inputs:
+            if source not in known:
+                yield Problem(
+                    f'{place}.inputs',
+                    shown(source),
+                    'request or the name of an earlier stage',
+                )
+        known.add(stage.name)
+    if pipeline.output and pipeline.output not in known:
+        yield Problem(
+            f'{path}.output',
+            shown(pipeline.output),
+            'the name of one of its stages',
+        )
+    yield from _find_deadline_problems(checked, name)
+
+
+def _find_deadline_problems(
+    checked: ConfigurationDocument,
+    name: str,
+) -> Iterator[Problem]:
+    pipeline = checked.pipelines[name]
+    typical_ms = sum(
+        checked.services[stage.service].typical_ms
+        for stage in pipeline.stages
+        if stage.service in checked.services
+    )
+    if typical_ms > pipeline.deadline_ms:
+        yield Problem(
+            f'$.pipelines.{name}.deadline_ms',
+            shown(pipeline.deadline_ms),
+            f'at least the typical time of its stages, {typical_ms} ms',
+        )
+
+
+def _build(checked: ConfigurationDocument, version: int) -> Configuration:
+    pipelines = {
+        name: Pipeline(
+            name=name,
+            deadline_ms=pipeline.deadline_ms,
+            stages=tuple(
+                Stage(
+                    name=stage.name,
+                    service=stage.service,
+                    inputs=tuple(stage.inputs),
+                    timeout_ms=stage.timeout_ms,
+                    operation=stage.operation,
+                )
+                for stage in pipeline.stages
+            ),
+            output=pipeline.output or pipeline.stages[-1].name,
+        )
+        for name, pipeline in checked.pipelines.items()
+    }
+    return Configuration(
+        version=version,
+        digest=digest_of(checked),
+        claim_window_ms=checked.claim_window_ms,
+        clock_skew_ms=checked.clock_skew_ms,
+        permission_ms=checked.permission_ms,
+        organisations=_build_named(Organisation, checked.organisations),
+        models=_build_named(Model, checked.models),
+        services=_build_named(Service, checked.services),
+        pipelines=types.MappingProxyType(pipelines),
+    )
+
+
+def _build_named(
+    built: Callable[..., BuiltT],
+    documents: Mapping[str, pydantic.BaseModel],
+) -> Mapping[str, BuiltT]:
+    named = {}
+    for name, document in documents.items():
+        fields = {
+            field: tuple(setting) if isinstance(setting, list) else setting
+            for field, setting in document.model_dump().items()
+        }
+        named[name] = built(name=name, **fields)
+    return types.MappingProxyType(named)
--- /dev/null
+++ b/borageyard/demo.py
@@ -0,0 +1,224 @@
+"""The main job in one process: both deployments, a crash and a stop."""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import pathlib
+import sys
+import types
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from rich import console, table
+
+from .clock import MS_PER_S
+from .deployment import Deployment, DeploymentPlan
+from .http_client import HttpCall, HttpCallError, HttpClient
+from .http_messages import encode_json
+from .identifiers import new_identifier
+from .wire import (
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    ORGANISATION_HEADER,
+    REQUEST_ID_HEADER,
+)
+
+HUNDAGANGA = 'hundaganga'
+VEMBANAD = 'vembanad'
+REQUESTS_PER_DEPLOYMENT = 120
+ARRIVAL_MS = 15
+CRASH_AT = 40
+STOP_AT = 70
+DEADLINE_MS = 9000
+CALL_TIMEOUT_MS = 10_000
+STATUS_OK = 200
+
+PLANS: Mapping[str, tuple[tuple[str, ...], Mapping[str, int], int, int]] = (
+    types.MappingProxyType(
+        {
+            HUNDAGANGA: (('is-south-a', 'is-south-b'), {'ganga-llm': 6}, 3, 4),
+            VEMBANAD: (('kochi-a', 'tvm-a'), {'drafting-llm': 5}, 4, 4),
+        }
+    )
+)
+CRASHES = types.MappingProxyType(
+    {HUNDAGANGA: 'ganga-llm-0', VEMBANAD: 'drafting-llm-0'}
+)
+
+
+@dataclasses.dataclass(slots=True)
+class DemoTotals:
+    """What the callers saw and what the targets recorded."""
+
+    requests: int = 0
+    whole_answers: int = 0
+    refused_not_run: int = 0
+    refused_ran: int = 0
+    unknown: int = 0
+    double_runs: int = 0
+    wrong_answers: int = 0
+
+    @property
+    def attainment(self) -> float:
+        """Returns the share of requests with a whole answer in time."""
+        return self.whole_answers / max(self.requests, 1)
+
+    def add(self, other: 'DemoTotals') -> None:
+        """Adds the counts of another deployment."""
+        for name, count in dataclasses.asdict(other).items():
+            setattr(self, name, getattr(self, name) + count)
+
+    def note(self, status: int, body: Mapping[str, Any], sent_id: str) -> None:
+        """Counts what one caller saw."""
+        self.requests += 1
+        if body.get('request_id') != sent_id:
+            self.wrong_answers += 1
+        if status == STATUS_OK:
+            self.whole_answers += 1
+        elif body.get('not_run') is True:
+            self.refused_not_run += 1
+        elif body.get('not_run') is False:
+            self.refused_ran += 1
+        else:
+            self.unknown += 1
+
+
+def load_plan(name: str, examples: pathlib.Path) -> DeploymentPlan:
+    """Returns the plan of a shipped example.
+
+    Args:
+        name: Name of the deployment.
+        examples: Directory of the example configurations.
+    """
+    path = examples / f'{name}.configuration.json'
+    document = json.loads(path.read_text(encoding='utf-8'))
+    domains, targets, default_targets, entries = PLANS[name]
+    return DeploymentPlan(document, domains, targets, default_targets, entries)
+
+
+class DemoRun:
+    """Requests to one deployment, with a crash and a graceful stop."""
+
+    def __init__(self, deployment: Deployment, client: HttpClient) -> None:
+        """Wraps a running deployment.
+
+        Args:
+            deployment: What is called.
+            client: Sends the calls.
+        """
+        self._deployment = deployment
+        self._client = client
+        self._entries = list(deployment.all_entries())
+        self.totals = DemoTotals()
+
+    async def run(self, crashed_target: str) -> DemoTotals:
+        """Sends all requests, and crashes and stops on the way.
+
+        Args:
+            crashed_target: Id of the target that dies.
+        """
+        document = self._deployment.plan.document
+        pipelines = sorted(document['pipelines'])
+        organisations = sorted(document['organisations'])
+        async with asyncio.TaskGroup() as group:
+            for index in range(REQUESTS_PER_DEPLOYMENT):
+                pipeline = pipelines[index % len(pipelines)]
+                organisation = organisations[index % len(organisations)]
+                group.create_task(self._send(index, pipeline, organisation))
+                if index == CRASH_AT:
+                    await self._deployment.targets[crashed_target].crash()
+                if index == STOP_AT:
+                    stopped = self._entries.pop(0).settings.instance_id
+                    group.create_task(self._deployment.stop_entry(stopped))
+                await asyncio.sleep(ARRIVAL_MS / MS_PER_S)
+        self.totals.double_runs = self._count_double_runs()
+        return self.totals
+
+    async def _send(
+        self,
+        index: int,
+        pipeline: str,
+        organisation: str,
+    ) -> None:
+        entry = self._entries[index % len(self._entries)]
+        request_id = new_identifier()
+        call = HttpCall(
+            address=entry.address,
+            method='POST',
+            path=f'/v1/pipelines/{pipeline}',
+            body=encode_json({'note': f'request {index}'}),
+            headers={
+                ORGANISATION_HEADER: organisation,
+                DEADLINE_HEADER: str(DEADLINE_MS),
+                KEY_HEADER: new_identifier(),
+                REQUEST_ID_HEADER: request_id,
+            },
+            timeout_ms=CALL_TIMEOUT_MS,
+        )
+        try:
+            reply = await self._client.request(call)
+        except HttpCallError:
+            self.totals.note(0, {'request_id': request_id}, request_id)
+            return
+        self.totals.note(reply.status, json.loads(reply.body), request_id)
+
+    def _count_double_runs(self) -> int:
+        """Counts runs beyond the first of each unrepeatable stage."""
+        services = self._deployment.plan.document['services']
+        runs: collections.Counter[tuple[str, str]] = collections.Counter()
+        for server in self._deployment.targets.values():
+            service = server.target.profile.service
+            if services[service].get('idempotent', True):
+                continue
+            runs.update(
+                (run.idempotency_key, run.stage)
+                for run in server.target.executions
+            )
+        return sum(count - 1 for count in runs.values())
+
+
+async def run_demo(examples: pathlib.Path) -> Sequence[tuple[str, DemoTotals]]:
+    """Runs both deployments one after the other.
+
+    Args:
+        examples: Directory of the example configurations.
+
+    Returns:
+        The totals of each.
+    """
+    rows = []
+    for name in PLANS:
+        async with (
+            Deployment(load_plan(name, examples)) as deployment,
+            HttpClient() as client,
+        ):
+            totals = await DemoRun(deployment, client).run(CRASHES[name])
+        rows.append((name, totals))
+    return rows
+
+
+def print_demo(rows: Sequence[tuple[str, DemoTotals]]) -> int:
+    """Prints a table and a last line of JSON.
+
+    Args:
+        rows: Totals by deployment.
+
+    Returns:
+        The exit code: 1 if a promise was broken.
+    """
+    sheet = table.Table(title='borageyard demo')
+    names = [field.name for field in dataclasses.fields(DemoTotals)]
+    for heading in ('deployment', *names, 'attainment'):
+        sheet.add_column(heading, justify='right')
+    for deployment, totals in rows:
+        shown = map(str, dataclasses.astuple(totals))
+        sheet.add_row(deployment, *shown, f'{totals.attainment:.3f}')
+    console.Console().print(sheet)
+    together = DemoTotals()
+    for _, totals in rows:
+        together.add(totals)
+    summary = dataclasses.asdict(together)
+    summary['attainment'] = round(together.attainment, 4)
+    sys.stdout.write(f'{json.dumps(summary)}\n')
+    return int(bool(together.double_runs or together.wrong_answers))
--- /dev/null
+++ b/borageyard/deployment.py
@@ -0,0 +1,194 @@
+"""A whole deployment in one process, for the demo, the bench and tests."""
+
+import contextlib
+import dataclasses
+from collections.abc import Mapping
+from types import TracebackType
+from typing import Any, Self
+
+from .clock import Clock, SystemClock
+from .configuration import Configuration, parse_configuration
+from .configuration_log import CONFIGURATION_STREAM
+from .entry import Entry
+from .generated.settings import EntrySettings
+from .http_server import Handler, HttpServer
+from .platform import (
+    ROLE_ENTRY,
+    ROLE_TARGET,
+    Instance,
+    MemoryInstances,
+    MemoryLog,
+)
+from .standins.platform_http import (
+    InstancesHandler,
+    LogHandler,
+    WeightsHandler,
+)
+from .standins.target import StandinTarget, TargetProfile
+from .standins.target_http import TargetServer
+
+ANY_PORT = '127.0.0.1:0'
+WEIGHT_RATE_BYTES_PER_S = 1e9
+POLL_MS = 100
+DRAIN_MS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DeploymentPlan:
+    """What a deployment is made of."""
+
+    document: Mapping[str, Any]
+    failure_domains: tuple[str, ...]
+    targets_per_service: Mapping[str, int]
+    default_targets: int = 3
+    entries: int = 4
+
+
+class Deployment:
+    """Entries, stand-in targets and a stand-in platform on loopback."""
+
+    def __init__(self, plan: DeploymentPlan, clock: Clock | None = None):
+        """Composes a deployment that does not run yet.
+
+        Args:
+            plan: What it is made of.
+            clock: Source of time; the machine's by default.
+        """
+        self.plan = plan
+        self.clock = clock or SystemClock()
+        self.log = MemoryLog(self.clock)
+        self.instances = MemoryInstances()
+        self.targets: dict[str, TargetServer] = {}
+        self.entries: dict[str, Entry] = {}
+        self._stack = contextlib.AsyncExitStack()
+        self._addresses: dict[str, str] = {}
+
+    async def __aenter__(self) -> Self:
+        """Starts the platform, then the targets, then the entries."""
+        async with contextlib.AsyncExitStack() as stack:
+            await self._start_platform(stack)
+            await self._start_targets(stack)
+            proposal = {
+                'type': 'apply',
+                'base_version': 0,
+                'author': 'deployment',
+                'document': dict(self.plan.document),
+            }
+            self.log.append_now(CONFIGURATION_STREAM, proposal)
+            self._stack = stack.pop_all()
+        for index in range(self.plan.entries):
+            await self.start_entry(index)
+        await self._settle()
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stops everything."""
+        await self._stack.aclose()
+
+    def all_entries(self) -> tuple[Entry, ...]:
+        """Returns the running entries."""
+        return tuple(self.entries.values())
+
+    async def start_entry(self, index: int) -> Entry:
+        """Starts an entry and lists it.
+
+        Args:
+            index: Its number, which gives its name and failure domain.
+        """
+        domains = self.plan.failure_domains
+        domain = domains[index % len(domains)]
+        settings = EntrySettings.model_validate(
+            {
+                'instance_id': f'entry-{index}',
+                'failure_domain': domain,
+                'listen_address': ANY_PORT,
+                'peer_address': ANY_PORT,
+                'drain_ms': DRAIN_MS,
+                'platform': {**self._addresses, 'instances_poll_ms': POLL_MS},
+            }
+        )
+        entry = Entry(settings)
+        await self._stack.enter_async_context(entry)
+        self.entries[settings.instance_id] = entry
+        self.instances.rows.append(
+            Instance(
+                instance_id=settings.instance_id,
+                role=ROLE_ENTRY,
+                address=entry.address,
+                failure_domain=domain,
+            ),
+        )
+        return entry
+
+    async def stop_entry(self, instance_id: str) -> None:
+        """Stops an entry as SIGTERM does."""
+        entry = self.entries.pop(instance_id)
+        self.instances.rows = [
+            row for row in self.instances.rows if row.instance_id != instance_id
+        ]
+        await entry.core.drain()
+        await entry.__aexit__(None, None, None)
+
+    async def _settle(self) -> None:
+        """Waits until every entry has a configuration and the list."""
+        for entry in self.all_entries():
+            await entry.core.fold.known.wait()
+
+    async def _start_platform(self, stack: contextlib.AsyncExitStack) -> None:
+        weights = WeightsHandler(WEIGHT_RATE_BYTES_PER_S)
+        handlers: dict[str, Handler] = {
+            'log_address': LogHandler(self.log).handle,
+            'instances_address': InstancesHandler(self.instances).handle,
+            'weights_address': weights.handle,
+        }
+        for name, handler in handlers.items():
+            server = await stack.enter_async_context(HttpServer(handler))
+            await server.start(ANY_PORT)
+            self._addresses[name] = server.address
+
+    async def _start_targets(self, stack: contextlib.AsyncExitStack) -> None:
+        configuration = parse_configuration(self.plan.document, 0)
+        for service in configuration.services:
+            count = self.plan.targets_per_service.get(
+                service,
+                self.plan.default_targets,
+            )
+            for index in range(count):
+                server = self._build_target(configuration, service, index)
+                await stack.enter_async_context(server)
+                await server.start(ANY_PORT)
+                self._list_target(server, index)
+
+    def _build_target(
+        self,
+        configuration: Configuration,
+        service: str,
+        index: int,
+    ) -> TargetServer:
+        profile = TargetProfile(
+            target_id=f'{service}-{index}',
+            service=service,
+            kind=configuration.services[service].kind,
+            slots=configuration.services[service].max_in_flight,
+        )
+        target = StandinTarget(profile, self.clock, seed=index)
+        return TargetServer(target)
+
+    def _list_target(self, server: TargetServer, index: int) -> None:
+        profile = server.target.profile
+        domains = self.plan.failure_domains
+        self.targets[profile.target_id] = server
+        self.instances.rows.append(
+            Instance(
+                instance_id=profile.target_id,
+                role=ROLE_TARGET,
+                address=server.address,
+                failure_domain=domains[index % len(domains)],
+                service=profile.service,
+            ),
+        )
--- /dev/null
+++ b/borageyard/entry.py
@@ -0,0 +1,101 @@
+"""The entry daemon: the I/O shells around an entry's core."""
+
+import asyncio
+import contextlib
+import signal
+from types import TracebackType
+from typing import Self
+
+from .clock import Clock, SystemClock
+from .core import EntryCore, EntryPorts
+from .entry_handler import EntryHandler
+from .events import Event, log_event
+from .generated.settings import EntrySettings
+from .http_client import HttpClient
+from .http_platform import HttpInstanceList, HttpLogService
+from .http_server import HttpServer
+from .http_target import HttpTargetClient
+from .settings import client_tls, http_limits, server_tls
+
+
+class Entry:
+    """One entry instance; its exit stack owns all that it opens."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        clock: Clock | None = None,
+    ) -> None:
+        """Composes an entry that is not yet serving.
+
+        Args:
+            settings: Checked settings.
+            clock: Source of time; the machine's by default.
+        """
+        self.settings = settings
+        self._stack = contextlib.AsyncExitStack()
+        limits = http_limits(settings)
+        self._client = HttpClient(limits, client_tls(settings.tls))
+        platform = settings.platform
+        ports = EntryPorts(
+            log=HttpLogService(self._client, platform.log_address),
+            instances=HttpInstanceList(
+                self._client,
+                platform.instances_address,
+            ),
+            targets=HttpTargetClient(self._client),
+            clock=clock or SystemClock(),
+        )
+        self.core = EntryCore(settings, ports)
+        self._server = HttpServer(
+            EntryHandler(self.core).handle,
+            limits,
+            server_tls(settings.tls),
+        )
+
+    @property
+    def address(self) -> str:
+        """Returns where callers reach it."""
+        return self._server.address
+
+    async def __aenter__(self) -> Self:
+        """Starts to serve."""
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(self._client)
+            await self.core.start(stack)
+            await stack.enter_async_context(self._server)
+            await self._server.start(self.settings.listen_address)
+            self._stack = stack.pop_all()
+        log_event(
+            Event.ENTRY_STARTED,
+            instance_id=self.settings.instance_id,
+            address=self.address,
+        )
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Closes everything at once."""
+        await self._stack.aclose()
+        log_event(
+            Event.ENTRY_STOPPED,
+            instance_id=self.settings.instance_id,
+        )
+
+
+async def serve_entry(settings: EntrySettings) -> None:
+    """Serves until SIGTERM, then drains.
+
+    Args:
+        settings: Checked settings.
+    """
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    async with Entry(settings) as entry:
+        await stop.wait()
+        await entry.core.drain()
--- /dev/null
+++ b/borageyard/entry_handler.py
@@ -0,0 +1,222 @@
+"""HTTP endpoints of an entry."""
+
+import asyncio
+import contextlib
+import hmac
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+from typing import Any
+
+from .addresses import order_entries
+from .border import DocumentError, Problem, parse_json, shown
+from .configuration import parse_configuration
+from .configuration_log import CONFIGURATION_STREAM
+from .core import EntryCore
+from .errors import ErrorKind, Refusal, RefusalError
+from .http_messages import (
+    EVENT_STREAM_TYPE,
+    HttpRequest,
+    HttpResponse,
+    encode_event,
+    json_response,
+)
+from .pipeline import Outcome
+from .platform import PlatformError
+from .requests import PipelineRequest
+from .target import TokenEvent
+from .wire import (
+    decode_request,
+    encode_outcome,
+    encode_refusal,
+    outcome_payload,
+    token_payload,
+)
+
+PIPELINE_PREFIX = '/v1/pipelines/'
+TOKEN_QUEUE_SIZE = 64
+TOKEN_HEADER = 'x-borage-token'
+
+
+class QueueSink:
+    """Token sink that hands tokens over through a bounded queue."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.queue: asyncio.Queue[TokenEvent | None] = asyncio.Queue(
+            TOKEN_QUEUE_SIZE,
+        )
+
+    async def send(self, event: TokenEvent) -> None:
+        """Queues a token, waiting while the queue is full."""
+        await self.queue.put(event)
+
+
+class EntryHandler:
+    """Answers the HTTP requests of callers and operators."""
+
+    def __init__(self, core: EntryCore) -> None:
+        """Wraps an entry.
+
+        Args:
+            core: What runs the requests.
+        """
+        self._core = core
+        self._routes = {
+            ('GET', '/v1/entries'): self._entries,
+            ('GET', '/v1/status'): self._status,
+            ('GET', '/metrics'): self._exposition,
+            ('GET', '/healthz'): self._liveness,
+            ('GET', '/readyz'): self._readiness,
+        }
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answers one request."""
+        if request.path.startswith(PIPELINE_PREFIX):
+            return await self._run_pipeline(request)
+        where = (request.method, request.path)
+        if where == ('POST', '/v1/configuration'):
+            return await self._apply(request)
+        route = self._routes.get(where)
+        if route is None:
+            return encode_refusal('', Refusal(ErrorKind.NOT_FOUND))
+        return route(request)
+
+    async def _run_pipeline(self, request: HttpRequest) -> HttpResponse:
+        pipeline = request.path.removeprefix(PIPELINE_PREFIX)
+        try:
+            decoded = decode_request(request, pipeline, self._core.ports.clock)
+        except RefusalError as error:
+            return encode_refusal('', error.refusal)
+        if decoded.stream:
+            return await self._stream(decoded)
+        outcome = await self._core.run(decoded)
+        return encode_outcome(decoded.request_id, outcome)
+
+    async def _stream(self, request: PipelineRequest) -> HttpResponse:
+        """Answers with events once the first token is there."""
+        sink = QueueSink()
+        work = asyncio.ensure_future(self._run_streamed(request, sink))
+        try:
+            first = await sink.queue.get()
+        except asyncio.CancelledError:
+            work.cancel()
+            raise
+        if first is None:
+            return encode_outcome(request.request_id, await work)
+        return HttpResponse(
+            status=HTTPStatus.OK,
+            content_type=EVENT_STREAM_TYPE,
+            chunks=_relay(request, first, sink, work),
+        )
+
+    async def _run_streamed(
+        self,
+        request: PipelineRequest,
+        sink: QueueSink,
+    ) -> Outcome:
+        outcome = await self._core.run(request, sink)
+        await sink.queue.put(None)
+        return outcome
+
+    def _entries(self, request: HttpRequest) -> HttpResponse:
+        core = self._core
+        domain = request.query.get('failure_domain', '')
+        rows = [
+            {
+                'instance_id': row.instance_id,
+                'address': row.address,
+                'failure_domain': row.failure_domain,
+            }
+            for row in order_entries(core.watcher.listed, domain)
+            if not (
+                core.draining and row.instance_id == core.settings.instance_id
+            )
+        ]
+        keep_ms = core.settings.address_ttl_ms
+        return json_response({'entries': rows, 'keep_ms': keep_ms})
+
+    def _status(self, request: HttpRequest) -> HttpResponse:
+        core = self._core
+        targets = [
+            {
+                'target_id': state.target_id,
+                'service': state.instance.service,
+                'leaving': state.leaving,
+                'in_flight': state.in_flight,
+            }
+            for state in core.directory.all_targets()
+        ]
+        return json_response(
+            {
+                'instance_id': core.settings.instance_id,
+                'failure_domain': core.settings.failure_domain,
+                'configuration_version': core.fold.version,
+                'draining': core.draining,
+                'running': core.running,
+                'targets': targets,
+            }
+        )
+
+    def _exposition(self, request: HttpRequest) -> HttpResponse:
+        body = self._core.metrics.exposition()
+        return HttpResponse(HTTPStatus.OK, body, 'text/plain')
+
+    def _liveness(self, request: HttpRequest) -> HttpResponse:
+        return json_response({'alive': True})
+
+    def _readiness(self, request: HttpRequest) -> HttpResponse:
+        known = self._core.fold.current() is not None
+        if known and not self._core.draining:
+            return json_response({'ready': True})
+        return json_response(
+            {'ready': False},
+            HTTPStatus.SERVICE_UNAVAILABLE,
+        )
+
+    async def _apply(self, request: HttpRequest) -> HttpResponse:
+        if not self._is_operator(request):
+            return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
+        try:
+            proposal = _parse_proposal(request)
+        except DocumentError as error:
+            kind = ErrorKind.CONFIGURATION_INVALID
+            return encode_refusal('', Refusal(kind, detail=str(error)))
+        log = self._core.ports.log
+        try:
+            offset = await log.append(CONFIGURATION_STREAM, proposal)
+        except PlatformError as error:
+            kind = ErrorKind.LOG_UNAVAILABLE
+            return encode_refusal('', Refusal(kind, detail=str(error)))
+        return json_response({'offset': offset})
+
+    def _is_operator(self, request: HttpRequest) -> bool:
+        token = self._core.settings.operator_token
+        shown_token = request.header(TOKEN_HEADER)
+        return not token or hmac.compare_digest(
+            token.encode(),
+            shown_token.encode(),
+        )
+
+
+def _parse_proposal(request: HttpRequest) -> dict[str, Any]:
+    proposal = parse_json(request.body, 'proposal')
+    if not isinstance(proposal, dict):
+        problem = Problem('$', shown(proposal), 'an object')
+        raise DocumentError('proposal', (problem,))
+    parse_configuration(proposal.get('document'), 0)
+    return proposal
+
+
+async def _relay(
+    request: PipelineRequest,
+    first: TokenEvent,
+    sink: QueueSink,
+    work: asyncio.Future[Outcome],
+) -> AsyncIterator[bytes]:
+    with contextlib.ExitStack() as stack:
+        stack.callback(work.cancel)
+        event: TokenEvent | None = first
+        while event is not None:
+            yield encode_event(token_payload(event.token, event.offset))
+            event = await sink.queue.get()
+        yield encode_event(outcome_payload(request.request_id, await work))
--- /dev/null
+++ b/borageyard/http_target.py
@@ -0,0 +1,187 @@
+"""Targets met over HTTP."""
+
+import dataclasses
+from collections.abc import AsyncIterator
+from typing import TypeVar
+
+import pydantic
+
+from .border import DocumentError, check_document, parse_json
+from .generated.http_bodies import (
+    LoadReportBody,
+    TargetAnswerBody,
+    TargetCallBody,
+    TargetRefusalBody,
+    TokenEventBody,
+)
+from .http_client import HttpCall, HttpCallError, HttpClient, read_events
+from .http_messages import (
+    EVENT_STREAM_TYPE,
+    JSON_TYPE,
+    encode_json,
+)
+from .target import (
+    FailureKind,
+    LoadReport,
+    TargetAnswer,
+    TargetCall,
+    TargetError,
+    TokenEvent,
+)
+
+ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
+
+LOAD_TIMEOUT_MS = 500
+STATUS_OK = 200
+# Fields of a call that the wire does not carry in the body.
+UNSENT_FIELDS = frozenset(('idempotent', 'trace_parent'))
+
+
+class HttpTargetClient:
+    """Calls targets over HTTP and checks that answers match attempts."""
+
+    def __init__(self, client: HttpClient) -> None:
+        """Wraps a client.
+
+        Args:
+            client: Sends the calls.
+        """
+        self._client = client
+
+    async def call(self, address: str, call: TargetCall) -> TargetAnswer:
+        """Runs a stage and returns its whole answer."""
+        try:
+            reply = await self._client.request(_encode(address, call))
+        except HttpCallError as error:
+            raise _call_failure(error) from error
+        if reply.status != STATUS_OK:
+            raise _refusal(reply.body, reply.status)
+        answer = _decode(TargetAnswerBody, reply.body)
+        _check_attempt(answer.attempt_id, call)
+        return TargetAnswer(
+            output=answer.output,
+            tokens=answer.tokens,
+            cached_tokens=answer.cached_tokens,
+        )
+
+    async def stream(
+        self,
+        address: str,
+        call: TargetCall,
+    ) -> AsyncIterator[TokenEvent]:
+        """Runs a stage and yields its tokens, the last event being done."""
+        http_call = _encode(address, call)
+        try:
+            async with self._client.stream(http_call) as (status, _, chunks):
+                await _require_ok(status, chunks)
+                async for event in _decode_events(chunks, call):
+                    yield event
+        except HttpCallError as error:
+            raise _call_failure(error) from error
+
+    async def load(self, address: str) -> LoadReport:
+        """Returns the load report of a target."""
+        call = HttpCall(
+            address=address,
+            method='GET',
+            path='/v1/load',
+            timeout_ms=LOAD_TIMEOUT_MS,
+        )
+        try:
+            reply = await self._client.request(call)
+        except HttpCallError as error:
+            raise _call_failure(error) from error
+        report = _decode(LoadReportBody, reply.body)
+        fields = report.model_dump(exclude={'models'})
+        models = {
+            model: tuple(versions) for model, versions in report.models.items()
+        }
+        return LoadReport(**fields, models=models)
+
+
+async def _decode_events(
+    chunks: AsyncIterator[bytes],
+    call: TargetCall,
+) -> AsyncIterator[TokenEvent]:
+    expected = call.resume_from
+    async for payload in read_events(chunks):
+        event = _decode_event(payload, call, expected)
+        expected += 1
+        yield event
+        if event.done:
+            return
+    raise TargetError(FailureKind.CRASH, 'stream ended early')
+
+
+async def _require_ok(status: int, chunks: AsyncIterator[bytes]) -> None:
+    if status != STATUS_OK:
+        body = b''.join([chunk async for chunk in chunks])
+        raise _refusal(body, status)
+
+
+def _encode(address: str, call: TargetCall) -> HttpCall:
+    fields = {
+        field.name: getattr(call, field.name)
+        for field in dataclasses.fields(call)
+        if field.name not in UNSENT_FIELDS
+    }
+    body = TargetCallBody.model_construct(**fields)
+    accept = EVENT_STREAM_TYPE if call.stream else JSON_TYPE
+    headers = {'content-type': JSON_TYPE, 'accept': accept}
+    if call.trace_parent:
+        headers['traceparent'] = call.trace_parent
+    return HttpCall(
+        address=address,
+        method='POST',
+        path='/v1/run',
+        body=encode_json(body.model_dump()),
+        headers=headers,
+        timeout_ms=call.deadline_ms,
+        reuse=call.idempotent,
+    )
+
+
+def _decode(model: type[ModelT], body: bytes) -> ModelT:
+    try:
+        return check_document(model, parse_json(body, 'target'), 'target')
+    except DocumentError as error:
+        raise TargetError(FailureKind.MALFORMED, str(error)) from error
+
+
+def _decode_event(
+    payload: bytes,
+    call: TargetCall,
+    expected: int,
+) -> TokenEvent:
+    event = _decode(TokenEventBody, payload)
+    _check_attempt(event.attempt_id, call)
+    if event.offset != expected:
+        reason = f'token {event.offset} in place of {expected}'
+        raise TargetError(FailureKind.MALFORMED, reason)
+    return TokenEvent(**event.model_dump(exclude={'attempt_id'}))
+
+
+def _check_attempt(attempt_id: str, call: TargetCall) -> None:
+    if attempt_id != call.attempt_id:
+        reason = f'answer to {attempt_id} in place of {call.attempt_id}'
+        raise TargetError(FailureKind.CROSSED, reason)
+
+
+def _call_failure(error: HttpCallError) -> TargetError:
+    if not error.sent:
+        return TargetError(FailureKind.CONNECT, error.reason, not_run=True)
+    if error.reason == 'timed out':
+        return TargetError(FailureKind.TIMEOUT, error.reason)
+    return TargetError(FailureKind.CRASH, error.reason)
+
+
+def _refusal(body: bytes, status: int) -> TargetError:
+    try:
+        refusal = _decode(TargetRefusalBody, body)
+    except TargetError:
+        return TargetError(FailureKind.REFUSED, f'status {status}')
+    return TargetError(
+        FailureKind.REFUSED,
+        refusal.reason,
+        not_run=refusal.not_run,
+    )
--- /dev/null
+++ b/borageyard/memory_log.py
@@ -0,0 +1,47 @@
+"""Asynchronous face of the log in memory."""
+
+import asyncio
+
+from .clock import MS_PER_S
+from .platform import LogPage, MemoryLog, PlatformError, Record
+
+POLL_MS = 5
+
+
+class MemoryLogService:
+    """Offers a log in memory behind the protocol of the log service."""
+
+    def __init__(self, log: MemoryLog) -> None:
+        """Wraps a log.
+
+        Args:
+            log: Where records are kept; several services may share it.
+        """
+        self.log = log
+        self.cut = False
+
+    async def append(self, stream: str, body: Record) -> int:
+        """Appends a record after the log's delay."""
+        await self._delay()
+        return self.log.append_now(stream, body)
+
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        wait_ms: float = 0,
+    ) -> LogPage:
+        """Reads records, waiting for the first one if there is none."""
+        await self._delay()
+        waited_ms = 0
+        page = self.log.read_now(stream, offset)
+        while not page.records and waited_ms < wait_ms:
+            await asyncio.sleep(POLL_MS / MS_PER_S)
+            waited_ms += POLL_MS
+            page = self.log.read_now(stream, offset)
+        return page
+
+    async def _delay(self) -> None:
+        if self.cut:
+            raise PlatformError('unreachable')
+        await asyncio.sleep(self.log.faults.delay_ms / MS_PER_S)
--- /dev/null
+++ b/borageyard/memory_target.py
@@ -0,0 +1,80 @@
+"""Stand-in targets met in memory, behind the protocol of targets."""
+
+import asyncio
+from collections.abc import AsyncIterator, Mapping
+
+from .clock import MS_PER_S
+from .standins.target import (
+    StandinTarget,
+    TargetCrashError,
+    TargetRefusedError,
+)
+from .target import (
+    FailureKind,
+    LoadReport,
+    TargetAnswer,
+    TargetCall,
+    TargetError,
+    TokenEvent,
+)
+
+
+class MemoryTargetClient:
+    """Calls stand-ins of the same process."""
+
+    def __init__(self, targets: Mapping[str, StandinTarget]) -> None:
+        """Names the targets that can be reached.
+
+        Args:
+            targets: Targets by their address.
+        """
+        self._targets = targets
+        self.cut: set[str] = set()
+
+    async def call(self, address: str, call: TargetCall) -> TargetAnswer:
+        """Runs a stage and returns its whole answer."""
+        target = self._find(address)
+        try:
+            async with asyncio.timeout(call.deadline_ms / MS_PER_S):
+                answer = await target.run(call)
+        except TimeoutError as error:
+            raise TargetError(FailureKind.TIMEOUT, 'timed out') from error
+        except TargetRefusedError as error:
+            raise _refused(error) from error
+        except TargetCrashError as error:
+            raise TargetError(FailureKind.CRASH, str(error)) from error
+        if answer.attempt_id != call.attempt_id:
+            raise TargetError(FailureKind.CROSSED, answer.attempt_id)
+        return answer.answer
+
+    async def stream(
+        self,
+        address: str,
+        call: TargetCall,
+    ) -> AsyncIterator[TokenEvent]:
+        """Runs a stage and yields its tokens, the last event being done."""
+        target = self._find(address)
+        try:
+            async with asyncio.timeout(call.deadline_ms / MS_PER_S):
+                async for event in target.run_stream(call):
+                    yield event
+        except TimeoutError as error:
+            raise TargetError(FailureKind.TIMEOUT, 'timed out') from error
+        except TargetRefusedError as error:
+            raise _refused(error) from error
+        except TargetCrashError as error:
+            raise TargetError(FailureKind.CRASH, str(error)) from error
+
+    async def load(self, address: str) -> LoadReport:
+        """Returns the load report of a target."""
+        return self._find(address).load()
+
+    def _find(self, address: str) -> StandinTarget:
+        target = self._targets.get(address)
+        if target is None or not target.alive or address in self.cut:
+            raise TargetError(FailureKind.CONNECT, 'refused', not_run=True)
+        return target
+
+
+def _refused(error: TargetRefusedError) -> TargetError:
+    return TargetError(FailureKind.REFUSED, str(error), not_run=True)
--- /dev/null
+++ b/borageyard/pipeline.py
@@ -0,0 +1,285 @@
+"""Runs a request through the stages of its pipeline."""
+
+import contextlib
+import dataclasses
+from typing import Any, Protocol
+
+from .clock import Clock
+from .configuration import REQUEST_INPUT, Configuration, Pipeline, Stage
+from .dispatch import StageDispatcher
+from .errors import ErrorKind, Ran, Refusal, RefusalError
+from .events import Event, log_event
+from .requests import (
+    AdmittedRequest,
+    Answer,
+    PipelineRequest,
+    StageRequest,
+    StageResult,
+    TokenSink,
+)
+
+Outcome = Answer | Refusal
+
+
+class ConfigurationSource(Protocol):
+    """Tells the configuration in force."""
+
+    def current(self) -> Configuration | None:
+        """Returns the configuration, or none before one is known."""
+
+
+class ServingPermission(Protocol):
+    """Tells whether the entry may admit new work."""
+
+    def check(self) -> Refusal | None:
+        """Returns why work may not be admitted, or none if it may."""
+
+
+class Admission(Protocol):
+    """Decides which requests start and when."""
+
+    def admit(
+        self,
+        admitted: AdmittedRequest,
+    ) -> contextlib.AbstractAsyncContextManager[None]:
+        """Holds the request's place from its start to its end.
+
+        Args:
+            admitted: The request.
+
+        Raises:
+            RefusalError: If it may not start.
+        """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimGrant:
+    """Leave to run a non-idempotent request, or its known outcome."""
+
+    key: str
+    attempt_id: str
+    outcome: Outcome | None = None
+
+
+class ClaimGate(Protocol):
+    """Lets a non-idempotent request run at most once."""
+
+    async def acquire(self, admitted: AdmittedRequest) -> ClaimGrant:
+        """Claims the request's key before its first unrepeatable call.
+
+        Args:
+            admitted: The request.
+
+        Returns:
+            A grant; if it carries an outcome, nothing may be run.
+
+        Raises:
+            RefusalError: If the key can't be claimed.
+        """
+
+    async def complete(self, grant: ClaimGrant, outcome: Outcome) -> None:
+        """Records how a granted request ended."""
+
+    async def abandon(self, grant: ClaimGrant) -> None:
+        """Gives a grant up under which nothing was run."""
+
+
+class StageStore(Protocol):
+    """Keeps finished stage results until their request ends."""
+
+    async def load(self, admitted: AdmittedRequest) -> dict[str, StageResult]:
+        """Returns the finished stages of a request by name."""
+
+    async def save(
+        self,
+        admitted: AdmittedRequest,
+        result: StageResult,
+    ) -> None:
+        """Keeps a finished stage."""
+
+    async def forget(self, admitted: AdmittedRequest) -> None:
+        """Drops what was kept for a request that has ended."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PipelineGates:
+    """Everything that a request passes on its way."""
+
+    configurations: ConfigurationSource
+    permission: ServingPermission
+    admission: Admission
+    claims: ClaimGate
+    store: StageStore
+    dispatcher: StageDispatcher
+
+
+@dataclasses.dataclass(slots=True)
+class RunState:
+    """How far a request has come."""
+
+    results: dict[str, StageResult] = dataclasses.field(default_factory=dict)
+    grant: ClaimGrant | None = None
+    ran: Ran = Ran.NOT_RUN
+
+
+class PipelineRunner:
+    """Runs requests; every one ends with an answer or a refusal."""
+
+    def __init__(self, gates: PipelineGates, clock: Clock) -> None:
+        """Wraps the gates.
+
+        Args:
+            gates: What requests pass.
+            clock: Source of time.
+        """
+        self._gates = gates
+        self._clock = clock
+
+    async def run(
+        self,
+        request: PipelineRequest,
+        sink: TokenSink | None = None,
+    ) -> Outcome:
+        """Runs a request to its outcome.
+
+        Args:
+            request: What the caller asked for.
+            sink: Where tokens of the output stage go, if streamed.
+
+        Returns:
+            The whole answer or an honest refusal.
+        """
+        try:
+            admitted = self._pin(request)
+            async with self._gates.admission.admit(admitted):
+                return await self._run_admitted(admitted, sink)
+        except RefusalError as error:
+            refusal = error.refusal
+        log_event(
+            Event.REQUEST_REFUSED,
+            request_id=request.request_id,
+            pipeline=request.pipeline,
+            kind=refusal.kind.value,
+            not_run=refusal.not_run,
+            detail=refusal.detail,
+        )
+        return refusal
+
+    def _pin(self, request: PipelineRequest) -> AdmittedRequest:
+        """Ties a request to the configuration now in force."""
+        configuration = self._gates.configurations.current()
+        if configuration is None:
+            raise RefusalError(Refusal(ErrorKind.NOT_READY))
+        refusal = self._gates.permission.check()
+        if refusal is not None:
+            raise RefusalError(refusal)
+        pipeline = configuration.pipelines.get(request.pipeline)
+        if pipeline is None:
+            detail = f'pipeline {request.pipeline}'
+            raise RefusalError(Refusal(ErrorKind.NOT_FOUND, detail=detail))
+        if request.organisation not in configuration.organisations:
+            detail = f'organisation {request.organisation}'
+            raise RefusalError(Refusal(ErrorKind.NOT_FOUND, detail=detail))
+        latest_ms = self._clock.steady_ms() + pipeline.deadline_ms
+        bounded = dataclasses.replace(
+            request,
+            expires_at_ms=min(request.expires_at_ms, latest_ms),
+        )
+        return AdmittedRequest(bounded, pipeline, configuration)
+
+    async def _run_admitted(
+        self,
+        admitted: AdmittedRequest,
+        sink: TokenSink | None,
+    ) -> Outcome:
+        state = RunState(results=await self._gates.store.load(admitted))
+        try:
+            outcome: Outcome = await self._run_stages(admitted, state, sink)
+        except RefusalError as error:
+            outcome = _with_progress(error.refusal, state)
+        await self._settle(state, outcome)
+        await self._gates.store.forget(admitted)
+        if isinstance(outcome, Refusal):
+            raise RefusalError(outcome)
+        return outcome
+
+    async def _run_stages(
+        self,
+        admitted: AdmittedRequest,
+        state: RunState,
+        sink: TokenSink | None,
+    ) -> Outcome:
+        for stage in admitted.pipeline.stages:
+            if stage.name in state.results:
+                continue
+            stage_request = _stage_request(admitted, stage, state, sink)
+            if not stage_request.idempotent and state.grant is None:
+                state.grant = await self._gates.claims.acquire(admitted)
+                if state.grant.outcome is not None:
+                    return state.grant.outcome
+            result = await self._gates.dispatcher.run(stage_request)
+            state.results[stage.name] = result
+            if not stage_request.idempotent:
+                state.ran = Ran.RAN
+            await self._gates.store.save(admitted, result)
+        return _build_answer(admitted, state)
+
+    async def _settle(self, state: RunState, outcome: Outcome) -> None:
+        """Records the outcome of a claimed request."""
+        grant = state.grant
+        if grant is None or grant.outcome is not None:
+            return
+        if isinstance(outcome, Refusal) and outcome.ran is Ran.NOT_RUN:
+            await self._gates.claims.abandon(grant)
+            return
+        await self._gates.claims.complete(grant, outcome)
+
+
+def _stage_request(
+    admitted: AdmittedRequest,
+    stage: Stage,
+    state: RunState,
+    sink: TokenSink | None,
+) -> StageRequest:
+    inputs = {
+        source: _input_of(source, admitted, state) for source in stage.inputs
+    }
+    streamed = sink is not None and _may_stream(admitted, stage)
+    return StageRequest(admitted, stage, inputs, sink if streamed else None)
+
+
+def _may_stream(admitted: AdmittedRequest, stage: Stage) -> bool:
+    service = admitted.configuration.services[stage.service]
+    return stage.name == admitted.pipeline.output and service.kind == 'engine'
+
+
+def _input_of(
+    source: str,
+    admitted: AdmittedRequest,
+    state: RunState,
+) -> Any:
+    if source == REQUEST_INPUT:
+        return admitted.request.body
+    return state.results[source].output
+
+
+def _with_progress(refusal: Refusal, state: RunState) -> Refusal:
+    ran = refusal.ran if state.ran is Ran.NOT_RUN else state.ran
+    if refusal.ran is Ran.UNKNOWN:
+        ran = Ran.UNKNOWN
+    return dataclasses.replace(
+        refusal,
+        ran=ran,
+        stages_ran=tuple(state.results),
+    )
+
+
+def _build_answer(admitted: AdmittedRequest, state: RunState) -> Answer:
+    pipeline: Pipeline = admitted.pipeline
+    return Answer(
+        request_id=admitted.request.request_id,
+        pipeline=pipeline.name,
+        configuration_version=admitted.configuration.version,
+        output=state.results[pipeline.output].output,
+        stages=tuple(state.results.values()),
+    )
--- /dev/null
+++ b/borageyard/platform.py
@@ -0,0 +1,261 @@
+"""What the platform offers, as protocols, with twins in memory."""
+
+import dataclasses
+from collections.abc import Mapping, Sequence
+from typing import Any, Protocol
+
+from .clock import MS_PER_S, Clock
+
+Record = Mapping[str, Any]
+
+ROLE_ENTRY = 'entry'
+ROLE_TARGET = 'target'
+STATE_LIVE = 'live'
+STATE_LEAVING = 'leaving'
+DEFAULT_RETENTION_MS = 3_600_000
+DEFAULT_APPENDS_PER_S = 300
+DEFAULT_PAGE_RECORDS = 1000
+# Time that a call to a service in outage takes to fail.
+OUTAGE_DELAY_MS = 50
+
+
+class PlatformError(Exception):
+    """The platform did not answer."""
+
+
+class AppendRefusedError(PlatformError):
+    """An append that certainly had no effect."""
+
+
+class AppendUnknownError(PlatformError):
+    """An append whose answer was lost; it may have taken effect."""
+
+
+class OffsetExpiredError(PlatformError):
+    """A read from an offset that is no longer kept."""
+
+    def __init__(self, start: int, head: int) -> None:
+        """Keeps the bounds of the stream.
+
+        Args:
+            start: Oldest offset that is kept.
+            head: Offset that the next append will get.
+        """
+        super().__init__(f'offset expired; kept are {start} to {head}')
+        self.start = start
+        self.head = head
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogRecord:
+    """A record with its place in a stream."""
+
+    offset: int
+    appended_at_ms: float
+    body: Record
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogPage:
+    """Some records and the bounds of their stream."""
+
+    start: int
+    head: int
+    records: tuple[LogRecord, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Instance:
+    """A row of the instance list."""
+
+    instance_id: str
+    role: str
+    address: str
+    failure_domain: str
+    service: str = ''
+    peer_address: str = ''
+    incarnation: int = 0
+    state: str = STATE_LIVE
+
+
+class LogService(Protocol):
+    """The append-only log with offsets."""
+
+    async def append(self, stream: str, body: Record) -> int:
+        """Appends a record.
+
+        Args:
+            stream: Name of the stream.
+            body: JSON object.
+
+        Returns:
+            The offset of the record.
+
+        Raises:
+            AppendRefusedError: If it certainly had no effect.
+            AppendUnknownError: If it may have taken effect.
+        """
+
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        wait_ms: float = 0,
+    ) -> LogPage:
+        """Reads records in order.
+
+        Args:
+            stream: Name of the stream.
+            offset: First offset wanted.
+            wait_ms: How long to wait for a record when there is none yet.
+
+        Returns:
+            Records from the offset on, and the bounds of the stream.
+
+        Raises:
+            OffsetExpiredError: If the offset is no longer kept.
+            PlatformError: If the service does not answer.
+        """
+
+
+class InstanceList(Protocol):
+    """The lagging list of live and leaving instances."""
+
+    async def instances(self) -> Sequence[Instance]:
+        """Returns the rows of the list.
+
+        Raises:
+            PlatformError: If the service does not answer.
+        """
+
+
+class WeightStore(Protocol):
+    """The rate-limited store of model weights."""
+
+    async def rate_bytes_per_s(self) -> float:
+        """Returns the rate that all loads share.
+
+        Raises:
+            PlatformError: If the service does not answer.
+        """
+
+
+@dataclasses.dataclass(slots=True)
+class LogFaults:
+    """Faults that can be switched on in a log stand-in."""
+
+    outage: bool = False
+    lose_next_answers: int = 0
+    delay_ms: float = 0
+
+
+class MemoryLog:
+    """The log service in memory, with its limits and its faults."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        retention_ms: float = DEFAULT_RETENTION_MS,
+        appends_per_s: float = DEFAULT_APPENDS_PER_S,
+    ) -> None:
+        """Starts with no streams.
+
+        Args:
+            clock: Source of time for retention and rate.
+            retention_ms: How long a record is kept.
+            appends_per_s: Rate above which appends are refused.
+        """
+        self._clock = clock
+        self._retention_ms = retention_ms
+        self._appends_per_s = appends_per_s
+        self._tokens = appends_per_s
+        self._refilled_at_ms = clock.steady_ms()
+        self._streams: dict[str, list[LogRecord]] = {}
+        self._starts: dict[str, int] = {}
+        self.faults = LogFaults()
+        self.appends = 0
+
+    def append_now(self, stream: str, body: Record) -> int:
+        """Appends without waiting.
+
+        Raises:
+            AppendRefusedError: In an outage or above the rate.
+            AppendUnknownError: If the answer is to be lost.
+        """
+        if self.faults.outage:
+            raise AppendRefusedError('outage')
+        if not self._take_token():
+            raise AppendRefusedError('rate limit')
+        records = self._streams.setdefault(stream, [])
+        offset = self._starts.get(stream, 0) + len(records)
+        records.append(LogRecord(offset, self._clock.wall_ms(), dict(body)))
+        self.appends += 1
+        if self.faults.lose_next_answers:
+            self.faults.lose_next_answers -= 1
+            raise AppendUnknownError('answer lost')
+        return offset
+
+    def read_now(self, stream: str, offset: int) -> LogPage:
+        """Reads without waiting.
+
+        Raises:
+            OffsetExpiredError: If the offset is no longer kept.
+            PlatformError: In an outage.
+        """
+        if self.faults.outage:
+            raise PlatformError('outage')
+        self._expire(stream)
+        records = self._streams.get(stream, [])
+        start = self._starts.get(stream, 0)
+        head = start + len(records)
+        if offset < start:
+            raise OffsetExpiredError(start, head)
+        first = offset - start
+        page = records[first : first + DEFAULT_PAGE_RECORDS]
+        return LogPage(start, head, tuple(page))
+
+    def expire_before(self, stream: str, offset: int) -> None:
+        """Drops the records before an offset, as retention does."""
+        start = self._starts.get(stream, 0)
+        records = self._streams.get(stream, [])
+        drop = min(max(offset - start, 0), len(records))
+        self._streams[stream] = records[drop:]
+        self._starts[stream] = start + drop
+
+    def _expire(self, stream: str) -> None:
+        oldest_ms = self._clock.wall_ms() - self._retention_ms
+        records = self._streams.get(stream, [])
+        expired = 0
+        while (
+            expired < len(records)
+            and records[expired].appended_at_ms < oldest_ms
+        ):
+            expired += 1
+        self.expire_before(stream, self._starts.get(stream, 0) + expired)
+
+    def _take_token(self) -> bool:
+        now_ms = self._clock.steady_ms()
+        passed_s = (now_ms - self._refilled_at_ms) / MS_PER_S
+        self._refilled_at_ms = now_ms
+        self._tokens = min(
+            self._appends_per_s,
+            self._tokens + passed_s * self._appends_per_s,
+        )
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+@dataclasses.dataclass(slots=True)
+class MemoryInstances:
+    """The instance list in memory."""
+
+    rows: list[Instance] = dataclasses.field(default_factory=list)
+    outage: bool = False
+
+    async def instances(self) -> Sequence[Instance]:
+        """Returns the rows, or fails in an outage."""
+        if self.outage:
+            raise PlatformError('outage')
+        return tuple(self.rows)
--- /dev/null
+++ b/borageyard/requests.py
@@ -0,0 +1,79 @@
+"""Requests for pipelines, their stages and their outcomes."""
+
+import dataclasses
+from typing import Any, Protocol
+
+from .configuration import Configuration, Pipeline, Stage
+from .target import TokenEvent
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PipelineRequest:
+    """What a caller asked for."""
+
+    request_id: str
+    pipeline: str
+    organisation: str
+    body: Any
+    expires_at_ms: float
+    idempotency_key: str = ''
+    priority: int = 0
+    cache_prefix: str = ''
+    stream: bool = False
+    trace_parent: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmittedRequest:
+    """A request with the configuration that it keeps to its end."""
+
+    request: PipelineRequest
+    pipeline: Pipeline
+    configuration: Configuration
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageResult:
+    """The whole result of a stage and what it took."""
+
+    stage: str
+    target_id: str
+    output: Any
+    duration_ms: float
+    attempts: int = 1
+    tokens: int = 0
+    cached_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """The whole answer to a request."""
+
+    request_id: str
+    pipeline: str
+    configuration_version: int
+    output: Any
+    stages: tuple[StageResult, ...]
+
+
+class TokenSink(Protocol):
+    """Where the tokens of a streamed answer go."""
+
+    async def send(self, event: TokenEvent) -> None:
+        """Hands a token to the caller, waiting while the caller is slow."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageRequest:
+    """One stage of an admitted request."""
+
+    admitted: AdmittedRequest
+    stage: Stage
+    inputs: dict[str, Any]
+    sink: TokenSink | None = None
+
+    @property
+    def idempotent(self) -> bool:
+        """Tells whether the stage may be run again."""
+        services = self.admitted.configuration.services
+        return services[self.stage.service].idempotent
--- /dev/null
+++ b/borageyard/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems that entries talk to."""
--- /dev/null
+++ b/borageyard/standins/platform_http.py
@@ -0,0 +1,139 @@
+"""HTTP faces of the stand-ins of the platform's services."""
+
+import asyncio
+import dataclasses
+from http import HTTPStatus
+
+from ..border import parse_json
+from ..clock import MS_PER_S
+from ..http_messages import HttpRequest, HttpResponse, json_response
+from ..memory_log import MemoryLogService
+from ..platform import (
+    AppendUnknownError,
+    LogPage,
+    MemoryInstances,
+    MemoryLog,
+    OffsetExpiredError,
+    PlatformError,
+)
+from .faults import set_faults
+
+STREAM_PATH_PARTS = 5
+# How long a call whose answer is lost stays open.
+LOST_ANSWER_MS = 60_000
+
+
+class LogHandler:
+    """Answers the calls of the log service."""
+
+    def __init__(self, log: MemoryLog) -> None:
+        """Wraps a log.
+
+        Args:
+            log: Where records are kept.
+        """
+        self._log = log
+        self._service = MemoryLogService(log)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answers one call."""
+        if request.path == '/v1/faults':
+            return set_faults(self._log.faults, request)
+        parts = request.path.split('/')
+        if len(parts) != STREAM_PATH_PARTS or parts[-1] != 'records':
+            return _reason('no such path', HTTPStatus.NOT_FOUND)
+        try:
+            return await self._serve(parts[-2], request)
+        except AppendUnknownError as error:
+            await asyncio.sleep(LOST_ANSWER_MS / MS_PER_S)
+            return _reason(str(error), HTTPStatus.SERVICE_UNAVAILABLE)
+        except OffsetExpiredError as error:
+            bounds = {'start': error.start, 'head': error.head}
+            return json_response(
+                bounds,
+                HTTPStatus.REQUESTED_RANGE_NOT_SATISFIABLE,
+            )
+        except PlatformError as error:
+            return _reason(str(error), HTTPStatus.SERVICE_UNAVAILABLE)
+
+    async def _serve(
+        self,
+        stream: str,
+        request: HttpRequest,
+    ) -> HttpResponse:
+        if request.method == 'POST':
+            return await self._append(stream, request)
+        return await self._read(stream, request)
+
+    async def _append(
+        self,
+        stream: str,
+        request: HttpRequest,
+    ) -> HttpResponse:
+        body = parse_json(request.body, 'append')
+        if not isinstance(body, dict) or 'record' not in body:
+            return _reason('no record', HTTPStatus.BAD_REQUEST)
+        offset = await self._service.append(stream, body['record'])
+        return json_response({'start': offset, 'head': offset + 1})
+
+    async def _read(
+        self,
+        stream: str,
+        request: HttpRequest,
+    ) -> HttpResponse:
+        offset = int(request.query.get('from', '0'))
+        wait_ms = float(request.query.get('wait_ms', '0'))
+        page = await self._service.read(stream, offset, wait_ms)
+        return json_response(_page_body(page))
+
+
+class InstancesHandler:
+    """Answers the calls of the instance list."""
+
+    def __init__(self, instances: MemoryInstances) -> None:
+        """Wraps a list.
+
+        Args:
+            instances: The rows.
+        """
+        self._instances = instances
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answers one call."""
+        try:
+            rows = await self._instances.instances()
+        except PlatformError as error:
+            return _reason(str(error), HTTPStatus.SERVICE_UNAVAILABLE)
+        return json_response({'instances': list(map(dataclasses.asdict, rows))})
+
+
+class WeightsHandler:
+    """Answers the calls of the weight store."""
+
+    def __init__(self, rate_bytes_per_s: float) -> None:
+        """Sets the rate.
+
+        Args:
+            rate_bytes_per_s: Rate that all loads share.
+        """
+        self._rate_bytes_per_s = rate_bytes_per_s
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answers one call."""
+        return json_response({'rate_bytes_per_s': self._rate_bytes_per_s})
+
+
+def _reason(text: str, status: HTTPStatus) -> HttpResponse:
+    return json_response({'reason': text}, status)
+
+
+def _page_body(page: LogPage) -> dict[str, object]:
+    records = [
+        {
+            'offset': stored.offset,
+            'appended_at_ms': stored.appended_at_ms,
+            'record': stored.body,
+        }
+        for stored in page.records
+    ]
+    return {'start': page.start, 'head': page.head, 'records': records}
--- /dev/null
+++ b/borageyard/standins/target.py
@@ -0,0 +1,377 @@
+"""Stand-in of a target: batching, prefix cache, load reports and faults."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import hashlib
+import heapq
+import itertools
+import json
+import random
+from collections.abc import AsyncGenerator, AsyncIterator, Iterator
+from typing import Any
+
+from ..clock import MS_PER_S, Clock
+from ..target import LoadReport, TargetAnswer, TargetCall, TokenEvent
+
+KIND_ENGINE = 'engine'
+KIND_PLAIN = 'plain'
+CHARS_PER_TOKEN = 4
+DIGEST_CHARS = 12
+# Share by which a full batch slows each token.
+BATCH_SLOWDOWN = 0.5
+JITTER_SHARE = 0.2
+
+
+class TargetCrashError(Exception):
+    """The target died while it ran a call."""
+
+
+class TargetRefusedError(Exception):
+    """The target refused a call before it ran."""
+
+
+@dataclasses.dataclass(slots=True)
+class TargetProfile:
+    """Identity and speed of a stand-in target."""
+
+    target_id: str
+    service: str
+    kind: str
+    slots: int = 8
+    base_ms: float = 10
+    per_input_token_ms: float = 0.01
+    per_output_token_ms: float = 5
+    output_tokens: int = 16
+    cache_tokens: int = 4096
+
+
+@dataclasses.dataclass(slots=True)
+class TargetFaults:
+    """Faults that can be switched on; a count is used up call by call."""
+
+    slow_factor: float = 1
+    refuse_next: int = 0
+    cross_next: int = 0
+    lose_answer_next: int = 0
+    truncate_next: int = 0
+    hang_next: int = 0
+    crash_on_text: str = ''
+    report_lag_ms: float = 0
+    leaving: bool = False
+
+    def take(self, name: str) -> bool:
+        """Uses up one of a counted fault.
+
+        Args:
+            name: Field that counts the fault.
+
+        Returns:
+            Whether there was one left.
+        """
+        left: int = getattr(self, name)
+        if left:
+            setattr(self, name, left - 1)
+        return left > 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Execution:
+    """The target's own record of a call that it ran."""
+
+    idempotency_key: str
+    request_id: str
+    attempt_id: str
+    stage: str
+    started_at_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StandinAnswer:
+    """An answer with the attempt that it names."""
+
+    attempt_id: str
+    answer: TargetAnswer
+
+
+class PrioritySlots:
+    """A number of slots; waiters of higher priority go first."""
+
+    def __init__(self, slots: int) -> None:
+        """Starts with all slots free.
+
+        Args:
+            slots: How many calls run at once.
+        """
+        self._free = slots
+        self._order = itertools.count()
+        self._waiting: list[tuple[int, int, asyncio.Future[None]]] = []
+
+    @property
+    def queued(self) -> int:
+        """Returns how many calls wait."""
+        return sum(not future.done() for _, _, future in self._waiting)
+
+    async def acquire(self, priority: int) -> None:
+        """Waits for a slot.
+
+        Args:
+            priority: Higher goes first.
+        """
+        if self._free:
+            self._free -= 1
+            return
+        future = asyncio.get_running_loop().create_future()
+        entry = (-priority, next(self._order), future)
+        heapq.heappush(self._waiting, entry)
+        try:
+            await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                self.release()
+            raise
+
+    def release(self) -> None:
+        """Gives a slot to the first waiter or back."""
+        while self._waiting:
+            _, _, future = heapq.heappop(self._waiting)
+            if not future.done():
+                future.set_result(None)
+                return
+        self._free += 1
+
+
+class PrefixCache:
+    """Least recently used prompt prefixes, bounded by tokens."""
+
+    def __init__(self, capacity_tokens: int) -> None:
+        """Starts empty.
+
+        Args:
+            capacity_tokens: Bound on the tokens of all prefixes.
+        """
+        self._capacity_tokens = capacity_tokens
+        self._prefixes: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        self.events: list[dict[str, Any]] = []
+
+    def use(self, prefix: str, tokens: int) -> int:
+        """Looks a prefix up and keeps it.
+
+        Args:
+            prefix: Name of the prefix; empty for none.
+            tokens: Its length.
+
+        Returns:
+            How many of its tokens were cached.
+        """
+        if not prefix:
+            return 0
+        cached = self._prefixes.pop(prefix, 0)
+        self._prefixes[prefix] = tokens
+        if not cached:
+            self._note('stored', prefix)
+        while sum(self._prefixes.values()) > self._capacity_tokens:
+            evicted, _ = self._prefixes.popitem(last=False)
+            self._note('evicted', evicted)
+        return min(cached, tokens)
+
+    def _note(self, action: str, prefix: str) -> None:
+        event = {
+            'sequence': len(self.events),
+            'action': action,
+            'prefix': prefix,
+        }
+        self.events.append(event)
+
+
+class StandinTarget:
+    """Runs calls in a model of time and records what it ran."""
+
+    def __init__(
+        self,
+        profile: TargetProfile,
+        clock: Clock,
+        seed: int = 0,
+    ) -> None:
+        """Starts idle.
+
+        Args:
+            profile: Identity and speed.
+            clock: Source of time.
+            seed: Seed of the jitter of service times.
+        """
+        self.profile = profile
+        self.faults = TargetFaults()
+        self.executions: list[Execution] = []
+        self.alive = True
+        self.models: dict[str, tuple[str, ...]] = {}
+        self.cache = PrefixCache(profile.cache_tokens)
+        self._clock = clock
+        self._random = random.Random(seed)
+        self._slots = PrioritySlots(profile.slots)
+        self._running = 0
+        self._dead: asyncio.Event = asyncio.Event()
+        self._reports: collections.deque[LoadReport] = collections.deque()
+
+    async def run(self, call: TargetCall) -> StandinAnswer:
+        """Runs a call to its end.
+
+        Args:
+            call: The attempt.
+
+        Raises:
+            TargetRefusedError: If it was refused before it ran.
+            TargetCrashError: If the target died or the answer was lost.
+        """
+        last = None
+        async for event in self.run_stream(call):
+            last = event
+        if last is None:
+            raise TargetCrashError('no event')
+        attempt_id = call.attempt_id
+        if self.faults.take('cross_next'):
+            attempt_id = f'crossed-{attempt_id}'
+        answer = TargetAnswer(
+            output=self.expected_output(call),
+            tokens=last.tokens,
+            cached_tokens=last.cached_tokens,
+        )
+        return StandinAnswer(attempt_id, answer)
+
+    async def run_stream(
+        self,
+        call: TargetCall,
+    ) -> AsyncGenerator[TokenEvent, None]:
+        """Runs a call and yields its tokens, the last event being done."""
+        if not self.alive:
+            raise TargetCrashError('dead')
+        if self.faults.take('refuse_next'):
+            raise TargetRefusedError('told to refuse')
+        async with self._slot(call.priority):
+            async for event in self._generate(call):
+                yield event
+
+    def expected_output(self, call: TargetCall) -> dict[str, Any]:
+        """Returns the output that belongs to a call's inputs."""
+        digest = _digest(call)
+        return {'stage': call.stage, 'of': digest, 'text': self._text(digest)}
+
+    def crash(self) -> None:
+        """Dies with all running calls."""
+        self.alive = False
+        self._dead.set()
+
+    def restart(self) -> None:
+        """Comes back with an empty cache."""
+        self.alive = True
+        self._dead = asyncio.Event()
+        self.cache = PrefixCache(self.profile.cache_tokens)
+
+    def load(self) -> LoadReport:
+        """Returns the newest report that is old enough to be seen."""
+        now_ms = self._clock.wall_ms()
+        report = LoadReport(
+            target_id=self.profile.target_id,
+            reported_at_ms=now_ms,
+            running=self._running,
+            queued=self._slots.queued,
+            slots=self.profile.slots,
+            leaving=self.faults.leaving,
+            models=dict(self.models),
+        )
+        self._reports.append(report)
+        oldest_ms = now_ms - self.faults.report_lag_ms
+        while (
+            len(self._reports) > 1
+            and self._reports[1].reported_at_ms <= oldest_ms
+        ):
+            self._reports.popleft()
+        return self._reports[0]
+
+    @contextlib.asynccontextmanager
+    async def _slot(self, priority: int) -> AsyncIterator[None]:
+        await self._slots.acquire(priority)
+        self._running += 1
+        try:
+            yield
+        finally:
+            self._running -= 1
+            self._slots.release()
+
+    async def _generate(self, call: TargetCall) -> AsyncIterator[TokenEvent]:
+        if self.faults.take('hang_next'):
+            await self._sleep(float('inf'))
+        self.executions.append(
+            Execution(
+                idempotency_key=call.idempotency_key,
+                request_id=call.request_id,
+                attempt_id=call.attempt_id,
+                stage=call.stage,
+                started_at_ms=self._clock.wall_ms(),
+            ),
+        )
+        inputs = json.dumps(dict(call.inputs))
+        text = self.faults.crash_on_text
+        if text and text in inputs:
+            self.crash()
+        input_tokens = len(inputs) // CHARS_PER_TOKEN
+        cached = self.cache.use(call.cache_prefix, input_tokens)
+        await self._sleep(self._prefill_ms(input_tokens - cached))
+        total = 1
+        if self.profile.kind == KIND_ENGINE:
+            total = self.profile.output_tokens
+            for event in self._tokens(call, total):
+                await self._sleep(self._token_ms())
+                if self.faults.take('truncate_next'):
+                    raise TargetCrashError('truncated')
+                yield event
+        if self.faults.take('lose_answer_next'):
+            raise TargetCrashError('answer lost')
+        yield TokenEvent(
+            offset=max(total, call.resume_from),
+            done=True,
+            tokens=total,
+            cached_tokens=cached,
+        )
+
+    def _tokens(self, call: TargetCall, total: int) -> Iterator[TokenEvent]:
+        digest = _digest(call)
+        for offset in range(call.resume_from, total):
+            yield TokenEvent(offset=offset, token=f'{digest}.{offset} ')
+
+    def _text(self, digest: str) -> str:
+        if self.profile.kind != KIND_ENGINE:
+            return digest
+        count = self.profile.output_tokens
+        return ''.join(f'{digest}.{offset} ' for offset in range(count))
+
+    def _prefill_ms(self, tokens: int) -> float:
+        spread = self._random.uniform(-JITTER_SHARE, JITTER_SHARE)
+        base_ms = self.profile.base_ms * (1 + spread)
+        return base_ms + tokens * self.profile.per_input_token_ms
+
+    def _token_ms(self) -> float:
+        full = self._running / self.profile.slots
+        slowdown = 1 + BATCH_SLOWDOWN * full
+        return self.profile.per_output_token_ms * slowdown
+
+    async def _sleep(self, duration_ms: float) -> None:
+        """Passes time; ends at once when the target dies."""
+        duration_s = duration_ms * self.faults.slow_factor / MS_PER_S
+        timeout_s = None if duration_s == float('inf') else duration_s
+        dead = self._dead
+        try:
+            async with asyncio.timeout(timeout_s):
+                await dead.wait()
+        except TimeoutError:
+            return
+        raise TargetCrashError('dead')
+
+
+def _digest(call: TargetCall) -> str:
+    inputs = json.dumps(dict(call.inputs), sort_keys=True)
+    digest = hashlib.sha256(inputs.encode()).hexdigest()
+    return digest[:DIGEST_CHARS]
--- /dev/null
+++ b/borageyard/standins/target_http.py
@@ -0,0 +1,131 @@
+"""HTTP face of the stand-in target."""
+
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator
+from http import HTTPStatus
+from types import TracebackType
+from typing import Any, Self
+
+from ..border import DocumentError, check_document, parse_json
+from ..generated.http_bodies import TargetCallBody
+from ..http_messages import (
+    EVENT_STREAM_TYPE,
+    HttpRequest,
+    HttpResponse,
+    encode_event,
+    json_response,
+)
+from ..http_server import HttpServer
+from ..target import TargetCall
+from .faults import set_faults
+from .target import StandinTarget, TargetRefusedError
+
+
+class TargetServer:
+    """Serves a stand-in target; a crash ends the server."""
+
+    def __init__(self, target: StandinTarget) -> None:
+        """Wraps a target.
+
+        Args:
+            target: What runs the calls.
+        """
+        self.target = target
+        self._server = HttpServer(self._handle)
+
+    @property
+    def address(self) -> str:
+        """Returns where it listens."""
+        return self._server.address
+
+    async def __aenter__(self) -> Self:
+        """Returns the server."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Closes the server."""
+        await self._server.close()
+
+    async def start(self, address: str) -> None:
+        """Starts to listen.
+
+        Args:
+            address: IP number and port.
+        """
+        await self._server.start(address)
+
+    async def crash(self) -> None:
+        """Dies: running calls are reset, new ones are refused."""
+        self.target.crash()
+        await self._server.close()
+
+    async def restart(self) -> None:
+        """Comes back under the same address."""
+        self.target.restart()
+        await self._server.start(self.address)
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        if request.path == '/v1/run':
+            return await self._run(request)
+        routes = {
+            '/v1/load': self._load,
+            '/v1/cache-events': self._cache_events,
+            '/v1/executions': self._executions,
+            '/v1/faults': self._set_faults,
+        }
+        route = routes.get(request.path)
+        if route is None:
+            reason = {'reason': 'no such path'}
+            return json_response(reason, HTTPStatus.NOT_FOUND)
+        return route(request)
+
+    def _load(self, request: HttpRequest) -> HttpResponse:
+        return json_response(dataclasses.asdict(self.target.load()))
+
+    def _cache_events(self, request: HttpRequest) -> HttpResponse:
+        after = int(request.query.get('after', '0'))
+        return json_response(self.target.cache.events[after:])
+
+    def _executions(self, request: HttpRequest) -> HttpResponse:
+        rows = map(dataclasses.asdict, self.target.executions)
+        return json_response(list(rows))
+
+    def _set_faults(self, request: HttpRequest) -> HttpResponse:
+        return set_faults(self.target.faults, request)
+
+    async def _run(self, request: HttpRequest) -> HttpResponse:
+        try:
+            body = check_document(
+                TargetCallBody,
+                parse_json(request.body, 'call'),
+                'call',
+            )
+        except DocumentError as error:
+            refusal = {'reason': str(error), 'not_run': True}
+            return json_response(refusal, HTTPStatus.BAD_REQUEST)
+        call = TargetCall(**body.model_dump())
+        if call.stream:
+            return HttpResponse(
+                status=HTTPStatus.OK,
+                content_type=EVENT_STREAM_TYPE,
+                chunks=self._events(call),
+            )
+        try:
+            answer = await self.target.run(call)
+        except TargetRefusedError as error:
+            refusal = {'reason': str(error), 'not_run': True}
+            return json_response(refusal, HTTPStatus.SERVICE_UNAVAILABLE)
+        encoded: dict[str, Any] = dataclasses.asdict(answer.answer)
+        return json_response({'attempt_id': answer.attempt_id, **encoded})
+
+    async def _events(self, call: TargetCall) -> AsyncIterator[bytes]:
+        async with contextlib.aclosing(self.target.run_stream(call)) as events:
+            async for event in events:
+                fields = dataclasses.asdict(event)
+                yield encode_event({'attempt_id': call.attempt_id, **fields})
--- /dev/null
+++ b/borageyard/wire.py
@@ -0,0 +1,162 @@
+"""Translates between HTTP and requests, answers and refusals."""
+
+import dataclasses
+import json
+from typing import Any
+
+from .border import DocumentError, parse_json
+from .clock import Clock
+from .errors import ErrorKind, Refusal, RefusalError
+from .generated.http_bodies import AnswerBody, RefusalBody, StageReportBody
+from .http_messages import (
+    EVENT_STREAM_TYPE,
+    HttpRequest,
+    HttpResponse,
+    json_response,
+)
+from .identifiers import new_identifier
+from .requests import Answer, PipelineRequest
+
+DEFAULT_DEADLINE_MS = 9000
+ORGANISATION_HEADER = 'x-borage-organisation'
+DEADLINE_HEADER = 'x-borage-deadline-ms'
+PRIORITY_HEADER = 'x-borage-priority'
+CACHE_PREFIX_HEADER = 'x-borage-cache-prefix'
+REQUEST_ID_HEADER = 'x-borage-request-id'
+KEY_HEADER = 'idempotency-key'
+
+
+def decode_request(
+    request: HttpRequest,
+    pipeline: str,
+    clock: Clock,
+) -> PipelineRequest:
+    """Reads a pipeline request from HTTP.
+
+    Args:
+        request: The HTTP request.
+        pipeline: Name of the pipeline, from the path.
+        clock: Source of time for the deadline.
+
+    Returns:
+        The request.
+
+    Raises:
+        RefusalError: If a header or the body is malformed.
+    """
+    try:
+        body = parse_json(request.body or b'null', 'body')
+    except DocumentError as error:
+        refusal = Refusal(ErrorKind.BAD_REQUEST, detail=str(error))
+        raise RefusalError(refusal) from error
+    deadline_ms = _read_int(request, DEADLINE_HEADER, DEFAULT_DEADLINE_MS)
+    if deadline_ms <= 0:
+        detail = f'{DEADLINE_HEADER}: expected a positive number'
+        raise RefusalError(Refusal(ErrorKind.BAD_REQUEST, detail=detail))
+    return PipelineRequest(
+        request_id=request.header(REQUEST_ID_HEADER) or new_identifier(),
+        pipeline=pipeline,
+        organisation=request.header(ORGANISATION_HEADER),
+        body=body,
+        expires_at_ms=clock.steady_ms() + deadline_ms,
+        idempotency_key=request.header(KEY_HEADER),
+        priority=_read_int(request, PRIORITY_HEADER, 0),
+        cache_prefix=request.header(CACHE_PREFIX_HEADER),
+        stream=EVENT_STREAM_TYPE in request.header('accept'),
+        trace_parent=request.header('traceparent'),
+    )
+
+
+def encode_outcome(
+    request_id: str,
+    outcome: Answer | Refusal,
+) -> HttpResponse:
+    """Returns the HTTP response for an outcome.
+
+    Args:
+        request_id: Id of the request.
+        outcome: How it ended.
+    """
+    if isinstance(outcome, Refusal):
+        return encode_refusal(request_id, outcome)
+    return json_response(answer_body(outcome).model_dump())
+
+
+def encode_refusal(request_id: str, refusal: Refusal) -> HttpResponse:
+    """Returns the HTTP response for a refusal.
+
+    Args:
+        request_id: Id of the request.
+        refusal: Why there is no answer.
+    """
+    body = refusal_body(request_id, refusal)
+    response = json_response(body.model_dump(), refusal.answer.status)
+    if refusal.retry_after_ms:
+        seconds = -(-refusal.retry_after_ms // 1000)
+        headers = {'retry-after': str(seconds)}
+        return dataclasses.replace(response, headers=headers)
+    return response
+
+
+def answer_body(answer: Answer) -> AnswerBody:
+    """Returns the body for an answer."""
+    stages = [
+        StageReportBody(
+            stage=result.stage,
+            target_id=result.target_id,
+            duration_ms=result.duration_ms,
+            attempts=result.attempts,
+            tokens=result.tokens,
+            cached_tokens=result.cached_tokens,
+        )
+        for result in answer.stages
+    ]
+    return AnswerBody(
+        request_id=answer.request_id,
+        pipeline=answer.pipeline,
+        configuration_version=answer.configuration_version,
+        output=answer.output,
+        stages=stages,
+    )
+
+
+def refusal_body(request_id: str, refusal: Refusal) -> RefusalBody:
+    """Returns the body for a refusal."""
+    not_run: Any = refusal.not_run
+    return RefusalBody(
+        request_id=request_id,
+        kind=refusal.kind.value,
+        not_run=not_run,
+        may_retry=refusal.answer.may_retry,
+        retry_after_ms=refusal.retry_after_ms,
+        stages_ran=list(refusal.stages_ran),
+        message=refusal.answer.message,
+        detail=refusal.detail,
+    )
+
+
+def token_payload(token: str, offset: int) -> dict[str, Any]:
+    """Returns the event for one token of a streamed answer."""
+    return {'type': 'token', 'offset': offset, 'token': token}
+
+
+def outcome_payload(
+    request_id: str,
+    outcome: Answer | Refusal,
+) -> dict[str, Any]:
+    """Returns the last event of a streamed answer."""
+    kind = 'refusal' if isinstance(outcome, Refusal) else 'answer'
+    body = encode_outcome(request_id, outcome).body
+    return {'type': kind, **json.loads(body)}
+
+
+def _read_int(request: HttpRequest, name: str, default: int) -> int:
+    text = request.header(name)
+    if not text:
+        return default
+    try:
+        return int(text)
+    except ValueError as error:
+        detail = f'{name}: found {text}; expected a whole number'
+        refusal = Refusal(ErrorKind.BAD_REQUEST, detail=detail)
+        raise RefusalError(refusal) from error
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,101 @@
+"""Tests of an entry over real sockets."""
+
+import contextlib
+import json
+import pathlib
+
+from borageyard.demo import load_plan
+from borageyard.deployment import Deployment
+from borageyard.http_client import HttpCall, HttpClient, read_events
+from borageyard.http_messages import encode_json
+from borageyard.identifiers import new_identifier
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+
+
+@contextlib.asynccontextmanager
+async def running():
+    """Runs a small deployment with a client."""
+    plan = load_plan('hundaganga', EXAMPLES)
+    async with Deployment(plan) as deployment, HttpClient() as client:
+        yield deployment, client
+
+
+def pipeline_call(address, pipeline, **headers):
+    """Returns a call for a pipeline."""
+    return HttpCall(
+        address=address,
+        method='POST',
+        path=f'/v1/pipelines/{pipeline}',
+        body=encode_json({'dog': 'Snati'}),
+        headers={
+            'x-borage-organisation': 'dispatch',
+            'idempotency-key': new_identifier(),
+            **headers,
+        },
+    )
+
+
+class TestWholePath:
+    """A request from its caller through all stages and back."""
+
+    async def test_answer_belongs_to_request(self):
+        """The answer carries the request's id and every stage."""
+        async with running() as (deployment, client):
+            entry = deployment.all_entries()[0]
+            call = pipeline_call(entry.address, 'route-summary')
+            reply = await client.request(call)
+        body = json.loads(reply.body)
+        assert reply.status == 200
+        assert [stage['stage'] for stage in body['stages']] == [
+            'encode',
+            'retrieve',
+            'rerank',
+            'routes',
+            'generate',
+        ]
+
+    async def test_stream_ends_with_the_answer(self):
+        """Tokens come in order and the last event is the answer."""
+        async with running() as (deployment, client):
+            entry = deployment.all_entries()[0]
+            call = pipeline_call(
+                entry.address,
+                'owner-assistant',
+                accept='text/event-stream',
+            )
+            async with client.stream(call) as (_, _, chunks):
+                events = [
+                    json.loads(event) async for event in read_events(chunks)
+                ]
+        tokens = [event for event in events if event['type'] == 'token']
+        offsets = [event['offset'] for event in tokens]
+        assert offsets == list(range(len(tokens)))
+        assert events[-1]['type'] == 'answer'
+        text = ''.join(event['token'] for event in tokens)
+        assert events[-1]['output']['text'] == text
+
+    async def test_unknown_pipeline_is_refused(self):
+        """A refusal says that nothing was run."""
+        async with running() as (deployment, client):
+            entry = deployment.all_entries()[0]
+            reply = await client.request(
+                pipeline_call(entry.address, 'nowhere'),
+            )
+        body = json.loads(reply.body)
+        assert reply.status == 404
+        assert body['not_run'] is True
+
+    async def test_crossed_answer_is_dropped(self):
+        """An answer to another attempt is never given to the caller."""
+        async with running() as (deployment, client):
+            for server in deployment.targets.values():
+                if server.target.profile.service == 'encoder':
+                    server.target.faults.cross_next = 1
+            entry = deployment.all_entries()[0]
+            reply = await client.request(
+                pipeline_call(entry.address, 'owner-assistant'),
+            )
+        body = json.loads(reply.body)
+        assert reply.status == 502
+        assert body['kind'] == 'target_failed'
