--- a/borageyard/border.py
+++ b/borageyard/border.py
@@ -3,6 +3,7 @@
 import dataclasses
 import json
 import pathlib
+import textwrap
 from typing import TypeVar
 
 import pydantic
@@ -22,10 +23,7 @@
 
     def __str__(self) -> str:
         """Returns one line for a person."""
-        place = f'{self.path}:'
-        return ' '.join(
-            (place, 'found', f'{self.found};', 'expected', self.expected),
-        )
+        return f'{self.path}: found {self.found}; expected {self.expected}'
 
 
 class DocumentError(Exception):
@@ -47,9 +45,7 @@
 def shown(found: object) -> str:
     """Returns a short JSON text of a value for an error message."""
     text = json.dumps(found, default=str)
-    if len(text) > MAX_SHOWN_CHARS:
-        return f'{text[:MAX_SHOWN_CHARS]}...'
-    return text
+    return textwrap.shorten(text, MAX_SHOWN_CHARS, placeholder='...')
 
 
 def check_document(
--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -19,6 +19,7 @@
     OpenPermission,
 )
 from .metrics import EntryMetrics
+from .peers import PeerLink
 from .pipeline import Outcome, PipelineGates, PipelineRunner
 from .platform import InstanceList, LogService, PlatformError
 from .requests import PipelineRequest, TokenSink
@@ -34,6 +35,7 @@
     log: LogService
     instances: InstanceList
     targets: TargetClient
+    peers: PeerLink
     clock: Clock
     seed: int = 0
 
--- a/borageyard/entry.py
+++ b/borageyard/entry.py
@@ -15,6 +15,7 @@
 from .http_platform import HttpInstanceList, HttpLogService
 from .http_server import HttpServer
 from .http_target import HttpTargetClient
+from .peers import MemoryPeerNetwork
 from .settings import client_tls, http_limits, server_tls
 
 
@@ -44,6 +45,7 @@
                 platform.instances_address,
             ),
             targets=HttpTargetClient(self._client),
+            peers=MemoryPeerNetwork().join(settings.instance_id),
             clock=clock or SystemClock(),
         )
         self.core = EntryCore(settings, ports)
--- /dev/null
+++ b/borageyard/memory_deployment.py
@@ -0,0 +1,189 @@
+"""A deployment of twins in memory, for virtual time."""
+
+import asyncio
+import contextlib
+import dataclasses
+from types import TracebackType
+from typing import Self
+
+from .clock import MS_PER_S, Clock, LoopClock
+from .configuration import Configuration, parse_configuration
+from .configuration_log import CONFIGURATION_STREAM
+from .core import EntryCore, EntryPorts
+from .deployment import DeploymentPlan
+from .generated.settings import EntrySettings
+from .memory_log import MemoryLogService
+from .memory_target import MemoryTargetClient
+from .peers import MemoryPeerNetwork
+from .platform import (
+    ROLE_ENTRY,
+    ROLE_TARGET,
+    Instance,
+    MemoryInstances,
+    MemoryLog,
+)
+from .standins.target import StandinTarget, TargetProfile
+
+# Start of virtual time, so that identifiers made in it look real.
+EPOCH_MS = 1_790_000_000_000
+NEWS_MS = 200
+NO_ADDRESS = '127.0.0.1:1'
+
+
+@dataclasses.dataclass(slots=True)
+class RunningEntry:
+    """An entry in memory and what can be done to it."""
+
+    core: EntryCore
+    log: MemoryLogService
+    stack: contextlib.AsyncExitStack
+
+
+class MemoryDeployment:
+    """Entry cores before twins of targets, log, list and peer links."""
+
+    def __init__(
+        self,
+        plan: DeploymentPlan,
+        clock: Clock | None = None,
+        seed: int = 0,
+    ) -> None:
+        """Composes a deployment that does not run yet.
+
+        Args:
+            plan: What it is made of.
+            clock: Source of time; that of the loop by default.
+            seed: Seed of all random sources.
+        """
+        self.plan = plan
+        self.seed = seed
+        self.clock = clock or LoopClock(EPOCH_MS)
+        self.log = MemoryLog(self.clock)
+        self.instances = MemoryInstances()
+        self.network = MemoryPeerNetwork()
+        self.targets: dict[str, StandinTarget] = {}
+        self.entries: dict[str, RunningEntry] = {}
+        self.client = MemoryTargetClient(self.targets)
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Starts the targets, then the entries."""
+        configuration = parse_configuration(self.plan.document, 0)
+        for service in configuration.services:
+            self._add_targets(configuration, service)
+        proposal = {
+            'type': 'apply',
+            'base_version': 0,
+            'author': 'deployment',
+            'document': dict(self.plan.document),
+        }
+        self.log.append_now(CONFIGURATION_STREAM, proposal)
+        for index in range(self.plan.entries):
+            await self.start_entry(index)
+        news = asyncio.ensure_future(self._spread_news())
+        self._stack.callback(news.cancel)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stops everything."""
+        for name in tuple(self.entries):
+            await self.kill_entry(name)
+        await self._stack.aclose()
+
+    async def start_entry(self, index: int) -> EntryCore:
+        """Starts an entry and lists it.
+
+        Args:
+            index: Its number, which gives its name and failure domain.
+        """
+        domains = self.plan.failure_domains
+        domain = domains[index % len(domains)]
+        name = f'entry-{index}'
+        log = MemoryLogService(self.log)
+        ports = EntryPorts(
+            log=log,
+            instances=self.instances,
+            targets=self.client,
+            peers=self.network.join(name),
+            clock=self.clock,
+            seed=self.seed + index,
+        )
+        core = EntryCore(_settings(name, domain), ports)
+        stack = contextlib.AsyncExitStack()
+        await core.start(stack)
+        self.entries[name] = RunningEntry(core, log, stack)
+        self.instances.rows.append(
+            Instance(
+                instance_id=name,
+                role=ROLE_ENTRY,
+                address=name,
+                failure_domain=domain,
+            ),
+        )
+        return core
+
+    async def kill_entry(self, name: str) -> None:
+        """Ends an entry without a goodbye; the list still shows it.
+
+        Args:
+            name: Its instance id.
+        """
+        entry = self.entries.pop(name)
+        self.network.leave(name)
+        await entry.stack.aclose()
+
+    async def _spread_news(self) -> None:
+        while True:
+            await asyncio.sleep(NEWS_MS / MS_PER_S)
+            for link in tuple(self.network.links.values()):
+                link.send_news()
+
+    def _add_targets(
+        self,
+        configuration: Configuration,
+        service: str,
+    ) -> None:
+        count = self.plan.targets_per_service.get(
+            service,
+            self.plan.default_targets,
+        )
+        domains = self.plan.failure_domains
+        for index in range(count):
+            profile = TargetProfile(
+                target_id=f'{service}-{index}',
+                service=service,
+                kind=configuration.services[service].kind,
+                slots=configuration.services[service].max_in_flight,
+            )
+            target = StandinTarget(profile, self.clock, self.seed + index)
+            self.targets[profile.target_id] = target
+            self.instances.rows.append(
+                Instance(
+                    instance_id=profile.target_id,
+                    role=ROLE_TARGET,
+                    address=profile.target_id,
+                    failure_domain=domains[index % len(domains)],
+                    service=service,
+                ),
+            )
+
+
+def _settings(name: str, domain: str) -> EntrySettings:
+    return EntrySettings.model_validate(
+        {
+            'instance_id': name,
+            'failure_domain': domain,
+            'listen_address': NO_ADDRESS,
+            'peer_address': NO_ADDRESS,
+            'platform': {
+                'log_address': NO_ADDRESS,
+                'instances_address': NO_ADDRESS,
+                'weights_address': NO_ADDRESS,
+            },
+        }
+    )
--- /dev/null
+++ b/borageyard/peers.py
@@ -0,0 +1,200 @@
+"""The link between entries, with a twin in memory."""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any, Protocol, TypeVar
+
+import pydantic
+
+from .clock import MS_PER_S
+
+MessageT = TypeVar('MessageT', bound=pydantic.BaseModel)
+ReplyT = TypeVar('ReplyT', bound=pydantic.BaseModel)
+
+# Answers a request of a peer, given the peer's instance id.
+PeerHandler = Callable[[str, Any], Awaitable[pydantic.BaseModel]]
+# Returns the section of the next news, or none if there is nothing to say.
+NewsProvider = Callable[[], pydantic.BaseModel | None]
+# Takes in a section of a peer's news, given the peer's instance id.
+NewsConsumer = Callable[[str, Any], None]
+
+
+class PeerError(Exception):
+    """A peer that did not answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NewsSection:
+    """One kind of news that entries tell each other regularly."""
+
+    model: type[pydantic.BaseModel]
+    provide: NewsProvider
+    consume: NewsConsumer
+
+
+class PeerLink(Protocol):
+    """The way from one entry to the others.
+
+    Messages are generated models; their class name is their kind.
+    """
+
+    def peer_ids(self) -> Sequence[str]:
+        """Returns the instance ids of the peers that can be tried."""
+
+    def register(
+        self,
+        model: type[pydantic.BaseModel],
+        handler: PeerHandler,
+    ) -> None:
+        """Names the handler of a kind of request.
+
+        Args:
+            model: Model of the request.
+            handler: Answers it.
+        """
+
+    def add_news(self, section: NewsSection) -> None:
+        """Adds a section to the regular news; news may be lost."""
+
+    async def request(
+        self,
+        peer_id: str,
+        message: pydantic.BaseModel,
+        reply_model: type[ReplyT],
+        timeout_ms: float,
+    ) -> ReplyT:
+        """Sends a request and waits for the reply.
+
+        Args:
+            peer_id: Instance id of the peer.
+            message: The request.
+            reply_model: Model of the reply.
+            timeout_ms: How long to wait.
+
+        Returns:
+            The reply.
+
+        Raises:
+            PeerError: If there is no reply in time; the request may have
+                been handled.
+        """
+
+
+class MemoryPeerNetwork:
+    """Links the entries of one process; links can be cut and slowed."""
+
+    def __init__(self) -> None:
+        """Starts without entries."""
+        self.links: dict[str, MemoryPeerLink] = {}
+        self.cuts: set[tuple[str, str]] = set()
+        self.delay_ms: float = 0
+
+    def join(self, instance_id: str) -> 'MemoryPeerLink':
+        """Returns the link of a new entry."""
+        link = MemoryPeerLink(self, instance_id)
+        self.links[instance_id] = link
+        return link
+
+    def leave(self, instance_id: str) -> None:
+        """Takes an entry off the network."""
+        self.links.pop(instance_id, None)
+
+    def cut(self, sender: str, receiver: str) -> None:
+        """Cuts one direction between two entries."""
+        self.cuts.add((sender, receiver))
+
+    def heal(self) -> None:
+        """Mends all cuts."""
+        self.cuts.clear()
+
+    def reaches(self, sender: str, receiver: str) -> bool:
+        """Tells whether messages get from one entry to another."""
+        return receiver in self.links and (sender, receiver) not in self.cuts
+
+
+class MemoryPeerLink:
+    """Peer link of one entry in memory."""
+
+    def __init__(self, network: MemoryPeerNetwork, instance_id: str) -> None:
+        """Joins a network.
+
+        Args:
+            network: Carries the messages.
+            instance_id: Id of this entry.
+        """
+        self.instance_id = instance_id
+        self.handlers: dict[type[pydantic.BaseModel], PeerHandler] = {}
+        self.sections: list[NewsSection] = []
+        self._network = network
+
+    def peer_ids(self) -> Sequence[str]:
+        """Returns all other entries of the network."""
+        return tuple(
+            name for name in self._network.links if name != self.instance_id
+        )
+
+    def register(
+        self,
+        model: type[pydantic.BaseModel],
+        handler: PeerHandler,
+    ) -> None:
+        """Names the handler of a kind of request."""
+        self.handlers[model] = handler
+
+    def add_news(self, section: NewsSection) -> None:
+        """Adds a section to the regular news."""
+        self.sections.append(section)
+
+    async def request(
+        self,
+        peer_id: str,
+        message: pydantic.BaseModel,
+        reply_model: type[ReplyT],
+        timeout_ms: float,
+    ) -> ReplyT:
+        """Sends a request and waits for the reply."""
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                reply = await self._exchange(peer_id, message)
+        except TimeoutError as error:
+            raise PeerError(f'{peer_id} timed out') from error
+        return reply_model.model_validate(reply.model_dump())
+
+    def send_news(self) -> None:
+        """Tells all reachable peers the news once."""
+        for peer_id in self.peer_ids():
+            if self._network.reaches(self.instance_id, peer_id):
+                self._send_news_to(self._network.links[peer_id])
+
+    async def _exchange(
+        self,
+        peer_id: str,
+        message: pydantic.BaseModel,
+    ) -> pydantic.BaseModel:
+        await self._travel(self.instance_id, peer_id)
+        handler = self._network.links[peer_id].handlers.get(type(message))
+        if handler is None:
+            raise PeerError(f'{peer_id} does not know the request')
+        copied = type(message).model_validate(message.model_dump())
+        reply = await handler(self.instance_id, copied)
+        await self._travel(peer_id, self.instance_id)
+        return reply
+
+    async def _travel(self, sender: str, receiver: str) -> None:
+        await asyncio.sleep(self._network.delay_ms / MS_PER_S)
+        if receiver not in self._network.links:
+            raise PeerError(f'{receiver} refused')
+        if not self._network.reaches(sender, receiver):
+            await asyncio.Event().wait()
+
+    def _send_news_to(self, receiver: 'MemoryPeerLink') -> None:
+        consumers = {
+            section.model: section.consume for section in receiver.sections
+        }
+        for section in self.sections:
+            news = section.provide()
+            consume = consumers.get(section.model)
+            if news is not None and consume is not None:
+                copied = section.model.model_validate(news.model_dump())
+                consume(self.instance_id, copied)
