Add the frame of benches

Cause: every experiment must report figures, bounds and misses in one form. Change: bench.py with reports and bounds; experiments register by name. Conclusion: a figure that was not measured counts as a missed bound.

--- /dev/null
+++ b/borageyard/bench.py
@@ -0,0 +1,117 @@
+"""Experiments with their baselines and the bounds that they must meet."""
+
+import argparse
+import dataclasses
+import json
+import sys
+import types
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from rich import console, table
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bound:
+    """A bound on a figure, taken from a stated target."""
+
+    figure: str
+    limit: float
+    at_most: bool = True
+
+    def is_met(self, figures: Mapping[str, Any]) -> bool:
+        """Tells whether the figure was measured and keeps the bound."""
+        measured = figures.get(self.figure)
+        if measured is None:
+            return False
+        if self.at_most:
+            return bool(measured <= self.limit)
+        return bool(measured >= self.limit)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BenchReport:
+    """What an experiment measured."""
+
+    name: str
+    seed: int
+    figures: Mapping[str, Any]
+    bounds: tuple[Bound, ...] = ()
+
+    @property
+    def missed(self) -> tuple[str, ...]:
+        """Returns the figures whose bounds are not met."""
+        return tuple(
+            bound.figure
+            for bound in self.bounds
+            if not bound.is_met(self.figures)
+        )
+
+
+Experiment = Callable[[int], BenchReport]
+
+# Experiments by name; each one lives in its own module.
+EXPERIMENTS: Mapping[str, Experiment] = types.MappingProxyType({})
+
+
+def add_bench_command(commands: Any) -> None:
+    """Adds ``borageyard bench`` to the command line.
+
+    Args:
+        commands: The subparsers of the command line.
+    """
+    bench = commands.add_parser('bench', help='run an experiment')
+    bench.add_argument('name', choices=sorted(EXPERIMENTS))
+    bench.add_argument('--seed', type=int, default=1, metavar='N')
+    bench.add_argument('--json', action='store_true', help='print JSON only')
+    bench.set_defaults(run=_run_bench)
+
+
+def print_report(report: BenchReport, *, json_only: bool) -> int:
+    """Prints a report; the last line is JSON.
+
+    Args:
+        report: What was measured.
+        json_only: Whether to leave out the table.
+
+    Returns:
+        The exit code: 1 if a bound is missed.
+    """
+    if not json_only:
+        console.Console().print(_tabulate(report))
+    summary = {
+        'name': report.name,
+        'seed': report.seed,
+        'figures': dict(report.figures),
+        'bounds': [dataclasses.asdict(bound) for bound in report.bounds],
+        'missed': list(report.missed),
+    }
+    sys.stdout.write(f'{json.dumps(summary)}\n')
+    return int(bool(report.missed))
+
+
+def _run_bench(arguments: argparse.Namespace) -> int:
+    report = EXPERIMENTS[arguments.name](arguments.seed)
+    return print_report(report, json_only=arguments.json)
+
+
+def _tabulate(report: BenchReport) -> table.Table:
+    sheet = table.Table(title=f'bench {report.name}, seed {report.seed}')
+    sheet.add_column('figure')
+    sheet.add_column('measured', justify='right')
+    sheet.add_column('bound', justify='right')
+    bounds = {bound.figure: bound for bound in report.bounds}
+    for name, figure in report.figures.items():
+        sheet.add_row(name, _shown(figure), _shown_bound(bounds.get(name)))
+    return sheet
+
+
+def _shown(figure: Any) -> str:
+    return f'{figure:.4g}' if isinstance(figure, float) else str(figure)
+
+
+def _shown_bound(bound: Bound | None) -> str:
+    if bound is None:
+        return ''
+    sign = '<=' if bound.at_most else '>='
+    return f'{sign} {bound.limit:g}'
--- a/borageyard/cli.py
+++ b/borageyard/cli.py
@@ -8,6 +8,7 @@
 
 import eliot
 
+from .bench import add_bench_command
 from .border import DocumentError
 from .demo import print_demo, run_demo
 from .entry import serve_entry
@@ -53,6 +54,7 @@
     demo = commands.add_parser('demo', help='run the main job once')
     demo.add_argument('--examples', default='examples', metavar='DIR')
     demo.set_defaults(run=_run_demo)
+    add_bench_command(commands)
     return parser
 
 
