--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -107,11 +107,12 @@
 
 
 def _shown(figure: Any) -> str:
-    return f'{figure:.4g}' if isinstance(figure, float) else str(figure)
+    return format(figure, '.4g' if isinstance(figure, float) else '')
 
 
 def _shown_bound(bound: Bound | None) -> str:
     if bound is None:
         return ''
     sign = '<=' if bound.at_most else '>='
-    return f'{sign} {bound.limit:g}'
+    limit = format(bound.limit, 'g')
+    return f'{sign} {limit}'
