--- /dev/null
+++ b/tests/test_virtual_time.py
@@ -0,0 +1,40 @@
+"""Tests of the event loop in virtual time."""
+
+import asyncio
+
+import pytest
+
+from borageyard.virtual_time import DeadlockError, run_virtual
+
+
+async def sleep_and_tell(duration_s):
+    """Sleeps and returns the loop's time."""
+    await asyncio.sleep(duration_s)
+    return asyncio.get_running_loop().time()
+
+
+async def sleep_together(*durations_s):
+    """Returns durations in the order in which their sleeps end."""
+    sleeps = [
+        asyncio.ensure_future(asyncio.sleep(duration_s, duration_s))
+        for duration_s in durations_s
+    ]
+    return [await sleep for sleep in asyncio.as_completed(sleeps)]
+
+
+class TestVirtualTime:
+    """Time passes by timers alone."""
+
+    def test_long_sleep_takes_its_virtual_time(self):
+        """A day of sleep ends at the virtual time of a day."""
+        assert run_virtual(sleep_and_tell(86400)) == pytest.approx(86400)
+
+    def test_timers_keep_their_order(self):
+        """A shorter sleep ends first."""
+        order = run_virtual(sleep_together(2, 1))
+        assert order == [1, 2]
+
+    def test_waiting_for_nothing_is_an_error(self):
+        """A wait that nothing can end is told, not hung on."""
+        with pytest.raises(DeadlockError):
+            run_virtual(asyncio.Event().wait())
