--- /dev/null
+++ b/borageyard/cli_faults.py
@@ -0,0 +1,90 @@
+"""Commands for the fault matrix."""
+
+import argparse
+import itertools
+import json
+import pathlib
+import sys
+from collections.abc import Iterator
+from typing import Any
+
+from .fault_table import Cell, Fault, Step, fault_pairs, fault_table
+from .faults import CellReport, run_cell, summarise
+
+PROGRESS_EVERY = 50
+
+
+def add_faults_command(commands: Any) -> None:
+    """Adds ``borageyard faults`` to the command line.
+
+    Args:
+        commands: The subparsers of the command line.
+    """
+    faults = commands.add_parser(
+        'faults',
+        help='run the fault matrix',
+        description=(
+            'Brings each fault about at each step in virtual time and judges'
+            ' the outcome by the records of the targets. Exit code 1 if a'
+            ' promise was broken or a fault did not fire.'
+        ),
+    )
+    faults.add_argument(
+        '--all',
+        action='store_true',
+        help='also run pairs of faults',
+    )
+    faults.add_argument('--json', action='store_true', help='print JSON only')
+    faults.add_argument('--seed', type=int, default=1, metavar='N')
+    faults.add_argument(
+        '--write',
+        metavar='FILE',
+        help='write the table as a page instead of running it',
+    )
+    faults.set_defaults(run=_run_faults)
+
+
+def render_table() -> str:
+    """Returns the matrix as a page, made from the table in code."""
+    lines = [
+        '# Fault matrix',
+        '',
+        'Made by `borageyard faults --write docs/FAULTS.md`. Each cell states',
+        'what the caller may know in the end; `-` marks a cell that cannot',
+        'occur, with its reason below.',
+        '',
+    ]
+    cells = tuple(fault_table())
+    headings = ' | '.join(fault.value for fault in Fault)
+    lines.append(f'| step | {headings} |')
+    rule = ' | '.join('---' for _ in Fault)
+    lines.append(f'| --- | {rule} |')
+    for step in Step:
+        row = ' | '.join(_shown(cell) for cell in cells if cell.step is step)
+        lines.append(f'| {step.value} | {row} |')
+    reasons = sorted({cell.cannot_occur for cell in cells} - {''})
+    lines.extend(['', 'Why a cell cannot occur:', ''])
+    lines.extend(f'- {reason}' for reason in reasons)
+    lines.append('')
+    return '\n'.join(lines)
+
+
+def _run_faults(arguments: argparse.Namespace) -> int:
+    if arguments.write:
+        pathlib.Path(arguments.write).write_text(render_table())
+        return 0
+    pairs: Iterator[Cell] = fault_pairs() if arguments.all else iter(())
+    reports: list[CellReport] = []
+    for cell in itertools.chain(fault_table(), pairs):
+        reports.append(run_cell(cell, arguments.seed))
+        if not arguments.json and len(reports) % PROGRESS_EVERY == 0:
+            sys.stderr.write(f'{len(reports)} cells\n')
+    summary = summarise(reports)
+    sys.stdout.write(f'{json.dumps(summary)}\n')
+    return int(bool(summary['broken_promises']))
+
+
+def _shown(cell: Cell) -> str:
+    if cell.cannot_occur:
+        return '-'
+    return ' or '.join(sorted(ending.value for ending in cell.endings))
--- a/borageyard/dispatch.py
+++ b/borageyard/dispatch.py
@@ -161,17 +161,18 @@
         target: TargetState,
     ) -> TargetAnswer:
         sink = stage_request.sink
-        events = self._client.stream(target.instance.address, call)
-        async for event in events:
-            if event.done:
-                return TargetAnswer(
-                    output={'text': ''.join(progress.tokens)},
-                    tokens=event.tokens,
-                    cached_tokens=event.cached_tokens,
-                )
-            progress.tokens.append(event.token)
-            if sink is not None:
-                await sink.send(event)
+        stream = self._client.stream(target.instance.address, call)
+        async with contextlib.aclosing(stream) as events:
+            async for event in events:
+                if event.done:
+                    return TargetAnswer(
+                        output={'text': ''.join(progress.tokens)},
+                        tokens=event.tokens,
+                        cached_tokens=event.cached_tokens,
+                    )
+                progress.tokens.append(event.token)
+                if sink is not None:
+                    await sink.send(event)
         raise TargetError(FailureKind.CRASH, 'stream ended early')
 
     def _require_repeatable(
--- /dev/null
+++ b/borageyard/fault_ports.py
@@ -0,0 +1,398 @@
+"""Ports of an entry that bring faults about at named steps."""
+
+import asyncio
+import contextlib
+import dataclasses
+import types
+from collections.abc import AsyncGenerator, Mapping, Sequence
+from typing import Protocol, TypeVar
+
+import pydantic
+
+from .clock import MS_PER_S
+from .fault_table import Fault, Step
+from .peers import NewsSection, PeerHandler, PeerLink
+from .platform import (
+    AppendRefusedError,
+    Instance,
+    InstanceList,
+    LogPage,
+    LogService,
+    Record,
+)
+from .target import (
+    FailureKind,
+    LoadReport,
+    TargetAnswer,
+    TargetCall,
+    TargetClient,
+    TargetError,
+    TokenEvent,
+)
+
+ReplyT = TypeVar('ReplyT', bound=pydantic.BaseModel)
+
+SLOW_MS = 400
+# How an exchange with a target ends under a fault; others go on.
+FAILURES: Mapping[Fault, FailureKind] = types.MappingProxyType(
+    {
+        Fault.HALF_OPEN: FailureKind.TIMEOUT,
+        Fault.LATE: FailureKind.TIMEOUT,
+        Fault.CROSSED: FailureKind.CROSSED,
+        Fault.REFUSED: FailureKind.CRASH,
+        Fault.RESET: FailureKind.CRASH,
+        Fault.TRUNCATED: FailureKind.CRASH,
+    }
+)
+# Tokens that have passed when a stream is in its middle.
+MIDDLE_TOKEN = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageSteps:
+    """The steps of the matrix in one call to a target."""
+
+    connect: Step
+    send: Step
+    wait: Step
+    first: Step
+    end: Step
+    middle: Step | None = None
+
+
+STEPS_BY_STAGE: Mapping[str, StageSteps] = types.MappingProxyType(
+    {
+        'generate': StageSteps(
+            connect=Step.GENERATE_CONNECT,
+            send=Step.GENERATE_SEND,
+            wait=Step.GENERATE_WAIT,
+            first=Step.GENERATE_FIRST,
+            end=Step.GENERATE_END,
+            middle=Step.GENERATE_MIDDLE,
+        ),
+        'book': StageSteps(
+            connect=Step.BOOK_CONNECT,
+            send=Step.BOOK_SEND,
+            wait=Step.BOOK_WAIT,
+            first=Step.BOOK_FIRST,
+            end=Step.BOOK_END,
+        ),
+    }
+)
+
+
+class Injector(Protocol):
+    """Brings the fault of a cell about when its step is reached."""
+
+    async def reach(
+        self,
+        step: Step | None,
+        entry: str,
+        address: str = '',
+    ) -> Fault | None:
+        """Tells that a step is reached.
+
+        Args:
+            step: The step, or none if the matrix does not name it.
+            entry: Entry that has reached it.
+            address: Target of the step, if it has one.
+
+        Returns:
+            A fault of the exchange that the caller must bring about, or
+            none.
+        """
+
+
+class Life:
+    """Whether an entry runs, is paused or is dead."""
+
+    def __init__(self) -> None:
+        """Starts running."""
+        self._resumed = asyncio.Event()
+        self._resumed.set()
+        self._dead = False
+
+    def pause(self) -> None:
+        """Stops all exchanges until resumed."""
+        self._resumed.clear()
+
+    def resume(self) -> None:
+        """Lets exchanges go on, unless dead."""
+        if not self._dead:
+            self._resumed.set()
+
+    def kill(self) -> None:
+        """Stops all exchanges for good."""
+        self._dead = True
+        self._resumed.clear()
+
+    async def live(self) -> None:
+        """Waits while paused, for ever when dead."""
+        await self._resumed.wait()
+
+
+class FaultyLog:
+    """Log service of one entry, with faults at appends and reads."""
+
+    def __init__(
+        self,
+        inner: LogService,
+        injector: Injector,
+        life: Life,
+        entry: str,
+    ) -> None:
+        """Wraps a log service.
+
+        Args:
+            inner: What is wrapped.
+            injector: Tells which fault comes.
+            life: Whether the entry lives.
+            entry: Its instance id.
+        """
+        self._inner = inner
+        self._injector = injector
+        self._life = life
+        self._entry = entry
+        self._claim_appended = False
+
+    async def append(self, stream: str, body: Record) -> int:
+        """Appends a record."""
+        await self._life.live()
+        step = _append_step(body)
+        fault = await self._injector.reach(step, self._entry)
+        await self._life.live()
+        if fault is Fault.REFUSED:
+            raise AppendRefusedError('refused')
+        offset = await self._inner.append(stream, body)
+        self._claim_appended |= step is Step.CLAIM_APPEND
+        await self._life.live()
+        return offset
+
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        wait_ms: float = 0,
+    ) -> LogPage:
+        """Reads records in order."""
+        await self._life.live()
+        page = await self._inner.read(stream, offset, wait_ms)
+        if self._claim_appended and _holds_claim(page):
+            await self._injector.reach(Step.CLAIM_READ, self._entry)
+        await self._life.live()
+        return page
+
+
+class FaultyInstances:
+    """Instance list of one entry."""
+
+    def __init__(self, inner: InstanceList, life: Life) -> None:
+        """Wraps a list.
+
+        Args:
+            inner: What is wrapped.
+            life: Whether the entry lives.
+        """
+        self._inner = inner
+        self._life = life
+
+    async def instances(self) -> Sequence[Instance]:
+        """Returns the rows of the list."""
+        await self._life.live()
+        return await self._inner.instances()
+
+
+class FaultyPeers:
+    """Peer link of one entry."""
+
+    def __init__(self, inner: PeerLink, life: Life) -> None:
+        """Wraps a link.
+
+        Args:
+            inner: What is wrapped.
+            life: Whether the entry lives.
+        """
+        self._inner = inner
+        self._life = life
+
+    def peer_ids(self) -> Sequence[str]:
+        """Returns the peers that can be tried."""
+        return self._inner.peer_ids()
+
+    def register(
+        self,
+        model: type[pydantic.BaseModel],
+        handler: PeerHandler,
+    ) -> None:
+        """Names the handler of a kind of request."""
+        self._inner.register(model, LivingHandler(handler, self._life).handle)
+
+    def add_news(self, section: NewsSection) -> None:
+        """Adds a section to the regular news."""
+        self._inner.add_news(section)
+
+    async def request(
+        self,
+        peer_id: str,
+        message: pydantic.BaseModel,
+        reply_model: type[ReplyT],
+        timeout_ms: float,
+    ) -> ReplyT:
+        """Sends a request and waits for the reply."""
+        await self._life.live()
+        reply = await self._inner.request(
+            peer_id,
+            message,
+            reply_model,
+            timeout_ms,
+        )
+        await self._life.live()
+        return reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LivingHandler:
+    """Answers peers only while the entry lives."""
+
+    inner: PeerHandler
+    life: Life
+
+    async def handle(
+        self,
+        peer_id: str,
+        message: pydantic.BaseModel,
+    ) -> pydantic.BaseModel:
+        """Answers one request."""
+        await self.life.live()
+        reply = await self.inner(peer_id, message)
+        await self.life.live()
+        return reply
+
+
+class FaultyTargets:
+    """Way of one entry to targets, with faults at every step of a call."""
+
+    def __init__(
+        self,
+        inner: TargetClient,
+        injector: Injector,
+        life: Life,
+        entry: str,
+    ) -> None:
+        """Wraps a client.
+
+        Args:
+            inner: What is wrapped.
+            injector: Tells which fault comes.
+            life: Whether the entry lives.
+            entry: Its instance id.
+        """
+        self._inner = inner
+        self._injector = injector
+        self._life = life
+        self._entry = entry
+        # Calls whose entry has lost them and that their targets still run.
+        self._orphans: set[asyncio.Future[TargetAnswer]] = set()
+
+    async def call(self, address: str, call: TargetCall) -> TargetAnswer:
+        """Runs a stage and returns its whole answer."""
+        steps = STEPS_BY_STAGE.get(call.stage)
+        if steps is None:
+            await self._life.live()
+            return await self._inner.call(address, call)
+        await self._open(steps, address, call)
+        work = asyncio.ensure_future(self._inner.call(address, call))
+        self._orphans.add(work)
+        work.add_done_callback(self._orphans.discard)
+        await asyncio.sleep(1 / MS_PER_S)
+        await self._exchange(steps.wait, address, call)
+        answer = await asyncio.shield(work)
+        await self._exchange(steps.first, address, call)
+        await self._exchange(steps.end, address, call)
+        return answer
+
+    async def stream(
+        self,
+        address: str,
+        call: TargetCall,
+    ) -> AsyncGenerator[TokenEvent, None]:
+        """Runs a stage and yields its tokens, the last event being done."""
+        await self._life.live()
+        steps = STEPS_BY_STAGE[call.stage]
+        await self._open(steps, address, call)
+        stream = self._inner.stream(address, call)
+        async with contextlib.aclosing(stream) as events:
+            await self._exchange(steps.wait, address, call)
+            async for event in events:
+                step = _stream_step(steps, event)
+                await self._exchange(step, address, call)
+                await self._life.live()
+                yield event
+
+    async def load(self, address: str) -> LoadReport:
+        """Returns the load report of a target."""
+        await self._life.live()
+        return await self._inner.load(address)
+
+    async def _open(
+        self,
+        steps: StageSteps,
+        address: str,
+        call: TargetCall,
+    ) -> None:
+        try:
+            await self._exchange(steps.connect, address, call)
+        except TargetError as error:
+            raise TargetError(
+                FailureKind.CONNECT,
+                error.reason,
+                not_run=True,
+            ) from error
+        await self._exchange(steps.send, address, call)
+
+    async def _exchange(
+        self,
+        step: Step | None,
+        address: str,
+        call: TargetCall,
+    ) -> None:
+        fault = await self._injector.reach(step, self._entry, address)
+        await self._life.live()
+        delays_ms = {
+            Fault.SLOW: SLOW_MS,
+            Fault.HALF_OPEN: call.deadline_ms,
+            Fault.LATE: call.deadline_ms,
+        }
+        if fault is None:
+            return
+        await asyncio.sleep(delays_ms.get(fault, 0) / MS_PER_S)
+        kind = FAILURES.get(fault)
+        if kind is not None:
+            raise TargetError(kind, fault.value)
+
+
+def _stream_step(steps: StageSteps, event: TokenEvent) -> Step | None:
+    if event.done:
+        return steps.end
+    if event.offset == 0:
+        return steps.first
+    return steps.middle if event.offset == MIDDLE_TOKEN else None
+
+
+def _append_step(body: Record) -> Step | None:
+    kinds = _record_kinds(body)
+    if 'claim' in kinds:
+        return Step.CLAIM_APPEND
+    return Step.OUTCOME_APPEND if 'outcome' in kinds else None
+
+
+def _holds_claim(page: LogPage) -> bool:
+    return any('claim' in _record_kinds(stored.body) for stored in page.records)
+
+
+def _record_kinds(body: Record) -> frozenset[str]:
+    """Returns the kinds of the records that share an append."""
+    batch = body.get('records', [body])
+    with contextlib.suppress(AttributeError, TypeError):
+        return frozenset(record.get('type', '') for record in batch)
+    return frozenset()
--- /dev/null
+++ b/borageyard/fault_table.py
@@ -0,0 +1,243 @@
+"""The fault matrix as a table: steps, faults and stated outcomes."""
+
+import dataclasses
+import enum
+import types
+from collections.abc import Iterator, Mapping
+
+
+class Step(enum.StrEnum):
+    """Steps of a request, a configuration change, a lease and a drain."""
+
+    ADDRESSES = 'ask for addresses'
+    CONNECT = 'connect to the entry'
+    SEND_BODY = 'send the body'
+    ADMIT = 'admit'
+    CLAIM_APPEND = 'append the claim'
+    CLAIM_READ = 'read the claim back'
+    GENERATE_CONNECT = 'generate: connect'
+    GENERATE_SEND = 'generate: send'
+    GENERATE_WAIT = 'generate: wait'
+    GENERATE_FIRST = 'generate: first bytes'
+    GENERATE_MIDDLE = 'generate: mid-stream'
+    GENERATE_END = 'generate: end'
+    BOOK_CONNECT = 'book: connect'
+    BOOK_SEND = 'book: send'
+    BOOK_WAIT = 'book: wait'
+    BOOK_FIRST = 'book: first bytes'
+    BOOK_END = 'book: end'
+    OUTCOME_APPEND = 'append the outcome'
+    REPLY = 'reply'
+    RETRY_SAME = 'retry at the same entry'
+    RETRY_OTHER = 'retry at another entry'
+
+
+class Fault(enum.StrEnum):
+    """Faults that are brought about at a step."""
+
+    REFUSED = 'refused'
+    SLOW = 'slow'
+    RESET = 'reset'
+    HALF_OPEN = 'half-open'
+    TARGET_CRASH = 'target crash'
+    ENTRY_CRASH = 'entry crash'
+    ENTRY_PAUSE = 'entry pause'
+    CROSSED = 'crossed answer'
+    DOUBLED = 'doubled answer'
+    LATE = 'late answer'
+    TRUNCATED = 'truncated answer'
+    LOG_DOWN = 'log down'
+    LOG_SLOW = 'log slow'
+    APPEND_LOST = 'append answer lost'
+    LIST_STALE = 'list stale'
+    LINK_ONE_WAY = 'peer link cut one way'
+    LINK_CUT = 'peer link cut both ways'
+
+
+class Ending(enum.StrEnum):
+    """What a caller knows in the end."""
+
+    ANSWER = 'whole answer'
+    NOT_RUN = 'refused, not run'
+    RAN = 'refused, ran'
+    UNKNOWN = 'unknown'
+    SILENT = 'no response'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cell:
+    """One fault at one step, with its stated outcome."""
+
+    step: Step
+    fault: Fault
+    endings: frozenset[Ending] = frozenset()
+    cannot_occur: str = ''
+    also: Fault | None = None
+
+    @property
+    def name(self) -> str:
+        """Returns a short name for reports."""
+        faults = [self.fault.value]
+        if self.also is not None:
+            faults.append(self.also.value)
+        return ' / '.join((self.step.value, *faults))
+
+
+CALLER_STEPS = frozenset((Step.ADDRESSES, Step.CONNECT, Step.SEND_BODY))
+RETRY_STEPS = frozenset((Step.RETRY_SAME, Step.RETRY_OTHER))
+LOG_STEPS = frozenset((Step.CLAIM_APPEND, Step.CLAIM_READ, Step.OUTCOME_APPEND))
+GENERATE_STEPS = frozenset(
+    (
+        Step.GENERATE_CONNECT,
+        Step.GENERATE_SEND,
+        Step.GENERATE_WAIT,
+        Step.GENERATE_FIRST,
+        Step.GENERATE_MIDDLE,
+        Step.GENERATE_END,
+    )
+)
+BOOK_STEPS = frozenset(
+    (
+        Step.BOOK_CONNECT,
+        Step.BOOK_SEND,
+        Step.BOOK_WAIT,
+        Step.BOOK_FIRST,
+        Step.BOOK_END,
+    )
+)
+# Steps after which the call to the booking service may have run.
+AFTER_SEND = frozenset(
+    (
+        Step.BOOK_SEND,
+        Step.BOOK_WAIT,
+        Step.BOOK_FIRST,
+        Step.BOOK_END,
+    )
+)
+# Steps at which the claim stands in the log, or may stand there.
+CLAIMED = AFTER_SEND | {
+    Step.CLAIM_APPEND,
+    Step.CLAIM_READ,
+    Step.BOOK_CONNECT,
+    Step.OUTCOME_APPEND,
+    Step.REPLY,
+    Step.RETRY_SAME,
+    Step.RETRY_OTHER,
+}
+
+TARGET_STEPS = GENERATE_STEPS | BOOK_STEPS
+ANSWER_FAULTS = frozenset(
+    (
+        Fault.CROSSED,
+        Fault.DOUBLED,
+        Fault.LATE,
+        Fault.TRUNCATED,
+    )
+)
+# Steps at which bytes of a target's answer travel.
+ANSWER_STEPS = frozenset(
+    (
+        Step.GENERATE_FIRST,
+        Step.GENERATE_MIDDLE,
+        Step.GENERATE_END,
+        Step.BOOK_FIRST,
+        Step.BOOK_END,
+    )
+)
+CONNECT_STEPS = frozenset(
+    (
+        Step.CONNECT,
+        Step.ADDRESSES,
+        Step.GENERATE_CONNECT,
+        Step.BOOK_CONNECT,
+    )
+)
+# Faults that cut the exchange with a target after the call was sent.
+LOSING_FAULTS = frozenset(
+    (
+        Fault.RESET,
+        Fault.HALF_OPEN,
+        Fault.TARGET_CRASH,
+        Fault.CROSSED,
+        Fault.LATE,
+        Fault.TRUNCATED,
+    )
+)
+
+# Pairs of faults that come together; the second is one of the surroundings.
+PAIRS = (
+    (Fault.ENTRY_CRASH, Fault.LOG_DOWN),
+    (Fault.ENTRY_CRASH, Fault.LIST_STALE),
+    (Fault.ENTRY_PAUSE, Fault.LINK_CUT),
+    (Fault.APPEND_LOST, Fault.ENTRY_CRASH),
+    (Fault.APPEND_LOST, Fault.LOG_DOWN),
+    (Fault.TARGET_CRASH, Fault.ENTRY_PAUSE),
+    (Fault.RESET, Fault.LOG_DOWN),
+    (Fault.HALF_OPEN, Fault.LINK_CUT),
+)
+# Two faults together may cost the answer, but never a false word.
+EITHER = frozenset((Ending.NOT_RUN, Ending.UNKNOWN))
+
+NOT_OCCURRING: Mapping[str, str] = types.MappingProxyType(
+    {
+        'answer': 'no answer of a target travels at this step',
+        'refused': 'only opening a connection or an append can be refused',
+        'link': 'the step exchanges nothing over a connection of its own',
+        'append': 'nothing is appended at this step',
+        'reset': 'a connection that is not open yet cannot be reset',
+    }
+)
+
+
+def fault_table() -> Iterator[Cell]:
+    """Yields every cell of the matrix, row by row."""
+    for step in Step:
+        for fault in Fault:
+            reason = _why_not(step, fault)
+            if reason:
+                yield Cell(step, fault, cannot_occur=NOT_OCCURRING[reason])
+            else:
+                yield Cell(step, fault, _endings(step, fault))
+
+
+def fault_pairs() -> Iterator[Cell]:
+    """Yields cells in which a second fault comes with the first."""
+    for cell in fault_table():
+        for first, second in PAIRS:
+            if cell.fault is first and not cell.cannot_occur:
+                yield dataclasses.replace(
+                    cell,
+                    also=second,
+                    endings=cell.endings | _endings(cell.step, second) | EITHER,
+                )
+
+
+def _why_not(step: Step, fault: Fault) -> str:
+    if fault in ANSWER_FAULTS:
+        return '' if step in ANSWER_STEPS else 'answer'
+    if fault is Fault.REFUSED:
+        may_refuse = CONNECT_STEPS | {Step.CLAIM_APPEND, Step.OUTCOME_APPEND}
+        return '' if step in may_refuse else 'refused'
+    if fault is Fault.APPEND_LOST:
+        appends = {Step.CLAIM_APPEND, Step.OUTCOME_APPEND}
+        return '' if step in appends else 'append'
+    if fault is Fault.RESET and step in CONNECT_STEPS:
+        return 'reset'
+    if fault in {Fault.RESET, Fault.HALF_OPEN, Fault.SLOW}:
+        exchanging = CALLER_STEPS | TARGET_STEPS | {Step.REPLY}
+        return '' if step in exchanging else 'link'
+    return ''
+
+
+def _endings(step: Step, fault: Fault) -> frozenset[Ending]:
+    if step in AFTER_SEND and fault in LOSING_FAULTS:
+        return frozenset((Ending.UNKNOWN,))
+    if fault is Fault.ENTRY_CRASH and step in CLAIMED:
+        return frozenset((Ending.UNKNOWN, Ending.ANSWER))
+    if fault is Fault.ENTRY_PAUSE and step in CLAIMED:
+        return frozenset((Ending.UNKNOWN, Ending.ANSWER, Ending.NOT_RUN))
+    if fault in {Fault.LOG_DOWN, Fault.LOG_SLOW} and step not in GENERATE_STEPS:
+        return frozenset((Ending.ANSWER, Ending.NOT_RUN))
+    if fault in {Fault.LINK_ONE_WAY, Fault.LINK_CUT} and step in RETRY_STEPS:
+        return frozenset((Ending.UNKNOWN, Ending.ANSWER))
+    return frozenset((Ending.ANSWER,))
--- /dev/null
+++ b/borageyard/faults.py
@@ -0,0 +1,257 @@
+"""Runs the fault matrix and judges each cell by the targets' records."""
+
+import asyncio
+import dataclasses
+import types
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+from .clock import MS_PER_S
+from .deployment import DeploymentPlan
+from .fault_caller import (
+    RETRY_AFTER_MS,
+    CallerView,
+    FaultCaller,
+)
+from .fault_table import (
+    RETRY_STEPS,
+    Cell,
+    Ending,
+    Step,
+)
+from .fault_world import FaultWorld
+from .requests import PipelineRequest
+from .virtual_time import run_virtual
+
+WARM_UP_MS = 1500
+SETTLE_MS = 40_000
+RETRY_DEADLINE_MS = 5000
+MAX_TRIES = 4
+BYSTANDERS = 2
+ENTRIES = 3
+TARGETS = 3
+FAILURE_DOMAINS = ('a', 'b', 'c')
+
+# A deployment with one pipeline of each kind, small enough for many cells.
+DOCUMENT: Mapping[str, Any] = types.MappingProxyType(
+    {
+        'format': 1,
+        'organisations': {'dispatch': {}},
+        'services': {
+            'encoder': {'kind': 'encoder'},
+            'llm': {'kind': 'engine'},
+            'bokun': {'kind': 'plain', 'idempotent': False},
+        },
+        'pipelines': {
+            'booking': {
+                'stages': [
+                    {'name': 'encode', 'service': 'encoder'},
+                    {
+                        'name': 'book',
+                        'service': 'bokun',
+                        'inputs': ['request', 'encode'],
+                        'timeout_ms': 1500,
+                    },
+                ],
+            },
+            'owner-assistant': {
+                'stages': [
+                    {'name': 'encode', 'service': 'encoder'},
+                    {
+                        'name': 'generate',
+                        'service': 'llm',
+                        'inputs': ['request', 'encode'],
+                        'timeout_ms': 2000,
+                    },
+                ],
+            },
+        },
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CellReport:
+    """What happened in a cell and which promises it broke."""
+
+    cell: Cell
+    fired: bool
+    views: tuple[CallerView, ...] = ()
+    broken: tuple[str, ...] = ()
+
+    @property
+    def ending(self) -> Ending | None:
+        """Returns what the caller knew in the end."""
+        return self.views[-1].ending if self.views else None
+
+
+def run_matrix(cells: Iterable[Cell], seed: int) -> Sequence[CellReport]:
+    """Runs cells one after the other.
+
+    Args:
+        cells: Cells of the table.
+        seed: Seed of all random sources.
+
+    Returns:
+        A report for each cell.
+    """
+    return [run_cell(cell, seed) for cell in cells]
+
+
+def run_cell(cell: Cell, seed: int) -> CellReport:
+    """Runs one cell in virtual time.
+
+    Args:
+        cell: The cell.
+        seed: Seed of all random sources.
+
+    Returns:
+        Its report; a cell that cannot occur is not run.
+    """
+    if cell.cannot_occur:
+        return CellReport(cell, fired=False)
+    return run_virtual(_run_world(cell, seed))
+
+
+def summarise(reports: Sequence[CellReport]) -> dict[str, Any]:
+    """Returns the counts of a run and every broken promise."""
+    return {
+        'cells': len(reports),
+        'fired': sum(report.fired for report in reports),
+        'cannot_occur': sum(
+            bool(report.cell.cannot_occur) for report in reports
+        ),
+        'broken_promises': [
+            {
+                'cell': report.cell.name,
+                'broken': list(report.broken),
+                'endings': [view.ending.value for view in report.views],
+            }
+            for report in reports
+            if report.broken
+        ],
+    }
+
+
+async def _run_world(cell: Cell, seed: int) -> CellReport:
+    plan = DeploymentPlan(
+        document=DOCUMENT,
+        failure_domains=FAILURE_DOMAINS,
+        targets_per_service={},
+        default_targets=TARGETS,
+        entries=ENTRIES,
+    )
+    world = FaultWorld(cell, plan, seed)
+    caller = FaultCaller(world)
+    async with world.deployment:
+        await asyncio.sleep(WARM_UP_MS / MS_PER_S)
+        bystanders = asyncio.gather(
+            *(
+                _call_bystander(world, caller, index)
+                for index in range(BYSTANDERS)
+            ),
+        )
+        request = world.new_request({'dog': 'Snati'})
+        views = await _call_until_settled(world, caller, request)
+        crossed = await bystanders
+        await asyncio.sleep(SETTLE_MS / MS_PER_S)
+        broken = (*_judge(world, request, views), *_judge_crossing(crossed))
+    return CellReport(cell, world.fired, tuple(views), broken)
+
+
+async def _call_bystander(
+    world: FaultWorld,
+    caller: FaultCaller,
+    index: int,
+) -> CallerView:
+    """Sends a request whose answer must not be mixed up with another's."""
+    request = world.new_request({'bystander': index})
+    return await caller.call('entry-1', request)
+
+
+async def _call_until_settled(
+    world: FaultWorld,
+    caller: FaultCaller,
+    request: PipelineRequest,
+) -> list[CallerView]:
+    """Retries with the same key, as a caller is told to."""
+    entry = world.first_entry
+    views = [
+        await caller.call(
+            entry,
+            request,
+            drop_when=world.book_begun if _is_retried(world.cell) else None,
+        ),
+    ]
+    while not _is_settled(views):
+        await asyncio.sleep(RETRY_AFTER_MS / MS_PER_S)
+        entry = _next_entry(world, len(views))
+        await _note_retry(world, entry)
+        now_ms = world.deployment.clock.steady_ms()
+        retry = dataclasses.replace(
+            request,
+            expires_at_ms=now_ms + RETRY_DEADLINE_MS,
+        )
+        views.append(await caller.call(entry, retry))
+    return views
+
+
+def _is_settled(views: Sequence[CallerView]) -> bool:
+    last = views[-1].ending
+    if len(views) == MAX_TRIES or last in {Ending.ANSWER, Ending.RAN}:
+        return True
+    return len(views) > 1 and last is Ending.UNKNOWN
+
+
+def _is_retried(cell: Cell) -> bool:
+    return cell.step in RETRY_STEPS
+
+
+def _next_entry(world: FaultWorld, tries: int) -> str:
+    if world.cell.step is Step.RETRY_SAME and tries == 1:
+        return world.first_entry
+    return f'entry-{tries % ENTRIES}'
+
+
+async def _note_retry(world: FaultWorld, entry: str) -> None:
+    same = entry == world.first_entry
+    step = Step.RETRY_SAME if same else Step.RETRY_OTHER
+    await world.reach(step, world.first_entry)
+
+
+def _judge(
+    world: FaultWorld,
+    request: PipelineRequest,
+    views: Sequence[CallerView],
+) -> list[str]:
+    broken = []
+    if not world.fired:
+        broken.append('the fault did not fire')
+    if views[-1].ending not in world.cell.endings:
+        ending = views[-1].ending.value
+        broken.append(f'ended with {ending}')
+    runs = world.runs_of(request.idempotency_key)
+    if len(runs) > 1:
+        count = len(runs)
+        broken.append(f'ran {count} times')
+    if any(_is_untrue(view, runs) for view in views):
+        broken.append('a refusal said not run, but it had run')
+    if views[-1].ending is Ending.NOT_RUN and runs:
+        broken.append('refused as not run, but it ran')
+    answered = any(view.ending is Ending.ANSWER for view in views)
+    if answered and request.pipeline == 'booking' and not runs:
+        broken.append('answered without a run')
+    return broken
+
+
+def _is_untrue(view: CallerView, runs: Sequence[float]) -> bool:
+    if view.ending is not Ending.NOT_RUN:
+        return False
+    return any(started_ms <= view.at_ms for started_ms in runs)
+
+
+def _judge_crossing(views: Sequence[CallerView]) -> list[str]:
+    outputs = [str(view.output) for view in views if view.output is not None]
+    if len(set(outputs)) < len(outputs):
+        return ['two requests got the same answer']
+    return []
--- a/borageyard/http_target.py
+++ b/borageyard/http_target.py
@@ -1,7 +1,7 @@
 """Targets met over HTTP."""
 
 import dataclasses
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from typing import TypeVar
 
 import pydantic
@@ -68,7 +68,7 @@
         self,
         address: str,
         call: TargetCall,
-    ) -> AsyncIterator[TokenEvent]:
+    ) -> AsyncGenerator[TokenEvent, None]:
         """Runs a stage and yields its tokens, the last event being done."""
         http_call = _encode(address, call)
         try:
--- a/borageyard/memory_deployment.py
+++ b/borageyard/memory_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+from collections.abc import Callable
 from types import TracebackType
 from typing import Self
 
@@ -30,6 +31,10 @@
 NO_ADDRESS = '127.0.0.1:1'
 
 
+# Given the instance id and the ports of an entry.
+PortsWrapper = Callable[[str, EntryPorts], EntryPorts]
+
+
 @dataclasses.dataclass(slots=True)
 class RunningEntry:
     """An entry in memory and what can be done to it."""
@@ -47,6 +52,7 @@
         plan: DeploymentPlan,
         clock: Clock | None = None,
         seed: int = 0,
+        wrap_ports: PortsWrapper | None = None,
     ) -> None:
         """Composes a deployment that does not run yet.
 
@@ -54,9 +60,11 @@
             plan: What it is made of.
             clock: Source of time; that of the loop by default.
             seed: Seed of all random sources.
+            wrap_ports: Puts something between entries and their ports.
         """
         self.plan = plan
         self.seed = seed
+        self._wrap_ports = wrap_ports or _keep_ports
         self.clock = clock or LoopClock(EPOCH_MS)
         self.log = MemoryLog(self.clock)
         self.instances = MemoryInstances()
@@ -113,7 +121,10 @@
             clock=self.clock,
             seed=self.seed + index,
         )
-        core = EntryCore(_settings(name, domain), ports)
+        core = EntryCore(
+            _settings(name, domain),
+            self._wrap_ports(name, ports),
+        )
         stack = contextlib.AsyncExitStack()
         await core.start(stack)
         self.entries[name] = RunningEntry(core, log, stack)
@@ -173,6 +184,10 @@
             )
 
 
+def _keep_ports(name: str, ports: EntryPorts) -> EntryPorts:
+    return ports
+
+
 def _settings(name: str, domain: str) -> EntrySettings:
     return EntrySettings.model_validate(
         {
--- a/borageyard/memory_log.py
+++ b/borageyard/memory_log.py
@@ -1,12 +1,11 @@
 """Asynchronous face of the log in memory."""
 
 import asyncio
+import contextlib
 
 from .clock import MS_PER_S
 from .platform import LogPage, MemoryLog, PlatformError, Record
 
-POLL_MS = 5
-
 
 class MemoryLogService:
     """Offers a log in memory behind the protocol of the log service."""
@@ -33,13 +32,13 @@
     ) -> LogPage:
         """Reads records, waiting for the first one if there is none."""
         await self._delay()
-        waited_ms = 0
         page = self.log.read_now(stream, offset)
-        while not page.records and waited_ms < wait_ms:
-            await asyncio.sleep(POLL_MS / MS_PER_S)
-            waited_ms += POLL_MS
-            page = self.log.read_now(stream, offset)
-        return page
+        if page.records or not wait_ms:
+            return page
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_ms / MS_PER_S):
+                await self.log.wait_for_append(stream)
+        return self.log.read_now(stream, offset)
 
     async def _delay(self) -> None:
         if self.cut:
--- a/borageyard/memory_target.py
+++ b/borageyard/memory_target.py
@@ -1,7 +1,8 @@
 """Stand-in targets met in memory, behind the protocol of targets."""
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
+import contextlib
+from collections.abc import AsyncGenerator, Mapping
 
 from .clock import MS_PER_S
 from .standins.target import (
@@ -51,12 +52,15 @@
         self,
         address: str,
         call: TargetCall,
-    ) -> AsyncIterator[TokenEvent]:
+    ) -> AsyncGenerator[TokenEvent, None]:
         """Runs a stage and yields its tokens, the last event being done."""
         target = self._find(address)
         try:
-            async with asyncio.timeout(call.deadline_ms / MS_PER_S):
-                async for event in target.run_stream(call):
+            async with (
+                asyncio.timeout(call.deadline_ms / MS_PER_S),
+                contextlib.aclosing(target.run_stream(call)) as events,
+            ):
+                async for event in events:
                     yield event
         except TimeoutError as error:
             raise TargetError(FailureKind.TIMEOUT, 'timed out') from error
--- a/borageyard/platform.py
+++ b/borageyard/platform.py
@@ -1,5 +1,6 @@
 """What the platform offers, as protocols, with twins in memory."""
 
+import asyncio
 import dataclasses
 from collections.abc import Mapping, Sequence
 from typing import Any, Protocol
@@ -172,6 +173,7 @@
         self._refilled_at_ms = clock.steady_ms()
         self._streams: dict[str, list[LogRecord]] = {}
         self._starts: dict[str, int] = {}
+        self._appended: dict[str, asyncio.Event] = {}
         self.faults = LogFaults()
         self.appends = 0
 
@@ -190,11 +192,16 @@
         offset = self._starts.get(stream, 0) + len(records)
         records.append(LogRecord(offset, self._clock.wall_ms(), dict(body)))
         self.appends += 1
+        self._appended.pop(stream, asyncio.Event()).set()
         if self.faults.lose_next_answers:
             self.faults.lose_next_answers -= 1
             raise AppendUnknownError('answer lost')
         return offset
 
+    async def wait_for_append(self, stream: str) -> None:
+        """Waits for the next record of a stream."""
+        await self._appended.setdefault(stream, asyncio.Event()).wait()
+
     def read_now(self, stream: str, offset: int) -> LogPage:
         """Reads without waiting.
 
--- a/borageyard/standins/target.py
+++ b/borageyard/standins/target.py
@@ -227,8 +227,9 @@
             TargetCrashError: If the target died or the answer was lost.
         """
         last = None
-        async for event in self.run_stream(call):
-            last = event
+        async with contextlib.aclosing(self.run_stream(call)) as events:
+            async for event in events:
+                last = event
         if last is None:
             raise TargetCrashError('no event')
         attempt_id = call.attempt_id
@@ -250,8 +251,11 @@
             raise TargetCrashError('dead')
         if self.faults.take('refuse_next'):
             raise TargetRefusedError('told to refuse')
-        async with self._slot(call.priority):
-            async for event in self._generate(call):
+        async with (
+            self._slot(call.priority),
+            contextlib.aclosing(self._generate(call)) as events,
+        ):
+            async for event in events:
                 yield event
 
     def expected_output(self, call: TargetCall) -> dict[str, Any]:
@@ -301,7 +305,10 @@
             self._running -= 1
             self._slots.release()
 
-    async def _generate(self, call: TargetCall) -> AsyncIterator[TokenEvent]:
+    async def _generate(
+        self,
+        call: TargetCall,
+    ) -> AsyncGenerator[TokenEvent, None]:
         if self.faults.take('hang_next'):
             await self._sleep(float('inf'))
         self.executions.append(
--- a/borageyard/target.py
+++ b/borageyard/target.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import enum
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncGenerator, Mapping
 from typing import Any, Protocol
 
 
@@ -115,9 +115,11 @@
         self,
         address: str,
         call: TargetCall,
-    ) -> AsyncIterator[TokenEvent]:
+    ) -> AsyncGenerator[TokenEvent, None]:
         """Runs a stage and yields its tokens, the last event being done.
 
+        The caller closes the generator when it leaves it early.
+
         Args:
             address: Address of the target.
             call: The attempt.
