Link entries over TCP streams and keep a view of the fleet

Entries met only through a twin in memory, and callers got whatever the lagging list showed. Streams of msgpack frames with bounded queues now carry requests and a bounded digest of news; membership judges entries by list, contact and news, and addresses leave out those that are silent or leaving.

--- a/borageyard/addresses.py
+++ b/borageyard/addresses.py
@@ -1,29 +1,52 @@
 """Addresses of entries for callers."""
 
+import dataclasses
+import random
 from collections.abc import Iterable, Sequence
 
-from .platform import ROLE_ENTRY, STATE_LIVE, Instance
+MAX_ADDRESSES = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EntryAddress:
+    """An entry that callers may use."""
+
+    instance_id: str
+    address: str
+    failure_domain: str
+    running: int = 0
 
 
 def order_entries(
-    instances: Iterable[Instance],
+    entries: Iterable[EntryAddress],
     failure_domain: str,
-) -> Sequence[Instance]:
-    """Orders live entries for a caller.
+    source: random.Random,
+) -> Sequence[EntryAddress]:
+    """Orders entries for a caller.
+
+    Entries of the caller's failure domain come first. Within a group the
+    order is drawn at random, entries with less running work being drawn
+    earlier in proportion.
 
     Args:
-        instances: Known instances of all roles.
+        entries: Entries that are alive and not leaving.
         failure_domain: Where the caller is; empty if unknown.
+        source: Seeded source of the draw.
 
     Returns:
-        Live entries, those of the caller's failure domain first.
+        At most a fixed number of entries.
     """
-    live = [
-        row
-        for row in instances
-        if row.role == ROLE_ENTRY and row.state == STATE_LIVE
-    ]
-    return sorted(
-        live,
-        key=lambda row: (row.failure_domain != failure_domain, row.address),
+    drawn = [(_draw(entry, source), entry) for entry in entries]
+    ordered = sorted(
+        drawn,
+        key=lambda pair: (
+            pair[1].failure_domain != failure_domain,
+            pair[0],
+        ),
     )
+    return [entry for _, entry in ordered][:MAX_ADDRESSES]
+
+
+def _draw(entry: EntryAddress, source: random.Random) -> float:
+    """Draws an exponential time whose rate falls with the load."""
+    return source.expovariate(1 / (1 + entry.running))
--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -3,12 +3,15 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Coroutine
+import random
+from collections.abc import Sequence
 from typing import Any
 
+from .addresses import EntryAddress, order_entries
 from .clock import MS_PER_S, Clock
 from .configuration_log import ConfigurationFold, ConfigurationReader
 from .dispatch import StageDispatcher
+from .draining import DrainPlan
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .generated.settings import EntrySettings
@@ -18,6 +21,8 @@
     OpenAdmission,
     OpenPermission,
 )
+from .membership import Membership
+from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
 from .peers import PeerLink
 from .pipeline import Outcome, PipelineGates, PipelineRunner
@@ -26,6 +31,7 @@
 from .routing import TwoChoicesRouter
 from .target import TargetClient
 from .targets import TargetDirectory, TargetWatcher
+from .tasks import running_tasks
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +44,7 @@
     peers: PeerLink
     clock: Clock
     seed: int = 0
+    incarnation: int = 0
 
 
 class EntryCore:
@@ -56,16 +63,32 @@
         self.directory = TargetDirectory()
         self.fold = ConfigurationFold()
         self.permission = OpenPermission()
-        self.draining = False
+        self.drain_plan = DrainPlan(settings.drain_ms, settings.address_ttl_ms)
         self.watcher = TargetWatcher(
             self.directory,
             ports.instances,
             ports.targets,
             ports.clock,
         )
+        self.own = OwnState(
+            incarnation=ports.incarnation or int(ports.clock.wall_ms()),
+            failure_domain=settings.failure_domain,
+        )
+        self.membership = Membership(
+            settings.instance_id,
+            self.own.incarnation,
+        )
+        self._members = MembershipService(
+            self.membership,
+            self.own,
+            self.directory,
+            ports.peers,
+            ports.clock,
+            lambda: self.watcher.listed,
+        )
+        self._random = random.Random(ports.seed)
         self._reader = ConfigurationReader(self.fold, ports.log)
         self._runner = PipelineRunner(self._build_gates(), ports.clock)
-        self.running = 0
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -82,6 +105,7 @@
         await stack.enter_async_context(
             running_tasks(
                 self._reader.follow(),
+                self._members.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
             ),
@@ -113,15 +137,56 @@
 
     async def drain(self) -> None:
         """Serves on until callers have other addresses, then ends work."""
-        self.draining = True
+        clock = self.ports.clock
+        self.drain_plan.leave(clock.steady_ms())
+        self.own.leaving = True
+        self.ports.peers.send_news()
         log_event(
             Event.ENTRY_DRAINING,
             instance_id=self.settings.instance_id,
         )
-        await asyncio.sleep(self.settings.drain_ms / MS_PER_S)
+        wait_ms = self.drain_plan.wait_ms(clock.steady_ms())
+        await asyncio.sleep(wait_ms / MS_PER_S)
         self.permission.closed = True
         await self._idle.wait()
 
+    @property
+    def draining(self) -> bool:
+        """Tells whether the entry has been told to stop."""
+        return self.drain_plan.leaving
+
+    @property
+    def running(self) -> int:
+        """Returns how many requests run."""
+        return self.own.running
+
+    def entry_addresses(self, failure_domain: str) -> Sequence[EntryAddress]:
+        """Returns the entries that a caller may use, the best first.
+
+        Args:
+            failure_domain: Where the caller is; empty if unknown.
+        """
+        now_ms = self.ports.clock.steady_ms()
+        entries = [
+            EntryAddress(
+                member.instance_id,
+                member.address,
+                member.failure_domain,
+                member.running,
+            )
+            for member in self.membership.alive(now_ms)
+            if member.address
+        ]
+        if not self.draining and self.own.address:
+            own = EntryAddress(
+                self.settings.instance_id,
+                self.own.address,
+                self.own.failure_domain,
+                self.own.running,
+            )
+            entries.append(own)
+        return order_entries(entries, failure_domain, self._random)
+
     def _build_gates(self) -> PipelineGates:
         return PipelineGates(
             configurations=self.fold,
@@ -139,29 +204,11 @@
 
     @contextlib.contextmanager
     def _counted(self) -> Any:
-        self.running += 1
+        self.own.running += 1
         self._idle.clear()
         try:
             yield
         finally:
-            self.running -= 1
-            if not self.running:
+            self.own.running -= 1
+            if not self.own.running:
                 self._idle.set()
-
-
-@contextlib.asynccontextmanager
-async def running_tasks(
-    *work: Coroutine[Any, Any, None],
-) -> AsyncIterator[None]:
-    """Runs coroutines in the background of a scope.
-
-    Args:
-        *work: Coroutines that are cancelled at the end of the scope.
-    """
-    tasks = [asyncio.ensure_future(coroutine) for coroutine in work]
-    try:
-        yield
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
--- a/borageyard/deployment.py
+++ b/borageyard/deployment.py
@@ -31,6 +31,7 @@
 WEIGHT_RATE_BYTES_PER_S = 1e9
 POLL_MS = 100
 DRAIN_MS = 500
+ADDRESS_TTL_MS = 300
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -109,6 +110,7 @@
                 'listen_address': ANY_PORT,
                 'peer_address': ANY_PORT,
                 'drain_ms': DRAIN_MS,
+                'address_ttl_ms': ADDRESS_TTL_MS,
                 'platform': {**self._addresses, 'instances_poll_ms': POLL_MS},
             }
         )
@@ -121,6 +123,7 @@
                 role=ROLE_ENTRY,
                 address=entry.address,
                 failure_domain=domain,
+                peer_address=entry.peer_address,
             ),
         )
         return entry
--- /dev/null
+++ b/borageyard/draining.py
@@ -0,0 +1,53 @@
+"""How an entry stops: in phases, each one told to whoever asks."""
+
+import enum
+
+# Time in which news and addresses given out by peers catch up.
+SPREAD_MS = 1000
+
+
+class DrainPhase(enum.Enum):
+    """What a stopping entry does with new requests."""
+
+    SERVING = 'serving'
+    LEAVING = 'leaving'
+    REFUSING = 'refusing'
+
+
+class DrainPlan:
+    """Decides when a stopping entry may refuse and when it may end."""
+
+    def __init__(self, drain_ms: float, address_ttl_ms: float) -> None:
+        """Sets the times.
+
+        Args:
+            drain_ms: Least time to go on serving.
+            address_ttl_ms: How long callers keep an address.
+        """
+        self.serve_on_ms = max(drain_ms, address_ttl_ms + SPREAD_MS)
+        self._left_at_ms: float | None = None
+
+    @property
+    def leaving(self) -> bool:
+        """Tells whether the entry has been told to stop."""
+        return self._left_at_ms is not None
+
+    def leave(self, now_ms: float) -> None:
+        """Starts to stop; a second order changes nothing."""
+        if self._left_at_ms is None:
+            self._left_at_ms = now_ms
+
+    def phase(self, now_ms: float) -> DrainPhase:
+        """Returns what is done with new requests now."""
+        if self._left_at_ms is None:
+            return DrainPhase.SERVING
+        if now_ms - self._left_at_ms < self.serve_on_ms:
+            return DrainPhase.LEAVING
+        return DrainPhase.REFUSING
+
+    def wait_ms(self, now_ms: float) -> float:
+        """Returns how long the entry goes on serving from now."""
+        if self._left_at_ms is None:
+            return self.serve_on_ms
+        passed_ms = now_ms - self._left_at_ms
+        return max(self.serve_on_ms - passed_ms, 0)
--- a/borageyard/entry.py
+++ b/borageyard/entry.py
@@ -10,12 +10,13 @@
 from .core import EntryCore, EntryPorts
 from .entry_handler import EntryHandler
 from .events import Event, log_event
-from .generated.settings import EntrySettings
+from .generated.settings import EntrySettings, PeerSettings
 from .http_client import HttpClient
 from .http_platform import HttpInstanceList, HttpLogService
 from .http_server import HttpServer
 from .http_target import HttpTargetClient
-from .peers import MemoryPeerNetwork
+from .peer_link import TcpPeerLink
+from .peer_stream import PeerContext, PeerCounters, PeerIdentity
 from .settings import client_tls, http_limits, server_tls
 
 
@@ -37,6 +38,10 @@
         self._stack = contextlib.AsyncExitStack()
         limits = http_limits(settings)
         self._client = HttpClient(limits, client_tls(settings.tls))
+        clock = clock or SystemClock()
+        self._clock = clock
+        incarnation = int(clock.wall_ms())
+        self.link = TcpPeerLink(self._peer_context(incarnation), clock)
         platform = settings.platform
         ports = EntryPorts(
             log=HttpLogService(self._client, platform.log_address),
@@ -45,8 +50,9 @@
                 platform.instances_address,
             ),
             targets=HttpTargetClient(self._client),
-            peers=MemoryPeerNetwork().join(settings.instance_id),
-            clock=clock or SystemClock(),
+            peers=self.link,
+            clock=clock,
+            incarnation=incarnation,
         )
         self.core = EntryCore(settings, ports)
         self._server = HttpServer(
@@ -60,13 +66,20 @@
         """Returns where callers reach it."""
         return self._server.address
 
+    @property
+    def peer_address(self) -> str:
+        """Returns where peers reach it."""
+        return self.link.address
+
     async def __aenter__(self) -> Self:
         """Starts to serve."""
         async with contextlib.AsyncExitStack() as stack:
             await stack.enter_async_context(self._client)
+            await self.link.start(self.settings.peer_address, stack)
             await self.core.start(stack)
             await stack.enter_async_context(self._server)
             await self._server.start(self.settings.listen_address)
+            self.core.own.address = self.address
             self._stack = stack.pop_all()
         log_event(
             Event.ENTRY_STARTED,
@@ -88,6 +101,29 @@
             instance_id=self.settings.instance_id,
         )
 
+    def _peer_context(self, incarnation: int) -> PeerContext:
+        settings = self.settings
+        return PeerContext(
+            identity=PeerIdentity(
+                settings.instance_id,
+                incarnation,
+                settings.operator_token,
+            ),
+            settings=settings.peers or PeerSettings(),
+            counters=PeerCounters(),
+            on_contact=self._note_contact,
+            on_replaced=self._note_replaced,
+            client_tls=client_tls(settings.tls),
+            server_tls=server_tls(settings.tls),
+        )
+
+    def _note_contact(self, peer_id: str, incarnation: int) -> None:
+        now_ms = self._clock.steady_ms()
+        self.core.membership.note_contact(peer_id, incarnation, now_ms)
+
+    def _note_replaced(self, peer_id: str) -> None:
+        self.core.membership.note_replaced(peer_id)
+
 
 async def serve_entry(settings: EntrySettings) -> None:
     """Serves until SIGTERM, then drains.
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -7,7 +7,6 @@
 from http import HTTPStatus
 from typing import Any
 
-from .addresses import order_entries
 from .border import DocumentError, Problem, parse_json, shown
 from .configuration import parse_configuration
 from .configuration_log import CONFIGURATION_STREAM
@@ -127,10 +126,7 @@
                 'address': row.address,
                 'failure_domain': row.failure_domain,
             }
-            for row in order_entries(core.watcher.listed, domain)
-            if not (
-                core.draining and row.instance_id == core.settings.instance_id
-            )
+            for row in core.entry_addresses(domain)
         ]
         keep_ms = core.settings.address_ttl_ms
         return json_response({'entries': rows, 'keep_ms': keep_ms})
--- a/borageyard/events.py
+++ b/borageyard/events.py
@@ -20,6 +20,11 @@
     CONFIGURATION_IN_FORCE = 1401
     CONFIGURATION_REJECTED = 1402
     PLATFORM_FAILED = 1501
+    PEER_CONNECTED = 1601
+    PEER_LOST = 1602
+    PEER_FRAME_BROKEN = 1603
+    PEER_REFUSED = 1604
+    MEMBER_CHANGED = 1605
 
 
 def log_event(event: Event, **fields: Any) -> None:
--- /dev/null
+++ b/borageyard/leaving_marks.py
@@ -0,0 +1,76 @@
+"""Marks of incarnations that are leaving; a mark is never taken back."""
+
+import dataclasses
+from collections.abc import Iterable
+
+MARK_KEEP_MS = 600_000
+MAX_MARKS = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingMark:
+    """One incarnation of an instance that gets no new work."""
+
+    instance_id: str
+    incarnation: int = 0
+
+
+class LeavingMarks:
+    """Marks heard from any source, to be told on."""
+
+    def __init__(self) -> None:
+        """Starts without marks."""
+        self._noted_at_ms: dict[LeavingMark, float] = {}
+        self._next = 0
+
+    def add(self, mark: LeavingMark, now_ms: float) -> bool:
+        """Keeps a mark.
+
+        Returns:
+            Whether it is new.
+        """
+        if mark in self._noted_at_ms:
+            return False
+        if len(self._noted_at_ms) >= MAX_MARKS:
+            self._noted_at_ms.pop(next(iter(self._noted_at_ms)))
+        self._noted_at_ms[mark] = now_ms
+        return True
+
+    def __contains__(self, mark: object) -> bool:
+        """Tells whether an incarnation is leaving."""
+        return mark in self._noted_at_ms
+
+    def take(self, count: int, now_ms: float) -> tuple[LeavingMark, ...]:
+        """Returns marks to tell: the new ones first, the old ones in turn.
+
+        Args:
+            count: Most that may be told at once.
+            now_ms: Steady time.
+        """
+        self._expire(now_ms)
+        newest = tuple(reversed(self._noted_at_ms))
+        fresh = newest[: count // 2]
+        rest = newest[count // 2 :]
+        if not rest:
+            return fresh
+        start = self._next % len(rest)
+        self._next += count - len(fresh)
+        turned = (*rest[start:], *rest[:start])
+        return (*fresh, *turned[: count - len(fresh)])
+
+    def add_all(
+        self,
+        marks: Iterable[LeavingMark],
+        now_ms: float,
+    ) -> tuple[LeavingMark, ...]:
+        """Keeps marks and returns the new ones."""
+        return tuple(mark for mark in marks if self.add(mark, now_ms))
+
+    def _expire(self, now_ms: float) -> None:
+        expired = [
+            mark
+            for mark, noted_at_ms in self._noted_at_ms.items()
+            if now_ms - noted_at_ms > MARK_KEEP_MS
+        ]
+        for mark in expired:
+            self._noted_at_ms.pop(mark)
--- /dev/null
+++ b/borageyard/membership.py
@@ -0,0 +1,279 @@
+"""Which entries there are, decided from the list, contact and news."""
+
+import dataclasses
+import enum
+from collections.abc import Iterable, Sequence
+
+from .generated.peer_membership import PeerMembershipBody
+from .leaving_marks import LeavingMark, LeavingMarks
+from .platform import ROLE_ENTRY, STATE_LEAVING, Instance
+
+# Regular news comes every 0.5 s by default.
+SUSPECT_AFTER_MS = 1500
+LOST_AFTER_MS = 5000
+SUSPICION_KEEP_MS = 4000
+# The list lags; a row that vanished may come back.
+FORGET_AFTER_MS = 15_000
+# A longer gap between two ticks means that this process was paused.
+PAUSE_MS = 1500
+MAX_PROBES = 4
+
+
+class MemberState(enum.Enum):
+    """What is thought of an entry."""
+
+    ALIVE = 'alive'
+    SUSPECTED = 'suspected'
+    LOST = 'lost'
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """One entry as seen from another."""
+
+    instance_id: str
+    address: str = ''
+    peer_address: str = ''
+    failure_domain: str = ''
+    listed_incarnation: int = -1
+    listed_leaving: bool = False
+    incarnation: int = 0
+    running: int = 0
+    listed_at_ms: float | None = None
+    contact_at_ms: float | None = None
+    # Whether silence says something: its news is expected.
+    regular: bool = False
+    replaced: bool = False
+
+    def heard_within(self, span_ms: float, now_ms: float) -> bool:
+        """Tells whether the entry itself was heard in a span until now."""
+        heard_at_ms = self.contact_at_ms
+        return heard_at_ms is not None and now_ms - heard_at_ms <= span_ms
+
+    def listed_within(self, span_ms: float, now_ms: float) -> bool:
+        """Tells whether the list showed the entry in a span until now."""
+        listed_at_ms = self.listed_at_ms
+        return listed_at_ms is not None and now_ms - listed_at_ms <= span_ms
+
+    def excuse(self, paused_ms: float) -> None:
+        """Counts a time in which nothing could be heard as not passed."""
+        if self.contact_at_ms is not None:
+            self.contact_at_ms += paused_ms
+        if self.listed_at_ms is not None:
+            self.listed_at_ms += paused_ms
+
+
+class Membership:
+    """The entries that one entry knows."""
+
+    def __init__(self, instance_id: str, incarnation: int) -> None:
+        """Starts with no other entry.
+
+        Args:
+            instance_id: Id of this entry.
+            incarnation: Its incarnation.
+        """
+        self.instance_id = instance_id
+        self.incarnation = incarnation
+        self.entry_marks = LeavingMarks()
+        self._members: dict[str, Member] = {}
+        self._suspicions: dict[LeavingMark, float] = {}
+        self._ticked_at_ms: float | None = None
+        self._turn = 0
+
+    def note_list(self, rows: Iterable[Instance], now_ms: float) -> None:
+        """Takes in the instance list; one without entries changes nothing.
+
+        Args:
+            rows: Rows of all roles.
+            now_ms: Steady time.
+        """
+        listed = [row for row in rows if row.role == ROLE_ENTRY]
+        for row in listed:
+            if row.instance_id != self.instance_id:
+                self._merge_row(row, now_ms)
+        if listed:
+            self._forget(now_ms)
+
+    def note_contact(
+        self,
+        peer_id: str,
+        incarnation: int,
+        now_ms: float,
+    ) -> bool:
+        """Takes in that a peer itself was heard.
+
+        Args:
+            peer_id: Who was heard.
+            incarnation: Its incarnation.
+            now_ms: Steady time.
+
+        Returns:
+            Whether it is current; an older incarnation is not.
+        """
+        member = self._member(peer_id)
+        if incarnation < member.incarnation:
+            return False
+        if incarnation > member.incarnation:
+            member.incarnation = incarnation
+            member.regular = False
+        member.contact_at_ms = now_ms
+        member.replaced = False
+        return True
+
+    def note_news(
+        self,
+        peer_id: str,
+        news: PeerMembershipBody,
+        now_ms: float,
+    ) -> None:
+        """Takes in regular news of a peer.
+
+        Args:
+            peer_id: Who tells.
+            news: What it tells.
+            now_ms: Steady time.
+        """
+        if not self.note_contact(peer_id, news.incarnation, now_ms):
+            return
+        member = self._member(peer_id)
+        member.regular = True
+        member.running = news.running
+        member.address = news.address or member.address
+        member.failure_domain = news.failure_domain or member.failure_domain
+        if news.leaving:
+            mark = LeavingMark(peer_id, news.incarnation)
+            self.entry_marks.add(mark, now_ms)
+        self.entry_marks.add_all(
+            (
+                LeavingMark(told.id, told.incarnation)
+                for told in news.leaving_entries
+            ),
+            now_ms,
+        )
+        for told in news.suspicions:
+            key = LeavingMark(told.id, told.incarnation)
+            tried_at_ms = now_ms - told.age_ms
+            known_at_ms = self._suspicions.get(key, tried_at_ms)
+            self._suspicions[key] = max(known_at_ms, tried_at_ms)
+
+    def note_unreachable(self, peer_id: str, now_ms: float) -> None:
+        """Takes in that a peer did not answer a probe."""
+        member = self._member(peer_id)
+        key = LeavingMark(peer_id, member.incarnation)
+        self._suspicions[key] = now_ms
+
+    def note_replaced(self, peer_id: str) -> None:
+        """Takes in that another instance answers at a peer's address."""
+        self._member(peer_id).replaced = True
+
+    def tick(self, now_ms: float) -> Sequence[str]:
+        """Lets time pass.
+
+        Args:
+            now_ms: Steady time.
+
+        Returns:
+            The silent peers that should be probed.
+        """
+        before_ms = self._ticked_at_ms
+        self._ticked_at_ms = now_ms
+        if before_ms is not None and now_ms - before_ms > PAUSE_MS:
+            for member in self._members.values():
+                member.excuse(now_ms - before_ms)
+        self._suspicions = {
+            key: tried_at_ms
+            for key, tried_at_ms in self._suspicions.items()
+            if now_ms - tried_at_ms < SUSPICION_KEEP_MS
+        }
+        doubtful = [
+            other.instance_id
+            for other in self._members.values()
+            if self._needs_probe(other, now_ms)
+        ]
+        self._turn += 1
+        start = self._turn * MAX_PROBES % max(len(doubtful), 1)
+        return (*doubtful[start:], *doubtful[:start])[:MAX_PROBES]
+
+    def state(self, peer_id: str, now_ms: float) -> MemberState:
+        """Returns what is thought of an entry.
+
+        Args:
+            peer_id: The entry.
+            now_ms: Steady time.
+        """
+        member = self._members.get(peer_id)
+        if member is None or member.replaced:
+            return MemberState.LOST
+        if member.heard_within(SUSPECT_AFTER_MS, now_ms):
+            return MemberState.ALIVE
+        if member.contact_at_ms is None:
+            return MemberState.SUSPECTED
+        key = LeavingMark(peer_id, member.incarnation)
+        if key not in self._suspicions and not member.regular:
+            return MemberState.ALIVE
+        if member.heard_within(LOST_AFTER_MS, now_ms):
+            return MemberState.SUSPECTED
+        return MemberState.LOST
+
+    def is_leaving(self, peer_id: str) -> bool:
+        """Tells whether the current incarnation of an entry is leaving."""
+        member = self._members.get(peer_id)
+        if member is None:
+            return False
+        mark = LeavingMark(peer_id, member.incarnation)
+        return member.listed_leaving or mark in self.entry_marks
+
+    def members(self) -> Sequence[Member]:
+        """Returns all other entries that are known."""
+        return tuple(self._members.values())
+
+    def alive(self, now_ms: float) -> Sequence[Member]:
+        """Returns the other entries that are neither silent nor leaving."""
+        return tuple(
+            member
+            for member in self._members.values()
+            if self.state(member.instance_id, now_ms) is MemberState.ALIVE
+            and not self.is_leaving(member.instance_id)
+        )
+
+    def suspicions(self, now_ms: float) -> Sequence[tuple[LeavingMark, int]]:
+        """Returns the suspicions held and the age of each."""
+        return tuple(
+            (key, round(now_ms - tried_at_ms))
+            for key, tried_at_ms in self._suspicions.items()
+        )
+
+    def _member(self, peer_id: str) -> Member:
+        return self._members.setdefault(peer_id, Member(peer_id))
+
+    def _merge_row(self, row: Instance, now_ms: float) -> None:
+        member = self._member(row.instance_id)
+        if row.incarnation < member.listed_incarnation:
+            return
+        if row.incarnation > member.listed_incarnation:
+            member.listed_incarnation = row.incarnation
+            member.listed_leaving = False
+            member.replaced = False
+        member.listed_at_ms = now_ms
+        member.address = row.address
+        member.peer_address = row.peer_address
+        member.failure_domain = row.failure_domain
+        member.listed_leaving |= row.state == STATE_LEAVING
+
+    def _forget(self, now_ms: float) -> None:
+        gone = [
+            member.instance_id
+            for member in self._members.values()
+            if not member.listed_within(FORGET_AFTER_MS, now_ms)
+            and not member.heard_within(FORGET_AFTER_MS, now_ms)
+        ]
+        for instance_id in gone:
+            self._members.pop(instance_id)
+
+    def _needs_probe(self, member: Member, now_ms: float) -> bool:
+        if member.contact_at_ms is None:
+            return True
+        key = LeavingMark(member.instance_id, member.incarnation)
+        doubted = member.regular or key in self._suspicions
+        return doubted and not member.heard_within(SUSPECT_AFTER_MS, now_ms)
--- a/borageyard/memory_deployment.py
+++ b/borageyard/memory_deployment.py
@@ -114,6 +114,7 @@
             seed=self.seed + index,
         )
         core = EntryCore(_settings(name, domain), ports)
+        core.own.address = name
         stack = contextlib.AsyncExitStack()
         await core.start(stack)
         self.entries[name] = RunningEntry(core, log, stack)
--- /dev/null
+++ b/borageyard/peer_connection.py
@@ -0,0 +1,246 @@
+"""The stream that an entry opens to a peer for its requests and news."""
+
+import asyncio
+import contextlib
+import random
+from typing import TypeVar
+
+import pydantic
+
+from .clock import MS_PER_S
+from .events import Event, log_event
+from .generated.peer_frames import PeerFrameBody
+from .http_messages import split_address
+from .peer_codec import FrameError
+from .peer_stream import (
+    FRAME_PING,
+    FRAME_REPLY,
+    FRAME_REQUEST,
+    STREAM_ERRORS,
+    FrameOutbox,
+    PeerContext,
+    receive_frame,
+    receive_greeting,
+    send_greeting,
+)
+from .peers import PeerAddress, PeerError
+from .tasks import running_tasks
+
+ReplyT = TypeVar('ReplyT', bound=pydantic.BaseModel)
+
+BACKOFF_MIN_MS = 50
+BACKOFF_MAX_MS = 2000
+
+
+class Backoff:
+    """Growing random pauses between attempts to connect."""
+
+    def __init__(self, seed: str) -> None:
+        """Starts with the shortest pause.
+
+        Args:
+            seed: Seed of the random source.
+        """
+        self._random = random.Random(seed)
+        self._limit_ms = BACKOFF_MIN_MS
+
+    def reset(self) -> None:
+        """Starts over after a success."""
+        self._limit_ms = BACKOFF_MIN_MS
+
+    def next_ms(self) -> float:
+        """Returns the next pause, between half of the limit and the limit."""
+        limit_ms = self._limit_ms
+        self._limit_ms = min(limit_ms * 2, BACKOFF_MAX_MS)
+        return self._random.uniform(limit_ms / 2, limit_ms)
+
+
+class PeerConnection:
+    """Keeps a stream to one peer open and carries requests over it."""
+
+    def __init__(self, peer: PeerAddress, context: PeerContext) -> None:
+        """Prepares a connection that is not open yet.
+
+        Args:
+            peer: Where the peer listens.
+            context: Identity, bounds and counters of this entry.
+        """
+        self.peer = peer
+        self._peer_id = peer.instance_id
+        self._context = context
+        seed = '/'.join((context.identity.instance_id, peer.instance_id))
+        self._backoff = Backoff(seed)
+        self._outbox: FrameOutbox | None = None
+        self._pending: dict[int, asyncio.Future[PeerFrameBody]] = {}
+        self._last_id = 0
+        self._tried = asyncio.Event()
+
+    @property
+    def connected(self) -> bool:
+        """Tells whether requests can be sent now."""
+        return self._outbox is not None
+
+    async def run(self) -> None:
+        """Connects again and again until cancelled."""
+        while True:
+            try:
+                await self._session()
+            except STREAM_ERRORS as error:
+                self._note_end(error)
+            await asyncio.sleep(self._backoff.next_ms() / MS_PER_S)
+
+    def send_news(self, encoded: bytes) -> bool:
+        """Queues news if the stream is open.
+
+        Returns:
+            Whether it was queued.
+        """
+        if self._outbox is None:
+            return False
+        self._outbox.put_news(encoded)
+        return True
+
+    async def request(
+        self,
+        message: pydantic.BaseModel,
+        reply_model: type[ReplyT],
+        timeout_ms: float,
+    ) -> ReplyT:
+        """Sends a request and waits for its reply.
+
+        Args:
+            message: The request.
+            reply_model: Model of the reply.
+            timeout_ms: How long to wait.
+
+        Raises:
+            PeerError: If there is no reply in time.
+        """
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                reply = await self._exchange(message)
+        except TimeoutError as error:
+            raise PeerError(f'{self._peer_id} timed out') from error
+        if reply.type != FRAME_REPLY:
+            raise PeerError(f'{self._peer_id}: {reply.reason}')
+        try:
+            return reply_model.model_validate(reply.body)
+        except pydantic.ValidationError as error:
+            raise PeerError(f'malformed reply: {error}') from error
+
+    def close(self) -> None:
+        """Fails what waits; the stream itself ends with its task."""
+        self._note_end(PeerError('closed'))
+
+    async def _exchange(self, message: pydantic.BaseModel) -> PeerFrameBody:
+        # A peer that was never tried is given the time to answer.
+        await self._tried.wait()
+        self._last_id += 1
+        frame = PeerFrameBody(
+            type=FRAME_REQUEST,
+            id=self._last_id,
+            kind=type(message).__name__,
+            body=message.model_dump(exclude_defaults=True),
+        )
+        self._enqueue(frame)
+        loop = asyncio.get_running_loop()
+        waiting: asyncio.Future[PeerFrameBody] = loop.create_future()
+        with contextlib.ExitStack() as stack:
+            self._pending[frame.id] = waiting
+            stack.callback(self._pending.pop, frame.id, None)
+            return await waiting
+
+    def _enqueue(self, frame: PeerFrameBody) -> None:
+        if self._outbox is None:
+            raise PeerError(f'{self._peer_id} is not connected')
+        try:
+            queued = self._outbox.put(frame)
+        except FrameError as error:
+            raise PeerError(str(error)) from error
+        if not queued:
+            self._context.counters.requests_refused += 1
+            raise PeerError(f'queue to {self._peer_id} is full')
+
+    async def _session(self) -> None:
+        reader, writer = await self._open()
+        with contextlib.ExitStack() as stack:
+            stack.callback(writer.transport.abort)
+            await send_greeting(writer, self._context)
+            greeting = await receive_greeting(reader, self._context)
+            if greeting.instance_id != self.peer.instance_id:
+                self._context.on_replaced(self.peer.instance_id)
+                raise PeerError(f'{greeting.instance_id} answers there')
+            self._context.on_contact(
+                greeting.instance_id,
+                greeting.incarnation,
+            )
+            await self._serve(reader, writer)
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        outbox = FrameOutbox(self._context)
+        self._outbox = outbox
+        self._context.counters.connects += 1
+        self._backoff.reset()
+        self._tried.set()
+        log_event(
+            Event.PEER_CONNECTED,
+            instance_id=self._context.identity.instance_id,
+            peer_id=self.peer.instance_id,
+        )
+        async with running_tasks(
+            outbox.drain_to(writer),
+            self._send_heartbeats(outbox),
+        ):
+            while True:
+                self._settle(await receive_frame(reader, self._context))
+
+    async def _open(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, port = split_address(self.peer.address)
+        timeout_ms = self._context.settings.connect_timeout_ms
+        async with asyncio.timeout(timeout_ms / MS_PER_S):
+            return await asyncio.open_connection(
+                host,
+                port,
+                ssl=self._context.client_tls,
+            )
+
+    async def _send_heartbeats(self, outbox: FrameOutbox) -> None:
+        while True:
+            outbox.put(PeerFrameBody(type=FRAME_PING))
+            await asyncio.sleep(
+                self._context.settings.heartbeat_ms / MS_PER_S,
+            )
+
+    def _settle(self, frame: PeerFrameBody) -> None:
+        if not frame.id:
+            return
+        waiting = self._pending.pop(frame.id, None)
+        if waiting is None or waiting.done():
+            self._context.counters.late_replies += 1
+            return
+        waiting.set_result(frame)
+
+    def _note_end(self, error: Exception) -> None:
+        was_open = self._outbox is not None
+        self._outbox = None
+        self._tried.set()
+        if isinstance(error, FrameError):
+            self._context.counters.broken_frames += 1
+        for waiting in self._pending.values():
+            if not waiting.done():
+                waiting.set_exception(PeerError(f'stream lost: {error!r}'))
+        self._pending.clear()
+        if was_open:
+            self._context.counters.disconnects += 1
+            log_event(
+                Event.PEER_LOST,
+                instance_id=self._context.identity.instance_id,
+                peer_id=self.peer.instance_id,
+                reason=repr(error),
+            )
--- /dev/null
+++ b/borageyard/peer_link.py
@@ -0,0 +1,179 @@
+"""The link between entries over TCP streams."""
+
+import asyncio
+import contextlib
+from collections.abc import Iterable, Sequence
+from typing import TypeVar
+
+import pydantic
+
+from .clock import MS_PER_S, Clock
+from .generated.peer_frames import PeerFrameBody
+from .news_plan import NewsPlan
+from .peer_codec import encode_frame
+from .peer_connection import PeerConnection
+from .peer_server import PeerInbox, PeerServer
+from .peer_stream import FRAME_NEWS, PeerContext
+from .peers import NewsSection, PeerAddress, PeerError, PeerHandler
+
+ReplyT = TypeVar('ReplyT', bound=pydantic.BaseModel)
+
+# Streams beyond those for news are closed after this time without use.
+IDLE_MS = 30_000
+
+
+class TcpPeerLink:
+    """Streams to and from all peers of an entry."""
+
+    def __init__(self, context: PeerContext, clock: Clock) -> None:
+        """Composes a link that is not open yet.
+
+        Args:
+            context: Identity, bounds and counters.
+            clock: Source of time for the news budget.
+        """
+        self.context = context
+        self._clock = clock
+        self._inbox = PeerInbox()
+        self._server = PeerServer(self._inbox, context)
+        self._known: dict[str, PeerAddress] = {}
+        self._used_at_ms: dict[str, float] = {}
+        self._connections: dict[str, PeerConnection] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._plan = NewsPlan(
+            context.identity.instance_id,
+            context.settings.news_peers,
+            context.settings.news_bytes_per_s,
+        )
+
+    @property
+    def address(self) -> str:
+        """Returns where peers reach it."""
+        return self._server.address
+
+    async def start(
+        self,
+        address: str,
+        stack: contextlib.AsyncExitStack,
+    ) -> None:
+        """Listens and sends news until the stack is closed.
+
+        Args:
+            address: IP number and port; port 0 takes a free one.
+            stack: Owns the streams.
+        """
+        stack.push_async_callback(self._close)
+        await self._server.start(address)
+        news = asyncio.ensure_future(self._spread_news())
+        stack.callback(news.cancel)
+
+    def update_peers(self, peers: Iterable[PeerAddress]) -> None:
+        """Opens streams to new peers and drops those to peers that are gone.
+
+        Args:
+            peers: All peers known now.
+        """
+        own_id = self.context.identity.instance_id
+        self._known = {
+            peer.instance_id: peer
+            for peer in peers
+            if peer.instance_id != own_id and peer.address
+        }
+        self._plan.update(self._known.values())
+        neighbours = frozenset(self._plan.neighbours)
+        now_ms = self._clock.steady_ms()
+        for name, connection in tuple(self._connections.items()):
+            moved = self._known.get(name) != connection.peer
+            idle = now_ms - self._used_at_ms.get(name, now_ms) > IDLE_MS
+            if moved or (idle and name not in neighbours):
+                self._drop(name)
+        for name in neighbours:
+            self._connect(name)
+
+    def peer_ids(self) -> Sequence[str]:
+        """Returns the instance ids of the peers that can be tried."""
+        return tuple(self._known)
+
+    def connected_ids(self) -> Sequence[str]:
+        """Returns the peers to which a stream is open."""
+        return tuple(
+            name
+            for name, connection in self._connections.items()
+            if connection.connected
+        )
+
+    def register(
+        self,
+        model: type[pydantic.BaseModel],
+        handler: PeerHandler,
+    ) -> None:
+        """Names the handler of a kind of request."""
+        self._inbox.handlers[model.__name__] = (model, handler)
+
+    def add_news(self, section: NewsSection) -> None:
+        """Adds a section to the regular news."""
+        self._inbox.sections[section.model.__name__] = section
+
+    async def request(
+        self,
+        peer_id: str,
+        message: pydantic.BaseModel,
+        reply_model: type[ReplyT],
+        timeout_ms: float,
+    ) -> ReplyT:
+        """Sends a request and waits for the reply."""
+        if peer_id not in self._known:
+            raise PeerError(f'{peer_id} is not known')
+        self._used_at_ms[peer_id] = self._clock.steady_ms()
+        connection = self._connect(peer_id)
+        return await connection.request(message, reply_model, timeout_ms)
+
+    def send_news(self) -> None:
+        """Tells the news to as many peers as the budget allows."""
+        encoded = self._encode_news()
+        if encoded is None:
+            return
+        now_ms = self._clock.steady_ms()
+        for name in self._plan.choose(len(encoded), now_ms):
+            connection = self._connections.get(name)
+            if connection is not None:
+                connection.send_news(encoded)
+
+    def _encode_news(self) -> bytes | None:
+        sections: dict[str, object] = {}
+        for kind, section in self._inbox.sections.items():
+            message = section.provide()
+            if message is not None:
+                sections[kind] = message.model_dump(exclude_defaults=True)
+        if not sections:
+            return None
+        frame = PeerFrameBody(type=FRAME_NEWS, body=sections)
+        return encode_frame(frame, self.context.settings.max_frame_bytes)
+
+    async def _spread_news(self) -> None:
+        while True:
+            self.send_news()
+            interval_ms = self.context.settings.news_interval_ms
+            await asyncio.sleep(interval_ms / MS_PER_S)
+
+    def _connect(self, peer_id: str) -> PeerConnection:
+        """Returns the stream to a known peer, opening it if need be."""
+        connection = self._connections.get(peer_id)
+        if connection is None:
+            connection = PeerConnection(self._known[peer_id], self.context)
+            self._connections[peer_id] = connection
+            task = asyncio.ensure_future(connection.run())
+            self._tasks[peer_id] = task
+        return connection
+
+    def _drop(self, peer_id: str) -> None:
+        self._used_at_ms.pop(peer_id, None)
+        self._connections.pop(peer_id).close()
+        self._tasks.pop(peer_id).cancel()
+
+    async def _close(self) -> None:
+        tasks = tuple(self._tasks.values())
+        for peer_id in tuple(self._connections):
+            self._drop(peer_id)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._server.close()
--- /dev/null
+++ b/borageyard/peer_server.py
@@ -0,0 +1,259 @@
+"""Listener for the streams that peers open."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Mapping
+
+import pydantic
+
+from .events import Event, log_event
+from .generated.peer_frames import PeerFrameBody
+from .http_messages import split_address
+from .peer_codec import FrameError
+from .peer_stream import (
+    FRAME_FAILURE,
+    FRAME_NEWS,
+    FRAME_PING,
+    FRAME_PONG,
+    FRAME_REPLY,
+    FRAME_REQUEST,
+    STREAM_ERRORS,
+    FrameOutbox,
+    PeerContext,
+    receive_frame,
+    receive_greeting,
+    send_greeting,
+)
+from .peers import NewsSection, PeerError, PeerHandler
+from .tasks import running_tasks
+
+
+class PeerInbox:
+    """Handlers of requests and consumers of news by kind."""
+
+    def __init__(self) -> None:
+        """Starts without handlers."""
+        self.handlers: dict[
+            str,
+            tuple[type[pydantic.BaseModel], PeerHandler],
+        ] = {}
+        self.sections: dict[str, NewsSection] = {}
+
+    async def answer(self, peer_id: str, frame: PeerFrameBody) -> PeerFrameBody:
+        """Returns the reply to a request, or why there is none.
+
+        Args:
+            peer_id: Who asks.
+            frame: The request.
+        """
+        known = self.handlers.get(frame.kind)
+        if known is None:
+            return _failure(frame, 'unknown kind')
+        model, handler = known
+        try:
+            message = model.model_validate(frame.body)
+        except pydantic.ValidationError:
+            return _failure(frame, 'malformed request')
+        try:
+            reply = await handler(peer_id, message)
+        except Exception as error:
+            log_event(
+                Event.PEER_REFUSED,
+                peer_id=peer_id,
+                kind=frame.kind,
+                reason=repr(error),
+            )
+            return _failure(frame, 'handler failed')
+        return PeerFrameBody(
+            type=FRAME_REPLY,
+            id=frame.id,
+            body=reply.model_dump(exclude_defaults=True),
+        )
+
+    def take_news(self, peer_id: str, sections: Mapping[str, object]) -> int:
+        """Hands news to its consumers.
+
+        Args:
+            peer_id: Who tells.
+            sections: Messages by kind.
+
+        Returns:
+            How many sections are unknown or malformed.
+        """
+        unknown = 0
+        for kind, body in sections.items():
+            section = self.sections.get(kind)
+            if section is None:
+                unknown += 1
+                continue
+            try:
+                message = section.model.model_validate(body)
+            except pydantic.ValidationError:
+                unknown += 1
+                continue
+            section.consume(peer_id, message)
+        return unknown
+
+
+class PeerServer:
+    """Accepts streams of peers; each one has its bounds."""
+
+    def __init__(self, inbox: PeerInbox, context: PeerContext) -> None:
+        """Prepares a listener that does not listen yet.
+
+        Args:
+            inbox: Takes requests and news.
+            context: Identity, bounds and counters of this entry.
+        """
+        self.address = ''
+        self._inbox = inbox
+        self._context = context
+        self._server: asyncio.Server | None = None
+        self._streams: set[asyncio.Task[None]] = set()
+        self._incarnations: dict[str, int] = {}
+
+    async def start(self, address: str) -> None:
+        """Starts to listen.
+
+        Args:
+            address: IP number and port; port 0 takes a free one.
+        """
+        host, port = split_address(address)
+        self._server = await asyncio.start_server(
+            self._accept,
+            host,
+            port,
+            ssl=self._context.server_tls,
+        )
+        bound = self._server.sockets[0].getsockname()
+        self.address = f'{host}:{bound[1]}'
+
+    async def close(self) -> None:
+        """Stops listening and ends all streams."""
+        if self._server is not None:
+            self._server.close()
+        for task in tuple(self._streams):
+            task.cancel()
+        await asyncio.gather(*self._streams, return_exceptions=True)
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        task = asyncio.current_task()
+        with contextlib.ExitStack() as stack:
+            stack.callback(writer.transport.abort)
+            if task is not None:
+                self._streams.add(task)
+                stack.callback(self._streams.discard, task)
+            # A cancelled stream ends quietly; asyncio would log it.
+            stack.enter_context(contextlib.suppress(asyncio.CancelledError))
+            try:
+                await self._serve(reader, writer)
+            except STREAM_ERRORS as error:
+                self._note_end(error)
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        greeting = await receive_greeting(reader, self._context)
+        peer_id = greeting.instance_id
+        if greeting.incarnation < self._incarnations.get(peer_id, 0):
+            raise PeerError(f'{peer_id} was replaced')
+        self._incarnations[peer_id] = greeting.incarnation
+        self._context.on_contact(peer_id, greeting.incarnation)
+        await send_greeting(writer, self._context)
+        stream = ServedStream(
+            peer_id,
+            self._inbox,
+            self._context,
+            writer.transport.abort,
+        )
+        async with running_tasks(stream.outbox.drain_to(writer)):
+            await stream.serve(reader)
+
+    def _note_end(self, error: Exception) -> None:
+        if isinstance(error, FrameError):
+            self._context.counters.broken_frames += 1
+            log_event(Event.PEER_FRAME_BROKEN, reason=str(error))
+        if isinstance(error, PeerError):
+            log_event(Event.PEER_REFUSED, reason=str(error))
+
+
+class ServedStream:
+    """One accepted stream after its greeting."""
+
+    def __init__(
+        self,
+        peer_id: str,
+        inbox: PeerInbox,
+        context: PeerContext,
+        abort: Callable[[], None],
+    ) -> None:
+        """Wraps what the stream needs.
+
+        Args:
+            peer_id: Who opened it.
+            inbox: Takes requests and news.
+            context: Bounds and counters.
+            abort: Closes the stream at once.
+        """
+        self.outbox = FrameOutbox(context)
+        self._peer_id = peer_id
+        self._inbox = inbox
+        self._context = context
+        self._abort = abort
+        self._work: set[asyncio.Task[None]] = set()
+
+    async def serve(self, reader: asyncio.StreamReader) -> None:
+        """Takes frames until the stream ends.
+
+        Args:
+            reader: The stream.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(self._cancel)
+            while True:
+                self._take(await receive_frame(reader, self._context))
+
+    def _take(self, frame: PeerFrameBody) -> None:
+        if frame.type == FRAME_PING:
+            self._reply(PeerFrameBody(type=FRAME_PONG))
+        elif frame.type == FRAME_NEWS:
+            unknown = self._inbox.take_news(self._peer_id, frame.body)
+            self._context.counters.news_unknown += unknown
+        elif frame.type == FRAME_REQUEST:
+            self._start(frame)
+
+    def _start(self, frame: PeerFrameBody) -> None:
+        if len(self._work) >= self._context.settings.max_requests:
+            self._context.counters.requests_refused += 1
+            self._reply(_failure(frame, 'too many requests'))
+            return
+        task = asyncio.ensure_future(self._handle(frame))
+        self._work.add(task)
+        task.add_done_callback(self._work.discard)
+
+    async def _handle(self, frame: PeerFrameBody) -> None:
+        reply = await self._inbox.answer(self._peer_id, frame)
+        try:
+            self._reply(reply)
+        except FrameError as error:
+            self._reply(_failure(frame, str(error)))
+
+    def _reply(self, frame: PeerFrameBody) -> None:
+        if not self.outbox.put(frame):
+            # A lost reply must be seen: the peer notices the closed stream.
+            self._context.counters.requests_refused += 1
+            self._abort()
+
+    def _cancel(self) -> None:
+        for task in self._work:
+            task.cancel()
+
+
+def _failure(frame: PeerFrameBody, reason: str) -> PeerFrameBody:
+    return PeerFrameBody(type=FRAME_FAILURE, id=frame.id, reason=reason)
--- /dev/null
+++ b/borageyard/peer_stream.py
@@ -0,0 +1,198 @@
+"""What both ends of a stream between entries share."""
+
+import asyncio
+import collections
+import dataclasses
+import hmac
+import ssl
+from collections.abc import Callable
+
+from .clock import MS_PER_S
+from .generated.peer_frames import PeerFrameBody, PeerGreetingBody
+from .generated.settings import PeerSettings
+from .peer_codec import (
+    PROTOCOL_VERSION,
+    FrameError,
+    decode_frame,
+    encode_frame,
+    read_payload,
+)
+from .peers import PeerError
+
+# Tells of a stream with a peer: its instance id and its incarnation.
+ContactListener = Callable[[str, int], None]
+# Tells that another instance answers at the address of a peer.
+ReplacementListener = Callable[[str], None]
+
+FRAME_PING = 'ping'
+FRAME_PONG = 'pong'
+FRAME_NEWS = 'news'
+FRAME_REQUEST = 'request'
+FRAME_REPLY = 'reply'
+FRAME_FAILURE = 'failure'
+
+
+@dataclasses.dataclass(slots=True)
+class PeerCounters:
+    """What went over the streams of an entry, and what was lost."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    news_bytes: int = 0
+    news_dropped: int = 0
+    news_unknown: int = 0
+    requests_refused: int = 0
+    late_replies: int = 0
+    broken_frames: int = 0
+    connects: int = 0
+    disconnects: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerIdentity:
+    """How an entry introduces itself."""
+
+    instance_id: str
+    incarnation: int
+    token: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerContext:
+    """What every stream of an entry needs to know."""
+
+    identity: PeerIdentity
+    settings: PeerSettings
+    counters: PeerCounters
+    on_contact: ContactListener
+    on_replaced: ReplacementListener
+    client_tls: ssl.SSLContext | None = None
+    server_tls: ssl.SSLContext | None = None
+
+
+class FrameOutbox:
+    """Bounded queue before a stream; only the newest news is kept."""
+
+    def __init__(self, context: PeerContext) -> None:
+        """Starts empty.
+
+        Args:
+            context: Bounds and counters.
+        """
+        self._context = context
+        self._frames: collections.deque[bytes] = collections.deque()
+        self._news: bytes | None = None
+        self._wake = asyncio.Event()
+
+    def put(self, frame: PeerFrameBody) -> bool:
+        """Queues a frame that must not be lost silently.
+
+        Returns:
+            Whether there was room.
+
+        Raises:
+            FrameError: If the frame is too large.
+        """
+        settings = self._context.settings
+        if len(self._frames) >= settings.max_queued_frames:
+            return False
+        self._frames.append(encode_frame(frame, settings.max_frame_bytes))
+        self._wake.set()
+        return True
+
+    def put_news(self, encoded: bytes) -> None:
+        """Queues news in place of any that was not sent yet."""
+        if self._news is not None:
+            self._context.counters.news_dropped += 1
+        self._news = encoded
+        self._wake.set()
+
+    async def drain_to(self, writer: asyncio.StreamWriter) -> None:
+        """Writes frames until cancelled or the stream breaks.
+
+        Args:
+            writer: The stream.
+        """
+        while True:
+            await self._wake.wait()
+            encoded = self._take()
+            if encoded is None:
+                self._wake.clear()
+                continue
+            writer.write(encoded)
+            self._context.counters.sent_bytes += len(encoded)
+            await writer.drain()
+
+    def _take(self) -> bytes | None:
+        if self._frames:
+            return self._frames.popleft()
+        news = self._news
+        self._news = None
+        if news is not None:
+            self._context.counters.news_bytes += len(news)
+        return news
+
+
+async def receive_frame(
+    reader: asyncio.StreamReader,
+    context: PeerContext,
+) -> PeerFrameBody:
+    """Reads the next frame, within the time that silence is allowed.
+
+    Args:
+        reader: The stream.
+        context: Bounds and counters.
+
+    Raises:
+        FrameError: If it is broken.
+        EOFError: If the stream ends.
+        TimeoutError: If the peer is silent for too long.
+    """
+    settings = context.settings
+    async with asyncio.timeout(settings.silence_ms / MS_PER_S):
+        payload = await read_payload(reader, settings.max_frame_bytes)
+    context.counters.received_bytes += len(payload)
+    return decode_frame(PeerFrameBody, payload)
+
+
+async def send_greeting(
+    writer: asyncio.StreamWriter,
+    context: PeerContext,
+) -> None:
+    """Introduces this entry."""
+    identity = context.identity
+    greeting = PeerGreetingBody(
+        protocol_version=PROTOCOL_VERSION,
+        instance_id=identity.instance_id,
+        incarnation=identity.incarnation,
+        token=identity.token,
+    )
+    writer.write(encode_frame(greeting, context.settings.max_frame_bytes))
+    await writer.drain()
+
+
+async def receive_greeting(
+    reader: asyncio.StreamReader,
+    context: PeerContext,
+) -> PeerGreetingBody:
+    """Reads the peer's greeting.
+
+    Raises:
+        PeerError: If the peer may not take part.
+        FrameError: If it is broken.
+        EOFError: If the stream ends.
+        TimeoutError: If the peer is silent for too long.
+    """
+    settings = context.settings
+    async with asyncio.timeout(settings.silence_ms / MS_PER_S):
+        payload = await read_payload(reader, settings.max_frame_bytes)
+    greeting = decode_frame(PeerGreetingBody, payload)
+    if greeting.protocol_version != PROTOCOL_VERSION:
+        raise PeerError(f'protocol version {greeting.protocol_version}')
+    token = context.identity.token
+    if not hmac.compare_digest(greeting.token.encode(), token.encode()):
+        raise PeerError('wrong token')
+    return greeting
+
+
+STREAM_ERRORS = (OSError, EOFError, TimeoutError, FrameError, PeerError)
--- a/borageyard/peers.py
+++ b/borageyard/peers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Any, Protocol, TypeVar
 
 import pydantic
@@ -33,12 +33,27 @@
     consume: NewsConsumer
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Where a peer listens."""
+
+    instance_id: str
+    address: str
+    failure_domain: str = ''
+
+
 class PeerLink(Protocol):
     """The way from one entry to the others.
 
     Messages are generated models; their class name is their kind.
     """
 
+    def update_peers(self, peers: Iterable[PeerAddress]) -> None:
+        """Takes in all peers that are known now."""
+
+    def send_news(self) -> None:
+        """Tells the news now, besides the regular times."""
+
     def peer_ids(self) -> Sequence[str]:
         """Returns the instance ids of the peers that can be tried."""
 
@@ -128,6 +143,9 @@
         self.sections: list[NewsSection] = []
         self._network = network
 
+    def update_peers(self, peers: Iterable[PeerAddress]) -> None:
+        """Changes nothing: the network knows its entries."""
+
     def peer_ids(self) -> Sequence[str]:
         """Returns all other entries of the network."""
         return tuple(
