--- /dev/null
+++ b/tests/relay.py
@@ -0,0 +1,58 @@
+"""A TCP relay that can stop passing bytes in one direction."""
+
+import asyncio
+import contextlib
+
+from borageyard.http_messages import split_address
+
+
+class Relay:
+    """Passes bytes between a client and a server until told not to."""
+
+    def __init__(self, target):
+        """Names the server."""
+        self.target = split_address(target)
+        self.forward = asyncio.Event()
+        self.backward = asyncio.Event()
+        self.forward.set()
+        self.backward.set()
+        self.address = ''
+        self._tasks = set()
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Listens while the scope lasts."""
+        server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._close)
+            stack.callback(server.close)
+            yield self
+
+    async def _close(self):
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        upstream = await asyncio.open_connection(*self.target)
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            await asyncio.gather(
+                _pass(reader, upstream[1], self.forward),
+                _pass(upstream[0], writer, self.backward),
+            )
+        upstream[1].transport.abort()
+        writer.transport.abort()
+
+
+async def _pass(reader, writer, opened):
+    while True:
+        received = await reader.read(65536)
+        await opened.wait()
+        writer.write(received)
+        await writer.drain()
+        if not received:
+            writer.close()
+            return
--- /dev/null
+++ b/tests/test_peer_link.py
@@ -0,0 +1,354 @@
+"""Tests of the streams between entries, on real sockets."""
+
+import asyncio
+import contextlib
+import types
+
+import msgpack
+import pytest
+
+from borageyard.clock import SystemClock
+from borageyard.generated.peer_membership import (
+    PeerMembershipBody,
+    PeerProbeBody,
+    PeerProbeReplyBody,
+)
+from borageyard.generated.settings import PeerSettings
+from borageyard.peer_codec import LENGTH
+from borageyard.peer_link import TcpPeerLink
+from borageyard.peer_stream import PeerContext, PeerCounters, PeerIdentity
+from borageyard.peers import NewsSection, PeerAddress, PeerError
+from tests.relay import Relay
+
+ANY_PORT = '127.0.0.1:0'
+FAST = types.MappingProxyType(
+    {
+        'news_interval_ms': 10,
+        'heartbeat_ms': 20,
+        'silence_ms': 200,
+        'news_bytes_per_s': 100_000,
+    }
+)
+
+
+class HeldAnswers:
+    """Handler that holds its first answer back until told."""
+
+    def __init__(self):
+        """Starts with nothing asked."""
+        self.asked = asyncio.Event()
+        self.gate = asyncio.Event()
+        self.count = 0
+
+    async def first(self, peer_id, message):
+        """Answers with the number of the request, the first one last."""
+        self.count += 1
+        number = self.count
+        if number == 1:
+            await self.gate.wait()
+        self.gate.set()
+        return PeerProbeReplyBody(incarnation=number)
+
+    async def held(self, peer_id, message):
+        """Answers once the gate is open."""
+        self.asked.set()
+        await self.gate.wait()
+        return PeerProbeReplyBody(incarnation=1)
+
+    async def failing(self, peer_id, message):
+        """Raises."""
+        raise ValueError(peer_id)
+
+
+class Side:
+    """One entry's link with what its peers did."""
+
+    def __init__(self, name, token='', incarnation=1, **settings):
+        """Composes a link that answers probes."""
+        self.contacts = []
+        self.contacted = asyncio.Event()
+        self.replaced = []
+        self.news = asyncio.Queue()
+        context = PeerContext(
+            identity=PeerIdentity(name, incarnation, token),
+            settings=PeerSettings(**{**FAST, **settings}),
+            counters=PeerCounters(),
+            on_contact=self.note_contact,
+            on_replaced=self.replaced.append,
+        )
+        self.name = name
+        self.counters = context.counters
+        self.link = TcpPeerLink(context, SystemClock())
+        self.link.register(PeerProbeBody, self.answer)
+        self.link.add_news(
+            NewsSection(
+                PeerMembershipBody,
+                lambda: PeerMembershipBody(incarnation=incarnation),
+                lambda *told: self.news.put_nowait(told),
+            )
+        )
+
+    async def answer(self, peer_id, message):
+        """Answers a probe."""
+        return PeerProbeReplyBody(incarnation=7)
+
+    def knows(self, *others, via=None):
+        """Tells the link of other sides."""
+        self.link.update_peers(
+            PeerAddress(other.name, via or other.link.address)
+            for other in others
+        )
+
+    async def probe(self, other, timeout_ms=2000):
+        """Asks another side."""
+        reply = await self.link.request(
+            other.name,
+            PeerProbeBody(),
+            PeerProbeReplyBody,
+            timeout_ms,
+        )
+        return reply.incarnation
+
+    async def until_connected(self, other):
+        """Waits for an open stream."""
+        while other.name not in self.link.connected_ids():
+            self.contacted.clear()
+            await self.contacted.wait()
+
+    async def until_contact(self, *contact):
+        """Waits until a peer's incarnation was heard."""
+        while contact not in self.contacts:
+            self.contacted.clear()
+            await self.contacted.wait()
+
+    def note_contact(self, peer_id, incarnation):
+        """Keeps what the link tells of a peer."""
+        self.contacts.append((peer_id, incarnation))
+        self.contacted.set()
+
+
+@contextlib.asynccontextmanager
+async def started(*sides):
+    """Runs links."""
+    async with contextlib.AsyncExitStack() as stack:
+        for side in sides:
+            await side.link.start(ANY_PORT, stack)
+        yield sides
+
+
+async def raw_stream(side, name='raw', incarnation=1):
+    """Opens a stream by hand and greets."""
+    host, _, port = side.link.address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    send_raw(
+        writer,
+        {
+            'protocol_version': 1,
+            'instance_id': name,
+            'incarnation': incarnation,
+        },
+    )
+    return reader, writer
+
+
+def send_raw(writer, document):
+    """Writes one frame."""
+    payload = msgpack.packb(document)
+    writer.write(LENGTH.pack(len(payload)) + payload)
+
+
+async def read_raw(reader):
+    """Reads one frame."""
+    size = LENGTH.unpack(await reader.readexactly(4))[0]
+    return msgpack.unpackb(await reader.readexactly(size))
+
+
+class TestRequests:
+    """Requests and their replies."""
+
+    async def test_reply_and_news(self):
+        """A request is answered and news arrives, with bytes counted."""
+        async with started(Side('a'), Side('b')) as (one, two):
+            one.knows(two)
+            assert await one.probe(two) == 7
+            peer_id, news = await asyncio.wait_for(two.news.get(), 5)
+        assert peer_id == 'a'
+        assert news.incarnation == 1
+        assert one.counters.news_bytes > 0
+        assert ('b', 1) in one.contacts
+
+    async def test_replies_by_id(self):
+        """Replies that come in another order reach their own requests."""
+        async with started(Side('a'), Side('b')) as (one, two):
+            two.link.register(PeerProbeBody, HeldAnswers().first)
+            one.knows(two)
+            replies = await asyncio.gather(one.probe(two), one.probe(two))
+        assert replies == [1, 2]
+
+    async def test_unknown_kind_is_told(self):
+        """A request that nobody handles fails at once."""
+        async with started(Side('a'), Side('b')) as (one, two):
+            one.knows(two)
+            with pytest.raises(PeerError, match='unknown kind'):
+                await one.link.request(
+                    'b',
+                    PeerMembershipBody(incarnation=1),
+                    PeerProbeReplyBody,
+                    2000,
+                )
+
+    async def test_failing_handler_is_told(self):
+        """A handler that raises fails the request, not the stream."""
+        async with started(Side('a'), Side('b')) as (one, two):
+            two.link.register(PeerProbeBody, HeldAnswers().failing)
+            one.knows(two)
+            with pytest.raises(PeerError, match='handler failed'):
+                await one.probe(two)
+            two.link.register(PeerProbeBody, two.answer)
+            assert await one.probe(two) == 7
+
+    async def test_slow_peer_times_out(self):
+        """A reply that comes too late is dropped and counted."""
+        async with started(Side('a'), Side('b')) as (one, two):
+            answers = HeldAnswers()
+            two.link.register(PeerProbeBody, answers.held)
+            one.knows(two)
+            await one.until_connected(two)
+            with pytest.raises(PeerError, match='timed out'):
+                await one.probe(two, timeout_ms=30)
+            answers.gate.set()
+            two.link.register(PeerProbeBody, two.answer)
+            assert await one.probe(two) == 7
+        assert one.counters.late_replies == 1
+
+    async def test_too_many_requests_are_refused(self):
+        """Requests past the bound are refused, never dropped."""
+        sides = Side('a'), Side('b', max_requests=1)
+        async with started(*sides) as (one, two):
+            answers = HeldAnswers()
+            two.link.register(PeerProbeBody, answers.held)
+            one.knows(two)
+            first = asyncio.ensure_future(one.probe(two))
+            await answers.asked.wait()
+            with pytest.raises(PeerError, match='too many'):
+                await one.probe(two)
+            answers.gate.set()
+            await first
+
+
+class TestFailures:
+    """Streams that break in every way."""
+
+    async def test_dead_peer_fails_waiting_requests(self):
+        """A request under way ends when its peer dies."""
+        one, two = Side('a'), Side('b')
+        async with started(one):
+            async with started(two):
+                answers = HeldAnswers()
+                two.link.register(PeerProbeBody, answers.held)
+                one.knows(two)
+                waiting = asyncio.ensure_future(one.probe(two, 60_000))
+                await answers.asked.wait()
+            with pytest.raises(PeerError, match='stream lost'):
+                await waiting
+
+    async def test_reconnects_to_a_replaced_incarnation(self):
+        """A peer that comes back at its address is reached again."""
+        one, two = Side('a'), Side('b')
+        async with started(one):
+            async with started(two):
+                address = two.link.address
+                one.knows(two)
+                assert await one.probe(two) == 7
+            newer = Side('b', incarnation=2)
+            async with contextlib.AsyncExitStack() as stack:
+                await newer.link.start(address, stack)
+                await one.until_contact(newer.name, 2)
+                assert await one.probe(newer) == 7
+        assert one.contacts[-1] == ('b', 2)
+
+    async def test_another_instance_at_the_address(self):
+        """A stream to an address that another instance took is closed."""
+        async with started(Side('a'), Side('c')) as (one, other):
+            other.name = 'b'
+            one.knows(other)
+            with pytest.raises(PeerError):
+                await one.probe(other)
+        assert one.replaced[0] == 'b'
+
+    async def test_older_incarnation_is_refused(self):
+        """A process that was replaced can't speak for its instance."""
+        async with started(Side('b')) as sides:
+            two = sides[0]
+            newer, _ = await raw_stream(two, 'raw', incarnation=5)
+            assert (await read_raw(newer))['instance_id'] == 'b'
+            older, _ = await raw_stream(two, 'raw', incarnation=4)
+            assert await older.read() == b''
+
+    @pytest.mark.parametrize('direction', ['forward', 'backward'])
+    async def test_one_way_link_is_noticed(self, direction):
+        """A stream on which one direction is dead is closed."""
+        async with started(Side('a'), Side('b')) as (one, two):
+            async with Relay(two.link.address).running() as relay:
+                one.knows(two, via=relay.address)
+                assert await one.probe(two) == 7
+                getattr(relay, direction).clear()
+                with pytest.raises(PeerError, match='stream lost'):
+                    await one.probe(two, 60_000)
+                getattr(relay, direction).set()
+                await one.until_connected(two)
+                assert await one.probe(two) == 7
+        assert one.counters.disconnects >= 1
+
+    async def test_wrong_token_is_refused(self):
+        """Entries with different tokens do not talk."""
+        sides = Side('a', token='one'), Side('b', token='two')
+        async with started(*sides) as (one, two):
+            one.knows(two)
+            with pytest.raises(PeerError):
+                await one.probe(two)
+
+    @pytest.mark.parametrize(
+        'payload',
+        [b'\xff\xff\xff\xff', b'\0\0\0\3\xc1\xc1\xc1'],
+        ids=['too long', 'no msgpack'],
+    )
+    async def test_broken_frame_closes_the_stream(self, payload):
+        """Bytes that are no frame end only their own stream."""
+        async with started(Side('a'), Side('b')) as (one, two):
+            reader, writer = await raw_stream(two)
+            await read_raw(reader)
+            writer.write(payload)
+            assert await reader.read() == b''
+            one.knows(two)
+            assert await one.probe(two) == 7
+        assert two.counters.broken_frames == 1
+
+    async def test_unknown_frames_and_news_are_ignored(self):
+        """Frames and sections of a later version do no harm."""
+        async with started(Side('b')) as sides:
+            two = sides[0]
+            reader, writer = await raw_stream(two)
+            await read_raw(reader)
+            send_raw(writer, {'type': 'later', 'more': 1})
+            send_raw(writer, {'type': 'news', 'body': {'Later': {}}})
+            send_raw(writer, {'type': 'ping'})
+            assert (await read_raw(reader))['type'] == 'pong'
+        assert two.counters.news_unknown == 1
+
+    async def test_news_is_dropped_for_a_peer_that_does_not_read(self):
+        """Only the newest news waits for a blocked peer."""
+        sides = Side('a', silence_ms=60_000), Side('b', silence_ms=60_000)
+        async with started(*sides) as (one, two):
+            one.link.add_news(
+                NewsSection(
+                    PeerProbeBody,
+                    PeerProbeBody,
+                    lambda *told: None,
+                )
+            )
+            one.knows(two)
+            await one.until_connected(two)
+            one.link.send_news()
+            one.link.send_news()
+        assert one.counters.news_dropped >= 1
