Bound every exchange at the HTTP border

Cause: a sender that trickled bytes renewed its time with each byte, a slow reader held a stream for ever, pipelined bytes were buffered without bound, refusals of the server layer had no id and no stages, and bytes after a response were taken for the next answer of a kept connection.

Change: one time-out for a whole request, one for a full send buffer, one for idle connections; the reader itself tells when the caller is gone, so that no second task reads; refusals go through the one table; a kept connection with surplus bytes is dropped and a stale one is replaced. The stand-in target has switchable faults for crossed, doubled and skipped events, resets, trickled and over-long answers.

--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import hmac
 from collections.abc import AsyncIterator
 from http import HTTPStatus
 from typing import Any
@@ -24,17 +23,19 @@
 from .platform import PlatformError
 from .requests import PipelineRequest
 from .target import TokenEvent
+from .tokens import check_organisation, is_operator
 from .wire import (
+    ORGANISATION_HEADER,
     decode_request,
     encode_outcome,
     encode_refusal,
     outcome_payload,
+    request_id_of,
     token_payload,
 )
 
 PIPELINE_PREFIX = '/v1/pipelines/'
 TOKEN_QUEUE_SIZE = 64
-TOKEN_HEADER = 'x-borage-token'
 
 
 class QueueSink:
@@ -78,20 +79,38 @@
             return await self._apply(request)
         route = self._routes.get(where)
         if route is None:
-            return encode_refusal('', Refusal(ErrorKind.NOT_FOUND))
+            return self._refuse_route(request)
         return route(request)
 
+    def _refuse_route(self, request: HttpRequest) -> HttpResponse:
+        paths = {path for _, path in self._routes}
+        kind = ErrorKind.NOT_FOUND
+        if request.path in paths:
+            kind = ErrorKind.METHOD_NOT_ALLOWED
+        return encode_refusal(request_id_of(request.headers), Refusal(kind))
+
     async def _run_pipeline(self, request: HttpRequest) -> HttpResponse:
         pipeline = request.path.removeprefix(PIPELINE_PREFIX)
         try:
-            decoded = decode_request(request, pipeline, self._core.ports.clock)
+            decoded = self._check(request, pipeline)
         except RefusalError as error:
-            return encode_refusal('', error.refusal)
+            request_id = request_id_of(request.headers)
+            return encode_refusal(request_id, error.refusal)
         if decoded.stream:
             return await self._stream(decoded)
         outcome = await self._core.run(decoded)
         return encode_outcome(decoded.request_id, outcome)
 
+    def _check(self, request: HttpRequest, pipeline: str) -> PipelineRequest:
+        if request.method != 'POST':
+            raise RefusalError(Refusal(ErrorKind.METHOD_NOT_ALLOWED))
+        configuration = self._core.fold.current()
+        if configuration is not None:
+            name = request.header(ORGANISATION_HEADER)
+            organisation = configuration.organisations.get(name)
+            check_organisation(organisation, request)
+        return decode_request(request, pipeline, self._core.ports.clock)
+
     async def _stream(self, request: PipelineRequest) -> HttpResponse:
         """Answers with events once the first token is there."""
         sink = QueueSink()
@@ -190,12 +209,7 @@
         return json_response({'offset': offset})
 
     def _is_operator(self, request: HttpRequest) -> bool:
-        token = self._core.settings.operator_token
-        shown_token = request.header(TOKEN_HEADER)
-        return not token or hmac.compare_digest(
-            token.encode(),
-            shown_token.encode(),
-        )
+        return is_operator(self._core.settings.operator_token, request)
 
 
 def _parse_proposal(request: HttpRequest) -> dict[str, Any]:
--- a/borageyard/errors.py
+++ b/borageyard/errors.py
@@ -12,6 +12,9 @@
 
     BAD_REQUEST = 'bad_request'
     BODY_TOO_LARGE = 'body_too_large'
+    HEADER_TOO_LARGE = 'header_too_large'
+    REQUEST_TIMEOUT = 'request_timeout'
+    METHOD_NOT_ALLOWED = 'method_not_allowed'
     UNAUTHORISED = 'unauthorised'
     NOT_FOUND = 'not_found'
     KEY_REQUIRED = 'key_required'
@@ -64,6 +67,21 @@
             may_retry=False,
             message='The body is larger than this entry accepts.',
         ),
+        ErrorKind.HEADER_TOO_LARGE: ErrorAnswer(
+            HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+            may_retry=False,
+            message='The head of the request is too large.',
+        ),
+        ErrorKind.REQUEST_TIMEOUT: ErrorAnswer(
+            HTTPStatus.REQUEST_TIMEOUT,
+            may_retry=True,
+            message='The request did not arrive in time.',
+        ),
+        ErrorKind.METHOD_NOT_ALLOWED: ErrorAnswer(
+            HTTPStatus.METHOD_NOT_ALLOWED,
+            may_retry=False,
+            message='The endpoint does not take this method.',
+        ),
         ErrorKind.UNAUTHORISED: ErrorAnswer(
             HTTPStatus.UNAUTHORIZED,
             may_retry=False,
--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -13,9 +13,20 @@
 
 from .clock import MS_PER_S
 from .http_messages import HttpLimits, split_address
+from .http_streams import (
+    CountingReader,
+    StreamWriter,
+    decode_headers,
+    open_stream,
+)
 
 READ_SIZE_BYTES = 65536
 MAX_IDLE_CONNECTIONS = 32
+# Shorter than the time after which servers close idle connections.
+MAX_IDLE_S = 15
+MAX_EVENT_BYTES = 1024 * 1024
+SEPARATOR = b'\n\n'
+FIELD_NAME = b'data: '
 
 
 class HttpCallError(Exception):
@@ -60,7 +71,7 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: CountingReader,
         writer: asyncio.StreamWriter,
         limits: HttpLimits,
     ) -> None:
@@ -72,21 +83,36 @@
             limits: Bounds on bodies.
         """
         self._reader = reader
-        self._writer = writer
+        self._raw_writer = writer
+        self._writer = StreamWriter(writer, limits.send_timeout_ms)
         self._limits = limits
         self._codec = h11.Connection(h11.CLIENT)
+        self._read_bytes = 0
+        self.calls = 0
+        self.idle_since_s: float = 0
 
     @property
     def reusable(self) -> bool:
-        """Tells whether another request may be sent."""
-        return (
-            self._codec.our_state is h11.IDLE
-            and not self._reader.at_eof()
-            and not self._writer.is_closing()
+        """Tells whether another request may be sent.
+
+        Bytes that no request asked for make a connection unusable: they
+        would be taken for the next answer.
+        """
+        surplus = self._reader.received_bytes - self._read_bytes
+        clean = not surplus and not self._codec.trailing_data[0]
+        closed = self._reader.at_eof() or self._raw_writer.is_closing()
+        return self._codec.our_state is h11.IDLE and clean and not closed
+
+    @property
+    def answered(self) -> bool:
+        """Tells whether any byte has come back for the newest call."""
+        return self._codec.their_state is not h11.SEND_RESPONSE or bool(
+            self._codec.trailing_data[0],
         )
 
     async def send(self, call: HttpCall) -> None:
         """Writes a whole request."""
+        self.calls += 1
         headers = [
             ('host', call.address),
             ('content-length', str(len(call.body))),
@@ -97,11 +123,11 @@
             target=call.path,
             headers=headers,
         )
-        self._write(head)
+        encoded = self._codec.send(head) or b''
         if call.body:
-            self._write(h11.Data(data=call.body))
-        self._write(h11.EndOfMessage())
-        await self._writer.drain()
+            encoded += self._codec.send(h11.Data(data=call.body)) or b''
+        encoded += self._codec.send(h11.EndOfMessage()) or b''
+        await self._writer.send(encoded)
 
     async def receive_head(self) -> tuple[int, dict[str, str]]:
         """Reads the status and the headers of a response."""
@@ -110,11 +136,7 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise HttpCallError('connection closed before a response', True)
-        headers = {
-            name.decode('latin-1'): text.decode('latin-1')
-            for name, text in event.headers
-        }
-        return event.status_code, headers
+        return event.status_code, decode_headers(event.headers)
 
     async def receive_chunks(self) -> AsyncIterator[bytes]:
         """Reads the body, up to the limit."""
@@ -135,7 +157,7 @@
 
     def close(self) -> None:
         """Drops the connection."""
-        self._writer.transport.abort()
+        self._raw_writer.transport.abort()
 
     async def _next_event(self) -> object:
         while True:
@@ -143,13 +165,9 @@
             if event is not h11.NEED_DATA:
                 return event
             received = await self._reader.read(READ_SIZE_BYTES)
+            self._read_bytes += len(received)
             self._codec.receive_data(received)
 
-    def _write(self, event: h11.Event) -> None:
-        encoded = self._codec.send(event)
-        if encoded:
-            self._writer.write(encoded)
-
 
 class HttpClient:
     """Sends requests over pooled connections."""
@@ -224,8 +242,11 @@
             async with asyncio.timeout(call.timeout_ms / MS_PER_S):
                 connection = await self._connect(call)
                 sent = True
-                await connection.send(call)
-                status, headers = await connection.receive_head()
+                status, headers = await _exchange(connection, call)
+                while status is None:
+                    connection.close()
+                    connection = await self._connect(call)
+                    status, headers = await _exchange(connection, call)
                 yield status, headers, connection.receive_chunks()
         except TimeoutError as error:
             raise HttpCallError('timed out', sent) from error
@@ -237,29 +258,49 @@
 
     async def _connect(self, call: HttpCall) -> ClientConnection:
         idle = self._idle.get(call.address)
+        oldest_s = asyncio.get_running_loop().time() - MAX_IDLE_S
         while call.reuse and idle:
             connection = idle.pop()
-            if connection.reusable:
+            if connection.reusable and connection.idle_since_s >= oldest_s:
                 return connection
             connection.close()
         host, port = split_address(call.address)
         timeout_s = self._limits.connect_timeout_ms / MS_PER_S
         async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(
-                host,
-                port,
-                ssl=self._tls,
-            )
+            reader, writer = await open_stream(host, port, self._tls)
         return ClientConnection(reader, writer, self._limits)
 
     def _release(self, address: str, connection: ClientConnection) -> None:
         idle = self._idle.setdefault(address, collections.deque())
         if connection.reusable and len(idle) < MAX_IDLE_CONNECTIONS:
+            connection.idle_since_s = asyncio.get_running_loop().time()
             idle.append(connection)
             return
         connection.close()
 
 
+async def _exchange(
+    connection: ClientConnection,
+    call: HttpCall,
+) -> tuple[int | None, dict[str, str]]:
+    """Sends a call and reads the head of its response.
+
+    A kept connection may have been closed by the server while the call was
+    on its way; calls that may use kept connections may also be repeated.
+
+    Returns:
+        Status and headers; no status if a kept connection was closed.
+    """
+    try:
+        await connection.send(call)
+        return await connection.receive_head()
+    except (OSError, h11.ProtocolError, HttpCallError) as error:
+        stale = connection.calls > 1 and not connection.answered
+        if stale and not isinstance(error, TimeoutError):
+            return None, {}
+        raise
+
+
 async def read_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
     """Splits chunks into the payloads of server-sent events.
 
@@ -269,10 +310,17 @@
     Yields:
         The payload of each whole event.
     """
-    pending = b''
+    pending = bytearray()
     async for chunk in chunks:
+        searched = max(0, len(pending) - 1)
         pending += chunk
-        *events, pending = pending.split(b'\n\n')
-        for event in events:
-            if event.startswith(b'data: '):
-                yield event.removeprefix(b'data: ')
+        end = pending.find(SEPARATOR, searched)
+        start = 0
+        while end >= 0:
+            if pending.startswith(FIELD_NAME, start):
+                yield bytes(pending[start + len(FIELD_NAME) : end])
+            start = end + len(SEPARATOR)
+            end = pending.find(SEPARATOR, start)
+        pending = pending[start:]
+        if len(pending) > MAX_EVENT_BYTES:
+            raise HttpCallError('event is too large', sent=True)
--- a/borageyard/http_messages.py
+++ b/borageyard/http_messages.py
@@ -17,6 +17,8 @@
     max_body_bytes: int = 4 * 1024 * 1024
     max_connections: int = 1024
     receive_timeout_ms: int = 10_000
+    idle_timeout_ms: int = 60_000
+    send_timeout_ms: int = 10_000
     connect_timeout_ms: int = 500
 
 
--- a/borageyard/http_server.py
+++ b/borageyard/http_server.py
@@ -3,32 +3,62 @@
 import asyncio
 import contextlib
 import ssl
-from collections.abc import Awaitable, Callable
-from http import HTTPStatus
+from collections.abc import Awaitable, Callable, Iterator
 from types import TracebackType
-from typing import Any, Self
+from typing import Self
 
 import h11
 
 from .clock import MS_PER_S
+from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .http_messages import (
     HttpLimits,
     HttpRequest,
     HttpResponse,
-    json_response,
     split_address,
     split_target,
 )
+from .http_streams import CallerGoneReader, StreamWriter, decode_headers
+from .wire import encode_refusal, request_id_of
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
 READ_SIZE_BYTES = 65536
 MAX_HEAD_BYTES = 32768
+# Time in which a refused caller may still be sending its body.
+LINGER_S = 0.5
+# Connections above the limit that are told so; more are just dropped.
+MAX_REFUSALS_AT_ONCE = 64
+STATUS_HEADER_TOO_LARGE = 431
 
 
-class BodyTooLargeError(Exception):
-    """A request body above the limit."""
+class ConnectionAbortError(Exception):
+    """Raised by a handler that wants the connection dropped."""
+
+
+class RefusedRequestError(Exception):
+    """A request that is refused before a handler sees it."""
+
+    def __init__(self, refusal: Refusal, request_id: str = '') -> None:
+        """Keeps the refusal.
+
+        Args:
+            refusal: What the caller is told.
+            request_id: Id from the caller, if it was read.
+        """
+        super().__init__(refusal.kind.value)
+        self.refusal = refusal
+        self.request_id = request_id
+
+
+# Ends of a connection that are no fault of this process.
+QUIET_ERRORS = (
+    OSError,
+    h11.ProtocolError,
+    asyncio.CancelledError,
+    ConnectionAbortError,
+)
 
 
 class HttpServer:
@@ -74,14 +104,15 @@
             address: IP number and port; port 0 takes a free one.
         """
         host, port = split_address(address)
-        self._server = await asyncio.start_server(
-            self._accept,
+        self._server = await asyncio.get_running_loop().create_server(
+            self._build_protocol,
             host,
             port,
             ssl=self._tls,
         )
         bound = self._server.sockets[0].getsockname()
-        self.address = f'{host}:{bound[1]}'
+        shown_host, _ = address.rsplit(':', 1)
+        self.address = f'{shown_host}:{bound[1]}'
 
     async def close(self) -> None:
         """Stops listening and ends all connections."""
@@ -91,23 +122,28 @@
             task.cancel()
         await asyncio.gather(*self._connections, return_exceptions=True)
 
+    def _build_protocol(self) -> asyncio.StreamReaderProtocol:
+        return asyncio.StreamReaderProtocol(CallerGoneReader(), self._accept)
+
     async def _accept(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         task = asyncio.current_task()
-        if task is None:
+        if task is None or not isinstance(reader, CallerGoneReader):
             return
         self._connections.add(task)
         connection = ServerConnection(reader, writer, self._limits)
-        full = len(self._connections) > self._limits.max_connections
+        excess = len(self._connections) - self._limits.max_connections
         try:
-            if full:
-                await connection.refuse(HTTPStatus.SERVICE_UNAVAILABLE)
+            if excess > MAX_REFUSALS_AT_ONCE:
+                writer.transport.abort()
+            elif excess > 0:
+                await connection.refuse(Refusal(ErrorKind.OVERLOADED))
             else:
                 await connection.serve(self._handler)
-        except (OSError, h11.ProtocolError, asyncio.CancelledError):
+        except QUIET_ERRORS:
             writer.transport.abort()
         except Exception as error:
             log_event(Event.CONNECTION_FAILED, reason=repr(error))
@@ -122,7 +158,7 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: CallerGoneReader,
         writer: asyncio.StreamWriter,
         limits: HttpLimits,
     ) -> None:
@@ -134,7 +170,7 @@
             limits: Bounds on bodies and time.
         """
         self._reader = reader
-        self._writer = writer
+        self._writer = StreamWriter(writer, limits.send_timeout_ms)
         self._limits = limits
         self._codec = h11.Connection(
             h11.SERVER,
@@ -146,49 +182,93 @@
         while True:
             try:
                 request = await self._receive_request()
-            except TimeoutError:
-                return await self.refuse(HTTPStatus.REQUEST_TIMEOUT)
-            except BodyTooLargeError:
-                return await self.refuse(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-            except h11.RemoteProtocolError as error:
-                return await self.refuse(error.error_status_hint)
+            except RefusedRequestError as error:
+                return await self.refuse(error.refusal, error.request_id)
             if request is None:
                 return None
-            response = await self._answer(handler, request)
-            if response is None:
-                return None
-            await self._send_response(response)
+            with self._cancelled_when_gone():
+                response = await self._answer(handler, request)
+                await self._send_response(response)
             if self._codec.our_state is not h11.DONE:
                 return None
             self._codec.start_next_cycle()
 
-    async def refuse(self, status: int) -> None:
-        """Sends a bare refusal, if the caller can still be told one."""
-        if self._codec.our_state in {h11.IDLE, h11.SEND_RESPONSE}:
-            body = {'kind': 'bad_request', 'not_run': True}
-            await self._send_response(json_response(body, status))
+    async def refuse(self, refusal: Refusal, request_id: str = '') -> None:
+        """Sends a refusal, if the caller can still be told, and closes.
+
+        Args:
+            refusal: Why the request is not served.
+            request_id: Id from the caller, if it was read.
+        """
+        if self._codec.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        response = encode_refusal(request_id, refusal)
+        headers = {**response.headers, 'connection': 'close'}
+        await self._send_response(
+            HttpResponse(response.status, response.body, headers=headers),
+        )
+        await self._linger()
 
     async def _receive_request(self) -> HttpRequest | None:
-        head = await self._next_event(in_body=False)
+        """Reads a whole request within its time.
+
+        Returns:
+            The request, or none if the caller has no more.
+
+        Raises:
+            RefusedRequestError: If it is malformed, too large or too slow.
+        """
+        if not await self._await_first_bytes():
+            return None
+        timeout_s = self._limits.receive_timeout_ms / MS_PER_S
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._receive_whole()
+        except TimeoutError as error:
+            refusal = Refusal(ErrorKind.REQUEST_TIMEOUT)
+            raise RefusedRequestError(refusal) from error
+        except h11.RemoteProtocolError as error:
+            too_large = error.error_status_hint == STATUS_HEADER_TOO_LARGE
+            kind = ErrorKind.BAD_REQUEST
+            if too_large:
+                kind = ErrorKind.HEADER_TOO_LARGE
+            refusal = Refusal(kind, detail=str(error))
+            raise RefusedRequestError(refusal) from error
+
+    async def _await_first_bytes(self) -> bool:
+        """Waits while the connection is idle; false once it is over."""
+        if self._codec.trailing_data[0]:
+            return True
+        timeout_s = self._limits.idle_timeout_ms / MS_PER_S
+        try:
+            async with asyncio.timeout(timeout_s):
+                received = await self._reader.read(READ_SIZE_BYTES)
+        except TimeoutError:
+            return False
+        self._codec.receive_data(received)
+        return bool(received)
+
+    async def _receive_whole(self) -> HttpRequest | None:
+        head = await self._next_event()
         if not isinstance(head, h11.Request):
             return None
+        headers = decode_headers(head.headers)
+        request_id = request_id_of(headers)
+        self._require_size(headers.get('content-length', '0'), request_id)
         body = bytearray()
-        timeout_s = self._limits.receive_timeout_ms / MS_PER_S
-        async with asyncio.timeout(timeout_s):
-            while True:
-                event = await self._next_event(in_body=True)
-                if isinstance(event, h11.EndOfMessage):
-                    break
-                if not isinstance(event, h11.Data):
-                    return None
-                body += event.data
-                if len(body) > self._limits.max_body_bytes:
-                    raise BodyTooLargeError
-        path, query = split_target(head.target.decode('latin-1'))
-        headers = {
-            name.decode('latin-1'): text.decode('latin-1')
-            for name, text in head.headers
-        }
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if not isinstance(event, h11.Data):
+                return None
+            body += event.data
+            self._require_size(len(body), request_id)
+        try:
+            path, query = split_target(head.target.decode('latin-1'))
+        except ValueError as error:
+            refusal = Refusal(ErrorKind.BAD_REQUEST, detail=str(error))
+            raise RefusedRequestError(refusal, request_id) from error
         return HttpRequest(
             method=head.method.decode('ascii'),
             path=path,
@@ -197,48 +277,47 @@
             body=bytes(body),
         )
 
-    async def _next_event(self, *, in_body: bool) -> object:
+    def _require_size(self, size_bytes: int | str, request_id: str) -> None:
+        if int(size_bytes) > self._limits.max_body_bytes:
+            limit_bytes = self._limits.max_body_bytes
+            detail = f'at most {limit_bytes} bytes'
+            refusal = Refusal(ErrorKind.BODY_TOO_LARGE, detail=detail)
+            raise RefusedRequestError(refusal, request_id)
+
+    async def _next_event(self) -> object:
         while True:
             event = self._codec.next_event()
             if event is not h11.NEED_DATA:
                 return event
             if self._codec.they_are_waiting_for_100_continue:
-                await self._send(
-                    h11.InformationalResponse(status_code=100, headers=[]),
-                )
-            # An idle connection may wait; a started request may not.
-            started = in_body or bool(self._codec.trailing_data[0])
-            limit_s = self._limits.receive_timeout_ms / MS_PER_S
-            async with asyncio.timeout(limit_s if started else None):
-                received = await self._reader.read(READ_SIZE_BYTES)
+                proceed = h11.InformationalResponse(status_code=100, headers=[])
+                await self._writer.send(self._codec.send(proceed))
+            received = await self._reader.read(READ_SIZE_BYTES)
             self._codec.receive_data(received)
 
     async def _answer(
         self,
         handler: Handler,
         request: HttpRequest,
-    ) -> HttpResponse | None:
-        """Runs the handler, and cancels it when the caller goes away."""
-        work = asyncio.ensure_future(handler(request))
-        gone = asyncio.ensure_future(self._wait_closed())
-        async with contextlib.AsyncExitStack() as stack:
-            stack.push_async_callback(_cancel, work)
-            stack.push_async_callback(_cancel, gone)
-            await asyncio.wait(
-                {work, gone},
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-        if work.cancelled():
-            return None
-        return work.result()
+    ) -> HttpResponse:
+        try:
+            return await handler(request)
+        except ConnectionAbortError:
+            raise
+        except Exception as error:
+            log_event(Event.CONNECTION_FAILED, reason=repr(error))
+        refusal = Refusal(ErrorKind.INTERNAL, ran=Ran.UNKNOWN)
+        return encode_refusal(request_id_of(request.headers), refusal)
 
-    async def _wait_closed(self) -> None:
-        """Returns once the caller has closed its side."""
-        while True:
-            received = await self._reader.read(READ_SIZE_BYTES)
-            self._codec.receive_data(received)
-            if not received:
-                return
+    @contextlib.contextmanager
+    def _cancelled_when_gone(self) -> Iterator[None]:
+        """Cancels the work of this connection when the caller goes away."""
+        task = asyncio.current_task()
+        self._reader.watch(task.cancel if task else None)
+        try:
+            yield
+        finally:
+            self._reader.watch(None)
 
     async def _send_response(self, response: HttpResponse) -> None:
         headers = [('content-type', response.content_type)]
@@ -248,13 +327,16 @@
         else:
             headers.append(('transfer-encoding', 'chunked'))
         head = h11.Response(status_code=response.status, headers=headers)
-        if response.chunks is None:
-            self._write(head)
-            self._write(h11.Data(data=response.body))
-            await self._send(h11.EndOfMessage())
+        encoded = self._codec.send(head) or b''
+        if response.chunks is not None:
+            await self._writer.send(encoded)
+            await self._send_chunks(response)
             return
-        await self._send(head)
-        await self._send_chunks(response)
+        if response.body:
+            body = h11.Data(data=response.body)
+            encoded += self._codec.send(body) or b''
+        encoded += self._codec.send(h11.EndOfMessage()) or b''
+        await self._writer.send(encoded)
 
     async def _send_chunks(self, response: HttpResponse) -> None:
         chunks = response.chunks
@@ -264,19 +346,18 @@
             if hasattr(chunks, 'aclose'):
                 stack.push_async_callback(chunks.aclose)
             async for chunk in chunks:
-                await self._send(h11.Data(data=chunk))
-        await self._send(h11.EndOfMessage())
-
-    def _write(self, event: h11.Event) -> None:
-        encoded = self._codec.send(event)
-        if encoded:
-            self._writer.write(encoded)
-
-    async def _send(self, event: h11.Event) -> None:
-        self._write(event)
-        await self._writer.drain()
-
-
-async def _cancel(task: asyncio.Future[Any]) -> None:
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
+                event = h11.Data(data=chunk)
+                await self._writer.send(self._codec.send(event))
+        await self._writer.send(self._codec.send(h11.EndOfMessage()))
+
+    async def _linger(self) -> None:
+        """Reads on a little, so that a refusal is not lost by a reset."""
+        self._writer.end()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LINGER_S):
+                await self._discard()
+
+    async def _discard(self) -> None:
+        received = b'unread'
+        while received:
+            received = await self._reader.read(READ_SIZE_BYTES)
--- /dev/null
+++ b/borageyard/http_streams.py
@@ -0,0 +1,139 @@
+"""Byte streams below HTTP: end of stream, unread bytes, time-outs."""
+
+import asyncio
+import ssl
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from .clock import MS_PER_S
+
+HIGH_WATER_BYTES = 65536
+
+
+class CountingReader(asyncio.StreamReader):
+    """Reader that tells how many bytes have arrived."""
+
+    def __init__(self) -> None:
+        """Starts at zero on the running loop."""
+        super().__init__(loop=asyncio.get_running_loop())
+        self.received_bytes = 0
+
+    def feed_data(self, data: Any) -> None:
+        """Takes in bytes from the transport."""
+        self.received_bytes += len(data)
+        super().feed_data(data)
+
+
+class CallerGoneReader(CountingReader):
+    """Reader that tells at once when the other side has closed."""
+
+    def __init__(self) -> None:
+        """Starts without anybody to tell."""
+        super().__init__()
+        self._on_gone: Callable[[], object] | None = None
+
+    def watch(self, on_gone: Callable[[], object] | None) -> None:
+        """Sets whom to tell; tells at once if it has already closed.
+
+        Args:
+            on_gone: Called when the other side closes; none to stop.
+        """
+        self._on_gone = on_gone
+        if self.at_eof():
+            self._notify()
+
+    def feed_eof(self) -> None:
+        """Takes in the end of the stream."""
+        super().feed_eof()
+        self._notify()
+
+    def set_exception(self, exc: Exception) -> None:
+        """Takes in a failure of the connection."""
+        super().set_exception(exc)
+        self._notify()
+
+    def _notify(self) -> None:
+        if self._on_gone is not None:
+            self._on_gone()
+
+
+class StreamWriter:
+    """Writes with backpressure; a reader that stalls is cut off."""
+
+    def __init__(
+        self,
+        writer: asyncio.StreamWriter,
+        timeout_ms: float,
+    ) -> None:
+        """Wraps a writer.
+
+        Args:
+            writer: Bytes to the other side.
+            timeout_ms: Longest wait for a full buffer to empty.
+        """
+        self._writer = writer
+        self._transport = writer.transport
+        self._timeout_s = timeout_ms / MS_PER_S
+
+    async def send(self, encoded: bytes | None) -> None:
+        """Writes bytes and waits while too many are unsent.
+
+        Args:
+            encoded: What is written; nothing if empty.
+
+        Raises:
+            OSError: If the connection is closed or the reader stalls.
+        """
+        if not encoded:
+            return
+        if self._transport.is_closing():
+            raise ConnectionResetError('connection closed')
+        self._writer.write(encoded)
+        if self._transport.get_write_buffer_size() > HIGH_WATER_BYTES:
+            async with asyncio.timeout(self._timeout_s):
+                await self._writer.drain()
+
+    def end(self) -> None:
+        """Tells the other side that nothing follows, where that is possible."""
+        if self._transport.can_write_eof() and not self._transport.is_closing():
+            self._transport.write_eof()
+
+
+async def open_stream(
+    host: str,
+    port: int,
+    tls: ssl.SSLContext | None,
+) -> tuple[CountingReader, asyncio.StreamWriter]:
+    """Opens a connection whose reader counts.
+
+    Args:
+        host: IP number.
+        port: Port.
+        tls: Context for TLS, or none.
+
+    Returns:
+        Both directions of the connection.
+    """
+    loop = asyncio.get_running_loop()
+    reader = CountingReader()
+    protocol = asyncio.StreamReaderProtocol(reader, loop=loop)
+    transport, _ = await loop.create_connection(
+        lambda: protocol,
+        host,
+        port,
+        ssl=tls,
+    )
+    return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
+
+
+def decode_headers(
+    headers: Iterable[tuple[bytes, bytes]],
+) -> dict[str, str]:
+    """Returns headers by lower-case name.
+
+    Args:
+        headers: Names and texts as on the wire.
+    """
+    return {
+        name.decode('latin-1'): text.decode('latin-1') for name, text in headers
+    }
--- a/borageyard/settings.py
+++ b/borageyard/settings.py
@@ -1,8 +1,15 @@
 """Settings files of entries and stand-ins."""
 
+import pathlib
 import ssl
 
-from .border import check_document, load_json
+from .border import (
+    DocumentError,
+    Problem,
+    check_document,
+    load_json,
+    shown,
+)
 from .generated.settings import EntrySettings, StandinSettings, TlsSettings
 from .http_messages import HttpLimits
 
@@ -45,21 +52,60 @@
 
 
 def server_tls(tls: TlsSettings | None) -> ssl.SSLContext | None:
-    """Returns the context of a listener, or none without certificates."""
-    if tls is None:
-        return None
-    context = ssl.create_default_context(
-        ssl.Purpose.CLIENT_AUTH,
-        cafile=tls.authority_path,
-    )
-    context.load_cert_chain(tls.certificate_path, tls.key_path)
-    return context
+    """Returns the context of a listener, or none without certificates.
+
+    Raises:
+        DocumentError: If a certificate can't be used.
+    """
+    return _build_context(tls, ssl.Purpose.CLIENT_AUTH)
 
 
 def client_tls(tls: TlsSettings | None) -> ssl.SSLContext | None:
-    """Returns the context of a client, or none without certificates."""
+    """Returns the context of a client, or none without certificates.
+
+    Raises:
+        DocumentError: If a certificate can't be used.
+    """
+    return _build_context(tls, ssl.Purpose.SERVER_AUTH)
+
+
+def _build_context(
+    tls: TlsSettings | None,
+    purpose: ssl.Purpose,
+) -> ssl.SSLContext | None:
     if tls is None:
         return None
-    context = ssl.create_default_context(cafile=tls.authority_path)
-    context.load_cert_chain(tls.certificate_path, tls.key_path)
+    try:
+        context = ssl.create_default_context(
+            purpose,
+            cafile=tls.authority_path,
+        )
+    except OSError as error:
+        raise _tls_problem('authority_path', tls, error) from error
+    try:
+        context.load_cert_chain(tls.certificate_path, tls.key_path)
+    except OSError as error:
+        raise _tls_problem(_faulty_field(tls), tls, error) from error
     return context
+
+
+def _faulty_field(tls: TlsSettings) -> str:
+    """Returns the field whose file is missing, else the certificate's."""
+    if not pathlib.Path(tls.certificate_path).is_file():
+        return 'certificate_path'
+    if not pathlib.Path(tls.key_path).is_file():
+        return 'key_path'
+    return 'certificate_path'
+
+
+def _tls_problem(
+    field: str,
+    tls: TlsSettings,
+    error: OSError,
+) -> DocumentError:
+    problem = Problem(
+        path=f'$.tls.{field}',
+        found=shown(getattr(tls, field)),
+        expected=f'a PEM file that can be used ({error})',
+    )
+    return DocumentError('settings', (problem,))
--- a/borageyard/standins/target.py
+++ b/borageyard/standins/target.py
@@ -57,6 +57,12 @@
     lose_answer_next: int = 0
     truncate_next: int = 0
     hang_next: int = 0
+    cross_event_next: int = 0
+    double_event_next: int = 0
+    skip_event_next: int = 0
+    reset_next: int = 0
+    trickle_next: int = 0
+    pad_next: int = 0
     crash_on_text: str = ''
     report_lag_ms: float = 0
     leaving: bool = False
@@ -323,10 +329,7 @@
         total = 1
         if self.profile.kind == KIND_ENGINE:
             total = self.profile.output_tokens
-            for event in self._tokens(call, total):
-                await self._sleep(self._token_ms())
-                if self.faults.take('truncate_next'):
-                    raise TargetCrashError('truncated')
+            async for event in self._paced(call, total):
                 yield event
         if self.faults.take('lose_answer_next'):
             raise TargetCrashError('answer lost')
@@ -337,11 +340,32 @@
             cached_tokens=cached,
         )
 
+    async def _paced(
+        self,
+        call: TargetCall,
+        total: int,
+    ) -> AsyncIterator[TokenEvent]:
+        """Yields tokens in their time, with the faults of a stream."""
+        for event in self._tokens(call, total):
+            await self._sleep(self._token_ms())
+            if self.faults.take('truncate_next'):
+                raise TargetCrashError('truncated')
+            for sent in self._with_faults(event):
+                yield sent
+
     def _tokens(self, call: TargetCall, total: int) -> Iterator[TokenEvent]:
         digest = _digest(call)
         for offset in range(call.resume_from, total):
             yield TokenEvent(offset=offset, token=f'{digest}.{offset} ')
 
+    def _with_faults(self, event: TokenEvent) -> Iterator[TokenEvent]:
+        """Returns what is sent for an event: one, two or none of it."""
+        if self.faults.take('skip_event_next'):
+            return
+        yield event
+        if self.faults.take('double_event_next'):
+            yield event
+
     def _text(self, digest: str) -> str:
         if self.profile.kind != KIND_ENGINE:
             return digest
--- a/borageyard/standins/target_http.py
+++ b/borageyard/standins/target_http.py
@@ -1,5 +1,6 @@
 """HTTP face of the stand-in target."""
 
+import asyncio
 import contextlib
 import dataclasses
 from collections.abc import AsyncIterator
@@ -16,10 +17,15 @@
     encode_event,
     json_response,
 )
-from ..http_server import HttpServer
+from ..http_server import ConnectionAbortError, HttpServer
 from ..target import TargetCall
 from .faults import set_faults
-from .target import StandinTarget, TargetRefusedError
+from .target import StandinTarget, TargetCrashError, TargetRefusedError
+
+# Pause between the bytes of an answer that is told to trickle.
+TRICKLE_S = 0.02
+# Size of an answer that is told to be over-long.
+PADDED_BYTES = 8 * 1024 * 1024
 
 
 class TargetServer:
@@ -121,11 +127,39 @@
         except TargetRefusedError as error:
             refusal = {'reason': str(error), 'not_run': True}
             return json_response(refusal, HTTPStatus.SERVICE_UNAVAILABLE)
+        except TargetCrashError as error:
+            raise ConnectionAbortError(str(error)) from error
         encoded: dict[str, Any] = dataclasses.asdict(answer.answer)
-        return json_response({'attempt_id': answer.attempt_id, **encoded})
+        response = json_response({'attempt_id': answer.attempt_id, **encoded})
+        return self._with_faults(response)
+
+    def _with_faults(self, response: HttpResponse) -> HttpResponse:
+        """Applies the faults of a whole answer on its way."""
+        faults = self.target.faults
+        if faults.take('reset_next'):
+            raise ConnectionAbortError('told to reset')
+        if faults.take('pad_next'):
+            padded = response.body.ljust(PADDED_BYTES)
+            return dataclasses.replace(response, body=padded)
+        if faults.take('trickle_next'):
+            return dataclasses.replace(response, chunks=_trickle(response))
+        return response
 
     async def _events(self, call: TargetCall) -> AsyncIterator[bytes]:
+        faults = self.target.faults
         async with contextlib.aclosing(self.target.run_stream(call)) as events:
             async for event in events:
+                attempt_id = call.attempt_id
+                if faults.take('cross_event_next'):
+                    attempt_id = f'crossed-{attempt_id}'
+                if faults.take('reset_next'):
+                    raise ConnectionAbortError('told to reset')
                 fields = dataclasses.asdict(event)
-                yield encode_event({'attempt_id': call.attempt_id, **fields})
+                yield encode_event({'attempt_id': attempt_id, **fields})
+
+
+async def _trickle(response: HttpResponse) -> AsyncIterator[bytes]:
+    """Sends an answer byte by byte."""
+    for byte in response.body:
+        await asyncio.sleep(TRICKLE_S)
+        yield bytes((byte,))
--- /dev/null
+++ b/borageyard/tokens.py
@@ -0,0 +1,49 @@
+"""Checks of the tokens of operators and of organisations' callers."""
+
+import hashlib
+import hmac
+
+from .configuration import Organisation
+from .errors import ErrorKind, Refusal, RefusalError
+from .http_messages import HttpRequest
+
+TOKEN_HEADER = 'x-borage-token'
+AUTHORISATION_HEADER = 'authorization'
+BEARER_SCHEME = 'bearer'
+
+
+def is_operator(token: str, request: HttpRequest) -> bool:
+    """Tells whether a request shows the operators' token.
+
+    Args:
+        token: Token of the settings; empty turns the check off.
+        request: The request.
+    """
+    return not token or _same(token, request.header(TOKEN_HEADER))
+
+
+def check_organisation(
+    organisation: Organisation | None,
+    request: HttpRequest,
+) -> None:
+    """Checks the token of an organisation that asks for one.
+
+    Args:
+        organisation: Whom the request names, if there is such a one.
+        request: The request.
+
+    Raises:
+        RefusalError: If the token is missing or wrong.
+    """
+    if organisation is None or not organisation.token_sha256:
+        return
+    scheme, _, token = request.header(AUTHORISATION_HEADER).partition(' ')
+    digest = hashlib.sha256(token.strip().encode()).hexdigest()
+    known = _same(organisation.token_sha256, digest)
+    if not known or scheme.lower() != BEARER_SCHEME:
+        raise RefusalError(Refusal(ErrorKind.UNAUTHORISED))
+
+
+def _same(expected: str, found: str) -> bool:
+    """Compares in a time that does not depend on the texts."""
+    return hmac.compare_digest(expected.encode(), found.encode())
--- a/borageyard/wire.py
+++ b/borageyard/wire.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+from collections.abc import Mapping
 from typing import Any
 
 from .border import DocumentError, parse_json
@@ -24,6 +25,20 @@
 CACHE_PREFIX_HEADER = 'x-borage-cache-prefix'
 REQUEST_ID_HEADER = 'x-borage-request-id'
 KEY_HEADER = 'idempotency-key'
+MAX_ID_CHARS = 128
+MAX_DEADLINE_MS = 86_400_000
+
+
+def request_id_of(headers: Mapping[str, str]) -> str:
+    """Returns the caller's id of a request, or a new one.
+
+    Args:
+        headers: Headers of the request.
+    """
+    named = headers.get(REQUEST_ID_HEADER, '')
+    if named and len(named) <= MAX_ID_CHARS:
+        return named
+    return new_identifier()
 
 
 def decode_request(
@@ -44,17 +59,20 @@
     Raises:
         RefusalError: If a header or the body is malformed.
     """
+    if len(request.header(REQUEST_ID_HEADER)) > MAX_ID_CHARS:
+        detail = f'{REQUEST_ID_HEADER}: at most {MAX_ID_CHARS} characters'
+        raise RefusalError(Refusal(ErrorKind.BAD_REQUEST, detail=detail))
     try:
         body = parse_json(request.body or b'null', 'body')
     except DocumentError as error:
         refusal = Refusal(ErrorKind.BAD_REQUEST, detail=str(error))
         raise RefusalError(refusal) from error
     deadline_ms = _read_int(request, DEADLINE_HEADER, DEFAULT_DEADLINE_MS)
-    if deadline_ms <= 0:
-        detail = f'{DEADLINE_HEADER}: expected a positive number'
+    if not 0 < deadline_ms <= MAX_DEADLINE_MS:
+        detail = f'{DEADLINE_HEADER}: expected 1 to {MAX_DEADLINE_MS}'
         raise RefusalError(Refusal(ErrorKind.BAD_REQUEST, detail=detail))
     return PipelineRequest(
-        request_id=request.header(REQUEST_ID_HEADER) or new_identifier(),
+        request_id=request_id_of(request.headers),
         pipeline=pipeline,
         organisation=request.header(ORGANISATION_HEADER),
         body=body,
@@ -86,10 +104,10 @@
     """Returns the HTTP response for a refusal.
 
     Args:
-        request_id: Id of the request.
+        request_id: Id of the request; empty if it named none.
         refusal: Why there is no answer.
     """
-    body = refusal_body(request_id, refusal)
+    body = refusal_body(request_id or new_identifier(), refusal)
     response = json_response(body.model_dump(), refusal.answer.status)
     if refusal.retry_after_ms:
         seconds = -(-refusal.retry_after_ms // 1000)
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,122 @@
+"""Tests of the HTTP client against servers that misbehave."""
+
+import asyncio
+
+import pytest
+
+from borageyard.http_client import (
+    HttpCall,
+    HttpCallError,
+    HttpClient,
+    read_events,
+)
+
+from .raw_http import LIMITS, answering
+
+OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n'
+
+
+def call_to(address, timeout_ms=2000):
+    """Returns a call that may use kept connections."""
+    return HttpCall(address, 'GET', '/', timeout_ms=timeout_ms)
+
+
+class TestResponses:
+    """Only a whole response within the limits is handed over."""
+
+    @pytest.mark.parametrize(
+        'sent',
+        [
+            b'',
+            b'HTTP/1.1 200',
+            OK + b'1',
+            b'HTTP/1.1 200 OK\r\ncontent-length: 9999\r\n\r\n' + b'x' * 9999,
+            b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nab',
+            b'HTTP/1.1 200 OK\r\nx: ' + b'y' * 70_000,
+            b'\x00\xff garbage \r\n\r\n',
+        ],
+    )
+    async def test_broken_response_is_an_error(self, sent):
+        """Truncated, over-long and garbled responses are no answer."""
+        async with answering(sent) as address, HttpClient(LIMITS) as client:
+            with pytest.raises(HttpCallError) as caught:
+                await client.request(call_to(address))
+        assert caught.value.sent
+
+    async def test_silent_server_times_out(self):
+        """A server that accepts and says nothing costs the time-out."""
+        gate = asyncio.Event()
+
+        async def wait(reader, writer):
+            await gate.wait()
+            writer.close()
+
+        server = await asyncio.start_server(wait, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        call = call_to(f'127.0.0.1:{port}', 50)
+        async with server, HttpClient() as client:
+            with pytest.raises(HttpCallError, match='timed out'):
+                await client.request(call)
+            gate.set()
+
+    async def test_refused_connection_was_not_sent(self):
+        """Nothing ran where nothing listened."""
+        async with answering() as listener:
+            address = str(listener)
+        async with HttpClient() as client:
+            with pytest.raises(HttpCallError) as caught:
+                await client.request(call_to(address))
+        assert not caught.value.sent
+
+
+class TestKeptConnections:
+    """A kept connection never carries an earlier call's bytes."""
+
+    async def test_doubled_response_is_not_the_next_answer(self):
+        """Bytes after a response end the use of its connection."""
+        doubled = OK + b'11' + OK + b'11'
+        responses = (doubled, OK + b'22')
+        async with answering(*responses) as address, HttpClient() as client:
+            first = await client.request(call_to(address))
+            second = await client.request(call_to(address))
+        assert (first.body, second.body) == (b'11', b'22')
+
+    async def test_stale_connection_is_replaced(self):
+        """A connection that the server closed costs no failure."""
+        async with HttpClient() as client:
+            closing = OK + b'11'
+            async with answering(closing, OK + b'22') as address:
+                await client.request(call_to(address))
+                kept = client._idle[address][0]
+                kept._raw_writer.transport.get_extra_info('socket').shutdown(1)
+                second = await client.request(call_to(address))
+        assert second.body == b'22'
+
+
+class TestReadEvents:
+    """Events are found however their bytes are cut."""
+
+    @pytest.mark.parametrize('size', [1, 2, 3, 7, 100])
+    async def test_any_cut_gives_the_same_events(self, size):
+        """A separator may be split over chunks."""
+        sent = b': note\n\ndata: a\n\ndata: bc\n\ndata: \n\ndata: cut'
+
+        async def chunks():
+            for start in range(0, len(sent), size):
+                yield sent[start : start + size]
+
+        assert [event async for event in read_events(chunks())] == [
+            b'a',
+            b'bc',
+            b'',
+        ]
+
+    async def test_endless_event_is_an_error(self):
+        """An event without an end is cut at its bound."""
+
+        async def chunks():
+            for _ in range(1000):
+                yield b'x' * 65536
+
+        with pytest.raises(HttpCallError):
+            await anext(read_events(chunks()))
--- /dev/null
+++ b/tests/test_http_server.py
@@ -0,0 +1,184 @@
+"""Tests of the HTTP server on raw connections."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import pytest
+
+from borageyard.http_messages import HttpResponse, json_response
+
+from .raw_http import LIMITS, connected, read_response, serving
+
+HEAD = b'POST /echo HTTP/1.1\r\nhost: h\r\n'
+
+
+async def echo(request):
+    """Answers with the body's size."""
+    return json_response({'size': len(request.body), 'path': request.path})
+
+
+class Recorder:
+    """Handler that never answers and tells when it is cancelled."""
+
+    def __init__(self):
+        """Starts before any call."""
+        self.started = asyncio.Event()
+        self.cancelled = asyncio.Event()
+
+    async def handle(self, request):
+        """Waits until cancelled."""
+        self.started.set()
+        with contextlib.ExitStack() as stack:
+            stack.callback(self.cancelled.set)
+            await asyncio.Event().wait()
+
+
+async def exchange(server, sent):
+    """Sends bytes and returns the first response."""
+    async with connected(server) as (reader, writer):
+        writer.write(sent)
+        status, body = await read_response(reader)
+        rest = await reader.read()
+    return status, body, rest
+
+
+class TestRefusals:
+    """Every refusal of the server is whole and closes the connection."""
+
+    @pytest.mark.parametrize(
+        ('sent', 'status', 'kind'),
+        [
+            (b'nonsense\r\n\r\n', 400, 'bad_request'),
+            (HEAD + b'content-length: 4096\r\n\r\n', 413, 'body_too_large'),
+            (
+                HEAD + b'transfer-encoding: chunked\r\n\r\n'
+                b'801\r\n' + b'x' * 0x801 + b'\r\n',
+                413,
+                'body_too_large',
+            ),
+            (HEAD + b'x: ' + b'y' * 40_000, 431, 'header_too_large'),
+            (HEAD, 408, 'request_timeout'),
+            (HEAD + b'content-length: 9\r\n\r\nhal', 408, 'request_timeout'),
+            (b'GET //[ HTTP/1.1\r\nhost: h\r\n\r\n', 400, 'bad_request'),
+        ],
+    )
+    async def test_refusal_is_whole(self, sent, status, kind):
+        """It names the kind, that nothing ran, and an id."""
+        async with serving(echo) as server:
+            found, body, rest = await exchange(server, sent)
+        assert found == status
+        assert body['kind'] == kind
+        assert body['not_run'] is True
+        assert body['stages_ran'] == []
+        assert body['request_id']
+        assert rest == b''
+
+    async def test_trickling_sender_is_cut(self):
+        """A byte at a time does not renew the time for a request."""
+        async with serving(echo) as server, connected(server) as streams:
+            reader, writer = streams
+            loop = asyncio.get_running_loop()
+            response = loop.create_task(read_response(reader))
+            for byte in HEAD * 8:
+                if response.done():
+                    break
+                writer.write(bytes((byte,)))
+                await asyncio.sleep(0.005)
+            status, body = await response
+        assert (status, body['kind']) == (408, 'request_timeout')
+
+    async def test_connection_above_limit_is_refused(self):
+        """A connection too many is told so; earlier ones go on."""
+        sent = HEAD + b'content-length: 0\r\n\r\n'
+        async with serving(echo) as server:
+            async with connected(server), connected(server) as streams:
+                reader, writer = streams
+                status, body, _ = await exchange(server, b'')
+                writer.write(sent)
+                served, _ = await read_response(reader)
+        assert (status, body['kind']) == (503, 'overloaded')
+        assert served == 200
+
+    async def test_failing_handler_is_an_internal_refusal(self):
+        """An exception does not claim that nothing ran."""
+
+        async def fail(request):
+            raise LookupError('bug')
+
+        sent = HEAD + b'x-borage-request-id: r1\r\ncontent-length: 0\r\n\r\n'
+        async with serving(fail) as server, connected(server) as streams:
+            reader, writer = streams
+            writer.write(sent)
+            status, body = await read_response(reader)
+        assert (status, body['kind']) == (500, 'internal')
+        assert body['not_run'] == 'unknown'
+        assert body['request_id'] == 'r1'
+
+    async def test_expectation_of_too_much_is_refused_at_once(self):
+        """The caller need not send a body that will be refused."""
+        sent = HEAD + b'expect: 100-continue\r\ncontent-length: 9999\r\n\r\n'
+        async with serving(echo) as server:
+            status, _, _ = await exchange(server, sent)
+        assert status == 413
+
+
+class TestConnections:
+    """Kept, pipelined, idle and abandoned connections."""
+
+    async def test_pipelined_requests_are_answered_in_order(self):
+        """Requests sent together get one answer each."""
+        first = b'POST /1 HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n\r\nabc'
+        second = b'POST /2 HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n'
+        async with serving(echo) as server, connected(server) as streams:
+            reader, writer = streams
+            writer.write(first + second)
+            answers = [await read_response(reader) for _ in range(2)]
+        assert [body['path'] for _, body in answers] == ['/1', '/2']
+        assert answers[0][1]['size'] == 3
+
+    async def test_idle_connection_is_closed(self):
+        """A caller that sends nothing loses its connection, no more."""
+        async with serving(echo) as server, connected(server) as streams:
+            assert await streams[0].read() == b''
+
+    async def test_caller_that_goes_away_cancels_its_work(self):
+        """The handler is cancelled once the connection is closed."""
+        recorder = Recorder()
+        async with serving(recorder.handle) as server:
+            async with connected(server) as (_, writer):
+                writer.write(HEAD + b'content-length: 0\r\n\r\n')
+                await recorder.started.wait()
+            async with asyncio.timeout(5):
+                await recorder.cancelled.wait()
+
+    async def test_slow_reader_is_cut(self):
+        """A stream stops when its caller no longer reads it."""
+        ended = asyncio.Event()
+
+        async def flood(request):
+            return HttpResponse(200, chunks=endless())
+
+        async def endless():
+            with contextlib.ExitStack() as stack:
+                stack.callback(ended.set)
+                for _ in range(100_000):
+                    yield b'x' * 65536
+
+        async with serving(flood) as server, connected(server) as streams:
+            streams[1].write(HEAD + b'content-length: 0\r\n\r\n')
+            async with asyncio.timeout(5):
+                await ended.wait()
+
+    async def test_flood_behind_a_running_request_is_held_back(self):
+        """Pipelined bytes beyond the buffer stay with the caller."""
+        recorder = Recorder()
+        limits = dataclasses.replace(LIMITS, send_timeout_ms=10_000)
+        async with serving(recorder.handle, limits) as server:
+            async with connected(server) as (_, writer):
+                writer.write(HEAD + b'content-length: 0\r\n\r\n')
+                await recorder.started.wait()
+                writer.transport.set_write_buffer_limits(high=0)
+                writer.write(b'x' * 64 * 1024 * 1024)
+                with pytest.raises(TimeoutError):
+                    await asyncio.wait_for(writer.drain(), 0.3)
