--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -7,6 +7,8 @@
 from collections.abc import Sequence
 from typing import Any
 
+from opentelemetry import trace
+
 from .addresses import EntryAddress, order_entries
 from .clock import MS_PER_S, Clock
 from .configuration_log import ConfigurationFold, ConfigurationReader
@@ -32,6 +34,7 @@
 from .target import TargetClient
 from .targets import TargetDirectory, TargetWatcher
 from .tasks import running_tasks
+from .tracing import RequestRunner, TracedRunner, traced_gates
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,6 +48,7 @@
     clock: Clock
     seed: int = 0
     incarnation: int = 0
+    tracer: trace.Tracer | None = None
 
 
 class EntryCore:
@@ -88,7 +92,7 @@
         )
         self._random = random.Random(ports.seed)
         self._reader = ConfigurationReader(self.fold, ports.log)
-        self._runner = PipelineRunner(self._build_gates(), ports.clock)
+        self._runner = self._build_runner()
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -187,6 +191,14 @@
             entries.append(own)
         return order_entries(entries, failure_domain, self._random)
 
+    def _build_runner(self) -> RequestRunner:
+        gates = self._build_gates()
+        tracer = self.ports.tracer
+        if tracer is None:
+            return PipelineRunner(gates, self.ports.clock)
+        traced = PipelineRunner(traced_gates(gates, tracer), self.ports.clock)
+        return TracedRunner(traced, tracer)
+
     def _build_gates(self) -> PipelineGates:
         return PipelineGates(
             configurations=self.fold,
--- a/borageyard/events.py
+++ b/borageyard/events.py
@@ -25,6 +25,7 @@
     PEER_FRAME_BROKEN = 1603
     PEER_REFUSED = 1604
     MEMBER_CHANGED = 1605
+    PEER_HANDLER_FAILED = 1606
 
 
 def log_event(event: Event, **fields: Any) -> None:
--- a/borageyard/standins/target.py
+++ b/borageyard/standins/target.py
@@ -57,6 +57,12 @@
     lose_answer_next: int = 0
     truncate_next: int = 0
     hang_next: int = 0
+    cross_event_next: int = 0
+    double_event_next: int = 0
+    skip_event_next: int = 0
+    reset_next: int = 0
+    trickle_next: int = 0
+    pad_next: int = 0
     crash_on_text: str = ''
     report_lag_ms: float = 0
     leaving: bool = False
@@ -85,6 +91,7 @@
     attempt_id: str
     stage: str
     started_at_ms: float
+    trace_parent: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -311,6 +318,7 @@
                 attempt_id=call.attempt_id,
                 stage=call.stage,
                 started_at_ms=self._clock.wall_ms(),
+                trace_parent=call.trace_parent,
             ),
         )
         inputs = json.dumps(dict(call.inputs))
@@ -323,10 +331,7 @@
         total = 1
         if self.profile.kind == KIND_ENGINE:
             total = self.profile.output_tokens
-            for event in self._tokens(call, total):
-                await self._sleep(self._token_ms())
-                if self.faults.take('truncate_next'):
-                    raise TargetCrashError('truncated')
+            async for event in self._paced(call, total):
                 yield event
         if self.faults.take('lose_answer_next'):
             raise TargetCrashError('answer lost')
@@ -337,11 +342,32 @@
             cached_tokens=cached,
         )
 
+    async def _paced(
+        self,
+        call: TargetCall,
+        total: int,
+    ) -> AsyncIterator[TokenEvent]:
+        """Yields tokens in their time, with the faults of a stream."""
+        for event in self._tokens(call, total):
+            await self._sleep(self._token_ms())
+            if self.faults.take('truncate_next'):
+                raise TargetCrashError('truncated')
+            for sent in self._with_faults(event):
+                yield sent
+
     def _tokens(self, call: TargetCall, total: int) -> Iterator[TokenEvent]:
         digest = _digest(call)
         for offset in range(call.resume_from, total):
             yield TokenEvent(offset=offset, token=f'{digest}.{offset} ')
 
+    def _with_faults(self, event: TokenEvent) -> Iterator[TokenEvent]:
+        """Returns what is sent for an event: one, two or none of it."""
+        if self.faults.take('skip_event_next'):
+            return
+        yield event
+        if self.faults.take('double_event_next'):
+            yield event
+
     def _text(self, digest: str) -> str:
         if self.profile.kind != KIND_ENGINE:
             return digest
