--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -11,19 +11,21 @@
 from .dispatch import StageDispatcher
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
+from .gate import PolicyAdmission
 from .generated.settings import EntrySettings
 from .local_gates import (
     LocalClaims,
     NoStageStore,
-    OpenAdmission,
     OpenPermission,
 )
 from .metrics import EntryMetrics
 from .peers import PeerLink
 from .pipeline import Outcome, PipelineGates, PipelineRunner
 from .platform import InstanceList, LogService, PlatformError
+from .policy import EntryPolicy, PolicyOptions, PolicyPlace
+from .policy_news import PolicyNews
 from .requests import PipelineRequest, TokenSink
-from .routing import TwoChoicesRouter
+from .suspects import SuspectRuns
 from .target import TargetClient
 from .targets import TargetDirectory, TargetWatcher
 
@@ -38,6 +40,7 @@
     peers: PeerLink
     clock: Clock
     seed: int = 0
+    policy: PolicyOptions = dataclasses.field(default_factory=PolicyOptions)
 
 
 class EntryCore:
@@ -54,6 +57,12 @@
         self.ports = ports
         self.metrics = EntryMetrics()
         self.directory = TargetDirectory()
+        self.policy = EntryPolicy(
+            self.directory,
+            PolicyPlace(settings.failure_domain, ports.clock, ports.seed),
+            ports.policy,
+        )
+        PolicyNews(self.policy).register(ports.peers)
         self.fold = ConfigurationFold()
         self.permission = OpenPermission()
         self.draining = False
@@ -62,6 +71,7 @@
             ports.instances,
             ports.targets,
             ports.clock,
+            self.policy.note_instances,
         )
         self._reader = ConfigurationReader(self.fold, ports.log)
         self._runner = PipelineRunner(self._build_gates(), ports.clock)
@@ -84,6 +94,7 @@
                 self._reader.follow(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
+                self.policy.queues.watch(),
             ),
         )
 
@@ -126,14 +137,17 @@
         return PipelineGates(
             configurations=self.fold,
             permission=self.permission,
-            admission=OpenAdmission(),
+            admission=PolicyAdmission(self.policy),
             claims=LocalClaims(),
             store=NoStageStore(),
             dispatcher=StageDispatcher(
-                self.directory,
-                TwoChoicesRouter(self.ports.seed),
+                self.policy,
                 self.ports.targets,
-                self.ports.clock,
+                SuspectRuns(
+                    self.settings.instance_id,
+                    self.policy,
+                    self.ports.peers,
+                ),
             ),
         )
 
--- a/borageyard/dispatch.py
+++ b/borageyard/dispatch.py
@@ -1,59 +1,54 @@
-"""Runs one stage of a request on targets."""
+"""Runs one stage of a request on targets, repeating what may be repeated."""
 
+import asyncio
 import contextlib
 import dataclasses
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Awaitable, Iterable
 
-from .clock import Clock
+from .attempts import AttemptRunner, StageProgress
+from .clock import MS_PER_S
+from .costs import Waste
 from .errors import ErrorKind, Ran, Refusal, RefusalError
 from .events import Event, log_event
-from .identifiers import new_identifier
+from .policy import EntryPolicy, request_digest
+from .quarantine import Standing
 from .requests import StageRequest, StageResult
-from .routing import Router
-from .target import (
-    FailureKind,
-    TargetAnswer,
-    TargetCall,
-    TargetClient,
-    TargetError,
-)
-from .targets import TargetDirectory, TargetState
+from .routing import Route
+from .service_queue import RETRY_AFTER_MS
+from .suspects import SuspectRuns
+from .target import FailureKind, TargetAnswer, TargetClient, TargetError
 
 MAX_ATTEMPTS = 3
 
 
-@dataclasses.dataclass(slots=True)
-class StageProgress:
-    """What earlier attempts of a stage have left."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class StageAnswer:
+    """The first complete answer of a stage and where it came from."""
 
-    attempts: int = 0
-    failed_targets: set[str] = dataclasses.field(default_factory=set)
-    tokens: list[str] = dataclasses.field(default_factory=list)
-    last_error: TargetError | None = None
+    route: Route
+    answer: TargetAnswer
 
 
 class StageDispatcher:
-    """Chooses targets, calls them and repeats what may be repeated."""
+    """Gets a stage's whole result, whatever single targets do."""
 
     def __init__(
         self,
-        directory: TargetDirectory,
-        router: Router,
+        policy: EntryPolicy,
         client: TargetClient,
-        clock: Clock,
+        suspects: SuspectRuns,
     ) -> None:
         """Wraps the ways to targets.
 
         Args:
-            directory: Known targets.
-            router: Chooses among them.
-            client: Calls them.
-            clock: Source of time.
+            policy: Decides where and whether again.
+            client: Calls targets.
+            suspects: Runs what may crash targets.
         """
-        self._directory = directory
-        self._router = router
-        self._client = client
-        self._clock = clock
+        self._suspects = suspects
+        self._policy = policy
+        self._clock = policy.clock
+        self._attempts = AttemptRunner(policy, client)
 
     async def run(self, stage_request: StageRequest) -> StageResult:
         """Runs a stage to its whole result.
@@ -67,112 +62,141 @@
         Raises:
             RefusalError: If there is no whole result.
         """
-        started_ms = self._clock.steady_ms()
-        progress = StageProgress()
+        progress = StageProgress(self._clock.steady_ms())
+        self._policy.retries.note_first(stage_request.stage.service)
         while True:
-            target = self._choose(stage_request, progress)
-            call = self._build_call(stage_request, progress)
-            progress.attempts += 1
+            self._require_time(stage_request)
             try:
-                answer = await self._attempt(
-                    stage_request,
-                    progress,
-                    call,
-                    target,
-                )
+                first = await self._try(stage_request, progress)
             except TargetError as error:
-                self._note_failure(call, target, error)
-                progress.failed_targets.add(target.target_id)
-                progress.last_error = error
+                told = self._tell(error)
                 self._require_repeatable(stage_request, progress, error)
+                if told is not None:
+                    await told
                 continue
-            return StageResult(
-                stage=stage_request.stage.name,
-                target_id=target.target_id,
-                output=answer.output,
-                duration_ms=self._clock.steady_ms() - started_ms,
-                attempts=progress.attempts,
-                tokens=answer.tokens,
-                cached_tokens=answer.cached_tokens,
-            )
+            return self._build_result(stage_request, progress, first)
+
+    def _tell(self, error: TargetError) -> Awaitable[None] | None:
+        """Starts to tell peers of a crash before anything is decided."""
+        if error.kind is FailureKind.CRASH:
+            return self._suspects.start_telling()
+        return None
 
-    def _choose(
+    async def _try(
         self,
         stage_request: StageRequest,
         progress: StageProgress,
-    ) -> TargetState:
-        candidates = self._directory.candidates(stage_request.stage.service)
-        target = self._router.choose(candidates, progress.failed_targets)
-        if target is not None:
-            return target
-        detail = stage_request.stage.service
-        if progress.last_error is None:
-            raise RefusalError(Refusal(ErrorKind.NO_TARGET, detail=detail))
-        raise RefusalError(Refusal(ErrorKind.TARGET_FAILED, detail=detail))
-
-    def _build_call(
+    ) -> StageAnswer:
+        async with self._placed(stage_request, progress) as route:
+            if self._may_hedge(stage_request, route):
+                return await self._race(stage_request, progress, route)
+            return await self._attempt(stage_request, progress, route)
+
+    @contextlib.asynccontextmanager
+    async def _placed(
         self,
         stage_request: StageRequest,
         progress: StageProgress,
-    ) -> TargetCall:
-        admitted = stage_request.admitted
-        request = admitted.request
-        stage = stage_request.stage
-        left_ms = request.expires_at_ms - self._clock.steady_ms()
-        if left_ms <= 0:
-            raise RefusalError(Refusal(ErrorKind.DEADLINE_EXCEEDED))
-        service = admitted.configuration.services[stage.service]
-        return TargetCall(
-            attempt_id=new_identifier(),
-            request_id=request.request_id,
-            stage=stage.name,
-            inputs=stage_request.inputs,
-            deadline_ms=min(left_ms, stage.timeout_ms),
-            idempotent=service.idempotent,
-            idempotency_key=request.idempotency_key,
-            organisation=request.organisation,
-            operation=stage.operation,
-            model=service.model,
-            model_version=admitted.configuration.model_version(service),
-            priority=request.priority,
-            cache_prefix=request.cache_prefix,
-            stream=stage_request.sink is not None,
-            resume_from=len(progress.tokens),
-            trace_parent=request.trace_parent,
-        )
+    ) -> AsyncIterator[Route]:
+        """Holds a place on a target, a suspect's without neighbours."""
+        queues = self._policy.queues
+        ask = self._policy.ask(stage_request, progress.failed_targets)
+        asked_ms = self._clock.steady_ms()
+        async with contextlib.AsyncExitStack() as stack:
+            if self._is_suspect(stage_request):
+                route = await stack.enter_async_context(
+                    self._suspects.alone(ask)
+                )
+            else:
+                route = await queues.acquire(ask)
+                stack.callback(queues.release, route)
+            progress.waited_ms += self._clock.steady_ms() - asked_ms
+            self._note_start(stage_request)
+            yield route
 
     async def _attempt(
         self,
         stage_request: StageRequest,
         progress: StageProgress,
-        call: TargetCall,
-        target: TargetState,
-    ) -> TargetAnswer:
-        with _counted(target):
-            if stage_request.sink is None:
-                return await self._client.call(target.instance.address, call)
-            return await self._relay(stage_request, progress, call, target)
-
-    async def _relay(
+        route: Route,
+        waste: Waste = Waste.RETRY,
+    ) -> StageAnswer:
+        answer = await self._attempts.run(
+            stage_request,
+            progress,
+            route,
+            waste,
+        )
+        if route.alone:
+            digest = request_digest(stage_request.admitted)
+            self._policy.quarantine.note_finished(digest)
+        return StageAnswer(route, answer)
+
+    async def _race(
         self,
         stage_request: StageRequest,
         progress: StageProgress,
-        call: TargetCall,
-        target: TargetState,
-    ) -> TargetAnswer:
-        sink = stage_request.sink
-        events = self._client.stream(target.instance.address, call)
-        async for event in events:
-            if event.done:
-                return TargetAnswer(
-                    output={'text': ''.join(progress.tokens)},
-                    tokens=event.tokens,
-                    cached_tokens=event.cached_tokens,
-                )
-            progress.tokens.append(event.token)
-            if sink is not None:
-                await sink.send(event)
-        raise TargetError(FailureKind.CRASH, 'stream ended early')
+        route: Route,
+    ) -> StageAnswer:
+        """Adds a second attempt if the first is late; the first answer wins."""
+        first = asyncio.ensure_future(
+            self._attempt(stage_request, progress, route),
+        )
+        with contextlib.ExitStack() as stack:
+            stack.callback(first.cancel)
+            delay_ms = self._policy.hedge_delay_ms(stage_request)
+            await asyncio.wait((first,), timeout=delay_ms / MS_PER_S)
+            if first.done():
+                return await first
+            other = self._policy.take_hedge(stage_request, route)
+            if other is None:
+                return await first
+            stack.callback(self._policy.queues.release, other)
+            second = asyncio.ensure_future(
+                self._attempt(stage_request, progress, other, Waste.HEDGE),
+            )
+            stack.callback(second.cancel)
+            return await _first_complete((first, second))
+
+    def _may_hedge(self, stage_request: StageRequest, route: Route) -> bool:
+        return (
+            self._policy.options.hedging
+            and stage_request.idempotent
+            and stage_request.sink is None
+            and not route.alone
+        )
+
+    def _is_suspect(self, stage_request: StageRequest) -> bool:
+        standing = self._policy.standing(stage_request.admitted)
+        return standing is Standing.SUSPECT
+
+    def _note_start(self, stage_request: StageRequest) -> None:
+        admitted = stage_request.admitted
+        stage = stage_request.stage
+        if stage.name in admitted.progress.started:
+            return
+        admitted.progress.started.add(stage.name)
+        organisation = admitted.request.organisation
+        self._policy.backlog.add(stage.service, organisation, -1)
+
+    def _require_time(self, stage_request: StageRequest) -> None:
+        self._policy.refuse_quarantined(stage_request.admitted)
+        now_ms = self._clock.steady_ms()
+        if now_ms >= stage_request.admitted.request.expires_at_ms:
+            raise RefusalError(
+                Refusal(
+                    ErrorKind.DEADLINE_EXCEEDED,
+                    retry_after_ms=RETRY_AFTER_MS,
+                ),
+            )
+        if now_ms >= self._policy.latest_start_ms(stage_request):
+            stage = stage_request.stage.name
+            refusal = Refusal(
+                ErrorKind.DEADLINE_UNREACHABLE,
+                detail=f'too late for {stage}',
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+            raise RefusalError(refusal)
 
     def _require_repeatable(
         self,
@@ -187,32 +211,75 @@
                 detail=str(error),
             )
             raise RefusalError(refusal) from error
-        if progress.attempts >= MAX_ATTEMPTS:
-            refusal = Refusal(ErrorKind.TARGET_FAILED, detail=str(error))
-            raise RefusalError(refusal) from error
+        self._require_time(stage_request)
+        if progress.attempts < MAX_ATTEMPTS:
+            if self._may_repeat(stage_request, error):
+                return
+        refusal = Refusal(
+            ErrorKind.TARGET_FAILED,
+            detail=str(error),
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+        raise RefusalError(refusal) from error
 
-    def _note_failure(
+    def _may_repeat(
         self,
-        call: TargetCall,
-        target: TargetState,
+        stage_request: StageRequest,
         error: TargetError,
-    ) -> None:
-        crossed = error.kind is FailureKind.CROSSED
+    ) -> bool:
+        """Spends a retry; an attempt that met no target is not one."""
+        service = stage_request.stage.service
+        if error.kind is FailureKind.CONNECT:
+            return True
+        if self._policy.retries.take_retry(service):
+            return True
         log_event(
-            Event.ANSWER_CROSSED if crossed else Event.ATTEMPT_FAILED,
-            request_id=call.request_id,
-            attempt_id=call.attempt_id,
-            stage=call.stage,
-            target_id=target.target_id,
-            failure=error.kind.value,
-            reason=error.reason,
+            Event.RETRY_DENIED,
+            request_id=stage_request.admitted.request.request_id,
+            service=service,
         )
+        return False
 
+    def _build_result(
+        self,
+        stage_request: StageRequest,
+        progress: StageProgress,
+        first: StageAnswer,
+    ) -> StageResult:
+        route = first.route
+        duration_ms = self._clock.steady_ms() - progress.started_ms
+        log_event(
+            Event.STAGE_ROUTED,
+            request_id=stage_request.admitted.request.request_id,
+            stage=stage_request.stage.name,
+            target_id=route.target.target_id,
+            predicted_ms=route.predicted_ms,
+            cache_saves_ms=route.saved_ms,
+            waited_ms=progress.waited_ms,
+            duration_ms=duration_ms,
+        )
+        return StageResult(
+            stage=stage_request.stage.name,
+            target_id=route.target.target_id,
+            output=first.answer.output,
+            duration_ms=duration_ms,
+            attempts=progress.attempts,
+            tokens=first.answer.tokens,
+            cached_tokens=first.answer.cached_tokens,
+            waited_ms=progress.waited_ms,
+        )
 
-@contextlib.contextmanager
-def _counted(target: TargetState) -> Iterator[None]:
-    target.in_flight += 1
-    try:
-        yield
-    finally:
-        target.in_flight -= 1
+
+async def _first_complete(
+    attempts: Iterable[asyncio.Future[StageAnswer]],
+) -> StageAnswer:
+    """Returns the first answer; fails only when all attempts have."""
+    pending = set(attempts)
+    while True:
+        done, pending = await asyncio.wait(
+            pending,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for attempt in done:
+            if attempt.exception() is None or not pending:
+                return await attempt
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -22,6 +22,7 @@
 )
 from .pipeline import Outcome
 from .platform import PlatformError
+from .policy_status import policy_status
 from .requests import PipelineRequest
 from .target import TokenEvent
 from .wire import (
@@ -154,10 +155,12 @@
                 'draining': core.draining,
                 'running': core.running,
                 'targets': targets,
+                'policy': policy_status(core.policy),
             }
         )
 
     def _exposition(self, request: HttpRequest) -> HttpResponse:
+        self._core.metrics.note_policy(self._core.policy)
         body = self._core.metrics.exposition()
         return HttpResponse(HTTPStatus.OK, body, 'text/plain')
 
--- a/borageyard/events.py
+++ b/borageyard/events.py
@@ -20,6 +20,12 @@
     CONFIGURATION_IN_FORCE = 1401
     CONFIGURATION_REJECTED = 1402
     PLATFORM_FAILED = 1501
+    STAGE_ROUTED = 1601
+    TARGET_EJECTED = 1602
+    REQUEST_QUARANTINED = 1603
+    HEDGE_SENT = 1604
+    RETRY_DENIED = 1605
+    REQUEST_DELAYED = 1606
 
 
 def log_event(event: Event, **fields: Any) -> None:
--- /dev/null
+++ b/borageyard/gate.py
@@ -0,0 +1,88 @@
+"""Gate that every request passes from its start to its end."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from .admission import decide_admission
+from .clock import MS_PER_S
+from .errors import ErrorKind, Refusal, RefusalError
+from .events import Event, log_event
+from .policy import EntryPolicy
+from .requests import AdmittedRequest
+
+
+class PolicyAdmission:
+    """Admits by quarantine, deadline and limit, and books what it cost."""
+
+    def __init__(self, policy: EntryPolicy) -> None:
+        """Wraps the decisions.
+
+        Args:
+            policy: What decides.
+        """
+        self._policy = policy
+
+    @contextlib.asynccontextmanager
+    async def admit(self, admitted: AdmittedRequest) -> AsyncIterator[None]:
+        """Holds the request's place from its start to its end."""
+        self._policy.refuse_quarantined(admitted)
+        if self._policy.options.admission:
+            self._require_time(admitted)
+            await self._pass_limit(admitted)
+        self._enter(admitted)
+        useful = False
+        try:
+            yield
+            useful = True
+        finally:
+            self._leave(admitted, useful=useful)
+
+    def _require_time(self, admitted: AdmittedRequest) -> None:
+        now_ms = self._policy.clock.steady_ms()
+        slack_ms = admitted.request.expires_at_ms - now_ms
+        decision = decide_admission(slack_ms, self._policy.needs(admitted))
+        if decision.admitted:
+            return
+        expected_ms = round(decision.expected_ms)
+        refusal = Refusal(
+            ErrorKind.DEADLINE_UNREACHABLE,
+            detail=f'expected to take {expected_ms} ms',
+            retry_after_ms=round(decision.retry_after_ms) + 1,
+        )
+        raise RefusalError(refusal)
+
+    async def _pass_limit(self, admitted: AdmittedRequest) -> None:
+        request = admitted.request
+        now_ms = self._policy.clock.steady_ms()
+        organisation = admitted.configuration.organisations[
+            request.organisation
+        ]
+        slack_ms = request.expires_at_ms - now_ms
+        decision = self._policy.limits.take(organisation, now_ms, slack_ms / 4)
+        if not decision.allowed:
+            refusal = Refusal(
+                ErrorKind.LIMIT_EXCEEDED,
+                retry_after_ms=round(decision.wait_ms) + 1,
+            )
+            raise RefusalError(refusal)
+        if decision.wait_ms:
+            log_event(
+                Event.REQUEST_DELAYED,
+                request_id=request.request_id,
+                wait_ms=decision.wait_ms,
+            )
+            await asyncio.sleep(decision.wait_ms / MS_PER_S)
+
+    def _enter(self, admitted: AdmittedRequest) -> None:
+        organisation = admitted.request.organisation
+        for stage in admitted.pipeline.stages:
+            self._policy.backlog.add(stage.service, organisation, 1)
+
+    def _leave(self, admitted: AdmittedRequest, *, useful: bool) -> None:
+        organisation = admitted.request.organisation
+        progress = admitted.progress
+        for stage in admitted.pipeline.stages:
+            if stage.name not in progress.started:
+                self._policy.backlog.add(stage.service, organisation, -1)
+        self._policy.costs.book(progress.spent, useful=useful)
--- /dev/null
+++ b/borageyard/limits.py
@@ -0,0 +1,163 @@
+"""Limits of organisations that hold across entries without a store."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from .clock import MS_PER_S
+from .configuration import Organisation
+
+# Part of a limit that is shared equally whatever the demand.
+EQUAL_SHARE = 0.2
+PEER_FRESH_MS = 2000
+DEMAND_WINDOW_MS = 1000
+MAX_WAIT_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitDecision:
+    """Whether a request may start, and when."""
+
+    allowed: bool
+    wait_ms: float = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Bucket:
+    """Tokens of one organisation at this entry; may be owed."""
+
+    tokens: float
+    filled_at_ms: float
+    demand_per_s: float = 0
+    told_per_s: float = 0
+    arrivals: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerDemand:
+    """What a peer said of its demand."""
+
+    heard_at_ms: float
+    per_s: Mapping[str, float]
+
+
+class OrganisationLimits:
+    """This entry's part of each organisation's limit."""
+
+    def __init__(self) -> None:
+        """Starts alone and without demand."""
+        self._buckets: dict[str, Bucket] = {}
+        self._peers: dict[str, PeerDemand] = {}
+        self._window_at_ms: float = 0
+        self.entries = 1
+
+    def note_entries(self, count: int) -> None:
+        """Takes in how many entries there are.
+
+        Args:
+            count: Known entries, this one included.
+        """
+        self.entries = max(count, 1)
+
+    def note_peer(
+        self,
+        peer_id: str,
+        per_s: Mapping[str, float],
+        now_ms: float,
+    ) -> None:
+        """Takes in the demand that a peer sees.
+
+        Args:
+            peer_id: Who said it.
+            per_s: Requests a second by organisation.
+            now_ms: Steady time.
+        """
+        self._peers[peer_id] = PeerDemand(now_ms, per_s)
+
+    def tell_demand(self, now_ms: float) -> dict[str, float]:
+        """Returns this entry's demand by organisation, to tell its peers.
+
+        Args:
+            now_ms: Steady time.
+        """
+        self._measure_demand(now_ms)
+        told = {}
+        for name, bucket in self._buckets.items():
+            bucket.told_per_s = bucket.demand_per_s
+            told[name] = bucket.told_per_s
+        return told
+
+    def take(
+        self,
+        organisation: Organisation,
+        now_ms: float,
+        max_wait_ms: float = MAX_WAIT_MS,
+    ) -> LimitDecision:
+        """Spends a token, at once or as soon as there will be one.
+
+        Args:
+            organisation: Whose request it is.
+            now_ms: Steady time.
+            max_wait_ms: Longest wait that is of use.
+
+        Returns:
+            Whether it may start and after which wait; if it may not, when
+            to come back.
+        """
+        bucket = self._refilled(organisation, now_ms)
+        bucket.arrivals += 1
+        missing = max(1 - bucket.tokens, 0)
+        wait_ms = missing / self._rate_per_ms(organisation, now_ms)
+        if wait_ms > min(max_wait_ms, MAX_WAIT_MS):
+            return LimitDecision(allowed=False, wait_ms=wait_ms)
+        bucket.tokens -= 1
+        return LimitDecision(allowed=True, wait_ms=wait_ms)
+
+    def share(self, name: str, now_ms: float) -> float:
+        """Returns this entry's part of an organisation's limit.
+
+        Args:
+            name: The organisation.
+            now_ms: Steady time.
+        """
+        equal = 1 / self.entries
+        fresh = [
+            peer
+            for peer in self._peers.values()
+            if now_ms - peer.heard_at_ms < PEER_FRESH_MS
+        ]
+        if len(fresh) + 1 < self.entries:
+            return equal
+        bucket = self._buckets.get(name)
+        own = bucket.told_per_s if bucket else 0
+        whole = own + sum(peer.per_s.get(name, 0) for peer in fresh)
+        if whole <= 0:
+            return equal
+        return EQUAL_SHARE * equal + (1 - EQUAL_SHARE) * own / whole
+
+    def _rate_per_ms(self, organisation: Organisation, now_ms: float) -> float:
+        share = self.share(organisation.name, now_ms)
+        return organisation.limit_requests_per_s * share / MS_PER_S
+
+    def _refilled(self, organisation: Organisation, now_ms: float) -> Bucket:
+        share = self.share(organisation.name, now_ms)
+        burst = organisation.burst_requests * share
+        bucket = self._buckets.get(organisation.name)
+        if bucket is None:
+            bucket = Bucket(burst, now_ms)
+            self._buckets[organisation.name] = bucket
+        passed_ms = now_ms - bucket.filled_at_ms
+        added = passed_ms * self._rate_per_ms(organisation, now_ms)
+        bucket.tokens = min(bucket.tokens + added, max(burst, 1))
+        bucket.filled_at_ms = now_ms
+        return bucket
+
+    def _measure_demand(self, now_ms: float) -> None:
+        passed_ms = now_ms - self._window_at_ms
+        if passed_ms <= 0:
+            return
+        self._window_at_ms = now_ms
+        weight = min(passed_ms / DEMAND_WINDOW_MS, 1)
+        for bucket in self._buckets.values():
+            rate = bucket.arrivals * MS_PER_S / passed_ms
+            bucket.demand_per_s += weight * (rate - bucket.demand_per_s)
+            bucket.arrivals = 0
--- a/borageyard/metrics.py
+++ b/borageyard/metrics.py
@@ -1,11 +1,16 @@
 """Metrics of an entry, in the format of Prometheus."""
 
+import dataclasses
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from .costs import CostAccounts
 from .errors import Refusal
+from .policy import EntryPolicy
 from .requests import Answer, PipelineRequest
 
 ACCEPT_TEXT = ('text/plain',)
+RETRY_COUNTS = ('first_attempts', 'retries', 'hedges', 'denied')
 
 
 class EntryMetrics:
@@ -33,6 +38,23 @@
             registry=self.registry,
         )
 
+        self.target_load = self._gauge(
+            'borageyard_target_load',
+            'Calls that a target is believed to have.',
+        )
+        self.target_ejected = self._gauge(
+            'borageyard_target_ejected',
+            'Whether a target is ejected as an outlier.',
+        )
+        self.attempts = self._gauge(
+            'borageyard_attempts',
+            'First attempts, retries, hedges and denied repeats by service.',
+        )
+        self.stage_cost = self._gauge(
+            'borageyard_stage_cost_ms',
+            'Time spent by organisation, pipeline, stage and use.',
+        )
+
     def note_outcome(
         self,
         request: PipelineRequest,
@@ -59,10 +81,43 @@
             self.stage_time.observe(where, stage.duration_ms)
             self.stage_tokens.add({**labels, **where}, stage.tokens)
 
+    def note_policy(self, policy: EntryPolicy) -> None:
+        """Sets the gauges that show what the policy has decided.
+
+        Args:
+            policy: The entry's decisions.
+        """
+        now_ms = policy.clock.steady_ms()
+        for state in policy.directory.all_targets():
+            target = {
+                'service': state.instance.service,
+                'target': state.target_id,
+            }
+            ejected = policy.outliers.is_ejected(state.target_id, now_ms)
+            self.target_load.set(target, state.load(now_ms))
+            self.target_ejected.set(target, int(ejected))
+        for service, account in policy.retries.accounts.items():
+            for name in RETRY_COUNTS:
+                labels = {'service': service, 'kind': name}
+                self.attempts.set(labels, getattr(account, name))
+        self._note_costs(policy.costs)
+
     def exposition(self) -> bytes:
         """Returns all metrics as text."""
         body, _ = render(self.registry, list(ACCEPT_TEXT))
         return bytes(body)
 
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(name, text, registry=self.registry)
+
     def _counter(self, name: str, text: str) -> Counter:
         return Counter(name, text, registry=self.registry)
+
+    def _note_costs(self, costs: CostAccounts) -> None:
+        for key, account in costs.accounts.items():
+            labels = dataclasses.asdict(key)
+            self.stage_cost.set(
+                {**labels, 'use': 'useful'}, account.duration_ms
+            )
+            for why, wasted_ms in account.wasted_ms.items():
+                self.stage_cost.set({**labels, 'use': why.value}, wasted_ms)
--- /dev/null
+++ b/borageyard/policy.py
@@ -0,0 +1,371 @@
+"""All decisions of an entry on the way of a request, composed."""
+
+import dataclasses
+import hashlib
+import json
+import math
+from collections.abc import Sequence
+
+from .admission import Backlog, StageNeed, StagePlanner, wait_ms
+from .affinity import PrefixAffinity
+from .clock import Clock
+from .costs import CostAccounts, CostKey, StageCost, Waste
+from .ejection import OutlierDetector
+from .errors import ErrorKind, Refusal, RefusalError
+from .events import Event, log_event
+from .latency import ServiceTimes
+from .limits import OrganisationLimits
+from .platform import ROLE_ENTRY, STATE_LIVE, Instance
+from .quarantine import CrashQuarantine, Standing
+from .requests import AdmittedRequest, StageRequest
+from .retries import RetryBudgets
+from .routing import PredictedFinishRouter, Route, RouteQuery, Router
+from .service_queue import Ask, ServiceQueues
+from .target import FailureKind, TargetAnswer, TargetError
+from .targets import TargetDirectory, TargetState
+
+HEDGE_SHARE = 0.95
+PLANNED_SHARE = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PolicyOptions:
+    """What experiments replace or turn off."""
+
+    router: Router | None = None
+    admission: bool = True
+    hedging: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PolicyPlace:
+    """Where the deciding entry is."""
+
+    failure_domain: str
+    clock: Clock
+    seed: int = 0
+
+
+class EntryPolicy:
+    """Holds what the entry has learned and what it decides with."""
+
+    def __init__(
+        self,
+        directory: TargetDirectory,
+        place: PolicyPlace,
+        options: PolicyOptions,
+    ) -> None:
+        """Starts with nothing learned.
+
+        Args:
+            directory: Known targets.
+            place: Where the entry is.
+            options: What experiments change.
+        """
+        self.directory = directory
+        self.options = options
+        self.clock = place.clock
+        self.times = ServiceTimes()
+        self.planner = StagePlanner(self.times)
+        self.backlog = Backlog()
+        self.affinity = PrefixAffinity()
+        self.limits = OrganisationLimits()
+        self.retries = RetryBudgets()
+        self.outliers = OutlierDetector()
+        self.quarantine = CrashQuarantine()
+        self.costs = CostAccounts()
+        router = options.router or PredictedFinishRouter(
+            place.failure_domain,
+            self.affinity,
+            place.seed,
+        )
+        self.queues = ServiceQueues(
+            directory,
+            router,
+            self.outliers,
+            place.clock,
+        )
+
+    def note_instances(self, rows: Sequence[Instance]) -> None:
+        """Takes in the instance list.
+
+        Args:
+            rows: Its rows; an empty list changes nothing.
+        """
+        live = [
+            row
+            for row in rows
+            if row.role == ROLE_ENTRY and row.state == STATE_LIVE
+        ]
+        if live:
+            self.limits.note_entries(len(live))
+
+    def ask(
+        self,
+        stage_request: StageRequest,
+        excluded: Sequence[str] = (),
+    ) -> Ask:
+        """Returns what a stage asks of the queues.
+
+        Args:
+            stage_request: The stage.
+            excluded: Targets that have failed it.
+        """
+        admitted = stage_request.admitted
+        stage = stage_request.stage
+        service = admitted.configuration.services[stage.service]
+        now_ms = self.clock.steady_ms()
+        return Ask(
+            service=stage.service,
+            organisation=admitted.request.organisation,
+            weight=admitted.weight,
+            latest_start_ms=self.latest_start_ms(stage_request),
+            query=RouteQuery(
+                now_ms=now_ms,
+                typical_ms=self.times.quantile_ms(
+                    stage.service,
+                    PLANNED_SHARE,
+                    service.typical_ms,
+                ),
+                excluded=excluded,
+                cache_prefix=admitted.request.cache_prefix,
+                model=service.model,
+                model_version=admitted.configuration.model_version(service),
+                entries=self.limits.entries,
+            ),
+        )
+
+    def latest_start_ms(self, stage_request: StageRequest) -> float:
+        """Returns when a stage must start for its request to finish."""
+        admitted = stage_request.admitted
+        stages = admitted.pipeline.stages
+        index = stages.index(stage_request.stage)
+        least_ms = self.planner.least_ms(
+            admitted.configuration,
+            stages[index:],
+        )
+        return admitted.request.expires_at_ms - least_ms
+
+    def stage_deadline_ms(self, stage_request: StageRequest) -> float:
+        """Returns when a stage must have ended to be of use."""
+        admitted = stage_request.admitted
+        stages = admitted.pipeline.stages
+        index = stages.index(stage_request.stage)
+        expires_at_ms = admitted.request.expires_at_ms
+        if not stage_request.idempotent:
+            return expires_at_ms
+        later = stages[index + 1 :]
+        return expires_at_ms - self.planner.least_ms(
+            admitted.configuration,
+            later,
+        )
+
+    def needs(self, admitted: AdmittedRequest) -> list[StageNeed]:
+        """Returns what the stages of a request are expected to take.
+
+        Args:
+            admitted: The request.
+        """
+        return [
+            self._need(admitted, stage.service)
+            for stage in admitted.pipeline.stages
+        ]
+
+    def note_answer(
+        self,
+        stage_request: StageRequest,
+        target: TargetState,
+        answer: TargetAnswer,
+        duration_ms: float,
+    ) -> None:
+        """Learns from a whole answer.
+
+        Args:
+            stage_request: What was run.
+            target: Where.
+            answer: What came back.
+            duration_ms: From sending to the whole answer.
+        """
+        now_ms = self.clock.steady_ms()
+        service = stage_request.stage.service
+        self.times.note(service, duration_ms)
+        target.note_duration(duration_ms)
+        peers = self.directory.candidates(service)
+        if self.outliers.note_success(target, peers, now_ms):
+            _log_ejection(target, 'slow')
+        prefix = stage_request.admitted.request.cache_prefix
+        if prefix and (answer.cached_tokens or answer.tokens):
+            self.affinity.note_answer(
+                target.target_id,
+                prefix,
+                answer.cached_tokens,
+                now_ms,
+            )
+        cost = StageCost(duration_ms, answer.tokens, answer.cached_tokens)
+        spent = (cost_key(stage_request), cost)
+        stage_request.admitted.progress.spent.append(spent)
+
+    def note_failure(
+        self,
+        admitted: AdmittedRequest,
+        route: Route,
+        error: TargetError,
+    ) -> None:
+        """Learns from a failed attempt.
+
+        Args:
+            admitted: Whose attempt it was.
+            route: Where it failed.
+            error: How.
+        """
+        now_ms = self.clock.steady_ms()
+        target = route.target
+        if error.kind is FailureKind.CRASH:
+            digest = request_digest(admitted)
+            self.quarantine.note_crash(digest, now_ms, alone=route.alone)
+        if self.outliers.note_failure(target, error.kind, now_ms):
+            _log_ejection(target, error.kind.value)
+        if error.kind is FailureKind.CONNECT:
+            self.affinity.forget_target(target.target_id)
+
+    def note_wasted(
+        self,
+        stage_request: StageRequest,
+        duration_ms: float,
+        why: Waste,
+    ) -> None:
+        """Books an attempt that did not give the stage's answer."""
+        cost = StageCost(duration_ms)
+        self.costs.note_wasted(cost_key(stage_request), cost, why)
+
+    def hedge_delay_ms(self, stage_request: StageRequest) -> float:
+        """Returns after which time a second attempt may help."""
+        stage = stage_request.stage
+        return self.times.quantile_ms(
+            stage.service,
+            HEDGE_SHARE,
+            stage.timeout_ms,
+        )
+
+    def take_hedge(
+        self,
+        stage_request: StageRequest,
+        route: Route,
+    ) -> Route | None:
+        """Takes a place for a second attempt, if budget and room allow.
+
+        Args:
+            stage_request: The stage that is late.
+            route: Where its first attempt runs.
+        """
+        service = stage_request.stage.service
+        if self.queues.waiting(service):
+            return None
+        left_ms = self.stage_deadline_ms(stage_request)
+        left_ms -= self.clock.steady_ms()
+        typical_ms = self.planner.service_ms(
+            stage_request.admitted.configuration,
+            service,
+        )
+        if left_ms < typical_ms:
+            return None
+        ask = self.ask(stage_request, (route.target.target_id,))
+        other = self.queues.try_acquire(ask)
+        if other is None:
+            return None
+        if not self.retries.take_hedge(service):
+            self.queues.release(other)
+            return None
+        log_event(
+            Event.HEDGE_SENT,
+            request_id=stage_request.admitted.request.request_id,
+            stage=stage_request.stage.name,
+            target_id=other.target.target_id,
+        )
+        return other
+
+    def standing(self, admitted: AdmittedRequest) -> Standing:
+        """Returns whether a request is suspected of crashing targets.
+
+        Args:
+            admitted: The request.
+        """
+        if self.quarantine.is_empty:
+            return Standing.CLEAR
+        now_ms = self.clock.steady_ms()
+        return self.quarantine.standing(request_digest(admitted), now_ms)
+
+    def refuse_quarantined(self, admitted: AdmittedRequest) -> None:
+        """Refuses a request that has crashed too many targets.
+
+        Args:
+            admitted: The request.
+
+        Raises:
+            RefusalError: If it is quarantined.
+        """
+        if self.standing(admitted) is not Standing.QUARANTINED:
+            return
+        digest = request_digest(admitted)
+        now_ms = self.clock.steady_ms()
+        left_ms = self.quarantine.left_ms(digest, now_ms)
+        log_event(
+            Event.REQUEST_QUARANTINED,
+            request_id=admitted.request.request_id,
+            digest=digest,
+            left_ms=left_ms,
+        )
+        refusal = Refusal(
+            ErrorKind.QUARANTINED,
+            retry_after_ms=math.ceil(left_ms),
+        )
+        raise RefusalError(refusal)
+
+    def _need(self, admitted: AdmittedRequest, service: str) -> StageNeed:
+        configuration = admitted.configuration
+        service_ms = self.planner.service_ms(configuration, service)
+        running, slots = self._usage(service)
+        ahead = self.backlog.ahead(
+            service,
+            admitted.request.organisation,
+            configuration.organisations,
+        )
+        waited_ms = wait_ms(running + ahead, slots, service_ms)
+        return StageNeed(service_ms, waited_ms)
+
+    def _usage(self, service: str) -> tuple[int, float]:
+        """Returns own running calls and the slots that this entry may use."""
+        now_ms = self.clock.steady_ms()
+        entries = self.limits.entries
+        targets = self.directory.candidates(service)
+        running = sum(state.in_flight for state in targets)
+        slots = sum(
+            max(state.slots - state.others(now_ms), state.slots / entries)
+            for state in targets
+        )
+        return running, slots
+
+
+def cost_key(stage_request: StageRequest) -> CostKey:
+    """Returns whom a stage is accounted to."""
+    request = stage_request.admitted.request
+    return CostKey(
+        organisation=request.organisation,
+        pipeline=request.pipeline,
+        stage=stage_request.stage.name,
+    )
+
+
+def request_digest(admitted: AdmittedRequest) -> str:
+    """Returns the digest under which crashes of a request are counted."""
+    request = admitted.request
+    canonical = json.dumps([request.pipeline, request.body], sort_keys=True)
+    return hashlib.sha256(canonical.encode()).hexdigest()
+
+
+def _log_ejection(target: TargetState, reason: str) -> None:
+    log_event(
+        Event.TARGET_EJECTED,
+        target_id=target.target_id,
+        reason=reason,
+    )
--- /dev/null
+++ b/borageyard/policy_news.py
@@ -0,0 +1,94 @@
+"""What entries tell each other for routing, limits and quarantine."""
+
+from collections.abc import Iterable
+
+from .generated.peer_policy import CrashSuspicionRecord, PolicyNewsBody
+from .peers import NewsSection, PeerLink
+from .policy import EntryPolicy
+
+
+class PolicyNews:
+    """The policy's section of the regular news."""
+
+    def __init__(self, policy: EntryPolicy) -> None:
+        """Wraps a policy.
+
+        Args:
+            policy: What tells and learns.
+        """
+        self._policy = policy
+
+    def register(self, peers: PeerLink) -> None:
+        """Adds the section to the news of a link.
+
+        Args:
+            peers: The link to the other entries.
+        """
+        section = NewsSection(PolicyNewsBody, self.provide, self.consume)
+        peers.add_news(section)
+
+    def provide(self) -> PolicyNewsBody:
+        """Returns what the other entries should know."""
+        now_ms = self._policy.clock.steady_ms()
+        targets = self._policy.directory.all_targets()
+        in_flight = {
+            state.target_id: state.in_flight
+            for state in targets
+            if state.in_flight
+        }
+        return PolicyNewsBody(
+            in_flight=in_flight,
+            demand_per_s=self._policy.limits.tell_demand(now_ms),
+            crashes=known_crashes(self._policy),
+        )
+
+    def consume(self, peer_id: str, news: PolicyNewsBody) -> None:
+        """Takes in what a peer has said.
+
+        Args:
+            peer_id: Who said it.
+            news: What.
+        """
+        now_ms = self._policy.clock.steady_ms()
+        directory = self._policy.directory
+        directory.note_peer(peer_id, news.in_flight, now_ms)
+        directory.forget_silent(now_ms)
+        self._policy.limits.note_peer(peer_id, news.demand_per_s, now_ms)
+        take_in_crashes(self._policy, news.crashes)
+
+
+def known_crashes(policy: EntryPolicy) -> list[CrashSuspicionRecord]:
+    """Returns the suspicions that peers should know.
+
+    Args:
+        policy: What knows them.
+    """
+    now_ms = policy.clock.steady_ms()
+    return [
+        CrashSuspicionRecord(
+            digest=record.digest,
+            crashes=record.crashes,
+            left_ms=record.expires_at_ms - now_ms,
+        )
+        for record in policy.quarantine.records(now_ms)
+    ]
+
+
+def take_in_crashes(
+    policy: EntryPolicy,
+    crashes: Iterable[CrashSuspicionRecord],
+) -> None:
+    """Takes in the suspicions of a peer.
+
+    Args:
+        policy: What learns them.
+        crashes: What the peer knows.
+    """
+    now_ms = policy.clock.steady_ms()
+    for record in crashes:
+        policy.quarantine.merge(
+            record.digest,
+            record.crashes,
+            record.left_ms,
+            now_ms,
+        )
--- /dev/null
+++ b/borageyard/policy_status.py
@@ -0,0 +1,64 @@
+"""What ``/v1/status`` shows of the policy."""
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+from .admission import BEST_SHARE, PLANNED_SHARE
+from .policy import EntryPolicy
+from .targets import TargetState
+
+
+def policy_status(policy: EntryPolicy) -> Mapping[str, Any]:
+    """Returns the state of an entry's decisions.
+
+    Args:
+        policy: The decisions.
+    """
+    now_ms = policy.clock.steady_ms()
+    targets = policy.directory.all_targets()
+    services = sorted({state.instance.service for state in targets})
+    retries = policy.retries.accounts
+    return {
+        'entries': policy.limits.entries,
+        'targets': [_target(policy, state, now_ms) for state in targets],
+        'services': {name: _service(policy, name) for name in services},
+        'retries': {
+            name: dataclasses.asdict(account)
+            for name, account in retries.items()
+        },
+        'suspects': [
+            dataclasses.asdict(record)
+            for record in policy.quarantine.records(now_ms)
+        ],
+    }
+
+
+def _target(
+    policy: EntryPolicy,
+    state: TargetState,
+    now_ms: float,
+) -> Mapping[str, Any]:
+    return {
+        'target_id': state.target_id,
+        'load': state.load(now_ms),
+        'slots': state.slots,
+        'duration_ms': state.duration_ms,
+        'report_age_ms': _age_ms(state, now_ms),
+        'ejected': policy.outliers.is_ejected(state.target_id, now_ms),
+        'reserved': state.reserved_until_ms > now_ms,
+    }
+
+
+def _service(policy: EntryPolicy, name: str) -> Mapping[str, Any]:
+    return {
+        'waiting': policy.queues.waiting(name),
+        'best_ms': policy.times.quantile_ms(name, BEST_SHARE, 0),
+        'planned_ms': policy.times.quantile_ms(name, PLANNED_SHARE, 0),
+    }
+
+
+def _age_ms(state: TargetState, now_ms: float) -> float | None:
+    if state.report is None:
+        return None
+    return now_ms - state.reported_at_ms
--- a/borageyard/requests.py
+++ b/borageyard/requests.py
@@ -4,6 +4,7 @@
 from typing import Any, Protocol
 
 from .configuration import Configuration, Pipeline, Stage
+from .costs import CostKey, StageCost
 from .target import TokenEvent
 
 
@@ -23,6 +24,16 @@
     trace_parent: str = ''
 
 
+@dataclasses.dataclass(slots=True)
+class RequestProgress:
+    """What an admitted request has started and spent so far."""
+
+    started: set[str] = dataclasses.field(default_factory=set)
+    spent: list[tuple[CostKey, StageCost]] = dataclasses.field(
+        default_factory=list,
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmittedRequest:
     """A request with the configuration that it keeps to its end."""
@@ -30,6 +41,17 @@
     request: PipelineRequest
     pipeline: Pipeline
     configuration: Configuration
+    progress: RequestProgress = dataclasses.field(
+        default_factory=RequestProgress,
+        compare=False,
+    )
+
+    @property
+    def weight(self) -> float:
+        """Returns the weight of the request's organisation."""
+        return self.configuration.organisations[
+            self.request.organisation
+        ].weight
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,6 +65,7 @@
     attempts: int = 1
     tokens: int = 0
     cached_tokens: int = 0
+    waited_ms: float = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/borageyard/retries.py
@@ -0,0 +1,76 @@
+"""Budget of repeated attempts, as a share of first attempts."""
+
+import dataclasses
+
+RETRY_SHARE = 0.1
+INITIAL_RETRIES = 2
+MAX_SAVED_RETRIES = 20
+
+
+@dataclasses.dataclass(slots=True)
+class RetryAccount:
+    """What a service has spent and may still spend."""
+
+    saved: float = INITIAL_RETRIES
+    first_attempts: int = 0
+    retries: int = 0
+    hedges: int = 0
+    denied: int = 0
+
+
+class RetryBudgets:
+    """One budget for the retries and hedges of each service."""
+
+    def __init__(self, share: float = RETRY_SHARE) -> None:
+        """Starts with a small reserve for each service.
+
+        Args:
+            share: Repeated attempts for each first attempt.
+        """
+        self._share = share
+        self.accounts: dict[str, RetryAccount] = {}
+
+    def note_first(self, service: str) -> None:
+        """Counts a first attempt, which pays for later retries."""
+        account = self._account(service)
+        account.first_attempts += 1
+        account.saved = min(account.saved + self._share, MAX_SAVED_RETRIES)
+
+    def take_retry(self, service: str) -> bool:
+        """Spends a retry.
+
+        Args:
+            service: Service that would run it.
+
+        Returns:
+            Whether the budget allows it.
+        """
+        account = self._account(service)
+        granted = _spend(account)
+        account.retries += int(granted)
+        return granted
+
+    def take_hedge(self, service: str) -> bool:
+        """Spends a hedge; it leaves the last saved one to retries.
+
+        Args:
+            service: Service that would run it.
+
+        Returns:
+            Whether the budget allows it.
+        """
+        account = self._account(service)
+        granted = account.saved >= INITIAL_RETRIES and _spend(account)
+        account.hedges += int(granted)
+        return granted
+
+    def _account(self, service: str) -> RetryAccount:
+        return self.accounts.setdefault(service, RetryAccount())
+
+
+def _spend(account: RetryAccount) -> bool:
+    if account.saved < 1:
+        account.denied += 1
+        return False
+    account.saved -= 1
+    return True
--- a/borageyard/routing.py
+++ b/borageyard/routing.py
@@ -1,12 +1,41 @@
 """Choice of a target for an attempt."""
 
+import dataclasses
 import random
 from collections.abc import Collection, Sequence
 from typing import Protocol
 
+from .affinity import PrefixAffinity
 from .targets import TargetState
 
-CHOICES = 2
+CHOICES = 3
+# Growth of a call's time from an idle to a full target.
+BATCH_SLOWDOWN = 0.5
+# Cost of leaving the failure domain.
+OTHER_DOMAIN_MS = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteQuery:
+    """What a choice depends on besides the targets."""
+
+    now_ms: float
+    typical_ms: float
+    excluded: Collection[str] = ()
+    cache_prefix: str = ''
+    model: str = ''
+    model_version: str = ''
+    entries: int = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """A chosen target and why it was chosen."""
+
+    target: TargetState
+    predicted_ms: float = 0
+    saved_ms: float = 0
+    alone: bool = False
 
 
 class Router(Protocol):
@@ -15,44 +44,118 @@
     def choose(
         self,
         candidates: Sequence[TargetState],
-        excluded: Collection[str],
-    ) -> TargetState | None:
-        """Returns a target, or none if all are excluded.
+        query: RouteQuery,
+    ) -> Route | None:
+        """Returns a route, or none if no target has room.
 
         Args:
             candidates: Targets of the service.
-            excluded: Ids of targets that already failed the request.
+            query: What else counts.
         """
 
 
-class TwoChoicesRouter:
-    """The less loaded of two random targets."""
+class PredictedFinishRouter:
+    """Least predicted finish time among some random targets with room."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self,
+        failure_domain: str,
+        affinity: PrefixAffinity,
+        seed: int,
+        choices: int = CHOICES,
+    ) -> None:
         """Seeds the choice.
 
         Args:
+            failure_domain: Where this entry is.
+            affinity: What targets have cached.
             seed: Seed of the random source.
+            choices: How many targets are compared.
         """
+        self._failure_domain = failure_domain
+        self._affinity = affinity
         self._random = random.Random(seed)
+        self._choices = choices
 
     def choose(
         self,
         candidates: Sequence[TargetState],
-        excluded: Collection[str],
-    ) -> TargetState | None:
-        """Returns a target, or none if all are excluded."""
+        query: RouteQuery,
+    ) -> Route | None:
+        """Returns the best route, or none if no target has room."""
         free = [
-            state for state in candidates if state.target_id not in excluded
+            state
+            for state in candidates
+            if state.target_id not in query.excluded and has_room(state, query)
         ]
+        free = _with_version(free, query)
         if not free:
             return None
-        drawn = self._random.sample(free, min(CHOICES, len(free)))
-        return min(drawn, key=_load)
+        drawn = self._random.sample(free, min(self._choices, len(free)))
+        drawn.extend(self._holders(free, query))
+        routes = [self._predict(state, query) for state in drawn]
+        return min(routes, key=_predicted_ms)
+
+    def _holders(
+        self,
+        free: Sequence[TargetState],
+        query: RouteQuery,
+    ) -> list[TargetState]:
+        if not query.cache_prefix:
+            return []
+        holders = self._affinity.holders(query.cache_prefix)
+        return [state for state in free if state.target_id in holders]
+
+    def _predict(self, state: TargetState, query: RouteQuery) -> Route:
+        service_ms = state.duration_ms or query.typical_ms
+        load = state.load(query.now_ms)
+        waiting = max(load + 1 - state.slots, 0)
+        growth = (BATCH_SLOWDOWN * load + waiting) / state.slots
+        saved_ms = self._affinity.saved_ms(
+            state.target_id,
+            query.cache_prefix,
+            query.now_ms,
+        )
+        predicted_ms = service_ms * (1 + growth) - saved_ms
+        if state.instance.failure_domain != self._failure_domain:
+            predicted_ms += OTHER_DOMAIN_MS
+        return Route(state, predicted_ms, saved_ms)
+
+
+def has_room(state: TargetState, query: RouteQuery) -> bool:
+    """Tells whether a target's concurrency window lets a call in.
+
+    Every entry may always use an equal part of the slots, so that none is
+    locked out by what it believes of the others.
+
+    Args:
+        state: The target.
+        query: Time and number of entries.
+    """
+    if state.reserved_until_ms > query.now_ms:
+        return False
+    if state.in_flight < max(state.slots // query.entries, 1):
+        return True
+    return state.load(query.now_ms) < state.slots
+
+
+def _with_version(
+    free: list[TargetState],
+    query: RouteQuery,
+) -> list[TargetState]:
+    """Prefers targets that have the needed version loaded."""
+    if not query.model:
+        return free
+    loaded = [state for state in free if _has_version(state, query)]
+    return loaded or free
+
+
+def _has_version(state: TargetState, query: RouteQuery) -> bool:
+    if state.report is None:
+        return False
+    versions = state.report.models.get(query.model, ())
+    return query.model_version in versions
 
 
-def _load(state: TargetState) -> int:
-    reported = state.report
-    if reported is None:
-        return state.in_flight
-    return state.in_flight + reported.running + reported.queued
+def _predicted_ms(route: Route) -> float:
+    return route.predicted_ms
--- /dev/null
+++ b/borageyard/service_queue.py
@@ -0,0 +1,198 @@
+"""Queues of the stages that wait for a target."""
+
+import asyncio
+import dataclasses
+from collections.abc import Awaitable
+
+from .clock import MS_PER_S, Clock
+from .ejection import OutlierDetector
+from .errors import ErrorKind, Refusal, RefusalError
+from .fair_queue import FairQueue, Ticket
+from .routing import Route, RouteQuery, Router
+from .targets import TargetDirectory
+
+PUMP_MS = 10
+# Waiting calls that are tried before the queue counts as blocked.
+MAX_TRIED = 4
+RETRY_AFTER_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ask:
+    """A stage that needs a target."""
+
+    service: str
+    organisation: str
+    weight: float
+    latest_start_ms: float
+    query: RouteQuery
+
+
+@dataclasses.dataclass(slots=True)
+class Waiter:
+    """A stage in a queue."""
+
+    ask: Ask
+    granted: asyncio.Future[Route]
+
+
+class ServiceQueues:
+    """Gives waiting stages to targets that have room."""
+
+    def __init__(
+        self,
+        directory: TargetDirectory,
+        router: Router,
+        outliers: OutlierDetector,
+        clock: Clock,
+    ) -> None:
+        """Wraps the ways to choose.
+
+        Args:
+            directory: Known targets.
+            router: Chooses among those with room.
+            outliers: Leaves out bad ones.
+            clock: Source of time.
+        """
+        self.router = router
+        self._directory = directory
+        self._outliers = outliers
+        self._clock = clock
+        self._queues: dict[str, FairQueue[Waiter]] = {}
+
+    def waiting(self, service: str) -> int:
+        """Returns how many stages wait for a service."""
+        return len(self._queues.get(service, ()))
+
+    async def acquire(self, ask: Ask) -> Route:
+        """Waits for a target and takes a place on it.
+
+        Args:
+            ask: What is needed.
+
+        Returns:
+            The route; ``release`` must be called when it is no longer used.
+
+        Raises:
+            RefusalError: If there is no target, or none in time.
+        """
+        self._require_target(ask)
+        if not self.waiting(ask.service):
+            route = self.try_acquire(ask)
+            if route is not None:
+                return route
+        waiter = Waiter(ask, asyncio.get_running_loop().create_future())
+        self._enqueue(waiter)
+        try:
+            return await self._bounded(ask, waiter.granted)
+        except BaseException:
+            self._withdraw(waiter)
+            raise
+
+    def try_acquire(self, ask: Ask) -> Route | None:
+        """Takes a place on a target if one has room now.
+
+        Args:
+            ask: What is needed.
+        """
+        now_ms = self._clock.steady_ms()
+        candidates = self._directory.candidates(ask.service)
+        healthy = self._outliers.keep_healthy(candidates, now_ms)
+        query = dataclasses.replace(ask.query, now_ms=now_ms)
+        route = self.router.choose(healthy, query)
+        if route is not None:
+            route.target.change_in_flight(1, now_ms)
+        return route
+
+    def release(self, route: Route) -> None:
+        """Gives the place of a route back.
+
+        Args:
+            route: What was acquired.
+        """
+        target = route.target
+        target.change_in_flight(-1, self._clock.steady_ms())
+        self.pump(target.instance.service)
+
+    def pump(self, service: str) -> None:
+        """Gives places to waiting stages while there are some.
+
+        Args:
+            service: Whose queue is looked at.
+        """
+        queue = self._queues.get(service)
+        if queue is None:
+            return
+        blocked: list[Ticket[Waiter]] = []
+        while len(blocked) < MAX_TRIED:
+            ticket = queue.pop()
+            if ticket is None:
+                break
+            if not self._grant(ticket.waiter):
+                blocked.append(ticket)
+        for left in reversed(blocked):
+            queue.put_back(left)
+
+    async def watch(self) -> None:
+        """Looks at all queues for ever, for news change what has room."""
+        while True:
+            await asyncio.sleep(PUMP_MS / MS_PER_S)
+            for service in tuple(self._queues):
+                if self.waiting(service):
+                    self.pump(service)
+
+    def _require_target(self, ask: Ask) -> None:
+        candidates = self._directory.candidates(ask.service)
+        excluded = ask.query.excluded
+        if any(state.target_id not in excluded for state in candidates):
+            return
+        kind = ErrorKind.TARGET_FAILED if excluded else ErrorKind.NO_TARGET
+        refusal = Refusal(
+            kind,
+            detail=ask.service,
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+        raise RefusalError(refusal)
+
+    def _enqueue(self, waiter: Waiter) -> None:
+        ask = waiter.ask
+        queue = self._queues.setdefault(ask.service, FairQueue())
+        ticket = Ticket(
+            organisation=ask.organisation,
+            weight=ask.weight,
+            latest_start_ms=ask.latest_start_ms,
+            waiter=waiter,
+        )
+        queue.push(ticket)
+
+    async def _bounded(self, ask: Ask, work: Awaitable[Route]) -> Route:
+        try:
+            async with asyncio.timeout(self._left_s(ask)):
+                return await work
+        except TimeoutError as error:
+            refusal = Refusal(
+                ErrorKind.DEADLINE_UNREACHABLE,
+                detail=f'waited for {ask.service}',
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+            raise RefusalError(refusal) from error
+
+    def _withdraw(self, waiter: Waiter) -> None:
+        granted = waiter.granted
+        if granted.done() and not granted.cancelled():
+            self.release(granted.result())
+        granted.cancel()
+
+    def _grant(self, waiter: Waiter) -> bool:
+        """Tells whether the waiter no longer needs to wait."""
+        if waiter.granted.done():
+            return True
+        route = self.try_acquire(waiter.ask)
+        if route is None:
+            return False
+        waiter.granted.set_result(route)
+        return True
+
+    def _left_s(self, ask: Ask) -> float:
+        left_ms = ask.latest_start_ms - self._clock.steady_ms()
+        return max(left_ms, 0) / MS_PER_S
--- /dev/null
+++ b/borageyard/suspects.py
@@ -0,0 +1,235 @@
+"""Runs of requests that are suspected of crashing targets."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Sequence
+
+from .clock import MS_PER_S
+from .errors import ErrorKind, Refusal, RefusalError
+from .generated.peer_policy import (
+    CrashNotedBody,
+    CrashNoticeBody,
+    ReservationBody,
+    ReservedBody,
+)
+from .peers import PeerError, PeerLink
+from .policy import EntryPolicy
+from .policy_news import known_crashes, take_in_crashes
+from .routing import Route
+from .service_queue import RETRY_AFTER_MS, Ask
+from .targets import TargetState
+
+NOTICE_TIMEOUT_MS = 100
+RESERVATION_MS = 10_000
+IDLE_POLL_MS = 20
+
+
+class SuspectRuns:
+    """Gives a suspect a target without neighbours at any entry."""
+
+    def __init__(
+        self,
+        instance_id: str,
+        policy: EntryPolicy,
+        peers: PeerLink,
+    ) -> None:
+        """Registers what peers may ask.
+
+        Args:
+            instance_id: Id of this entry.
+            policy: Knows the targets and the suspects.
+            peers: The link to the other entries.
+        """
+        self._instance_id = instance_id
+        self._policy = policy
+        self._peers = peers
+        self._locks: dict[str, asyncio.Lock] = {}
+        self._held: set[str] = set()
+        self._telling: set[asyncio.Future[None]] = set()
+        peers.register(CrashNoticeBody, self._handle_notice)
+        peers.register(ReservationBody, self._handle_reservation)
+
+    def start_telling(self) -> Awaitable[None]:
+        """Tells all peers at once which requests are suspect.
+
+        Returns:
+            What ends when they all know or have not answered in time.
+        """
+        task = asyncio.ensure_future(self._tell_crashes())
+        self._telling.add(task)
+        task.add_done_callback(self._telling.discard)
+        return task
+
+    @contextlib.asynccontextmanager
+    async def alone(self, ask: Ask) -> AsyncIterator[Route]:
+        """Holds a target on which nothing else runs.
+
+        Args:
+            ask: What is needed.
+
+        Raises:
+            RefusalError: If no target is free in time.
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            route = await self._hold(ask, stack)
+            stack.callback(self._policy.queues.release, route)
+            yield route
+
+    async def _hold(
+        self,
+        ask: Ask,
+        stack: contextlib.AsyncExitStack,
+    ) -> Route:
+        left_ms = ask.latest_start_ms - self._policy.clock.steady_ms()
+        try:
+            async with asyncio.timeout(max(left_ms, 0) / MS_PER_S):
+                return await self._reserve_any(ask, stack)
+        except TimeoutError as error:
+            refusal = Refusal(
+                ErrorKind.DEADLINE_UNREACHABLE,
+                detail=f'no free target of {ask.service} for a suspect',
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+            raise RefusalError(refusal) from error
+
+    async def _reserve_any(
+        self,
+        ask: Ask,
+        stack: contextlib.AsyncExitStack,
+    ) -> Route:
+        lock = self._locks.setdefault(ask.service, asyncio.Lock())
+        await stack.enter_async_context(lock)
+        tried = list(ask.query.excluded)
+        while True:
+            target = self._least_loaded(ask, tried)
+            self._hold_locally(target, stack)
+            if await self._reserve_at_peers(target, stack):
+                break
+            self._give_back(target)
+            tried.append(target.target_id)
+        target.change_in_flight(1, self._policy.clock.steady_ms())
+        return Route(target, alone=True)
+
+    def _least_loaded(self, ask: Ask, tried: Sequence[str]) -> TargetState:
+        now_ms = self._policy.clock.steady_ms()
+        candidates = [
+            state
+            for state in self._policy.directory.candidates(ask.service)
+            if state.target_id not in tried
+        ]
+        if not candidates:
+            refusal = Refusal(
+                ErrorKind.NO_TARGET,
+                detail=f'none of {ask.service} for a suspect',
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+            raise RefusalError(refusal)
+        healthy = self._policy.outliers.keep_healthy(candidates, now_ms)
+        return min(healthy, key=lambda state: state.load(now_ms))
+
+    def _hold_locally(
+        self,
+        target: TargetState,
+        stack: contextlib.AsyncExitStack,
+    ) -> None:
+        now_ms = self._policy.clock.steady_ms()
+        target.reserved_until_ms = now_ms + RESERVATION_MS
+        self._held.add(target.target_id)
+        stack.callback(self._give_back, target)
+
+    def _give_back(self, target: TargetState) -> None:
+        if target.target_id in self._held:
+            self._held.discard(target.target_id)
+            target.reserved_until_ms = 0
+
+    async def _reserve_at_peers(
+        self,
+        target: TargetState,
+        stack: contextlib.AsyncExitStack,
+    ) -> bool:
+        """Waits until nobody uses the target; tells of a conflict."""
+        target_id = target.target_id
+        reservation = ReservationBody(
+            target_id=target_id,
+            lasts_ms=RESERVATION_MS,
+        )
+        stack.push_async_callback(self._release_at_peers, target_id)
+        while True:
+            replies = await self._ask_peers(reservation)
+            if any(reply.conflict for reply in replies):
+                return False
+            theirs = sum(reply.in_flight for reply in replies)
+            if not theirs + target.in_flight:
+                return True
+            await asyncio.sleep(IDLE_POLL_MS / MS_PER_S)
+
+    async def _release_at_peers(self, target_id: str) -> None:
+        await self._ask_peers(
+            ReservationBody(target_id=target_id, lasts_ms=0),
+        )
+
+    async def _ask_peers(
+        self,
+        reservation: ReservationBody,
+    ) -> Sequence[ReservedBody]:
+        calls = [
+            self._ask_peer(peer_id, reservation)
+            for peer_id in self._peers.peer_ids()
+        ]
+        replies = await asyncio.gather(*calls)
+        return [reply for reply in replies if reply is not None]
+
+    async def _ask_peer(
+        self,
+        peer_id: str,
+        reservation: ReservationBody,
+    ) -> ReservedBody | None:
+        try:
+            return await self._peers.request(
+                peer_id,
+                reservation,
+                ReservedBody,
+                NOTICE_TIMEOUT_MS,
+            )
+        except PeerError:
+            return None
+
+    async def _tell_crashes(self) -> None:
+        notice = CrashNoticeBody(crashes=known_crashes(self._policy))
+        calls = [
+            self._tell(peer_id, notice) for peer_id in self._peers.peer_ids()
+        ]
+        await asyncio.gather(*calls)
+
+    async def _tell(self, peer_id: str, notice: CrashNoticeBody) -> None:
+        with contextlib.suppress(PeerError):
+            await self._peers.request(
+                peer_id,
+                notice,
+                CrashNotedBody,
+                NOTICE_TIMEOUT_MS,
+            )
+
+    async def _handle_notice(
+        self,
+        peer_id: str,
+        notice: CrashNoticeBody,
+    ) -> CrashNotedBody:
+        take_in_crashes(self._policy, notice.crashes)
+        return CrashNotedBody()
+
+    async def _handle_reservation(
+        self,
+        peer_id: str,
+        reservation: ReservationBody,
+    ) -> ReservedBody:
+        target_id = reservation.target_id
+        state = self._policy.directory.find(target_id)
+        if state is None:
+            return ReservedBody(in_flight=0, conflict=False)
+        if target_id in self._held:
+            conflict = self._instance_id < peer_id
+            return ReservedBody(in_flight=state.in_flight, conflict=conflict)
+        now_ms = self._policy.clock.steady_ms()
+        state.reserved_until_ms = now_ms + reservation.lasts_ms
+        return ReservedBody(in_flight=state.in_flight, conflict=False)
--- a/borageyard/targets.py
+++ b/borageyard/targets.py
@@ -1,8 +1,10 @@
 """Directory of the targets that stages can run on."""
 
 import asyncio
+import collections
 import dataclasses
-from collections.abc import Iterable, Sequence
+import math
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from .clock import MS_PER_S, Clock
 from .events import Event, log_event
@@ -15,6 +17,15 @@
 )
 from .target import LoadReport, TargetClient, TargetError
 
+# Time in which the weight of a report or of peers' news falls to 1/e.
+FADE_MS = 1000
+# Weight of the assumption that nobody else uses a target.
+PRIOR_WEIGHT = 0.01
+MAX_OWN_CHANGES = 256
+DURATION_WEIGHT = 0.2
+DEFAULT_SLOTS = 8
+SILENT_MS = 2000
+
 
 @dataclasses.dataclass(slots=True)
 class TargetState:
@@ -25,12 +36,79 @@
     report: LoadReport | None = None
     report_received_at_ms: float = 0
     in_flight: int = 0
+    duration_ms: float = 0
+    samples: int = 0
+    reserved_until_ms: float = 0
+    reported_others: float = 0
+    reported_at_ms: float = -math.inf
+    told_others: dict[str, tuple[float, int]] = dataclasses.field(
+        default_factory=dict,
+    )
+    own_changes: collections.deque[tuple[float, int]] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=MAX_OWN_CHANGES),
+    )
 
     @property
     def target_id(self) -> str:
         """Returns the target's instance id."""
         return self.instance.instance_id
 
+    @property
+    def slots(self) -> int:
+        """Returns how many calls the target runs at once."""
+        return self.report.slots if self.report else DEFAULT_SLOTS
+
+    def change_in_flight(self, change: int, now_ms: float) -> None:
+        """Counts an own call that starts (1) or ends (-1)."""
+        self.in_flight += change
+        self.own_changes.append((now_ms, change))
+
+    def note_duration(self, duration_ms: float) -> None:
+        """Learns from the time of a whole answer."""
+        self.samples += 1
+        weight = max(DURATION_WEIGHT, 1 / self.samples)
+        self.duration_ms += weight * (duration_ms - self.duration_ms)
+
+    def note_report(self, report: LoadReport, now_ms: float) -> None:
+        """Takes in a load report.
+
+        Args:
+            report: What the target said.
+            now_ms: Steady time at which it was true.
+        """
+        self.report = report
+        self.reported_at_ms = now_ms
+        self.leaving = self.leaving or report.leaving
+        own_then = self.in_flight - sum(
+            change
+            for changed_at_ms, change in self.own_changes
+            if changed_at_ms > now_ms
+        )
+        whole = report.running + report.queued
+        self.reported_others = max(whole - own_then, 0)
+
+    def load(self, now_ms: float) -> float:
+        """Returns the calls that it has now, as far as can be told.
+
+        Args:
+            now_ms: Steady time.
+        """
+        return self.in_flight + self.others(now_ms)
+
+    def others(self, now_ms: float) -> float:
+        """Returns the calls of other entries, older news weighing less."""
+        report_weight = _freshness(now_ms - self.reported_at_ms)
+        told = 0
+        told_at_ms = now_ms
+        for heard_at_ms, count in self.told_others.values():
+            told += count
+            told_at_ms = min(told_at_ms, heard_at_ms)
+        told_weight: float = 0
+        if self.told_others:
+            told_weight = _freshness(now_ms - told_at_ms)
+        weighed = report_weight * self.reported_others + told_weight * told
+        return weighed / (report_weight + told_weight + PRIOR_WEIGHT)
+
 
 class TargetDirectory:
     """Targets by service; a leaving mark holds for an incarnation."""
@@ -50,19 +128,50 @@
             return
         self._targets = {row.instance_id: self._merge(row) for row in rows}
 
-    def note_report(self, report: LoadReport, now_ms: float) -> None:
+    def note_report(
+        self,
+        report: LoadReport,
+        now_ms: float,
+        age_ms: float = 0,
+    ) -> None:
         """Takes in a load report.
 
         Args:
             report: What the target said.
             now_ms: Steady time of its arrival.
+            age_ms: How old it was then.
         """
         state = self._targets.get(report.target_id)
         if state is None:
             return
-        state.report = report
         state.report_received_at_ms = now_ms
-        state.leaving = state.leaving or report.leaving
+        state.note_report(report, now_ms - max(age_ms, 0))
+
+    def note_peer(
+        self,
+        peer_id: str,
+        in_flight: Mapping[str, int],
+        now_ms: float,
+    ) -> None:
+        """Takes in how many calls a peer has at each target.
+
+        Args:
+            peer_id: Who said it.
+            in_flight: Calls by target id; targets without any are left out.
+            now_ms: Steady time.
+        """
+        for state in self._targets.values():
+            count = in_flight.get(state.target_id, 0)
+            state.told_others[peer_id] = (now_ms, count)
+
+    def forget_silent(self, now_ms: float) -> None:
+        """Drops what peers said that have been silent for long."""
+        for state in self._targets.values():
+            state.told_others = {
+                peer_id: told
+                for peer_id, told in state.told_others.items()
+                if now_ms - told[0] < SILENT_MS
+            }
 
     def mark_leaving(self, target_id: str) -> None:
         """Marks a target as leaving for the rest of its incarnation."""
@@ -70,6 +179,10 @@
         if state is not None:
             state.leaving = True
 
+    def find(self, target_id: str) -> TargetState | None:
+        """Returns a target by its id, or none if it is not known."""
+        return self._targets.get(target_id)
+
     def all_targets(self) -> Sequence[TargetState]:
         """Returns every known target."""
         return tuple(self._targets.values())
@@ -101,6 +214,7 @@
         instances: InstanceList,
         client: TargetClient,
         clock: Clock,
+        note_instances: Callable[[Sequence[Instance]], None] | None = None,
     ) -> None:
         """Wraps the sources.
 
@@ -109,7 +223,9 @@
             instances: The platform's list.
             client: The way to targets.
             clock: Source of time.
+            note_instances: Is given each instance list.
         """
+        self._note_instances = note_instances
         self._directory = directory
         self._instances = instances
         self._client = client
@@ -124,6 +240,8 @@
             log_event(Event.PLATFORM_FAILED, reason=str(error))
             return
         self._directory.update(self.listed)
+        if self._note_instances is not None:
+            self._note_instances(self.listed)
 
     async def poll_loads(self) -> None:
         """Reads the load report of every target once."""
@@ -147,4 +265,10 @@
             report = await self._client.load(state.instance.address)
         except TargetError:
             return
-        self._directory.note_report(report, self._clock.steady_ms())
+        now_ms = self._clock.steady_ms()
+        age_ms = self._clock.wall_ms() - report.reported_at_ms
+        self._directory.note_report(report, now_ms, age_ms)
+
+
+def _freshness(age_ms: float) -> float:
+    return math.exp(-max(age_ms, 0) / FADE_MS)
