--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -16,11 +16,11 @@
 from .draining import DrainPlan
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
+from .gate import PolicyAdmission
 from .generated.settings import EntrySettings
 from .local_gates import (
     LocalClaims,
     NoStageStore,
-    OpenAdmission,
     OpenPermission,
 )
 from .membership import Membership
@@ -29,8 +29,10 @@
 from .peers import PeerLink
 from .pipeline import Outcome, PipelineGates, PipelineRunner
 from .platform import InstanceList, LogService, PlatformError
+from .policy import EntryPolicy, PolicyOptions, PolicyPlace
+from .policy_news import PolicyNews
 from .requests import PipelineRequest, TokenSink
-from .routing import TwoChoicesRouter
+from .suspects import SuspectRuns
 from .target import TargetClient
 from .targets import TargetDirectory, TargetWatcher
 from .tasks import running_tasks
@@ -49,6 +51,7 @@
     seed: int = 0
     incarnation: int = 0
     tracer: trace.Tracer | None = None
+    policy: PolicyOptions = dataclasses.field(default_factory=PolicyOptions)
 
 
 class EntryCore:
@@ -65,6 +68,12 @@
         self.ports = ports
         self.metrics = EntryMetrics()
         self.directory = TargetDirectory()
+        self.policy = EntryPolicy(
+            self.directory,
+            PolicyPlace(settings.failure_domain, ports.clock, ports.seed),
+            ports.policy,
+        )
+        PolicyNews(self.policy).register(ports.peers)
         self.fold = ConfigurationFold()
         self.permission = OpenPermission()
         self.drain_plan = DrainPlan(settings.drain_ms, settings.address_ttl_ms)
@@ -73,6 +82,7 @@
             ports.instances,
             ports.targets,
             ports.clock,
+            self.policy.note_instances,
         )
         self.own = OwnState(
             incarnation=ports.incarnation or int(ports.clock.wall_ms()),
@@ -112,6 +122,7 @@
                 self._members.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
+                self.policy.queues.watch(),
             ),
         )
 
@@ -203,14 +214,17 @@
         return PipelineGates(
             configurations=self.fold,
             permission=self.permission,
-            admission=OpenAdmission(),
+            admission=PolicyAdmission(self.policy),
             claims=LocalClaims(),
             store=NoStageStore(),
             dispatcher=StageDispatcher(
-                self.directory,
-                TwoChoicesRouter(self.ports.seed),
+                self.policy,
                 self.ports.targets,
-                self.ports.clock,
+                SuspectRuns(
+                    self.settings.instance_id,
+                    self.policy,
+                    self.ports.peers,
+                ),
             ),
         )
 
