--- a/borageyard/fault_actions.py
+++ b/borageyard/fault_actions.py
@@ -10,9 +10,9 @@
 from .memory_deployment import MemoryDeployment
 from .pipeline import Outcome
 
-FAULT_LASTS_MS = 4000
-PAUSE_LASTS_MS = 20_000
-LOG_DELAY_MS = 1500
+FAULT_LASTS_MS = 2000
+PAUSE_LASTS_MS = 6000
+LOG_DELAY_MS = 1000
 DEFAULT_TARGET = 'bokun-0'
 
 
--- a/borageyard/faults.py
+++ b/borageyard/faults.py
@@ -24,8 +24,8 @@
 from .virtual_time import run_virtual
 
 WARM_UP_MS = 1500
-SETTLE_MS = 40_000
-RETRY_DEADLINE_MS = 5000
+SETTLE_MS = 8000
+RETRY_DEADLINE_MS = 3000
 MAX_TRIES = 4
 BYSTANDERS = 2
 ENTRIES = 3
--- a/borageyard/memory_deployment.py
+++ b/borageyard/memory_deployment.py
@@ -125,6 +125,7 @@
             _settings(name, domain),
             self._wrap_ports(name, ports),
         )
+        core.own.address = name
         stack = contextlib.AsyncExitStack()
         await core.start(stack)
         self.entries[name] = RunningEntry(core, log, stack)
