Fold known entries with the configuration and serve by permission

Cause: an entry admitted work under whatever it had read, however old. Change: the configuration stream also carries joins, leaves, accepted positions and checkpoints; an entry admits work only with a serving permission from a head read or from a majority of the known entries.

--- /dev/null
+++ b/borageyard/configuration_sync.py
@@ -0,0 +1,256 @@
+"""Keeps an entry's configuration, known set and permission current."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Sequence
+
+from .clock import MS_PER_S, Clock
+from .configuration_log import (
+    CONFIGURATION_STREAM,
+    ConfigurationFold,
+    LogGapError,
+)
+from .configuration_state import instance_of
+from .events import Event, log_event
+from .permission import AcceptanceTracker, PermissionHolder
+from .platform import (
+    ROLE_ENTRY,
+    Instance,
+    LogService,
+    OffsetExpiredError,
+    PlatformError,
+    Record,
+)
+
+READ_WAIT_MS = 250
+RETRY_MS = 100
+TICK_MS = 50
+JOIN_ATTEMPTS = 3
+# Time between two appends of the same kind by one entry.
+APPEND_PAUSE_MS = 1000
+# Entries append what any of them may append this far apart.
+RANK_DELAY_MS = 100
+# How long an entry must be missing from the instance list.
+GONE_MS = 5000
+CHECKPOINT_SHARE = 0.25
+CHECKPOINT_RANK_SHARE = 0.01
+
+ListedInstances = Callable[[], Sequence[Instance]]
+
+
+class ConfigurationReader:
+    """Follows the configuration stream; reading gives permission."""
+
+    def __init__(
+        self,
+        fold: ConfigurationFold,
+        log: LogService,
+        permission: PermissionHolder,
+        tracker: AcceptanceTracker,
+        clock: Clock,
+    ) -> None:
+        """Wraps a fold.
+
+        Args:
+            fold: What records are folded into.
+            log: Where they come from.
+            permission: Learns of reads that reached the head.
+            tracker: Learns of new positions.
+            clock: Source of steady time.
+        """
+        self.fold = fold
+        self._log = log
+        self._permission = permission
+        self._tracker = tracker
+        self._clock = clock
+
+    async def catch_up(self, wait_ms: float = 0) -> None:
+        """Reads what there is.
+
+        Args:
+            wait_ms: How long to wait for a record when there is none.
+
+        Raises:
+            PlatformError: If the log does not answer or has a gap.
+        """
+        sent_at_ms = self._clock.steady_ms()
+        offset = self.fold.state.next_offset
+        try:
+            page = await self._log.read(CONFIGURATION_STREAM, offset, wait_ms)
+        except OffsetExpiredError as error:
+            await self._recover(error)
+            return
+        try:
+            self.fold.take(page)
+        except LogGapError as error:
+            raise PlatformError(str(error)) from error
+        self._permission.note_head(sent_at_ms, page.head)
+        self._tracker.note_fold()
+
+    async def follow(self) -> None:
+        """Reads for ever."""
+        while True:
+            try:
+                await self.catch_up(READ_WAIT_MS)
+            except PlatformError as error:
+                log_event(Event.PLATFORM_FAILED, reason=str(error))
+                await asyncio.sleep(RETRY_MS / MS_PER_S)
+
+    async def _recover(self, expired: OffsetExpiredError) -> None:
+        """Looks for a checkpoint that leaves no gap."""
+        offset = expired.start
+        while offset < expired.head:
+            page = await self._log.read(CONFIGURATION_STREAM, offset)
+            if self.fold.recover(page.records, expired.start):
+                self._tracker.note_fold()
+                return
+            if not page.records:
+                break
+            offset = page.records[-1].offset + 1
+        log_event(Event.CONFIGURATION_GAP, start=expired.start)
+        raise PlatformError(f'no checkpoint covers offset {expired.start}')
+
+
+class ConfigurationWriter:
+    """Appends what any entry may append: joins, leaves, checkpoints."""
+
+    def __init__(
+        self,
+        reader: ConfigurationReader,
+        tracker: AcceptanceTracker,
+        permission: PermissionHolder,
+        log: LogService,
+        clock: Clock,
+        retention_ms: float,
+    ) -> None:
+        """Wraps the stream.
+
+        Args:
+            reader: Reads appended records back.
+            tracker: Knows what is accepted.
+            permission: Holds this entry's name in the known set.
+            log: Where records go.
+            clock: Source of time.
+            retention_ms: How long the log keeps a record.
+        """
+        self._reader = reader
+        self._fold = reader.fold
+        self._tracker = tracker
+        self._permission = permission
+        self._log = log
+        self._clock = clock
+        self._retention_ms = retention_ms
+        self._started_at_ms = clock.wall_ms()
+        self._appended_at_ms: dict[str, float] = {}
+        self._seen_at_ms: dict[str, float] = {}
+
+    async def join(self) -> None:
+        """Enters the known set, if the log answers now."""
+        with contextlib.suppress(PlatformError):
+            await self._reader.catch_up()
+            for _ in range(JOIN_ATTEMPTS):
+                if self._permission.is_member:
+                    return
+                await self._append_join()
+                await self._reader.catch_up()
+
+    async def leave(self) -> None:
+        """Leaves the known set for good, if the log answers now."""
+        record = {
+            'type': 'leave',
+            'member': self._permission.member,
+            'final': True,
+        }
+        with contextlib.suppress(PlatformError):
+            await self._log.append(CONFIGURATION_STREAM, record)
+
+    async def run(self, listed: ListedInstances) -> None:
+        """Appends what is due, for ever.
+
+        Args:
+            listed: Returns the instance list as last read.
+        """
+        while True:
+            await asyncio.sleep(TICK_MS / MS_PER_S)
+            for record in self._due(listed()):
+                with contextlib.suppress(PlatformError):
+                    await self._log.append(CONFIGURATION_STREAM, record)
+
+    def _due(self, rows: Sequence[Instance]) -> list[Record]:
+        """Returns the records to append now."""
+        due: list[Record] = []
+        member = self._permission.member
+        if not self._permission.is_member and not self._permission.closed:
+            due.append({'type': 'join', 'member': member})
+        if self._permission.is_member:
+            due.extend(self._due_shared(rows))
+        return [record for record in due if self._may_append(record)]
+
+    def _due_shared(self, rows: Sequence[Instance]) -> list[Record]:
+        """Returns the records that any entry might append now."""
+        now_ms = self._clock.steady_ms()
+        due: list[Record] = []
+        accepted = self._tracker.accepted
+        if accepted > self._fold.state.floor and self._is_my_turn(
+            _accepted_matter(accepted),
+            now_ms,
+        ):
+            due.append({'type': 'accepted', 'position': accepted})
+        for member in self._gone(rows, now_ms):
+            log_event(Event.MEMBER_LEFT, member=member)
+            due.append({'type': 'leave', 'member': member})
+        if self._needs_checkpoint():
+            due.append(self._fold.checkpoint())
+        return due
+
+    def _is_my_turn(self, matter: str, now_ms: float) -> bool:
+        """Tells whether earlier entries had time to append."""
+        since_ms = self._seen_at_ms.setdefault(matter, now_ms)
+        return now_ms >= since_ms + self._rank() * RANK_DELAY_MS
+
+    def _rank(self) -> int:
+        members = sorted(self._fold.state.members)
+        return members.index(self._permission.member)
+
+    def _gone(self, rows: Sequence[Instance], now_ms: float) -> list[str]:
+        """Returns the members that the list has lacked for long."""
+        listed = {row.instance_id for row in rows if row.role == ROLE_ENTRY}
+        missing = {
+            member
+            for member in self._fold.state.members
+            if listed and instance_of(member) not in listed
+        }
+        missing.discard(self._permission.member)
+        current = missing | {_accepted_matter(self._tracker.accepted)}
+        for matter in self._seen_at_ms.keys() - current:
+            self._seen_at_ms.pop(matter)
+        wait_ms = GONE_MS + self._rank() * RANK_DELAY_MS
+        return [
+            member
+            for member in sorted(missing)
+            if now_ms >= self._seen_at_ms.setdefault(member, now_ms) + wait_ms
+        ]
+
+    def _needs_checkpoint(self) -> bool:
+        latest_ms = self._fold.checkpoint_at_ms or self._started_at_ms
+        share = CHECKPOINT_SHARE + self._rank() * CHECKPOINT_RANK_SHARE
+        age_ms = self._clock.wall_ms() - latest_ms
+        return age_ms >= self._retention_ms * share
+
+    def _may_append(self, record: Record) -> bool:
+        """Tells whether the last such append had time to be read back."""
+        now_ms = self._clock.steady_ms()
+        matter = f'{record["type"]}-{record.get("member", "")}'
+        earlier_ms = self._appended_at_ms.get(matter)
+        if earlier_ms is not None and now_ms < earlier_ms + APPEND_PAUSE_MS:
+            return False
+        self._appended_at_ms[matter] = now_ms
+        return True
+
+    async def _append_join(self) -> None:
+        record = {'type': 'join', 'member': self._permission.member}
+        await self._log.append(CONFIGURATION_STREAM, record)
+
+
+def _accepted_matter(position: int) -> str:
+    return f'accepted-{position}'
--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -7,21 +7,20 @@
 from typing import Any
 
 from .clock import MS_PER_S, Clock
-from .configuration_log import ConfigurationFold, ConfigurationReader
+from .configuration_log import ConfigurationFold
+from .configuration_sync import ConfigurationReader, ConfigurationWriter
 from .dispatch import StageDispatcher
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .generated.settings import EntrySettings
-from .local_gates import (
-    LocalClaims,
-    NoStageStore,
-    OpenAdmission,
-    OpenPermission,
-)
+from .identifiers import new_identifier
+from .local_gates import LocalClaims, NoStageStore, OpenAdmission
 from .metrics import EntryMetrics
 from .peers import PeerLink
+from .permission import AcceptanceTracker, PermissionHolder
+from .permission_probes import PermissionProber
 from .pipeline import Outcome, PipelineGates, PipelineRunner
-from .platform import InstanceList, LogService, PlatformError
+from .platform import InstanceList, LogService
 from .requests import PipelineRequest, TokenSink
 from .routing import TwoChoicesRouter
 from .target import TargetClient
@@ -55,7 +54,9 @@
         self.metrics = EntryMetrics()
         self.directory = TargetDirectory()
         self.fold = ConfigurationFold()
-        self.permission = OpenPermission()
+        member = f'{settings.instance_id}#{new_identifier()}'
+        self.permission = PermissionHolder(self.fold, member, ports.clock)
+        self.tracker = AcceptanceTracker(self.fold, member, ports.clock)
         self.draining = False
         self.watcher = TargetWatcher(
             self.directory,
@@ -63,7 +64,28 @@
             ports.targets,
             ports.clock,
         )
-        self._reader = ConfigurationReader(self.fold, ports.log)
+        self.reader = ConfigurationReader(
+            self.fold,
+            ports.log,
+            self.permission,
+            self.tracker,
+            ports.clock,
+        )
+        self._writer = ConfigurationWriter(
+            self.reader,
+            self.tracker,
+            self.permission,
+            ports.log,
+            ports.clock,
+            settings.platform.log_retention_ms,
+        )
+        self._prober = PermissionProber(
+            self.fold,
+            self.permission,
+            self.tracker,
+            ports.peers,
+            ports.clock,
+        )
         self._runner = PipelineRunner(self._build_gates(), ports.clock)
         self.running = 0
         self._idle = asyncio.Event()
@@ -76,12 +98,13 @@
             stack: Owns the background work.
         """
         await self.watcher.poll_instances()
-        with contextlib.suppress(PlatformError):
-            await self._reader.catch_up()
+        await self._writer.join()
         platform = self.settings.platform
         await stack.enter_async_context(
             running_tasks(
-                self._reader.follow(),
+                self.reader.follow(),
+                self._writer.run(lambda: self.watcher.listed),
+                self._prober.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
             ),
@@ -120,6 +143,7 @@
         )
         await asyncio.sleep(self.settings.drain_ms / MS_PER_S)
         self.permission.closed = True
+        await self._writer.leave()
         await self._idle.wait()
 
     def _build_gates(self) -> PipelineGates:
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -165,8 +165,8 @@
         return json_response({'alive': True})
 
     def _readiness(self, request: HttpRequest) -> HttpResponse:
-        known = self._core.fold.current() is not None
-        if known and not self._core.draining:
+        permitted = self._core.permission.check() is None
+        if permitted and not self._core.draining:
             return json_response({'ready': True})
         return json_response(
             {'ready': False},
--- a/borageyard/local_gates.py
+++ b/borageyard/local_gates.py
@@ -9,20 +9,6 @@
 from .requests import AdmittedRequest, StageResult
 
 
-class OpenPermission:
-    """Serving permission that always holds, until draining ends."""
-
-    def __init__(self) -> None:
-        """Starts open."""
-        self.closed = False
-
-    def check(self) -> Refusal | None:
-        """Returns a refusal once closed."""
-        if self.closed:
-            return Refusal(ErrorKind.DRAINING)
-        return None
-
-
 class OpenAdmission:
     """Admission of everything."""
 
--- /dev/null
+++ b/borageyard/permission.py
@@ -0,0 +1,269 @@
+"""Serving permission and acceptance of a configuration, without I/O."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from .clock import Clock
+from .configuration_log import ConfigurationFold
+from .errors import ErrorKind, Refusal
+
+# Bound on the difference in rate between the clocks of two machines.
+CLOCK_DRIFT_SHARE = 0.01
+CLOCK_GRANULARITY_MS = 2.0
+NEVER_MS = float('-inf')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeadRead:
+    """A read that reached the head of the log."""
+
+    sent_at_ms: float
+    position: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerWord:
+    """What another entry last said of its position."""
+
+    sent_at_ms: float
+    position: int
+
+
+def waiting_time_ms(permission_ms: float) -> float:
+    """Returns a time after which a permission has lapsed on any clock.
+
+    Args:
+        permission_ms: How long the permission runs on its holder's clock.
+    """
+    return permission_ms * (1 + CLOCK_DRIFT_SHARE) + CLOCK_GRANULARITY_MS
+
+
+class PermissionHolder:
+    """Decides whether an entry may admit work under what it has folded.
+
+    Permission rests on a read that reached the head of the log, or on the
+    word of a majority of the known entries, none of them ahead. It runs from
+    when the question was sent and ends when the fold moves on.
+    """
+
+    def __init__(
+        self,
+        fold: ConfigurationFold,
+        member: str,
+        clock: Clock,
+    ) -> None:
+        """Starts without permission.
+
+        Args:
+            fold: What the entry has folded.
+            member: This entry's own name in the known set.
+            clock: Source of steady time.
+        """
+        self.closed = False
+        self.member = member
+        self._fold = fold
+        self._clock = clock
+        self._head: HeadRead | None = None
+        self._words: dict[str, PeerWord] = {}
+        self._guest_until_ms = NEVER_MS
+
+    @property
+    def is_member(self) -> bool:
+        """Tells whether this entry is in the set that it knows."""
+        return self.member in self._fold.state.members
+
+    def check(self) -> Refusal | None:
+        """Returns why work may not be admitted, or none if it may."""
+        if self.closed:
+            return Refusal(ErrorKind.DRAINING)
+        if self.remaining_ms() > 0:
+            return None
+        return Refusal(ErrorKind.NO_PERMISSION)
+
+    def remaining_ms(self) -> float:
+        """Returns how long the permission still runs; negative if lapsed."""
+        configuration = self._fold.current()
+        if configuration is None:
+            return NEVER_MS
+        sent_at_ms = max(self._head_sent_at_ms(), self._majority_sent_at_ms())
+        until_ms = sent_at_ms + configuration.permission_ms
+        return until_ms - self._clock.steady_ms()
+
+    def note_head(self, sent_at_ms: float, head: int) -> None:
+        """Takes in a read of the log whose records were folded.
+
+        Args:
+            sent_at_ms: When the read was sent.
+            head: Head of the stream that it showed.
+        """
+        state = self._fold.state
+        if state.next_offset >= head:
+            self._head = HeadRead(sent_at_ms, state.changed_at)
+
+    def note_word(self, member: str, word: PeerWord) -> None:
+        """Takes in the reply of another entry.
+
+        Args:
+            member: Who replied.
+            word: What it said, and when it was asked.
+        """
+        earlier = self._words.get(member)
+        if earlier is None or earlier.sent_at_ms <= word.sent_at_ms:
+            self._words[member] = word
+        for name in self._words.keys() - self._fold.state.members - {member}:
+            self._words.pop(name)
+
+    def note_guest(self, bound_ms: float) -> None:
+        """Notes a reply on which an entry outside the known set may rely.
+
+        Args:
+            bound_ms: How long its permission may run.
+        """
+        until_ms = self._clock.steady_ms() + waiting_time_ms(bound_ms)
+        self._guest_until_ms = max(self._guest_until_ms, until_ms)
+
+    def guest_ms(self) -> float:
+        """Returns how long others may still rely on replies given them."""
+        return max(self._guest_until_ms - self._clock.steady_ms(), 0)
+
+    def _head_sent_at_ms(self) -> float:
+        head = self._head
+        if head is None or not self.is_member:
+            return NEVER_MS
+        if head.position != self._fold.state.changed_at:
+            return NEVER_MS
+        return head.sent_at_ms
+
+    def _majority_sent_at_ms(self) -> float:
+        position = self._fold.state.changed_at
+        membership = self._fold.state.memberships[-1]
+        sent = sorted(
+            (
+                word.sent_at_ms
+                for member, word in self._words.items()
+                if member in membership.members and word.position <= position
+            ),
+            reverse=True,
+        )
+        missing = membership.majority - int(self.is_member)
+        if not membership.members or missing > len(sent):
+            return NEVER_MS
+        if missing == 0:
+            return self._clock.steady_ms()
+        return sent[missing - 1]
+
+
+@dataclasses.dataclass(slots=True)
+class PendingPosition:
+    """A position that some entries may not have reached yet."""
+
+    position: int
+    seen_at_ms: float
+    acks: dict[str, float] = dataclasses.field(default_factory=dict)
+    guest_until_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+class AcceptanceTracker:
+    """Finds out when no entry admits work at an earlier position."""
+
+    def __init__(
+        self,
+        fold: ConfigurationFold,
+        member: str,
+        clock: Clock,
+    ) -> None:
+        """Starts with nothing accepted.
+
+        Args:
+            fold: What the entry has folded.
+            member: This entry's own name in the known set.
+            clock: Source of steady time.
+        """
+        self._fold = fold
+        self._member = member
+        self._clock = clock
+        self._accepted = 0
+        self.pending: dict[int, PendingPosition] = {}
+
+    @property
+    def accepted(self) -> int:
+        """Returns the highest position known to be accepted."""
+        return max(self._accepted, self._fold.state.floor)
+
+    def note_fold(self) -> None:
+        """Takes in what the fold has reached."""
+        now_ms = self._clock.steady_ms()
+        state = self._fold.state
+        positions = {row.position for row in state.history}
+        positions.add(state.changed_at)
+        for position in positions:
+            if position > self.accepted and position not in self.pending:
+                pending = PendingPosition(position, now_ms)
+                pending.acks[self._member] = now_ms
+                self.pending[position] = pending
+        self._forget_accepted()
+
+    def note_ack(self, member: str, position: int, guest_ms: float) -> None:
+        """Takes in the position of another entry.
+
+        Args:
+            member: Who it is.
+            position: What it has folded.
+            guest_ms: How long others may still rely on its earlier replies.
+        """
+        now_ms = self._clock.steady_ms()
+        guest_until_ms = now_ms + waiting_time_ms(guest_ms)
+        for pending in self.pending.values():
+            if pending.position <= position:
+                pending.acks.setdefault(member, now_ms)
+                pending.guest_until_ms.setdefault(member, guest_until_ms)
+
+    def evaluate(self) -> int:
+        """Returns the highest position accepted now."""
+        for position in sorted(self.pending, reverse=True):
+            if self._is_accepted(self.pending[position]):
+                self._accepted = max(self._accepted, position)
+                break
+        self._forget_accepted()
+        return self.accepted
+
+    def progress(self, position: int) -> Mapping[str, bool]:
+        """Tells which entries are known to have reached a position."""
+        holders = self._holders(position)
+        pending = self.pending.get(position)
+        if pending is None:
+            return dict.fromkeys(holders, position <= self.accepted)
+        return {member: member in pending.acks for member in holders}
+
+    def _holders(self, position: int) -> frozenset[str]:
+        memberships = self._fold.state.memberships_until(position)
+        return frozenset().union(*(known.members for known in memberships))
+
+    def _is_accepted(self, pending: PendingPosition) -> bool:
+        now_ms = self._clock.steady_ms()
+        if self._holders(pending.position) <= pending.acks.keys():
+            return now_ms >= max(pending.guest_until_ms.values(), default=0)
+        quorum_at_ms = self._quorum_at_ms(pending)
+        wait_ms = waiting_time_ms(self._fold.permission_bound_ms)
+        return now_ms >= max(quorum_at_ms, pending.seen_at_ms) + wait_ms
+
+    def _quorum_at_ms(self, pending: PendingPosition) -> float:
+        """Returns when no majority of a set in use lacked the position."""
+        latest_ms = NEVER_MS
+        for membership in self._fold.state.memberships_until(pending.position):
+            acked = sorted(
+                at_ms
+                for member, at_ms in pending.acks.items()
+                if member in membership.members
+            )
+            if not membership.members:
+                continue
+            if len(acked) < membership.blocking:
+                return float('inf')
+            latest_ms = max(latest_ms, acked[membership.blocking - 1])
+        return latest_ms
+
+    def _forget_accepted(self) -> None:
+        for position in tuple(self.pending):
+            if position <= self.accepted:
+                self.pending.pop(position)
--- /dev/null
+++ b/borageyard/permission_probes.py
@@ -0,0 +1,145 @@
+"""Asks peers for their configuration position and answers them."""
+
+import asyncio
+import contextlib
+
+from .clock import MS_PER_S, Clock
+from .configuration_log import ConfigurationFold
+from .generated.peer_permission import (
+    ConfigurationStateBody,
+    PermissionProbeBody,
+    PermissionReplyBody,
+    StateRequestBody,
+)
+from .peers import PeerError, PeerLink
+from .permission import AcceptanceTracker, PeerWord, PermissionHolder
+
+PROBE_MS = 50
+PROBE_TIMEOUT_MS = 250
+STATE_TIMEOUT_MS = 1000
+# Remaining permission below which peers are asked for more.
+LOW_PERMISSION_MS = 500
+
+
+class PermissionProber:
+    """Exchanges positions with peers while that is of use."""
+
+    def __init__(
+        self,
+        fold: ConfigurationFold,
+        permission: PermissionHolder,
+        tracker: AcceptanceTracker,
+        peers: PeerLink,
+        clock: Clock,
+    ) -> None:
+        """Registers the handlers of this exchange.
+
+        Args:
+            fold: What this entry has folded.
+            permission: Learns what peers say.
+            tracker: Learns which positions they have reached.
+            peers: The way to them.
+            clock: Source of steady time.
+        """
+        self._fold = fold
+        self._permission = permission
+        self._tracker = tracker
+        self._peers = peers
+        self._clock = clock
+        self._asked: set[str] = set()
+        self._ahead: set[str] = set()
+        peers.register(PermissionProbeBody, self._answer_probe)
+        peers.register(StateRequestBody, self._answer_state)
+
+    async def run(self) -> None:
+        """Probes for ever, while something is pending or running out."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                for peer_id in self._due():
+                    group.create_task(self._probe(peer_id))
+                self._tracker.evaluate()
+                await self._wait()
+
+    def _due(self) -> list[str]:
+        """Returns the peers to ask now."""
+        if not self._is_useful():
+            return []
+        return [
+            peer_id
+            for peer_id in self._peers.peer_ids()
+            if peer_id not in self._asked
+        ]
+
+    def _is_useful(self) -> bool:
+        if self._tracker.pending or self._ahead:
+            return True
+        return self._permission.remaining_ms() < LOW_PERMISSION_MS
+
+    async def _wait(self) -> None:
+        """Waits for the next round, or for a change."""
+        changed = self._fold.changed
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(PROBE_MS / MS_PER_S):
+                await changed.wait()
+
+    async def _probe(self, peer_id: str) -> None:
+        self._asked.add(peer_id)
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._asked.discard, peer_id)
+            stack.enter_context(contextlib.suppress(PeerError))
+            await self._exchange(peer_id)
+
+    async def _exchange(self, peer_id: str) -> None:
+        sent_at_ms = self._clock.steady_ms()
+        probe = PermissionProbeBody(
+            position=self._fold.state.changed_at,
+            is_member=self._permission.is_member,
+        )
+        reply = await self._peers.request(
+            peer_id,
+            probe,
+            PermissionReplyBody,
+            PROBE_TIMEOUT_MS,
+        )
+        self._ahead.discard(peer_id)
+        word = PeerWord(sent_at_ms, reply.position)
+        self._permission.note_word(reply.member, word)
+        self._tracker.note_ack(reply.member, reply.position, reply.guest_ms)
+        self._tracker.evaluate()
+        if reply.position > self._fold.state.changed_at:
+            await self._adopt(peer_id)
+
+    async def _adopt(self, peer_id: str) -> None:
+        """Takes the state of a peer that is ahead."""
+        reply = await self._peers.request(
+            peer_id,
+            StateRequestBody(next_offset=self._fold.state.next_offset),
+            ConfigurationStateBody,
+            STATE_TIMEOUT_MS,
+        )
+        if self._fold.adopt(reply.state):
+            self._tracker.note_fold()
+
+    async def _answer_probe(
+        self,
+        peer_id: str,
+        probe: PermissionProbeBody,
+    ) -> PermissionReplyBody:
+        position = self._fold.state.changed_at
+        if probe.position > position:
+            self._ahead.add(peer_id)
+        reply = PermissionReplyBody(
+            member=self._permission.member,
+            position=position,
+            guest_ms=self._permission.guest_ms(),
+        )
+        if not probe.is_member:
+            self._permission.note_guest(self._fold.permission_bound_ms)
+        return reply
+
+    async def _answer_state(
+        self,
+        peer_id: str,
+        request: StateRequestBody,
+    ) -> ConfigurationStateBody:
+        return ConfigurationStateBody(state=self._fold.checkpoint())
