Apply changes through the log and follow them to acceptance

Cause: an apply ended with its append and told nothing more. Change: endpoints for apply, show, history and progress entry by entry; a lost append answer is looked up by the change's id. Conclusion: tests in virtual time cover races, cuts, outages and expiry.

--- /dev/null
+++ b/borageyard/configuration_diff.py
@@ -0,0 +1,62 @@
+"""Differences between two configuration documents."""
+
+import dataclasses
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from .border import shown
+
+ROOT = '$'
+ABSENT = 'absent'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Difference:
+    """A place where two documents differ; absent values are empty."""
+
+    path: str
+    theirs: str
+    ours: str
+
+    def __str__(self) -> str:
+        """Returns one line for a person."""
+        theirs = self.theirs or ABSENT
+        ours = self.ours or ABSENT
+        return f'{self.path}: {theirs} -> {ours}'
+
+
+def differences(theirs: Any, ours: Any, path: str = ROOT) -> list[Difference]:
+    """Compares two decoded documents.
+
+    Args:
+        theirs: The document in force.
+        ours: The proposed one.
+        path: JSON path of the documents.
+
+    Returns:
+        The innermost differences in the order of their names.
+    """
+    return list(_compare(theirs, ours, path))
+
+
+def _compare(theirs: Any, ours: Any, path: str) -> Iterator[Difference]:
+    if isinstance(theirs, Mapping) and isinstance(ours, Mapping):
+        for name in sorted(theirs.keys() | ours.keys()):
+            yield from _compare_member(theirs, ours, path, name)
+    elif theirs != ours:
+        yield Difference(path, shown(theirs), shown(ours))
+
+
+def _compare_member(
+    theirs: Mapping[str, Any],
+    ours: Mapping[str, Any],
+    path: str,
+    name: str,
+) -> Iterator[Difference]:
+    place = f'{path}.{name}'
+    if name not in theirs:
+        yield Difference(place, '', shown(ours[name]))
+    elif name not in ours:
+        yield Difference(place, shown(theirs[name]), '')
+    else:
+        yield from _compare(theirs[name], ours[name], place)
--- /dev/null
+++ b/borageyard/configuration_handler.py
@@ -0,0 +1,157 @@
+"""HTTP endpoints of the configuration, for operators."""
+
+import dataclasses
+import hmac
+import types
+from collections.abc import Mapping
+from http import HTTPStatus
+
+from .border import DocumentError, check_document, parse_json
+from .configuration import parse_configuration
+from .configuration_changes import (
+    ChangeOutcome,
+    ChangeReport,
+    ConfigurationChanges,
+)
+from .configuration_log import ConfigurationFold
+from .errors import ErrorKind, Refusal
+from .generated.http_configuration import (
+    ChangeBody,
+    CurrentConfigurationBody,
+    DifferenceBody,
+    EntryProgressBody,
+    HistoryBody,
+    ProposalBody,
+    VersionBody,
+)
+from .http_messages import HttpRequest, HttpResponse, json_response
+from .identifiers import new_identifier
+from .wire import encode_refusal
+
+CONFIGURATION_PATH = '/v1/configuration'
+HISTORY_PATH = '/v1/configuration/history'
+PROGRESS_PATH = '/v1/configuration/progress'
+TOKEN_HEADER = 'x-borage-token'
+PROPOSAL = 'proposal'
+STATUSES: Mapping[ChangeOutcome, HTTPStatus] = types.MappingProxyType(
+    {
+        ChangeOutcome.ACCEPTED: HTTPStatus.OK,
+        ChangeOutcome.DECIDED: HTTPStatus.ACCEPTED,
+        ChangeOutcome.CONFLICT: HTTPStatus.CONFLICT,
+        ChangeOutcome.INVALID: HTTPStatus.UNPROCESSABLE_ENTITY,
+        ChangeOutcome.REFUSED: HTTPStatus.SERVICE_UNAVAILABLE,
+        ChangeOutcome.UNKNOWN: HTTPStatus.ACCEPTED,
+    },
+)
+
+
+class ConfigurationHandler:
+    """Answers the requests of operators about the configuration."""
+
+    def __init__(
+        self,
+        fold: ConfigurationFold,
+        changes: ConfigurationChanges,
+        operator_token: str,
+    ) -> None:
+        """Wraps what an entry knows of its configuration.
+
+        Args:
+            fold: The configuration decided last.
+            changes: Applies changes.
+            operator_token: What operators must show; empty for nothing.
+        """
+        self._fold = fold
+        self._changes = changes
+        self._operator_token = operator_token
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answers one request under the path of the configuration."""
+        if not self._is_operator(request):
+            return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
+        match (request.method, request.path):
+            case ('POST', '/v1/configuration'):
+                return await self._apply(request)
+            case ('GET', '/v1/configuration'):
+                return self._show()
+            case ('GET', '/v1/configuration/history'):
+                return self._history()
+            case ('GET', '/v1/configuration/progress'):
+                change_id = request.query.get('change_id', '')
+                report = await self._changes.progress(change_id)
+                return json_response(_change_body(report).model_dump())
+        return encode_refusal('', Refusal(ErrorKind.NOT_FOUND))
+
+    def _is_operator(self, request: HttpRequest) -> bool:
+        token = self._operator_token
+        shown_token = request.header(TOKEN_HEADER)
+        return not token or hmac.compare_digest(
+            token.encode(),
+            shown_token.encode(),
+        )
+
+    async def _apply(self, request: HttpRequest) -> HttpResponse:
+        try:
+            proposal = _parse_proposal(request)
+        except DocumentError as error:
+            kind = ErrorKind.CONFIGURATION_INVALID
+            return encode_refusal('', Refusal(kind, detail=str(error)))
+        report = await self._changes.apply(proposal)
+        return json_response(
+            _change_body(report).model_dump(),
+            STATUSES[report.outcome],
+        )
+
+    def _show(self) -> HttpResponse:
+        state = self._fold.state
+        row = state.history[-1] if state.history else None
+        accepted = row is not None and self._changes.is_accepted(row.position)
+        body = CurrentConfigurationBody(
+            version=state.version,
+            accepted=accepted,
+            digest=row.digest if row else '',
+            author=row.author if row else '',
+            document=state.document,
+        )
+        return json_response(body.model_dump())
+
+    def _history(self) -> HttpResponse:
+        versions = [
+            VersionBody(
+                version=row.version,
+                change_id=row.change_id,
+                author=row.author,
+                digest=row.digest,
+                appended_at_ms=row.appended_at_ms,
+                accepted=self._changes.is_accepted(row.position),
+            )
+            for row in self._fold.state.history
+        ]
+        return json_response(HistoryBody(versions=versions).model_dump())
+
+
+def _parse_proposal(request: HttpRequest) -> ProposalBody:
+    decoded = parse_json(request.body, PROPOSAL)
+    proposal = check_document(ProposalBody, decoded, PROPOSAL)
+    parse_configuration(proposal.document, 0)
+    if proposal.change_id:
+        return proposal
+    return proposal.model_copy(update={'change_id': new_identifier()})
+
+
+def _change_body(report: ChangeReport) -> ChangeBody:
+    return ChangeBody(
+        change_id=report.change_id,
+        outcome=report.outcome.value,
+        version=report.version,
+        author=report.author,
+        message=report.message,
+        differences=[
+            DifferenceBody(**dataclasses.asdict(difference))
+            for difference in report.differences
+        ],
+        entries=[
+            EntryProgressBody(member=member, state=state.value)
+            for member, state in report.entries
+        ],
+    )
--- a/borageyard/configuration_log.py
+++ b/borageyard/configuration_log.py
@@ -91,7 +91,7 @@
                 self._take_record(stored)
                 self.state.next_offset = stored.offset + 1
         if page.records:
-            self._notify()
+            self.notify()
 
     def recover(self, records: Iterable[LogRecord], start: int) -> bool:
         """Takes the state of the first checkpoint that leaves no gap.
@@ -130,15 +130,15 @@
             return False
         self.state = state
         log_event(Event.CONFIGURATION_ADOPTED, version=self.version)
-        self._notify()
+        self.notify()
         return True
 
     def checkpoint(self) -> dict[str, Any]:
         """Returns the state as the body of a checkpoint record."""
         return encode_state(self.state)
 
-    def _notify(self) -> None:
-        """Wakes whoever waits for a change."""
+    def notify(self) -> None:
+        """Wakes whoever waits for a change of what is in force."""
         if self.state.current is not None:
             self.known.set()
         self.changed.set()
--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from .clock import MS_PER_S, Clock
+from .configuration_changes import ConfigurationChanges
 from .configuration_log import ConfigurationFold
 from .configuration_sync import ConfigurationReader, ConfigurationWriter
 from .dispatch import StageDispatcher
@@ -86,6 +87,13 @@
             ports.peers,
             ports.clock,
         )
+        self.changes = ConfigurationChanges(
+            self.fold,
+            self.permission,
+            self.tracker,
+            self._prober,
+            ports.log,
+        )
         self._runner = PipelineRunner(self._build_gates(), ports.clock)
         self.running = 0
         self._idle = asyncio.Event()
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -2,15 +2,11 @@
 
 import asyncio
 import contextlib
-import hmac
 from collections.abc import AsyncIterator
 from http import HTTPStatus
-from typing import Any
 
 from .addresses import order_entries
-from .border import DocumentError, Problem, parse_json, shown
-from .configuration import parse_configuration
-from .configuration_log import CONFIGURATION_STREAM
+from .configuration_handler import CONFIGURATION_PATH, ConfigurationHandler
 from .core import EntryCore
 from .errors import ErrorKind, Refusal, RefusalError
 from .http_messages import (
@@ -21,7 +17,6 @@
     json_response,
 )
 from .pipeline import Outcome
-from .platform import PlatformError
 from .requests import PipelineRequest
 from .target import TokenEvent
 from .wire import (
@@ -34,7 +29,6 @@
 
 PIPELINE_PREFIX = '/v1/pipelines/'
 TOKEN_QUEUE_SIZE = 64
-TOKEN_HEADER = 'x-borage-token'
 
 
 class QueueSink:
@@ -61,6 +55,11 @@
             core: What runs the requests.
         """
         self._core = core
+        self._configuration = ConfigurationHandler(
+            core.fold,
+            core.changes,
+            core.settings.operator_token,
+        )
         self._routes = {
             ('GET', '/v1/entries'): self._entries,
             ('GET', '/v1/status'): self._status,
@@ -73,10 +72,9 @@
         """Answers one request."""
         if request.path.startswith(PIPELINE_PREFIX):
             return await self._run_pipeline(request)
-        where = (request.method, request.path)
-        if where == ('POST', '/v1/configuration'):
-            return await self._apply(request)
-        route = self._routes.get(where)
+        if request.path.startswith(CONFIGURATION_PATH):
+            return await self._configuration.handle(request)
+        route = self._routes.get((request.method, request.path))
         if route is None:
             return encode_refusal('', Refusal(ErrorKind.NOT_FOUND))
         return route(request)
@@ -173,39 +171,6 @@
             HTTPStatus.SERVICE_UNAVAILABLE,
         )
 
-    async def _apply(self, request: HttpRequest) -> HttpResponse:
-        if not self._is_operator(request):
-            return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
-        try:
-            proposal = _parse_proposal(request)
-        except DocumentError as error:
-            kind = ErrorKind.CONFIGURATION_INVALID
-            return encode_refusal('', Refusal(kind, detail=str(error)))
-        log = self._core.ports.log
-        try:
-            offset = await log.append(CONFIGURATION_STREAM, proposal)
-        except PlatformError as error:
-            kind = ErrorKind.LOG_UNAVAILABLE
-            return encode_refusal('', Refusal(kind, detail=str(error)))
-        return json_response({'offset': offset})
-
-    def _is_operator(self, request: HttpRequest) -> bool:
-        token = self._core.settings.operator_token
-        shown_token = request.header(TOKEN_HEADER)
-        return not token or hmac.compare_digest(
-            token.encode(),
-            shown_token.encode(),
-        )
-
-
-def _parse_proposal(request: HttpRequest) -> dict[str, Any]:
-    proposal = parse_json(request.body, 'proposal')
-    if not isinstance(proposal, dict):
-        problem = Problem('$', shown(proposal), 'an object')
-        raise DocumentError('proposal', (problem,))
-    parse_configuration(proposal.get('document'), 0)
-    return proposal
-
 
 async def _relay(
     request: PipelineRequest,
--- a/borageyard/permission.py
+++ b/borageyard/permission.py
@@ -113,6 +113,17 @@
         for name in self._words.keys() - self._fold.state.members - {member}:
             self._words.pop(name)
 
+    def reached(self, position: int) -> Mapping[str, bool]:
+        """Tells which known entries are known to have reached a position."""
+        positions = {
+            member: word.position for member, word in self._words.items()
+        }
+        positions[self.member] = self._fold.state.changed_at
+        return {
+            member: positions.get(member, 0) >= position
+            for member in sorted(self._fold.state.members)
+        }
+
     def note_guest(self, bound_ms: float) -> None:
         """Notes a reply on which an entry outside the known set may rely.
 
@@ -227,14 +238,6 @@
         self._forget_accepted()
         return self.accepted
 
-    def progress(self, position: int) -> Mapping[str, bool]:
-        """Tells which entries are known to have reached a position."""
-        holders = self._holders(position)
-        pending = self.pending.get(position)
-        if pending is None:
-            return dict.fromkeys(holders, position <= self.accepted)
-        return {member: member in pending.acks for member in holders}
-
     def _holders(self, position: int) -> frozenset[str]:
         memberships = self._fold.state.memberships_until(position)
         return frozenset().union(*(known.members for known in memberships))
--- a/borageyard/permission_probes.py
+++ b/borageyard/permission_probes.py
@@ -57,9 +57,13 @@
             while True:
                 for peer_id in self._due():
                     group.create_task(self._probe(peer_id))
-                self._tracker.evaluate()
+                self._evaluate()
                 await self._wait()
 
+    async def ask_all(self) -> None:
+        """Asks every peer once."""
+        await asyncio.gather(*map(self._probe, self._peers.peer_ids()))
+
     def _due(self) -> list[str]:
         """Returns the peers to ask now."""
         if not self._is_useful():
@@ -89,6 +93,11 @@
             stack.enter_context(contextlib.suppress(PeerError))
             await self._exchange(peer_id)
 
+    def _evaluate(self) -> None:
+        accepted = self._tracker.accepted
+        if self._tracker.evaluate() > accepted:
+            self._fold.notify()
+
     async def _exchange(self, peer_id: str) -> None:
         sent_at_ms = self._clock.steady_ms()
         probe = PermissionProbeBody(
@@ -105,7 +114,7 @@
         word = PeerWord(sent_at_ms, reply.position)
         self._permission.note_word(reply.member, word)
         self._tracker.note_ack(reply.member, reply.position, reply.guest_ms)
-        self._tracker.evaluate()
+        self._evaluate()
         if reply.position > self._fold.state.changed_at:
             await self._adopt(peer_id)
 
--- /dev/null
+++ b/tests/test_configuration_sync.py
@@ -0,0 +1,292 @@
+"""Tests of configuration, known set and permission between entries."""
+
+import asyncio
+import contextlib
+import copy
+import pathlib
+
+import pytest
+
+from borageyard.configuration_changes import ChangeOutcome, EntryState
+from borageyard.configuration_log import CONFIGURATION_STREAM
+from borageyard.demo import load_plan
+from borageyard.errors import ErrorKind
+from borageyard.generated.http_configuration import ProposalBody
+from borageyard.memory_deployment import MemoryDeployment
+from borageyard.platform import MemoryLog
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+PERMISSION_MS = 1000
+
+
+@contextlib.asynccontextmanager
+async def running(settle_s=2):
+    """Runs four entries in memory until they are quiet."""
+    plan = load_plan('hundaganga', EXAMPLES)
+    async with MemoryDeployment(plan) as deployment:
+        await asyncio.sleep(settle_s)
+        yield deployment
+
+
+def core_of(deployment, index):
+    """Returns an entry by its number."""
+    return deployment.entries[f'entry-{index}'].core
+
+
+def proposal(deployment, change_id, base_version=1, deadline_ms=8000):
+    """Returns a change of one deadline."""
+    document = copy.deepcopy(dict(deployment.plan.document))
+    document['pipelines']['booking']['deadline_ms'] = deadline_ms
+    return ProposalBody(
+        change_id=change_id,
+        base_version=base_version,
+        author=f'author of {change_id}',
+        document=document,
+    )
+
+
+def cut_off(deployment, indexes):
+    """Cuts entries off from the log and from all other entries."""
+    names = {f'entry-{index}' for index in indexes}
+    for name in names:
+        deployment.entries[name].log.cut = True
+    for name in names:
+        for other in deployment.entries.keys() - names:
+            deployment.network.cut(name, other)
+            deployment.network.cut(other, name)
+
+
+def may_admit(core):
+    """Tells whether an entry admits work now."""
+    return core.permission.check() is None
+
+
+@pytest.mark.looptime
+class TestApply:
+    """A change on its way to all entries."""
+
+    async def test_is_accepted_everywhere(self):
+        """A change is accepted when all entries have it."""
+        async with running() as deployment:
+            change = proposal(deployment, 'one')
+            report = await core_of(deployment, 0).changes.apply(change)
+            versions = {
+                entry.core.fold.version for entry in deployment.entries.values()
+            }
+        assert report.outcome is ChangeOutcome.ACCEPTED
+        assert versions == {2}
+        assert {state for _, state in report.entries} == {EntryState.IN_FORCE}
+
+    async def test_race_has_one_winner(self):
+        """Of two operators at different entries one gets a conflict."""
+        async with running() as deployment:
+            reports = await asyncio.gather(
+                core_of(deployment, 0).changes.apply(
+                    proposal(deployment, 'one', deadline_ms=8000),
+                ),
+                core_of(deployment, 1).changes.apply(
+                    proposal(deployment, 'two', deadline_ms=7000),
+                ),
+            )
+        outcomes = {report.outcome: report for report in reports}
+        assert outcomes.keys() == {
+            ChangeOutcome.ACCEPTED,
+            ChangeOutcome.CONFLICT,
+        }
+        won = outcomes[ChangeOutcome.ACCEPTED]
+        lost = outcomes[ChangeOutcome.CONFLICT]
+        assert lost.author == won.author
+        assert [row.path for row in lost.differences] == [
+            '$.pipelines.booking.deadline_ms',
+        ]
+
+    async def test_lost_answer_is_looked_up(self):
+        """An append whose answer was lost still ends in accepted."""
+        async with running() as deployment:
+            deployment.log.faults.lose_next_answers = 1
+            change = proposal(deployment, 'one')
+            report = await core_of(deployment, 0).changes.apply(change)
+        assert report.outcome is ChangeOutcome.ACCEPTED
+
+    async def test_lost_answer_before_an_outage_is_unknown_for_now(self):
+        """What is unknown can be asked for with its id later."""
+        async with running() as deployment:
+            core = core_of(deployment, 0)
+            deployment.log.faults.lose_next_answers = 1
+            deployment.log.faults.delay_ms = 1
+            change = proposal(deployment, 'one')
+            applied = asyncio.ensure_future(core.changes.apply(change))
+            await asyncio.sleep(0.0011)
+            deployment.log.faults.outage = True
+            report = await applied
+            deployment.log.faults.outage = False
+            await asyncio.sleep(2)
+            later = await core.changes.progress('one')
+        assert report.outcome is ChangeOutcome.UNKNOWN
+        assert later.outcome is ChangeOutcome.ACCEPTED
+
+    async def test_same_id_is_applied_once(self):
+        """A repeated change does not make a second version."""
+        async with running() as deployment:
+            changes = core_of(deployment, 0).changes
+            await changes.apply(proposal(deployment, 'one'))
+            again = await changes.apply(proposal(deployment, 'one'))
+            version = core_of(deployment, 0).fold.version
+        assert again.outcome is ChangeOutcome.ACCEPTED
+        assert version == 2
+
+    async def test_outage_refuses_change(self):
+        """A change that the log did not take had no effect."""
+        async with running() as deployment:
+            deployment.log.faults.outage = True
+            change = proposal(deployment, 'one')
+            report = await core_of(deployment, 0).changes.apply(change)
+        assert report.outcome is ChangeOutcome.REFUSED
+
+    async def test_dead_entry_delays_by_one_permission(self):
+        """With a dead entry a change waits until its permission lapsed."""
+        async with running() as deployment:
+            await deployment.kill_entry('entry-3')
+            started_s = asyncio.get_running_loop().time()
+            change = proposal(deployment, 'one')
+            report = await core_of(deployment, 0).changes.apply(change)
+            passed_s = asyncio.get_running_loop().time() - started_s
+        assert report.outcome is ChangeOutcome.ACCEPTED
+        assert PERMISSION_MS / 1000 <= passed_s <= 3
+        states = {state for _, state in report.entries}
+        assert states == {EntryState.IN_FORCE, EntryState.LAPSED}
+
+
+@pytest.mark.looptime
+class TestPermission:
+    """Entries that are cut off, and outages."""
+
+    async def test_outage_keeps_permission(self):
+        """Entries that reach each other serve on without the log."""
+        async with running() as deployment:
+            deployment.log.faults.outage = True
+            await asyncio.sleep(60)
+            permitted = [
+                may_admit(entry.core) for entry in deployment.entries.values()
+            ]
+        assert all(permitted)
+
+    async def test_half_without_log_stops_before_acceptance(self):
+        """A change is accepted only after the cut half has stopped."""
+        async with running() as deployment:
+            cut_off(deployment, (2, 3))
+            change = proposal(deployment, 'one')
+            report = await core_of(deployment, 0).changes.apply(change)
+            permitted = [
+                may_admit(core_of(deployment, index)) for index in range(4)
+            ]
+            refusal = core_of(deployment, 3).permission.check()
+        assert report.outcome is ChangeOutcome.ACCEPTED
+        assert permitted == [True, True, False, False]
+        assert refusal.kind is ErrorKind.NO_PERMISSION
+
+    async def test_cut_half_returns_with_the_new_version(self):
+        """After the cut an entry never serves the old version again."""
+        async with running() as deployment:
+            cut_off(deployment, (2, 3))
+            change = proposal(deployment, 'one')
+            await core_of(deployment, 0).changes.apply(change)
+            deployment.network.heal()
+            seen = set()
+            for _ in range(1000):
+                await asyncio.sleep(0.001)
+                core = core_of(deployment, 3)
+                if may_admit(core):
+                    seen.add(core.fold.version)
+        assert seen == {2}
+
+    async def test_start_in_outage_takes_state_from_peers(self):
+        """A new entry serves during an outage with what peers have."""
+        async with running() as deployment:
+            deployment.log.faults.outage = True
+            core = await deployment.start_entry(4)
+            ready_at_start = may_admit(core)
+            await asyncio.sleep(1)
+            assert may_admit(core)
+            version = core.fold.version
+        assert not ready_at_start
+        assert version == 1
+
+    async def test_start_alone_in_outage_is_not_ready(self):
+        """A new entry that reaches nobody admits nothing."""
+        async with running() as deployment:
+            deployment.log.faults.outage = True
+            for index in range(4):
+                deployment.network.cut(f'entry-{index}', 'entry-4')
+                deployment.network.cut('entry-4', f'entry-{index}')
+            core = await deployment.start_entry(4)
+            await asyncio.sleep(10)
+            refusal = core.permission.check()
+        assert refusal.kind is ErrorKind.NO_PERMISSION
+
+
+@pytest.mark.looptime
+class TestRetention:
+    """Records that expire."""
+
+    async def test_checkpoint_carries_state_over_expiry(self):
+        """A new entry recovers from a checkpoint when records expired."""
+        async with running() as deployment:
+            await core_of(deployment, 0).changes.apply(
+                proposal(deployment, 'one'),
+            )
+            await asyncio.sleep(1200)
+            log: MemoryLog = deployment.log
+            page = log.read_now(CONFIGURATION_STREAM, 0)
+            first = next(
+                row for row in page.records if row.body['type'] == 'checkpoint'
+            )
+            log.expire_before(CONFIGURATION_STREAM, first.offset)
+            core = await deployment.start_entry(4)
+            await asyncio.sleep(1)
+            assert may_admit(core)
+            version = core.fold.version
+        assert version == 2
+
+    async def test_gap_without_checkpoint_is_filled_by_a_peer(self):
+        """Without a checkpoint the state comes from a peer."""
+        async with running() as deployment:
+            log: MemoryLog = deployment.log
+            head = log.read_now(CONFIGURATION_STREAM, 0).head
+            log.expire_before(CONFIGURATION_STREAM, head)
+            core = await deployment.start_entry(4)
+            await asyncio.sleep(2)
+            assert may_admit(core)
+            version = core.fold.version
+        assert version == 1
+
+
+@pytest.mark.looptime
+class TestKnownSet:
+    """Entries that come and go."""
+
+    async def test_listed_as_gone_leaves(self):
+        """An entry that the list lacks for long leaves the known set."""
+        async with running() as deployment:
+            await deployment.kill_entry('entry-3')
+            deployment.instances.rows = [
+                row
+                for row in deployment.instances.rows
+                if row.instance_id != 'entry-3'
+            ]
+            await asyncio.sleep(10)
+            state = core_of(deployment, 0).fold.state
+            floor_is_up = state.floor == state.changed_at
+        assert len(state.members) == 3
+        assert floor_is_up
+
+    async def test_graceful_stop_leaves_at_once(self):
+        """An entry that stops takes itself out of the known set."""
+        async with running() as deployment:
+            core = core_of(deployment, 3)
+            core.settings.drain_ms = 0
+            await core.drain()
+            await asyncio.sleep(1)
+            members = core_of(deployment, 0).fold.state.members
+        assert core.permission.member not in members
+        assert len(members) == 3
