--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -5,8 +5,14 @@
 from collections.abc import AsyncIterator
 from http import HTTPStatus
 
+<<<<<<< HEAD
 from .addresses import order_entries
 from .configuration_handler import CONFIGURATION_PATH, ConfigurationHandler
+=======
+from .border import DocumentError, Problem, parse_json, shown
+from .configuration import parse_configuration
+from .configuration_log import CONFIGURATION_STREAM
+>>>>>>> main
 from .core import EntryCore
 from .errors import ErrorKind, Refusal, RefusalError
 from .http_messages import (
@@ -19,11 +25,14 @@
 from .pipeline import Outcome
 from .requests import PipelineRequest
 from .target import TokenEvent
+from .tokens import check_organisation, is_operator
 from .wire import (
+    ORGANISATION_HEADER,
     decode_request,
     encode_outcome,
     encode_refusal,
     outcome_payload,
+    request_id_of,
     token_payload,
 )
 
@@ -76,20 +85,38 @@
             return await self._configuration.handle(request)
         route = self._routes.get((request.method, request.path))
         if route is None:
-            return encode_refusal('', Refusal(ErrorKind.NOT_FOUND))
+            return self._refuse_route(request)
         return route(request)
 
+    def _refuse_route(self, request: HttpRequest) -> HttpResponse:
+        paths = {path for _, path in self._routes}
+        kind = ErrorKind.NOT_FOUND
+        if request.path in paths:
+            kind = ErrorKind.METHOD_NOT_ALLOWED
+        return encode_refusal(request_id_of(request.headers), Refusal(kind))
+
     async def _run_pipeline(self, request: HttpRequest) -> HttpResponse:
         pipeline = request.path.removeprefix(PIPELINE_PREFIX)
         try:
-            decoded = decode_request(request, pipeline, self._core.ports.clock)
+            decoded = self._check(request, pipeline)
         except RefusalError as error:
-            return encode_refusal('', error.refusal)
+            request_id = request_id_of(request.headers)
+            return encode_refusal(request_id, error.refusal)
         if decoded.stream:
             return await self._stream(decoded)
         outcome = await self._core.run(decoded)
         return encode_outcome(decoded.request_id, outcome)
 
+    def _check(self, request: HttpRequest, pipeline: str) -> PipelineRequest:
+        if request.method != 'POST':
+            raise RefusalError(Refusal(ErrorKind.METHOD_NOT_ALLOWED))
+        configuration = self._core.fold.current()
+        if configuration is not None:
+            name = request.header(ORGANISATION_HEADER)
+            organisation = configuration.organisations.get(name)
+            check_organisation(organisation, request)
+        return decode_request(request, pipeline, self._core.ports.clock)
+
     async def _stream(self, request: PipelineRequest) -> HttpResponse:
         """Answers with events once the first token is there."""
         sink = QueueSink()
@@ -125,10 +152,7 @@
                 'address': row.address,
                 'failure_domain': row.failure_domain,
             }
-            for row in order_entries(core.watcher.listed, domain)
-            if not (
-                core.draining and row.instance_id == core.settings.instance_id
-            )
+            for row in core.entry_addresses(domain)
         ]
         keep_ms = core.settings.address_ttl_ms
         return json_response({'entries': rows, 'keep_ms': keep_ms})
@@ -171,6 +195,37 @@
             HTTPStatus.SERVICE_UNAVAILABLE,
         )
 
+<<<<<<< HEAD
+=======
+    async def _apply(self, request: HttpRequest) -> HttpResponse:
+        if not self._is_operator(request):
+            return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
+        try:
+            proposal = _parse_proposal(request)
+        except DocumentError as error:
+            kind = ErrorKind.CONFIGURATION_INVALID
+            return encode_refusal('', Refusal(kind, detail=str(error)))
+        log = self._core.ports.log
+        try:
+            offset = await log.append(CONFIGURATION_STREAM, proposal)
+        except PlatformError as error:
+            kind = ErrorKind.LOG_UNAVAILABLE
+            return encode_refusal('', Refusal(kind, detail=str(error)))
+        return json_response({'offset': offset})
+
+    def _is_operator(self, request: HttpRequest) -> bool:
+        return is_operator(self._core.settings.operator_token, request)
+
+
+def _parse_proposal(request: HttpRequest) -> dict[str, Any]:
+    proposal = parse_json(request.body, 'proposal')
+    if not isinstance(proposal, dict):
+        problem = Problem('$', shown(proposal), 'an object')
+        raise DocumentError('proposal', (problem,))
+    parse_configuration(proposal.get('document'), 0)
+    return proposal
+
+>>>>>>> main
 
 async def _relay(
     request: PipelineRequest,
--- a/borageyard/events.py
+++ b/borageyard/events.py
@@ -24,6 +24,12 @@
     CONFIGURATION_GAP = 1405
     MEMBER_LEFT = 1406
     PLATFORM_FAILED = 1501
+    PEER_CONNECTED = 1601
+    PEER_LOST = 1602
+    PEER_FRAME_BROKEN = 1603
+    PEER_REFUSED = 1604
+    MEMBER_CHANGED = 1605
+    PEER_HANDLER_FAILED = 1606
 
 
 def log_event(event: Event, **fields: Any) -> None:
