--- a/borageyard/configuration_handler.py
+++ b/borageyard/configuration_handler.py
@@ -1,7 +1,6 @@
 """HTTP endpoints of the configuration, for operators."""
 
 import dataclasses
-import hmac
 import types
 from collections.abc import Mapping
 from http import HTTPStatus
@@ -26,11 +25,10 @@
 )
 from .http_messages import HttpRequest, HttpResponse, json_response
 from .identifiers import new_identifier
+from .tokens import is_operator
 from .wire import encode_refusal
 
 CONFIGURATION_PATH = '/v1/configuration'
-HISTORY_PATH = '/v1/configuration/history'
-PROGRESS_PATH = '/v1/configuration/progress'
 TOKEN_HEADER = 'x-borage-token'
 PROPOSAL = 'proposal'
 STATUSES: Mapping[ChangeOutcome, HTTPStatus] = types.MappingProxyType(
@@ -67,7 +65,7 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answers one request under the path of the configuration."""
-        if not self._is_operator(request):
+        if not is_operator(self._operator_token, request):
             return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
         match (request.method, request.path):
             case ('POST', '/v1/configuration'):
@@ -82,14 +80,6 @@
                 return json_response(_change_body(report).model_dump())
         return encode_refusal('', Refusal(ErrorKind.NOT_FOUND))
 
-    def _is_operator(self, request: HttpRequest) -> bool:
-        token = self._operator_token
-        shown_token = request.header(TOKEN_HEADER)
-        return not token or hmac.compare_digest(
-            token.encode(),
-            shown_token.encode(),
-        )
-
     async def _apply(self, request: HttpRequest) -> HttpResponse:
         try:
             proposal = _parse_proposal(request)
--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -11,31 +11,17 @@
 
 from .addresses import EntryAddress, order_entries
 from .clock import MS_PER_S, Clock
-from .configuration_changes import ConfigurationChanges
-from .configuration_log import ConfigurationFold
-from .configuration_sync import ConfigurationReader, ConfigurationWriter
+from .configuration_service import ConfigurationService
 from .dispatch import StageDispatcher
 from .draining import DrainPlan
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .generated.settings import EntrySettings
-<<<<<<< HEAD
-from .identifiers import new_identifier
 from .local_gates import LocalClaims, NoStageStore, OpenAdmission
-=======
-from .local_gates import (
-    LocalClaims,
-    NoStageStore,
-    OpenAdmission,
-    OpenPermission,
-)
 from .membership import Membership
 from .membership_service import MembershipService, OwnState
->>>>>>> main
 from .metrics import EntryMetrics
 from .peers import PeerLink
-from .permission import AcceptanceTracker, PermissionHolder
-from .permission_probes import PermissionProber
 from .pipeline import Outcome, PipelineGates, PipelineRunner
 from .platform import InstanceList, LogService
 from .requests import PipelineRequest, TokenSink
@@ -74,55 +60,22 @@
         self.ports = ports
         self.metrics = EntryMetrics()
         self.directory = TargetDirectory()
-        self.fold = ConfigurationFold()
-<<<<<<< HEAD
-        member = f'{settings.instance_id}#{new_identifier()}'
-        self.permission = PermissionHolder(self.fold, member, ports.clock)
-        self.tracker = AcceptanceTracker(self.fold, member, ports.clock)
-        self.draining = False
-=======
-        self.permission = OpenPermission()
+        self.configuration = ConfigurationService(
+            settings.instance_id,
+            ports.log,
+            ports.peers,
+            ports.clock,
+            settings.platform.log_retention_ms,
+        )
+        self.fold = self.configuration.fold
+        self.permission = self.configuration.permission
         self.drain_plan = DrainPlan(settings.drain_ms, settings.address_ttl_ms)
->>>>>>> main
         self.watcher = TargetWatcher(
             self.directory,
             ports.instances,
             ports.targets,
             ports.clock,
         )
-<<<<<<< HEAD
-        self.reader = ConfigurationReader(
-            self.fold,
-            ports.log,
-            self.permission,
-            self.tracker,
-            ports.clock,
-        )
-        self._writer = ConfigurationWriter(
-            self.reader,
-            self.tracker,
-            self.permission,
-            ports.log,
-            ports.clock,
-            settings.platform.log_retention_ms,
-        )
-        self._prober = PermissionProber(
-            self.fold,
-            self.permission,
-            self.tracker,
-            ports.peers,
-            ports.clock,
-        )
-        self.changes = ConfigurationChanges(
-            self.fold,
-            self.permission,
-            self.tracker,
-            self._prober,
-            ports.log,
-        )
-        self._runner = PipelineRunner(self._build_gates(), ports.clock)
-        self.running = 0
-=======
         self.own = OwnState(
             incarnation=ports.incarnation or int(ports.clock.wall_ms()),
             failure_domain=settings.failure_domain,
@@ -140,9 +93,7 @@
             lambda: self.watcher.listed,
         )
         self._random = random.Random(ports.seed)
-        self._reader = ConfigurationReader(self.fold, ports.log)
         self._runner = self._build_runner()
->>>>>>> main
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -153,18 +104,11 @@
             stack: Owns the background work.
         """
         await self.watcher.poll_instances()
-        await self._writer.join()
+        await self.configuration.start(stack, lambda: self.watcher.listed)
         platform = self.settings.platform
         await stack.enter_async_context(
             running_tasks(
-<<<<<<< HEAD
-                self.reader.follow(),
-                self._writer.run(lambda: self.watcher.listed),
-                self._prober.run(),
-=======
-                self._reader.follow(),
                 self._members.run(),
->>>>>>> main
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
             ),
@@ -206,8 +150,7 @@
         )
         wait_ms = self.drain_plan.wait_ms(clock.steady_ms())
         await asyncio.sleep(wait_ms / MS_PER_S)
-        self.permission.closed = True
-        await self._writer.leave()
+        await self.configuration.close()
         await self._idle.wait()
 
     @property
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -5,14 +5,7 @@
 from collections.abc import AsyncIterator
 from http import HTTPStatus
 
-<<<<<<< HEAD
-from .addresses import order_entries
 from .configuration_handler import CONFIGURATION_PATH, ConfigurationHandler
-=======
-from .border import DocumentError, Problem, parse_json, shown
-from .configuration import parse_configuration
-from .configuration_log import CONFIGURATION_STREAM
->>>>>>> main
 from .core import EntryCore
 from .errors import ErrorKind, Refusal, RefusalError
 from .http_messages import (
@@ -25,7 +18,7 @@
 from .pipeline import Outcome
 from .requests import PipelineRequest
 from .target import TokenEvent
-from .tokens import check_organisation, is_operator
+from .tokens import check_organisation
 from .wire import (
     ORGANISATION_HEADER,
     decode_request,
@@ -66,7 +59,7 @@
         self._core = core
         self._configuration = ConfigurationHandler(
             core.fold,
-            core.changes,
+            core.configuration.changes,
             core.settings.operator_token,
         )
         self._routes = {
@@ -195,37 +188,6 @@
             HTTPStatus.SERVICE_UNAVAILABLE,
         )
 
-<<<<<<< HEAD
-=======
-    async def _apply(self, request: HttpRequest) -> HttpResponse:
-        if not self._is_operator(request):
-            return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
-        try:
-            proposal = _parse_proposal(request)
-        except DocumentError as error:
-            kind = ErrorKind.CONFIGURATION_INVALID
-            return encode_refusal('', Refusal(kind, detail=str(error)))
-        log = self._core.ports.log
-        try:
-            offset = await log.append(CONFIGURATION_STREAM, proposal)
-        except PlatformError as error:
-            kind = ErrorKind.LOG_UNAVAILABLE
-            return encode_refusal('', Refusal(kind, detail=str(error)))
-        return json_response({'offset': offset})
-
-    def _is_operator(self, request: HttpRequest) -> bool:
-        return is_operator(self._core.settings.operator_token, request)
-
-
-def _parse_proposal(request: HttpRequest) -> dict[str, Any]:
-    proposal = parse_json(request.body, 'proposal')
-    if not isinstance(proposal, dict):
-        problem = Problem('$', shown(proposal), 'an object')
-        raise DocumentError('proposal', (problem,))
-    parse_configuration(proposal.get('document'), 0)
-    return proposal
-
->>>>>>> main
 
 async def _relay(
     request: PipelineRequest,
--- a/borageyard/permission_probes.py
+++ b/borageyard/permission_probes.py
@@ -5,6 +5,7 @@
 
 from .clock import MS_PER_S, Clock
 from .configuration_log import ConfigurationFold
+from .events import Event, log_event
 from .generated.peer_permission import (
     ConfigurationStateBody,
     PermissionProbeBody,
@@ -95,7 +96,9 @@
 
     def _evaluate(self) -> None:
         accepted = self._tracker.accepted
-        if self._tracker.evaluate() > accepted:
+        position = self._tracker.evaluate()
+        if position > accepted:
+            log_event(Event.CONFIGURATION_ACCEPTED, position=position)
             self._fold.notify()
 
     async def _exchange(self, peer_id: str) -> None:
