Merge the configuration in log order and serving permissions

Cause: the configuration service was built beside the policy. Change: both compositions kept in the core. Conclusion: entries admit work only with a permission, and applies are folded in log order.

--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -11,24 +11,20 @@
 
 from .addresses import EntryAddress, order_entries
 from .clock import MS_PER_S, Clock
-from .configuration_log import ConfigurationFold, ConfigurationReader
+from .configuration_service import ConfigurationService
 from .dispatch import StageDispatcher
 from .draining import DrainPlan
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .gate import PolicyAdmission
 from .generated.settings import EntrySettings
-from .local_gates import (
-    LocalClaims,
-    NoStageStore,
-    OpenPermission,
-)
+from .local_gates import LocalClaims, NoStageStore
 from .membership import Membership
 from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
 from .peers import PeerLink
 from .pipeline import Outcome, PipelineGates, PipelineRunner
-from .platform import InstanceList, LogService, PlatformError
+from .platform import InstanceList, LogService
 from .policy import EntryPolicy, PolicyOptions, PolicyPlace
 from .policy_news import PolicyNews
 from .requests import PipelineRequest, TokenSink
@@ -74,8 +70,15 @@
             ports.policy,
         )
         PolicyNews(self.policy).register(ports.peers)
-        self.fold = ConfigurationFold()
-        self.permission = OpenPermission()
+        self.configuration = ConfigurationService(
+            settings.instance_id,
+            ports.log,
+            ports.peers,
+            ports.clock,
+            settings.platform.log_retention_ms,
+        )
+        self.fold = self.configuration.fold
+        self.permission = self.configuration.permission
         self.drain_plan = DrainPlan(settings.drain_ms, settings.address_ttl_ms)
         self.watcher = TargetWatcher(
             self.directory,
@@ -101,7 +104,6 @@
             lambda: self.watcher.listed,
         )
         self._random = random.Random(ports.seed)
-        self._reader = ConfigurationReader(self.fold, ports.log)
         self._runner = self._build_runner()
         self._idle = asyncio.Event()
         self._idle.set()
@@ -113,12 +115,10 @@
             stack: Owns the background work.
         """
         await self.watcher.poll_instances()
-        with contextlib.suppress(PlatformError):
-            await self._reader.catch_up()
+        await self.configuration.start(stack, lambda: self.watcher.listed)
         platform = self.settings.platform
         await stack.enter_async_context(
             running_tasks(
-                self._reader.follow(),
                 self._members.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
@@ -162,7 +162,7 @@
         )
         wait_ms = self.drain_plan.wait_ms(clock.steady_ms())
         await asyncio.sleep(wait_ms / MS_PER_S)
-        self.permission.closed = True
+        await self.configuration.close()
         await self._idle.wait()
 
     @property
