Claim keys of non-idempotent requests on the log

A non-idempotent request was claimed in the memory of one entry, so a retry at another entry ran it again. Claims, voids and outcomes now go through claim streams of the log: the first live claim in log order wins, an entry dispatches only after reading its own claim back, retries attach to the holder or get the recorded outcome, and a lost append answer is looked for by its batch id. Virtual time starts ahead of the machine's, so that keys made in tests are not in its future.

--- /dev/null
+++ b/borageyard/checkpoints.py
@@ -0,0 +1,121 @@
+"""Checkpoints that carry claims forward before the log drops them."""
+
+import dataclasses
+
+from .claim_records import (
+    BatchItem,
+    claim_record,
+    outcome_record,
+)
+from .claims import ClaimFold, KeyState
+from .generated.log_claims import CheckpointRecord, VoidRecord
+
+MAX_PART_ITEMS = 256
+KEPT_CHECKPOINTS = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckpointSpan:
+    """What a complete checkpoint stands for.
+
+    It carries every key made since a time, as far as records before an
+    offset tell of it.
+    """
+
+    checkpoint_id: str
+    through_offset: int
+    keys_from_ms: float
+
+
+def build_checkpoint(
+    span: CheckpointSpan,
+    fold: ClaimFold,
+) -> list[list[BatchItem]]:
+    """Returns the parts of a checkpoint, each for one append.
+
+    Args:
+        span: What it stands for; the fold must cover it.
+        fold: What is known of the keys.
+    """
+    items: list[BatchItem] = []
+    for key, state in fold.keys_from(span.keys_from_ms).items():
+        items.extend(_carried(key, state))
+    starts = range(0, max(len(items), 1), MAX_PART_ITEMS)
+    return [
+        [
+            *items[start : start + MAX_PART_ITEMS],
+            CheckpointRecord(
+                checkpoint_id=span.checkpoint_id,
+                part=part,
+                parts=len(starts),
+                through_offset=span.through_offset,
+                keys_from_ms=span.keys_from_ms,
+            ),
+        ]
+        for part, start in enumerate(starts)
+    ]
+
+
+class CheckpointTracker:
+    """Knows which checkpoints have been read whole."""
+
+    def __init__(self) -> None:
+        """Starts with none."""
+        self._parts: dict[str, set[int]] = {}
+        self._complete: list[CheckpointSpan] = []
+        self.latest_at_ms: float = 0
+
+    def take(self, record: CheckpointRecord, appended_at_ms: float) -> None:
+        """Takes a part in.
+
+        Args:
+            record: The part.
+            appended_at_ms: Time of its record by the log's clock.
+        """
+        parts = self._parts.setdefault(record.checkpoint_id, set())
+        if record.part in parts:
+            return
+        parts.add(record.part)
+        if len(parts) < record.parts:
+            return
+        span = CheckpointSpan(
+            checkpoint_id=record.checkpoint_id,
+            through_offset=record.through_offset,
+            keys_from_ms=record.keys_from_ms,
+        )
+        self._complete.append(span)
+        self._complete.sort(key=_through_offset)
+        for dropped in self._complete[:-KEPT_CHECKPOINTS]:
+            self._parts.pop(dropped.checkpoint_id, None)
+        self._complete = self._complete[-KEPT_CHECKPOINTS:]
+        self.latest_at_ms = max(self.latest_at_ms, appended_at_ms)
+
+    def keys_from_ms(self, low_offset: int) -> float | None:
+        """Returns since when keys are covered by checkpoints.
+
+        Args:
+            low_offset: All records from it on have been read.
+
+        Returns:
+            The time, or none if no checkpoint joins what has been read.
+        """
+        times = (
+            span.keys_from_ms
+            for span in self._complete
+            if span.through_offset >= low_offset
+        )
+        return min(times, default=None)
+
+
+def _carried(key: str, state: KeyState) -> list[BatchItem]:
+    claims = [claim_record(claim) for claim in state.claims.values()]
+    voids = [
+        VoidRecord(key=key, attempt_id=attempt_id)
+        for attempt_id in state.voided
+    ]
+    outcomes = [outcome_record(ended) for ended in state.outcomes.values()]
+    return [*claims, *voids, *outcomes]
+
+
+def _through_offset(span: CheckpointSpan) -> int:
+    return span.through_offset
--- /dev/null
+++ b/borageyard/claim_attempts.py
@@ -0,0 +1,217 @@
+"""Attempts of this entry to claim keys, from the append to the grant."""
+
+import asyncio
+import dataclasses
+
+from .append_queue import QueuedItem
+from .claim_log import ClaimShard
+from .clock import MS_PER_S, Clock
+from .errors import ErrorKind, Ran, Refusal, RefusalError
+from .events import Event, log_event
+from .generated.log_claims import ClaimRecord, VoidRecord
+from .identifiers import new_identifier
+from .pipeline import ClaimGrant, Outcome
+from .requests import PipelineRequest
+
+DEFAULT_RETRY_AFTER_MS = 500
+NOT_RUN = Refusal(ErrorKind.DEADLINE_EXCEEDED)
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """A claim of this entry that has not ended."""
+
+    key: str
+    attempt_id: str
+    digest: str
+    request_id: str
+    ended: asyncio.Future[Outcome]
+    granted: bool = False
+
+    def end(self, outcome: Outcome) -> None:
+        """Tells those who wait how it ended."""
+        if not self.ended.done():
+            self.ended.set_result(outcome)
+
+
+class ClaimAttempts:
+    """The attempts of an entry that have not ended, by key."""
+
+    def __init__(self, instance_id: str, clock: Clock) -> None:
+        """Starts without attempts.
+
+        Args:
+            instance_id: Id of this entry.
+            clock: Source of time.
+        """
+        self.granted = 0
+        self.abandoned = 0
+        self._instance_id = instance_id
+        self._clock = clock
+        self._running: dict[str, Attempt] = {}
+        self._granted_requests: set[str] = set()
+
+    def __len__(self) -> int:
+        """Returns how many attempts have not ended."""
+        return len(self._running)
+
+    def find(self, key: str) -> Attempt | None:
+        """Returns the attempt of a key, if one has not ended."""
+        return self._running.get(key)
+
+    def is_granted(self, request_id: str) -> bool:
+        """Tells whether a request runs under a claim."""
+        return request_id in self._granted_requests
+
+    async def claim(
+        self,
+        shard: ClaimShard,
+        request: PipelineRequest,
+        digest: str,
+    ) -> ClaimGrant | None:
+        """Claims a key.
+
+        Args:
+            shard: Where the key's records stand.
+            request: The request that is to run.
+            digest: Its digest.
+
+        Returns:
+            The grant, or none if another attempt has the key.
+
+        Raises:
+            RefusalError: If the claim can't be confirmed in time.
+        """
+        attempt = Attempt(
+            key=request.idempotency_key,
+            attempt_id=new_identifier(),
+            digest=digest,
+            request_id=request.request_id,
+            ended=asyncio.get_running_loop().create_future(),
+        )
+        self._running[attempt.key] = attempt
+        item = self._queue_claim(shard, attempt)
+        try:
+            await self._read_back(shard, attempt, item, request.expires_at_ms)
+        except BaseException:
+            self._give_up(shard, attempt, item, NOT_RUN)
+            raise
+        if item.refused:
+            refusal = log_unavailable(shard, attempt.key)
+            self._give_up(shard, attempt, item, refusal)
+            raise RefusalError(refusal)
+        return self._decide(shard, attempt, item)
+
+    def abandon(
+        self,
+        shard: ClaimShard,
+        grant: ClaimGrant,
+        refusal: Refusal,
+    ) -> None:
+        """Frees the key of a granted attempt under which nothing ran."""
+        attempt = self._running.get(grant.key)
+        if attempt is not None and attempt.attempt_id == grant.attempt_id:
+            self._void(shard, attempt)
+            self.end(grant, refusal)
+
+    def end(self, grant: ClaimGrant, outcome: Outcome) -> None:
+        """Ends a granted attempt."""
+        attempt = self._running.pop(grant.key, None)
+        if attempt is not None:
+            self._granted_requests.discard(attempt.request_id)
+            attempt.end(outcome)
+
+    def _queue_claim(self, shard: ClaimShard, attempt: Attempt) -> QueuedItem:
+        record = ClaimRecord(
+            key=attempt.key,
+            attempt_id=attempt.attempt_id,
+            digest=attempt.digest,
+            holder=self._instance_id,
+        )
+        item = QueuedItem(
+            (record,),
+            required=False,
+            on_refused=lambda: shard.waiters.wake(attempt.key),
+        )
+        shard.writer.queue.add(item)
+        return item
+
+    async def _read_back(
+        self,
+        shard: ClaimShard,
+        attempt: Attempt,
+        item: QueuedItem,
+        expires_at_ms: float,
+    ) -> None:
+        """Waits until the claim is read with all that is before it."""
+        left_ms = expires_at_ms - self._clock.steady_ms()
+        try:
+            async with asyncio.timeout(left_ms / MS_PER_S):
+                while not (item.refused or _is_read(shard, attempt)):
+                    await shard.waiters.wait(attempt.key)
+        except TimeoutError as error:
+            raise RefusalError(NOT_RUN) from error
+
+    def _decide(
+        self,
+        shard: ClaimShard,
+        attempt: Attempt,
+        item: QueuedItem,
+    ) -> ClaimGrant | None:
+        """Grants the attempt if no earlier claim of the key is live."""
+        winner = shard.fold.winner(attempt.key)
+        if winner is None or winner.attempt_id != attempt.attempt_id:
+            self._give_up(shard, attempt, item, NOT_RUN)
+            return None
+        item.wanted = False
+        attempt.granted = True
+        self.granted += 1
+        self._granted_requests.add(attempt.request_id)
+        return ClaimGrant(attempt.key, attempt.attempt_id)
+
+    def _give_up(
+        self,
+        shard: ClaimShard,
+        attempt: Attempt,
+        item: QueuedItem,
+        refusal: Refusal,
+    ) -> None:
+        """Abandons an attempt that was not granted, for good."""
+        item.wanted = False
+        if item.possibly_logged:
+            self._void(shard, attempt)
+        self._running.pop(attempt.key, None)
+        attempt.end(refusal)
+
+    def _void(self, shard: ClaimShard, attempt: Attempt) -> None:
+        self.abandoned += 1
+        shard.fold.take_void(attempt.key, attempt.attempt_id)
+        shard.write(VoidRecord(key=attempt.key, attempt_id=attempt.attempt_id))
+        log_event(
+            Event.CLAIM_ABANDONED,
+            request_id=attempt.request_id,
+            attempt_id=attempt.attempt_id,
+        )
+
+
+def is_down(shard: ClaimShard) -> bool:
+    """Tells whether the log of a shard can't be used now."""
+    return not shard.reader.healthy or shard.writer.retry_after_ms() > 0
+
+
+def log_unavailable(shard: ClaimShard, key: str) -> Refusal:
+    """Returns the refusal for a key that can't be claimed now.
+
+    It says *not run* only of a key whose records are known.
+    """
+    retry_ms = shard.writer.retry_after_ms() or DEFAULT_RETRY_AFTER_MS
+    return Refusal(
+        ErrorKind.LOG_UNAVAILABLE,
+        ran=Ran.NOT_RUN if shard.covers_key(key) else Ran.UNKNOWN,
+        retry_after_ms=int(retry_ms),
+    )
+
+
+def _is_read(shard: ClaimShard, attempt: Attempt) -> bool:
+    claimed = shard.fold.is_claimed(attempt.key, attempt.attempt_id)
+    return claimed and shard.covers_key(attempt.key)
--- /dev/null
+++ b/borageyard/claim_gate.py
@@ -0,0 +1,234 @@
+"""Gate that lets a non-idempotent request run at most once."""
+
+import asyncio
+import contextlib
+import dataclasses
+import hashlib
+import json
+
+from .border import DocumentError
+from .claim_attempts import (
+    NOT_RUN,
+    Attempt,
+    ClaimAttempts,
+    is_down,
+    log_unavailable,
+)
+from .claim_log import ClaimLog, ClaimShard
+from .claim_peers import AttachResult, ClaimPeers
+from .claims import Claim, KeyWindow
+from .clock import MS_PER_S, Clock
+from .errors import ErrorKind, Ran, Refusal, RefusalError
+from .outcome_recorder import OutcomeRecorder
+from .outcomes import decode_document
+from .pipeline import ClaimGrant, Outcome
+from .requests import AdmittedRequest, Answer, PipelineRequest
+
+UNKNOWN = Refusal(ErrorKind.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN)
+
+
+@dataclasses.dataclass(slots=True)
+class ClaimCounts:
+    """How claims were answered since the entry started."""
+
+    attached: int = 0
+    replayed: int = 0
+    unknown: int = 0
+    conflicts: int = 0
+    log_unavailable: int = 0
+
+
+class LogClaimGate:
+    """Claims keys on the log before the first unrepeatable call."""
+
+    def __init__(
+        self,
+        log: ClaimLog,
+        attempts: ClaimAttempts,
+        recorder: OutcomeRecorder,
+        peers: ClaimPeers,
+        clock: Clock,
+    ) -> None:
+        """Composes the gate.
+
+        Args:
+            log: The claim streams.
+            attempts: This entry's own claims.
+            recorder: Keeps outcomes.
+            peers: The way to other holders.
+            clock: Source of time.
+        """
+        self.counts = ClaimCounts()
+        self._log = log
+        self._attempts = attempts
+        self._recorder = recorder
+        self._peers = peers
+        self._clock = clock
+        peers.serve(self._answer_attach)
+
+    def is_granted(self, request_id: str) -> bool:
+        """Tells whether a request runs under a claim."""
+        return self._attempts.is_granted(request_id)
+
+    async def acquire(self, admitted: AdmittedRequest) -> ClaimGrant:
+        """Claims the request's key, or finds out how it ended."""
+        request = admitted.request
+        configuration = admitted.configuration
+        window = KeyWindow(
+            configuration.claim_window_ms,
+            configuration.clock_skew_ms,
+        )
+        kind = window.check(request.idempotency_key, self._clock.wall_ms())
+        if kind is not None:
+            raise RefusalError(Refusal(kind))
+        digest = digest_request(request)
+        grant = None
+        while grant is None:
+            grant = await self._try_acquire(request, digest)
+        return grant
+
+    async def complete(self, grant: ClaimGrant, outcome: Outcome) -> None:
+        """Makes the outcome known; the log gets it in the background."""
+        self._recorder.record(grant, outcome)
+        self._attempts.end(grant, outcome)
+
+    async def abandon(self, grant: ClaimGrant, refusal: Refusal) -> None:
+        """Frees the key of a granted attempt under which nothing ran."""
+        self._attempts.abandon(self._log.shard_of(grant.key), grant, refusal)
+
+    async def _try_acquire(
+        self,
+        request: PipelineRequest,
+        digest: str,
+    ) -> ClaimGrant | None:
+        """Takes one turn; none if the key's state has changed meanwhile."""
+        key = request.idempotency_key
+        shard = self._log.shard_of(key)
+        running = self._attempts.find(key)
+        if running is not None:
+            self._require_digest(running.digest, digest)
+            return await self._join(running, request)
+        winner = shard.fold.winner(key)
+        if winner is not None:
+            self._require_digest(winner.digest, digest)
+            return await self._follow(shard, winner, request)
+        if is_down(shard) or not shard.covers_key(key):
+            await self._require_records(shard, request)
+            return None
+        return await self._attempts.claim(shard, request, digest)
+
+    async def _require_records(
+        self,
+        shard: ClaimShard,
+        request: PipelineRequest,
+    ) -> None:
+        """Waits until the key's records are known, while the log answers."""
+        key = request.idempotency_key
+        with contextlib.suppress(TimeoutError):
+            async with self._until_deadline(request):
+                while _must_wait(shard, key):
+                    await shard.waiters.wait(key)
+        if is_down(shard):
+            self.counts.log_unavailable += 1
+            raise RefusalError(log_unavailable(shard, key))
+        if not shard.covers_key(key):
+            self.counts.unknown += 1
+            detail = 'records of the key are not known'
+            raise RefusalError(dataclasses.replace(UNKNOWN, detail=detail))
+
+    async def _join(
+        self,
+        running: Attempt,
+        request: PipelineRequest,
+    ) -> ClaimGrant | None:
+        """Waits for an attempt of the same key at this entry."""
+        self.counts.attached += 1
+        outcome: Outcome = UNKNOWN
+        with contextlib.suppress(TimeoutError):
+            async with self._until_deadline(request):
+                outcome = await asyncio.shield(running.ended)
+        if outcome is NOT_RUN and not running.granted:
+            return None
+        return _grant(running.key, outcome, request)
+
+    async def _follow(
+        self,
+        shard: ClaimShard,
+        winner: Claim,
+        request: PipelineRequest,
+    ) -> ClaimGrant | None:
+        """Gets the outcome of another attempt; none if it was given up."""
+        self.counts.attached += 1
+        found = AttachResult()
+        with contextlib.suppress(TimeoutError):
+            async with self._until_deadline(request):
+                found = await self._peers.await_outcome(shard, winner)
+        if found.abandoned:
+            shard.fold.take_void(winner.key, winner.attempt_id)
+            return None
+        outcome = _decode(found.document)
+        if outcome is UNKNOWN:
+            self.counts.unknown += 1
+        else:
+            self.counts.replayed += 1
+        return _grant(winner.key, outcome, request)
+
+    async def _answer_attach(
+        self,
+        key: str,
+        attempt_id: str,
+        wait_ms: float,
+    ) -> AttachResult:
+        """Tells another entry how an attempt of this one ends."""
+        shard = self._log.shard_of(key)
+        attempt = self._attempts.find(key)
+        if attempt is not None and attempt.attempt_id == attempt_id:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_ms / MS_PER_S):
+                    await asyncio.shield(attempt.ended)
+            if not attempt.ended.done():
+                return AttachResult(running=True)
+        if shard.fold.is_void(key, attempt_id):
+            return AttachResult(abandoned=True)
+        return AttachResult(document=self._peers.find(shard, key, attempt_id))
+
+    def _require_digest(self, known: str, digest: str) -> None:
+        if known != digest:
+            self.counts.conflicts += 1
+            raise RefusalError(Refusal(ErrorKind.KEY_CONFLICT))
+
+    def _until_deadline(self, request: PipelineRequest) -> asyncio.Timeout:
+        left_ms = request.expires_at_ms - self._clock.steady_ms()
+        return asyncio.timeout(left_ms / MS_PER_S)
+
+
+def digest_request(request: PipelineRequest) -> str:
+    """Returns the digest of what a caller asked for."""
+    asked = [request.organisation, request.pipeline, request.body]
+    text = json.dumps(asked, sort_keys=True, separators=(',', ':'))
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def _must_wait(shard: ClaimShard, key: str) -> bool:
+    if is_down(shard) or shard.covers_key(key):
+        return False
+    return not shard.is_lost(key)
+
+
+def _decode(document: str) -> Outcome:
+    if not document:
+        return UNKNOWN
+    try:
+        return decode_document(document)
+    except DocumentError:
+        return UNKNOWN
+
+
+def _grant(
+    key: str,
+    outcome: Outcome,
+    request: PipelineRequest,
+) -> ClaimGrant:
+    if isinstance(outcome, Answer):
+        outcome = dataclasses.replace(outcome, request_id=request.request_id)
+    return ClaimGrant(key, '', outcome)
--- /dev/null
+++ b/borageyard/claim_peers.py
@@ -0,0 +1,221 @@
+"""What entries ask each other about claimed requests."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Awaitable, Callable, Mapping
+
+from .claim_log import ClaimShard
+from .claims import Claim, RecordedOutcome
+from .clock import MS_PER_S
+from .generated.peer_claims import (
+    AttachReplyBody,
+    AttachRequestBody,
+    HoldReplyBody,
+    HoldRequestBody,
+)
+from .outcomes import OutcomeHolder
+from .peers import PeerError, PeerLink
+
+ATTACH_WAIT_MS = 1000
+REPLY_GRACE_MS = 300
+HOLD_TIMEOUT_MS = 500
+ATTACH_TRIES = 3
+RETRY_MS = 50
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttachResult:
+    """What a holder says of an attempt; nothing set if it knows none."""
+
+    document: str = ''
+    abandoned: bool = False
+    running: bool = False
+
+
+AttachAnswerer = Callable[[str, str, float], Awaitable[AttachResult]]
+# Returns the failure domains of the entries by instance id.
+DomainSource = Callable[[], Mapping[str, str]]
+
+
+class ClaimPeers:
+    """Attaches to attempts of other entries and holds outcomes for them."""
+
+    def __init__(
+        self,
+        link: PeerLink,
+        holder: OutcomeHolder,
+        instance_id: str,
+        domains: DomainSource,
+    ) -> None:
+        """Wraps the link.
+
+        Args:
+            link: The way to other entries.
+            holder: Keeps large outcomes.
+            instance_id: Id of this entry.
+            domains: Failure domains of the entries.
+        """
+        self._link = link
+        self._holder = holder
+        self._instance_id = instance_id
+        self._domains = domains
+        self._answer: AttachAnswerer | None = None
+        link.register(AttachRequestBody, self._on_attach)
+        link.register(HoldRequestBody, self._on_hold)
+
+    def serve(self, answer: AttachAnswerer) -> None:
+        """Names who knows this entry's attempts."""
+        self._answer = answer
+
+    def hold(self, attempt_id: str, document: str) -> bool:
+        """Keeps a document in memory."""
+        return self._holder.hold(attempt_id, document)
+
+    def find(self, shard: ClaimShard, key: str, attempt_id: str) -> str:
+        """Returns the document of an attempt that is known here, or ''."""
+        recorded = shard.fold.outcome_of(key, attempt_id)
+        if recorded is not None and recorded.document:
+            return recorded.document
+        return self._holder.find(attempt_id)
+
+    async def await_outcome(
+        self,
+        shard: ClaimShard,
+        claim: Claim,
+    ) -> AttachResult:
+        """Waits until the outcome of an attempt is known.
+
+        Args:
+            shard: Where the claim stands.
+            claim: The claim of the attempt.
+
+        Returns:
+            The outcome, or nothing if it will not become known.
+        """
+        recorded = asyncio.ensure_future(_await_record(shard, claim))
+        asked = asyncio.ensure_future(self._ask_holder(shard, claim))
+        with contextlib.ExitStack() as stack:
+            stack.callback(recorded.cancel)
+            stack.callback(asked.cancel)
+            await asyncio.wait(
+                (recorded, asked),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if asked.done() and asked.result() != AttachResult():
+                return asked.result()
+            return await self._fetch(shard, claim)
+
+    async def replicate(self, recorded: RecordedOutcome) -> tuple[str, ...]:
+        """Has a peer hold an outcome, in another failure domain if it can.
+
+        Returns:
+            The peer that holds it, or nothing.
+        """
+        message = HoldRequestBody(
+            key=recorded.key,
+            attempt_id=recorded.attempt_id,
+            document=recorded.document,
+        )
+        for peer_id in self._by_distance():
+            with contextlib.suppress(PeerError):
+                reply = await self._link.request(
+                    peer_id,
+                    message,
+                    HoldReplyBody,
+                    HOLD_TIMEOUT_MS,
+                )
+                if reply.held:
+                    return (peer_id,)
+        return ()
+
+    def _by_distance(self) -> list[str]:
+        domains = self._domains()
+        own = domains.get(self._instance_id, '')
+        return sorted(
+            self._link.peer_ids(),
+            key=lambda peer_id: (domains.get(peer_id, own) == own, peer_id),
+        )
+
+    async def _ask_holder(
+        self,
+        shard: ClaimShard,
+        claim: Claim,
+    ) -> AttachResult:
+        failures = 0
+        while failures < ATTACH_TRIES:
+            try:
+                found = await self._ask(claim.holder, claim)
+            except PeerError:
+                failures += 1
+                await asyncio.sleep(RETRY_MS / MS_PER_S)
+                continue
+            if not found.running:
+                return found
+        return AttachResult()
+
+    async def _fetch(self, shard: ClaimShard, claim: Claim) -> AttachResult:
+        """Gets an outcome from the log or from those who hold it."""
+        document = self.find(shard, claim.key, claim.attempt_id)
+        recorded = shard.fold.outcome(claim)
+        if document or recorded is None:
+            return AttachResult(document=document)
+        for peer_id in recorded.holders:
+            with contextlib.suppress(PeerError):
+                found = await self._ask(peer_id, claim)
+                if found.document:
+                    return found
+        return AttachResult()
+
+    async def _ask(self, peer_id: str, claim: Claim) -> AttachResult:
+        if peer_id == self._instance_id:
+            return AttachResult()
+        message = AttachRequestBody(
+            key=claim.key,
+            attempt_id=claim.attempt_id,
+            wait_ms=ATTACH_WAIT_MS,
+        )
+        reply = await self._link.request(
+            peer_id,
+            message,
+            AttachReplyBody,
+            ATTACH_WAIT_MS + REPLY_GRACE_MS,
+        )
+        return AttachResult(
+            document=reply.document,
+            abandoned=reply.state == 'abandoned',
+            running=reply.state == 'running',
+        )
+
+    async def _on_attach(
+        self,
+        peer_id: str,
+        message: AttachRequestBody,
+    ) -> AttachReplyBody:
+        if self._answer is None:
+            return AttachReplyBody(state='not_known')
+        found = await self._answer(
+            message.key,
+            message.attempt_id,
+            message.wait_ms,
+        )
+        if found.abandoned:
+            return AttachReplyBody(state='abandoned')
+        if found.running:
+            return AttachReplyBody(state='running')
+        if not found.document:
+            return AttachReplyBody(state='not_known')
+        return AttachReplyBody(state='ended', document=found.document)
+
+    async def _on_hold(
+        self,
+        peer_id: str,
+        message: HoldRequestBody,
+    ) -> HoldReplyBody:
+        held = self.hold(message.attempt_id, message.document)
+        return HoldReplyBody(held=held)
+
+
+async def _await_record(shard: ClaimShard, claim: Claim) -> None:
+    while shard.fold.outcome(claim) is None:
+        await shard.waiters.wait(claim.key)
--- /dev/null
+++ b/borageyard/claim_records.py
@@ -0,0 +1,129 @@
+"""Records of the claim streams and what they mean to the fold."""
+
+import itertools
+from collections.abc import Sequence
+
+from .border import DocumentError, check_document
+from .claims import Claim, ClaimFold, RecordedOutcome
+from .events import Event, log_event
+from .generated.log_claims import (
+    CheckpointRecord,
+    ClaimBatchRecord,
+    ClaimRecord,
+    OutcomeRecord,
+    VoidRecord,
+)
+from .platform import LogRecord, Record
+
+BatchItem = ClaimRecord | VoidRecord | OutcomeRecord | CheckpointRecord
+NEW_CLAIM_OFFSET = -1
+
+
+def encode_batch(
+    batch_id: str,
+    parts: Sequence[Sequence[BatchItem]],
+) -> Record:
+    """Returns the record of a group of items.
+
+    Args:
+        batch_id: Id by which it is found again.
+        parts: What it carries.
+    """
+    items = tuple(itertools.chain.from_iterable(parts))
+    batch = ClaimBatchRecord(
+        batch_id=batch_id,
+        claims=[item for item in items if isinstance(item, ClaimRecord)],
+        voids=[item for item in items if isinstance(item, VoidRecord)],
+        outcomes=[item for item in items if isinstance(item, OutcomeRecord)],
+        checkpoints=[
+            item for item in items if isinstance(item, CheckpointRecord)
+        ],
+    )
+    return batch.model_dump(mode='json', exclude_defaults=True)
+
+
+def decode_batch(stored: LogRecord) -> ClaimBatchRecord | None:
+    """Returns the group of a record, or none if it is malformed.
+
+    Args:
+        stored: Record of a claim stream.
+    """
+    try:
+        return check_document(ClaimBatchRecord, stored.body, 'claim record')
+    except DocumentError as error:
+        log_event(
+            Event.CLAIM_RECORD_INVALID,
+            offset=stored.offset,
+            reason=str(error),
+        )
+        return None
+
+
+def fold_batch(fold: ClaimFold, offset: int, batch: ClaimBatchRecord) -> None:
+    """Takes a group into a fold.
+
+    Args:
+        fold: What is known of the keys.
+        offset: Where the group stands in its stream.
+        batch: The group.
+    """
+    for index, record in enumerate(batch.claims):
+        fold.take_claim(_claim(record, offset, index))
+    for void in batch.voids:
+        fold.take_void(void.key, void.attempt_id)
+    for ended in batch.outcomes:
+        fold.take_outcome(recorded_outcome(ended))
+
+
+def touched_keys(batch: ClaimBatchRecord) -> set[str]:
+    """Returns the keys that a group says something of."""
+    claimed = {record.key for record in batch.claims}
+    voided = {record.key for record in batch.voids}
+    ended = {record.key for record in batch.outcomes}
+    return claimed | voided | ended
+
+
+def claim_record(claim: Claim) -> ClaimRecord:
+    """Returns the record that carries a claim forward."""
+    offset, index = claim.order
+    return ClaimRecord(
+        key=claim.key,
+        attempt_id=claim.attempt_id,
+        digest=claim.digest,
+        holder=claim.holder,
+        offset=offset,
+        index=index,
+    )
+
+
+def outcome_record(outcome: RecordedOutcome) -> OutcomeRecord:
+    """Returns the record of an outcome."""
+    return OutcomeRecord(
+        key=outcome.key,
+        attempt_id=outcome.attempt_id,
+        document=outcome.document,
+        holders=list(outcome.holders),
+    )
+
+
+def recorded_outcome(record: OutcomeRecord) -> RecordedOutcome:
+    """Returns the outcome of a record."""
+    return RecordedOutcome(
+        key=record.key,
+        attempt_id=record.attempt_id,
+        document=record.document,
+        holders=tuple(record.holders),
+    )
+
+
+def _claim(record: ClaimRecord, offset: int, index: int) -> Claim:
+    order = (offset, index)
+    if record.offset != NEW_CLAIM_OFFSET:
+        order = (record.offset, record.index)
+    return Claim(
+        key=record.key,
+        attempt_id=record.attempt_id,
+        digest=record.digest,
+        holder=record.holder,
+        order=order,
+    )
--- /dev/null
+++ b/borageyard/claim_service.py
@@ -0,0 +1,124 @@
+"""Composition of all that an entry does about claims."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Coroutine, Sequence
+from typing import Any
+
+from .claim_attempts import ClaimAttempts
+from .claim_gate import LogClaimGate
+from .claim_log import ClaimLog, ClaimLogPorts
+from .claim_peers import ClaimPeers, DomainSource
+from .claims import KeyWindow
+from .clock import Clock
+from .generated.settings import ClaimsSettings, EntrySettings
+from .outcome_recorder import OutcomeRecorder
+from .outcomes import OutcomeHolder
+from .peers import PeerLink
+from .pipeline import ConfigurationSource
+from .platform import LogService, PlatformError
+
+DEFAULT_WINDOW_MS = 600_000
+DEFAULT_SKEW_MS = 2000
+OPEN_TIMEOUT_S = 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimServicePorts:
+    """The outside of the claims of an entry."""
+
+    log: LogService
+    peers: PeerLink
+    clock: Clock
+    configurations: ConfigurationSource
+    domains: DomainSource
+
+
+class ClaimService:
+    """Claim streams, gate and held outcomes of an entry."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        ports: ClaimServicePorts,
+    ) -> None:
+        """Composes everything; nothing runs yet.
+
+        Args:
+            settings: Settings of the entry.
+            ports: The outside.
+        """
+        claims = settings.claims or ClaimsSettings()
+        self._ports = ports
+        self.holder = OutcomeHolder(claims.held_bytes)
+        self.log = ClaimLog(
+            ClaimLogPorts(
+                log=ports.log,
+                clock=ports.clock,
+                settings=claims,
+                window=self._window,
+                count_entries=self._count_entries,
+            ),
+        )
+        peers = ClaimPeers(
+            ports.peers,
+            self.holder,
+            settings.instance_id,
+            ports.domains,
+        )
+        self.attempts = ClaimAttempts(settings.instance_id, ports.clock)
+        recorder = OutcomeRecorder(
+            settings.instance_id,
+            self.log,
+            peers,
+            claims.inline_bytes,
+        )
+        self.gate = LogClaimGate(
+            self.log,
+            self.attempts,
+            recorder,
+            peers,
+            ports.clock,
+        )
+
+    async def open(self) -> None:
+        """Finds the heads of the streams, if the log answers in time."""
+        with contextlib.suppress(PlatformError, TimeoutError):
+            async with asyncio.timeout(OPEN_TIMEOUT_S):
+                for shard in self.log.shards:
+                    await shard.reader.open()
+
+    def background(self) -> Sequence[Coroutine[Any, Any, None]]:
+        """Returns the work that runs while the entry does."""
+        return self.log.background()
+
+    def status(self) -> dict[str, Any]:
+        """Returns what operators are shown."""
+        shards = self.log.shards
+        return {
+            **dataclasses.asdict(self.gate.counts),
+            'granted': self.attempts.granted,
+            'abandoned': self.attempts.abandoned,
+            'running': len(self.attempts),
+            'keys': sum(len(shard.fold) for shard in shards),
+            'held_bytes': self.holder.held_bytes,
+            'log_reachable': all(shard.reader.healthy for shard in shards),
+            'log_gaps': sum(shard.reader.gaps for shard in shards),
+            'appends': sum(shard.writer.appends for shard in shards),
+            'lost_answers': sum(shard.writer.lost_answers for shard in shards),
+            'backlog': sum(len(shard.writer.queue) for shard in shards),
+            'dropped': sum(shard.writer.queue.dropped for shard in shards),
+        }
+
+    def _window(self) -> KeyWindow:
+        configuration = self._ports.configurations.current()
+        if configuration is None:
+            return KeyWindow(DEFAULT_WINDOW_MS, DEFAULT_SKEW_MS)
+        return KeyWindow(
+            configuration.claim_window_ms,
+            configuration.clock_skew_ms,
+        )
+
+    def _count_entries(self) -> int:
+        return len(self._ports.peers.peer_ids()) + 1
--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -6,14 +6,15 @@
 from collections.abc import AsyncIterator, Coroutine
 from typing import Any
 
+from .claim_service import ClaimService, ClaimServicePorts
 from .clock import MS_PER_S, Clock
 from .configuration_log import ConfigurationFold, ConfigurationReader
+from .detached import DetachedRuns
 from .dispatch import StageDispatcher
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .generated.settings import EntrySettings
 from .local_gates import (
-    LocalClaims,
     NoStageStore,
     OpenAdmission,
     OpenPermission,
@@ -21,7 +22,12 @@
 from .metrics import EntryMetrics
 from .peers import PeerLink
 from .pipeline import Outcome, PipelineGates, PipelineRunner
-from .platform import InstanceList, LogService, PlatformError
+from .platform import (
+    ROLE_ENTRY,
+    InstanceList,
+    LogService,
+    PlatformError,
+)
 from .requests import PipelineRequest, TokenSink
 from .routing import TwoChoicesRouter
 from .target import TargetClient
@@ -63,6 +69,8 @@
             ports.targets,
             ports.clock,
         )
+        self.claims = ClaimService(settings, self._build_claim_ports())
+        self._detached = DetachedRuns()
         self._reader = ConfigurationReader(self.fold, ports.log)
         self._runner = PipelineRunner(self._build_gates(), ports.clock)
         self.running = 0
@@ -78,10 +86,13 @@
         await self.watcher.poll_instances()
         with contextlib.suppress(PlatformError):
             await self._reader.catch_up()
+        await self.claims.open()
+        stack.push_async_callback(self._detached.close)
         platform = self.settings.platform
         await stack.enter_async_context(
             running_tasks(
                 self._reader.follow(),
+                *self.claims.background(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
             ),
@@ -94,10 +105,34 @@
     ) -> Outcome:
         """Runs a request to its outcome, whatever happens.
 
+        A caller that goes away ends its request, but for one that holds a
+        claim: that one runs on, so that its outcome gets recorded.
+
         Args:
             request: What the caller asked for.
             sink: Where tokens go, if streamed.
         """
+        return await self._detached.run(
+            self._run_counted(request, sink),
+            lambda: self.claims.gate.is_granted(request.request_id),
+        )
+
+    async def drain(self) -> None:
+        """Serves on until callers have other addresses, then ends work."""
+        self.draining = True
+        log_event(
+            Event.ENTRY_DRAINING,
+            instance_id=self.settings.instance_id,
+        )
+        await asyncio.sleep(self.settings.drain_ms / MS_PER_S)
+        self.permission.closed = True
+        await self._idle.wait()
+
+    async def _run_counted(
+        self,
+        request: PipelineRequest,
+        sink: TokenSink | None,
+    ) -> Outcome:
         with self._counted():
             try:
                 outcome = await self._runner.run(request, sink)
@@ -111,23 +146,28 @@
         self.metrics.note_outcome(request, outcome)
         return outcome
 
-    async def drain(self) -> None:
-        """Serves on until callers have other addresses, then ends work."""
-        self.draining = True
-        log_event(
-            Event.ENTRY_DRAINING,
-            instance_id=self.settings.instance_id,
+    def _build_claim_ports(self) -> ClaimServicePorts:
+        return ClaimServicePorts(
+            log=self.ports.log,
+            peers=self.ports.peers,
+            clock=self.ports.clock,
+            configurations=self.fold,
+            domains=self._entry_domains,
         )
-        await asyncio.sleep(self.settings.drain_ms / MS_PER_S)
-        self.permission.closed = True
-        await self._idle.wait()
+
+    def _entry_domains(self) -> dict[str, str]:
+        return {
+            row.instance_id: row.failure_domain
+            for row in self.watcher.listed
+            if row.role == ROLE_ENTRY
+        }
 
     def _build_gates(self) -> PipelineGates:
         return PipelineGates(
             configurations=self.fold,
             permission=self.permission,
             admission=OpenAdmission(),
-            claims=LocalClaims(),
+            claims=self.claims.gate,
             store=NoStageStore(),
             dispatcher=StageDispatcher(
                 self.directory,
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -153,6 +153,7 @@
                 'configuration_version': core.fold.version,
                 'draining': core.draining,
                 'running': core.running,
+                'claims': core.claims.status(),
                 'targets': targets,
             }
         )
--- a/borageyard/events.py
+++ b/borageyard/events.py
@@ -20,6 +20,11 @@
     CONFIGURATION_IN_FORCE = 1401
     CONFIGURATION_REJECTED = 1402
     PLATFORM_FAILED = 1501
+    LOG_GAP = 1502
+    APPEND_UNKNOWN = 1503
+    CLAIM_ABANDONED = 1601
+    CLAIM_RECORD_INVALID = 1602
+    CHECKPOINT_WRITTEN = 1603
 
 
 def log_event(event: Event, **fields: Any) -> None:
--- a/borageyard/local_gates.py
+++ b/borageyard/local_gates.py
@@ -57,7 +57,7 @@
         """Keeps the outcome for retries."""
         self._outcomes[grant.key] = outcome
 
-    async def abandon(self, grant: ClaimGrant) -> None:
+    async def abandon(self, grant: ClaimGrant, refusal: Refusal) -> None:
         """Frees the key."""
         self._outcomes.pop(grant.key, None)
 
--- /dev/null
+++ b/borageyard/log_reader.py
@@ -0,0 +1,206 @@
+"""Reader of a log stream: follows its head and reads back from it."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable, Sequence
+
+from .clock import MS_PER_S, Clock
+from .events import Event, log_event
+from .platform import (
+    LogPage,
+    LogRecord,
+    LogService,
+    OffsetExpiredError,
+    PlatformError,
+)
+
+READ_WAIT_MS = 500
+RETRY_MS = 50
+BACK_PAGE_RECORDS = 1000
+# Records taken in before other work gets a turn.
+SLICE_RECORDS = 20
+
+RecordConsumer = Callable[[LogRecord], None]
+CoverageListener = Callable[[], None]
+
+
+@dataclasses.dataclass(slots=True)
+class StreamCoverage:
+    """Part of a stream that has been read without a gap."""
+
+    low: int
+    next_offset: int
+    low_time_ms: float
+    start: int = 0
+
+    @property
+    def whole(self) -> bool:
+        """Tells whether the stream was read from its very first record."""
+        return self.low == 0
+
+    @property
+    def exhausted(self) -> bool:
+        """Tells whether nothing older is kept."""
+        return self.low <= self.start
+
+
+class StreamReader:
+    """Reads one stream without skipping records.
+
+    The head is found first; new records are followed from there, and older
+    ones are read back page by page. When records expire before they are
+    read, the coverage starts again at the head: what was taken in before
+    stays taken, but is no longer claimed to be all there is.
+    """
+
+    def __init__(
+        self,
+        log: LogService,
+        stream: str,
+        consume: RecordConsumer,
+        clock: Clock,
+        notify: CoverageListener,
+    ) -> None:
+        """Wraps a stream.
+
+        Args:
+            log: The log service.
+            stream: Name of the stream.
+            consume: Takes in each record, which may come again.
+            clock: Source of time.
+            notify: Called when the coverage or the health has changed.
+        """
+        self.stream = stream
+        self.coverage: StreamCoverage | None = None
+        self.healthy = False
+        self.gaps = 0
+        self._log = log
+        self._consume = consume
+        self._clock = clock
+        self._notify = notify
+
+    async def open(self) -> None:
+        """Finds the head.
+
+        Raises:
+            PlatformError: If the log does not answer.
+        """
+        try:
+            page = await self._log.read(self.stream, 0)
+        except OffsetExpiredError as error:
+            page = LogPage(error.start, error.head)
+        coverage = StreamCoverage(
+            low=page.head,
+            next_offset=page.head,
+            low_time_ms=self._clock.wall_ms(),
+            start=page.start,
+        )
+        if len(page.records) == page.head:
+            await self._take(page.records)
+            coverage.low = 0
+        self.coverage = coverage
+        self.healthy = True
+        self._notify()
+
+    async def follow_once(self, wait_ms: float = 0) -> None:
+        """Reads the records after those taken in.
+
+        Args:
+            wait_ms: How long to wait for a record when there is none.
+
+        Raises:
+            PlatformError: If the log does not answer.
+        """
+        if self.coverage is None:
+            await self.open()
+            return
+        coverage = self.coverage
+        try:
+            page = await self._log.read(
+                self.stream,
+                coverage.next_offset,
+                wait_ms,
+            )
+        except OffsetExpiredError as error:
+            self._note_gap(coverage.next_offset, error)
+            return
+        coverage.start = page.start
+        await self._take(page.records)
+        if page.records:
+            coverage.next_offset = page.records[-1].offset + 1
+        self._note_health(healthy=True)
+
+    async def follow(self) -> None:
+        """Reads new records for ever."""
+        while True:
+            try:
+                await self.follow_once(READ_WAIT_MS)
+            except PlatformError as error:
+                self._note_failure(error)
+                await asyncio.sleep(RETRY_MS / MS_PER_S)
+
+    async def read_back_once(self) -> None:
+        """Reads the page of records before those taken in.
+
+        Raises:
+            PlatformError: If the log does not answer.
+        """
+        coverage = self.coverage
+        if coverage is None or coverage.exhausted:
+            return
+        first = max(coverage.start, coverage.low - BACK_PAGE_RECORDS)
+        try:
+            records = await self._read_range(first, coverage.low)
+        except OffsetExpiredError as error:
+            coverage.start = max(coverage.start, error.start)
+            return
+        if not records:
+            raise PlatformError('empty page')
+        await self._take(records)
+        coverage.low = first
+        coverage.low_time_ms = records[0].appended_at_ms
+        self._notify()
+
+    async def _read_range(self, first: int, end: int) -> list[LogRecord]:
+        records: list[LogRecord] = []
+        while first < end:
+            page = await self._log.read(self.stream, first)
+            if not page.records:
+                return []
+            records.extend(row for row in page.records if row.offset < end)
+            first = page.records[-1].offset + 1
+        return records
+
+    async def _take(self, records: Sequence[LogRecord]) -> None:
+        """Takes records in, letting other work run in between."""
+        for place, stored in enumerate(records):
+            self._consume(stored)
+            if place % SLICE_RECORDS == SLICE_RECORDS - 1:
+                await asyncio.sleep(0)
+
+    def _note_gap(self, offset: int, error: OffsetExpiredError) -> None:
+        self.gaps += 1
+        self.coverage = None
+        log_event(
+            Event.LOG_GAP,
+            stream=self.stream,
+            offset=offset,
+            start=error.start,
+            head=error.head,
+        )
+        self._notify()
+
+    def _note_failure(self, error: PlatformError) -> None:
+        if self.healthy:
+            log_event(
+                Event.PLATFORM_FAILED,
+                stream=self.stream,
+                reason=str(error),
+            )
+        self._note_health(healthy=False)
+
+    def _note_health(self, *, healthy: bool) -> None:
+        changed = healthy is not self.healthy
+        self.healthy = healthy
+        if changed:
+            self._notify()
--- /dev/null
+++ b/borageyard/log_writer.py
@@ -0,0 +1,179 @@
+"""Writer of a log stream: many records share one append."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from .append_budget import AppendBudget
+from .append_queue import AppendBackoff, AppendQueue, QueuedItem
+from .clock import MS_PER_S, Clock
+from .events import Event, log_event
+from .identifiers import new_identifier
+from .platform import (
+    AppendRefusedError,
+    LogService,
+    PlatformError,
+    Record,
+)
+
+MAX_IN_FLIGHT = 4
+# Time in which a record whose append had no answer should be read back.
+RESOLVE_MS = 250
+
+
+BatchEncoder = Callable[[str, Sequence[Sequence[Any]]], Record]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriterSettings:
+    """How records are grouped."""
+
+    stream: str
+    commit_window_ms: float
+
+
+class GroupWriter:
+    """Appends records in groups within a budget.
+
+    An append without an answer is looked for by the id of its batch. Only
+    when it has not been read back in time are its records written again;
+    readers count a record that is there twice once.
+    """
+
+    def __init__(
+        self,
+        log: LogService,
+        encode: BatchEncoder,
+        budget: AppendBudget,
+        clock: Clock,
+        settings: WriterSettings,
+    ) -> None:
+        """Starts with nothing to write.
+
+        Args:
+            log: The log service.
+            encode: Makes a record from a batch id and items.
+            budget: Leave to append.
+            clock: Source of time.
+            settings: Stream and grouping.
+        """
+        self.queue = AppendQueue()
+        self.appends = 0
+        self.lost_answers = 0
+        self._log = log
+        self._encode = encode
+        self._budget = budget
+        self._clock = clock
+        self._settings = settings
+        self._slots = asyncio.Semaphore(MAX_IN_FLIGHT)
+        self._unresolved: dict[str, asyncio.Event] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._backoff = AppendBackoff(settings.stream)
+
+    def retry_after_ms(self) -> float:
+        """Returns how long the log is avoided; 0 while it is in use."""
+        if not self._backoff.is_down:
+            return 0
+        return self._backoff.wait_ms(self._clock.steady_ms())
+
+    def note_batch(self, batch_id: str) -> None:
+        """Takes note that a batch has been read back."""
+        event = self._unresolved.get(batch_id)
+        if event is not None:
+            event.set()
+
+    async def run(self) -> None:
+        """Writes for ever."""
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._cancel_tasks)
+            while True:
+                await self.queue.filled.wait()
+                await _sleep(self._settings.commit_window_ms)
+                await self._write_next()
+
+    async def _write_next(self) -> None:
+        await _sleep(self._backoff.wait_ms(self._clock.steady_ms()))
+        await self._slots.acquire()
+        wait_ms = self._budget.take(self._clock.steady_ms())
+        while wait_ms:
+            await _sleep(wait_ms)
+            wait_ms = self._budget.take(self._clock.steady_ms())
+        batch = self.queue.take_batch()
+        task = asyncio.ensure_future(self._append(batch))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _append(self, batch: list[QueuedItem]) -> None:
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._slots.release)
+            if not batch:
+                return
+            batch_id = new_identifier()
+            stack.callback(self._unresolved.pop, batch_id, None)
+            self._unresolved[batch_id] = asyncio.Event()
+            record = self._encode(batch_id, [item.body for item in batch])
+            self._count_sent(batch, 1)
+            try:
+                await self._log.append(self._settings.stream, record)
+            except AppendRefusedError as error:
+                self._note_refused(batch, error)
+            except PlatformError as error:
+                await self._resolve(batch_id, batch, error)
+            else:
+                self._backoff.note_success()
+
+    async def _resolve(
+        self,
+        batch_id: str,
+        batch: list[QueuedItem],
+        error: PlatformError,
+    ) -> None:
+        """Looks for a batch whose append had no answer."""
+        self.lost_answers += 1
+        log_event(
+            Event.APPEND_UNKNOWN,
+            stream=self._settings.stream,
+            batch_id=batch_id,
+            reason=str(error),
+        )
+        found = self._unresolved[batch_id]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RESOLVE_MS / MS_PER_S):
+                await found.wait()
+        if found.is_set():
+            self._backoff.note_success()
+            return
+        self._backoff.note_failure(self._clock.steady_ms())
+        self.queue.put_back(batch)
+
+    def _note_refused(
+        self,
+        batch: list[QueuedItem],
+        error: PlatformError,
+    ) -> None:
+        self._count_sent(batch, -1)
+        self._backoff.note_failure(self._clock.steady_ms())
+        if self._backoff.is_down:
+            log_event(
+                Event.PLATFORM_FAILED,
+                stream=self._settings.stream,
+                reason=str(error),
+            )
+            self.queue.refuse_optional(batch)
+        self.queue.put_back(batch)
+
+    def _count_sent(self, batch: list[QueuedItem], change: int) -> None:
+        self.appends += max(change, 0)
+        for item in batch:
+            item.unanswered += change
+
+    def _cancel_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+
+async def _sleep(duration_ms: float) -> None:
+    if duration_ms > 0:
+        await asyncio.sleep(duration_ms / MS_PER_S)
--- a/borageyard/memory_deployment.py
+++ b/borageyard/memory_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import time
 from types import TracebackType
 from typing import Self
 
@@ -24,8 +25,9 @@
 )
 from .standins.target import StandinTarget, TargetProfile
 
-# Start of virtual time, so that identifiers made in it look real.
-EPOCH_MS = 1_790_000_000_000
+# How far virtual time starts ahead of the machine's, so that identifiers that
+# are made in a test are never in its future.
+EPOCH_LEAD_MS = 60_000
 NEWS_MS = 200
 NO_ADDRESS = '127.0.0.1:1'
 
@@ -57,7 +59,7 @@
         """
         self.plan = plan
         self.seed = seed
-        self.clock = clock or LoopClock(EPOCH_MS)
+        self.clock = clock or LoopClock(time.time() * MS_PER_S + EPOCH_LEAD_MS)
         self.log = MemoryLog(self.clock)
         self.instances = MemoryInstances()
         self.network = MemoryPeerNetwork()
--- /dev/null
+++ b/borageyard/outcomes.py
@@ -0,0 +1,141 @@
+"""Outcomes of claimed requests as documents, and the large ones held."""
+
+import collections
+import json
+
+from .border import check_document, parse_json
+from .errors import ErrorKind, Ran, Refusal
+from .generated.log_claims import (
+    AnswerOutcomeRecord,
+    OutcomeDocumentRecord,
+    RefusalOutcomeRecord,
+    StageOutcomeRecord,
+)
+from .pipeline import Outcome
+from .requests import Answer, StageResult
+
+SOURCE = 'outcome'
+
+
+def encode_document(outcome: Outcome) -> str:
+    """Returns an outcome as JSON text; results of inner stages are left out.
+
+    Args:
+        outcome: How a request ended.
+    """
+    if isinstance(outcome, Refusal):
+        document = OutcomeDocumentRecord(refusal=_refusal_record(outcome))
+    else:
+        document = OutcomeDocumentRecord(answer=_answer_record(outcome))
+    return json.dumps(document.model_dump(mode='json'), separators=(',', ':'))
+
+
+def decode_document(text: str) -> Outcome:
+    """Returns the outcome of a document.
+
+    Args:
+        text: JSON text of an outcome document.
+
+    Raises:
+        DocumentError: If it is none.
+    """
+    document = check_document(
+        OutcomeDocumentRecord,
+        parse_json(text, SOURCE),
+        SOURCE,
+    )
+    if document.answer is not None:
+        return _answer(document.answer)
+    if document.refusal is not None:
+        return _refusal(document.refusal)
+    return Refusal(ErrorKind.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN)
+
+
+class OutcomeHolder:
+    """Outcome documents held in memory, the oldest leaving first."""
+
+    def __init__(self, capacity_bytes: int) -> None:
+        """Starts empty.
+
+        Args:
+            capacity_bytes: Bound on the text of all documents.
+        """
+        self._capacity_bytes = capacity_bytes
+        self._documents: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
+        self.held_bytes = 0
+
+    def hold(self, attempt_id: str, document: str) -> bool:
+        """Keeps a document; returns whether there is room for it."""
+        if len(document) > self._capacity_bytes:
+            return False
+        self._drop(attempt_id)
+        self._documents[attempt_id] = document
+        self.held_bytes += len(document)
+        while self.held_bytes > self._capacity_bytes:
+            self._drop(next(iter(self._documents)))
+        return True
+
+    def find(self, attempt_id: str) -> str:
+        """Returns the document of an attempt, or '' if it is not held."""
+        return self._documents.get(attempt_id, '')
+
+    def _drop(self, attempt_id: str) -> None:
+        dropped = self._documents.pop(attempt_id, '')
+        self.held_bytes -= len(dropped)
+
+
+def _answer_record(answer: Answer) -> AnswerOutcomeRecord:
+    stages = [
+        StageOutcomeRecord(
+            stage=result.stage,
+            target_id=result.target_id,
+            duration_ms=result.duration_ms,
+            attempts=result.attempts,
+            tokens=result.tokens,
+            cached_tokens=result.cached_tokens,
+        )
+        for result in answer.stages
+    ]
+    return AnswerOutcomeRecord(
+        request_id=answer.request_id,
+        pipeline=answer.pipeline,
+        configuration_version=answer.configuration_version,
+        output=answer.output,
+        stages=stages,
+    )
+
+
+def _refusal_record(refusal: Refusal) -> RefusalOutcomeRecord:
+    return RefusalOutcomeRecord(
+        kind=refusal.kind.value,
+        ran=refusal.ran.value,
+        detail=refusal.detail,
+        retry_after_ms=refusal.retry_after_ms,
+        stages_ran=list(refusal.stages_ran),
+    )
+
+
+def _answer(record: AnswerOutcomeRecord) -> Answer:
+    stages = tuple(
+        StageResult(output=None, **stage.model_dump())
+        for stage in record.stages
+    )
+    return Answer(
+        request_id=record.request_id,
+        pipeline=record.pipeline,
+        configuration_version=record.configuration_version,
+        output=record.output,
+        stages=stages,
+    )
+
+
+def _refusal(record: RefusalOutcomeRecord) -> Refusal:
+    return Refusal(
+        kind=ErrorKind(record.kind),
+        ran=Ran(record.ran),
+        detail=record.detail,
+        retry_after_ms=record.retry_after_ms,
+        stages_ran=tuple(record.stages_ran),
+    )
--- a/borageyard/pipeline.py
+++ b/borageyard/pipeline.py
@@ -80,7 +80,7 @@
     async def complete(self, grant: ClaimGrant, outcome: Outcome) -> None:
         """Records how a granted request ended."""
 
-    async def abandon(self, grant: ClaimGrant) -> None:
+    async def abandon(self, grant: ClaimGrant, refusal: Refusal) -> None:
         """Gives a grant up under which nothing was run."""
 
 
@@ -230,7 +230,7 @@
         if grant is None or grant.outcome is not None:
             return
         if isinstance(outcome, Refusal) and outcome.ran is Ran.NOT_RUN:
-            await self._gates.claims.abandon(grant)
+            await self._gates.claims.abandon(grant, outcome)
             return
         await self._gates.claims.complete(grant, outcome)
 
