Test claims between entries in virtual time

Adds tests of two entries with one key, dead and unreachable holders, outages, lost appends, gaps and racing checkpoints. A checkpoint is written whenever the last one has reached half the retention, so that a new entry finds one in a quiet stream.

--- a/borageyard/claim_log.py
+++ b/borageyard/claim_log.py
@@ -152,16 +152,13 @@
         return True
 
     def _is_due(self, keys_from_ms: float) -> bool:
-        """Tells whether needed records have reached half the retention."""
-        if not self.covers(keys_from_ms):
+        """Tells whether the last checkpoint has reached half the retention."""
+        coverage = self.reader.coverage
+        if coverage is None or not coverage.next_offset:
             return False
-        now_ms = self._ports.clock.wall_ms()
+        age_ms = self._ports.clock.wall_ms() - self.checkpoints.latest_at_ms
         carry_after_ms = self._ports.settings.retention_ms * CARRY_SHARE
-        if now_ms - self.checkpoints.latest_at_ms < carry_after_ms:
-            return False
-        if keys_from_ms > now_ms - carry_after_ms:
-            return False
-        return self.fold.oldest_key_ms() < now_ms - carry_after_ms
+        return age_ms >= carry_after_ms and self.covers(keys_from_ms)
 
     def _oldest_key_ms(self) -> float:
         oldest_ms = self._ports.window().oldest_ms(self._ports.clock.wall_ms())
--- a/borageyard/claims.py
+++ b/borageyard/claims.py
@@ -152,12 +152,6 @@
         state = self._keys.get(key)
         return state.outcomes.get(attempt_id) if state else None
 
-    def oldest_key_ms(self) -> float:
-        """Returns when the oldest key was made; infinite if there is none."""
-        if not self._by_time:
-            return float('inf')
-        return self._by_time[0][0]
-
     def keys_from(self, oldest_ms: float) -> dict[str, KeyState]:
         """Returns the keys made since a time with what is known of them."""
         return {
--- a/borageyard/memory_log.py
+++ b/borageyard/memory_log.py
@@ -1,11 +1,13 @@
 """Asynchronous face of the log in memory."""
 
 import asyncio
+import contextlib
 
 from .clock import MS_PER_S
 from .platform import LogPage, MemoryLog, PlatformError, Record
 
-POLL_MS = 5
+# How often a waiting read looks for faults of the log.
+POLL_MS = 50
 
 
 class MemoryLogService:
@@ -36,11 +38,18 @@
         waited_ms = 0
         page = self.log.read_now(stream, offset)
         while not page.records and waited_ms < wait_ms:
-            await asyncio.sleep(POLL_MS / MS_PER_S)
+            await self._wait_for_append()
             waited_ms += POLL_MS
             page = self.log.read_now(stream, offset)
         return page
 
+    async def _wait_for_append(self) -> None:
+        """Waits for the next append, or for a while to notice faults."""
+        appended = self.log.appended
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(POLL_MS / MS_PER_S):
+                await appended.wait()
+
     async def _delay(self) -> None:
         if self.cut:
             raise PlatformError('unreachable')
--- a/borageyard/pipeline.py
+++ b/borageyard/pipeline.py
@@ -197,6 +197,13 @@
             outcome: Outcome = await self._run_stages(admitted, state, sink)
         except RefusalError as error:
             outcome = _with_progress(error.refusal, state)
+        except Exception as error:
+            log_event(
+                Event.REQUEST_FAILED,
+                request_id=admitted.request.request_id,
+                reason=repr(error),
+            )
+            outcome = Refusal(ErrorKind.INTERNAL, ran=Ran.UNKNOWN)
         await self._settle(state, outcome)
         await self._gates.store.forget(admitted)
         if isinstance(outcome, Refusal):
--- a/borageyard/platform.py
+++ b/borageyard/platform.py
@@ -1,5 +1,6 @@
 """What the platform offers, as protocols, with twins in memory."""
 
+import asyncio
 import dataclasses
 from collections.abc import Mapping, Sequence
 from typing import Any, Protocol
@@ -174,6 +175,7 @@
         self._starts: dict[str, int] = {}
         self.faults = LogFaults()
         self.appends = 0
+        self.appended = asyncio.Event()
 
     def append_now(self, stream: str, body: Record) -> int:
         """Appends without waiting.
@@ -190,6 +192,8 @@
         offset = self._starts.get(stream, 0) + len(records)
         records.append(LogRecord(offset, self._clock.wall_ms(), dict(body)))
         self.appends += 1
+        self.appended.set()
+        self.appended = asyncio.Event()
         if self.faults.lose_next_answers:
             self.faults.lose_next_answers -= 1
             raise AppendUnknownError('answer lost')
--- /dev/null
+++ b/tests/claim_cluster.py
@@ -0,0 +1,83 @@
+"""Entry cores on one log, with what tests of claims ask of them."""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+
+from borageyard.demo import load_plan
+from borageyard.errors import Ran, Refusal
+from borageyard.identifiers import new_identifier
+from borageyard.memory_deployment import MemoryDeployment
+from borageyard.requests import PipelineRequest
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+STREAM = 'claims-0'
+
+
+class ClaimCluster:
+    """A deployment in memory whose bookings are claimed."""
+
+    def __init__(self, deployment):
+        """Wraps a running deployment."""
+        self.deployment = deployment
+        self.log = deployment.log
+
+    def core(self, index):
+        """Returns an entry."""
+        return self.deployment.entries[f'entry-{index}'].core
+
+    def shard(self, index):
+        """Returns the claim stream as an entry sees it."""
+        return self.core(index).claims.log.shards[0]
+
+    def request(self, key='', deadline_ms=5000, body=None):
+        """Returns a booking that starts now."""
+        clock = self.deployment.clock
+        return PipelineRequest(
+            request_id=new_identifier(),
+            pipeline='booking',
+            organisation='dispatch',
+            body=body or {'dog': 'Snati'},
+            expires_at_ms=clock.steady_ms() + deadline_ms,
+            idempotency_key=key or new_identifier(),
+        )
+
+    async def book(self, index, key, **asked):
+        """Sends a booking to an entry."""
+        return await self.core(index).run(self.request(key, **asked))
+
+    def start_booking(self, index, key, **asked):
+        """Sends a booking and does not wait for it."""
+        return asyncio.ensure_future(self.book(index, key, **asked))
+
+    def runs(self, key):
+        """Returns how often targets ran the call that books."""
+        return sum(
+            run.idempotency_key == key and run.stage == 'book'
+            for target in self.deployment.targets.values()
+            for run in target.executions
+        )
+
+    def slow_down(self, factor):
+        """Slows the targets that book."""
+        for name, target in self.deployment.targets.items():
+            if name.startswith('bokun'):
+                target.faults.slow_factor = factor
+
+
+@contextlib.asynccontextmanager
+async def claim_cluster(delay_ms=2, window_ms=600_000):
+    """Runs a deployment whose log and links take time."""
+    plan = load_plan('hundaganga', EXAMPLES)
+    document = {**plan.document, 'claim_window_ms': window_ms}
+    plan = dataclasses.replace(plan, document=document)
+    async with MemoryDeployment(plan) as deployment:
+        deployment.log.faults.delay_ms = delay_ms
+        deployment.network.delay_ms = 0.5
+        yield ClaimCluster(deployment)
+
+
+def is_not_run(outcome):
+    """Tells whether a caller was told that nothing ran."""
+    return isinstance(outcome, Refusal) and outcome.ran is Ran.NOT_RUN
--- /dev/null
+++ b/tests/test_claim_gate.py
@@ -0,0 +1,416 @@
+"""Tests of claims between entries, in virtual time."""
+
+import asyncio
+import dataclasses
+import uuid
+
+import pytest
+
+from borageyard.errors import ErrorKind, Ran
+from borageyard.identifiers import new_identifier
+from borageyard.platform import AppendUnknownError
+from borageyard.requests import Answer
+
+from .claim_cluster import STREAM, claim_cluster, is_not_run
+
+SLOW = 30
+TIME_SHIFT_BITS = 80
+RANDOM_MASK = (1 << TIME_SHIFT_BITS) - 1
+
+
+@pytest.mark.looptime
+class TestSameKey:
+    """Requests with one key."""
+
+    async def test_two_entries_at_once(self):
+        """Both callers get the answer of one run."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            first, second = await asyncio.gather(
+                cluster.book(0, key),
+                cluster.book(1, key),
+            )
+            runs = cluster.runs(key)
+        assert runs == 1
+        assert first.output == second.output
+
+    async def test_same_entry_attaches(self):
+        """A retry while the first still runs gets its answer."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            cluster.slow_down(SLOW)
+            first = cluster.start_booking(0, key)
+            await asyncio.sleep(0.2)
+            second = await cluster.book(0, key)
+            assert (await first).output == second.output
+            assert cluster.runs(key) == 1
+
+    async def test_retry_gets_recorded_outcome(self):
+        """A retry after the end gets the answer from the log."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            first = await cluster.book(0, key)
+            await asyncio.sleep(0.1)
+            await cluster.deployment.kill_entry('entry-0')
+            second = await cluster.book(1, key)
+            assert cluster.runs(key) == 1
+        assert isinstance(second, Answer)
+        assert second.output == first.output
+
+    async def test_answer_names_the_retry(self):
+        """The answer to a retry carries the id of the retry."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            await cluster.book(0, key)
+            retry = cluster.request(key)
+            outcome = await cluster.core(1).run(retry)
+        assert outcome.request_id == retry.request_id
+
+    async def test_other_digest_conflicts(self):
+        """The key of another request is refused as not run."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            await cluster.book(0, key)
+            await asyncio.sleep(0.1)
+            outcomes = [
+                await cluster.book(index, key, body={'dog': 'Kolur'})
+                for index in range(2)
+            ]
+            assert cluster.runs(key) == 1
+        assert {outcome.kind for outcome in outcomes} == {
+            ErrorKind.KEY_CONFLICT,
+        }
+        assert all(map(is_not_run, outcomes))
+
+    async def test_large_outcome_survives_its_holder(self):
+        """A peer of another failure domain has the large answer."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            cluster.core(0).claims.gate._recorder._inline_bytes = 0
+            await cluster.core(0).watcher.poll_instances()
+            first = await cluster.book(0, key)
+            await asyncio.sleep(0.1)
+            assert cluster.core(1).claims.holder.held_bytes > 0
+            await cluster.deployment.kill_entry('entry-0')
+            second = await cluster.book(2, key)
+        assert second.output == first.output
+
+
+@pytest.mark.looptime
+class TestHolder:
+    """Holders that die, pause or lose their caller."""
+
+    async def test_dead_holder_is_unknown(self):
+        """A request whose holder died is never run again."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            cluster.slow_down(SLOW)
+            first = cluster.start_booking(0, key)
+            await asyncio.sleep(0.2)
+            await cluster.deployment.kill_entry('entry-0')
+            second = await cluster.book(1, key)
+            first.cancel()
+            assert cluster.runs(key) == 1
+        assert second.kind is ErrorKind.OUTCOME_UNKNOWN
+        assert second.ran is Ran.UNKNOWN
+
+    async def test_unreachable_holder_is_unknown(self):
+        """A paused holder keeps its claim; the retry is told so."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            cluster.slow_down(SLOW * SLOW)
+            first = cluster.start_booking(0, key)
+            await asyncio.sleep(0.2)
+            cluster.deployment.network.cut('entry-1', 'entry-0')
+            second = await cluster.book(1, key, deadline_ms=300)
+            first.cancel()
+            assert cluster.runs(key) == 1
+        assert second.ran is Ran.UNKNOWN
+
+    async def test_disconnect_lets_the_claimed_request_finish(self):
+        """The outcome is recorded though the first caller has gone."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            cluster.slow_down(SLOW)
+            first = cluster.start_booking(0, key)
+            await asyncio.sleep(0.2)
+            first.cancel()
+            second = await cluster.book(1, key)
+            assert cluster.runs(key) == 1
+        assert isinstance(second, Answer)
+
+    async def test_disconnect_before_the_claim_frees_the_key(self):
+        """A caller that goes before the claim is read back ran nothing."""
+        key = new_identifier()
+        async with claim_cluster(delay_ms=100) as cluster:
+            first = cluster.start_booking(0, key)
+            await asyncio.sleep(0.1)
+            first.cancel()
+            await asyncio.sleep(1)
+            assert cluster.runs(key) == 0
+            second = await cluster.book(1, key)
+            assert cluster.runs(key) == 1
+        assert isinstance(second, Answer)
+
+    async def test_refused_run_frees_the_key(self):
+        """After a refusal as not run the key may be used again."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            targets = cluster.deployment.targets
+            bokun = [name for name in targets if name.startswith('bokun')]
+            cluster.deployment.client.cut.update(bokun)
+            first = await cluster.book(0, key)
+            cluster.deployment.client.cut.clear()
+            second = await cluster.book(1, key)
+            assert cluster.runs(key) == 1
+        assert is_not_run(first)
+        assert isinstance(second, Answer)
+
+
+@pytest.mark.looptime
+class TestLogFaults:
+    """Outages, lost answers and slowness of the log."""
+
+    async def test_outage_refuses_at_once(self):
+        """Without the log, bookings are refused and the rest is served."""
+        async with claim_cluster() as cluster:
+            cluster.log.faults.outage = True
+            started_ms = cluster.deployment.clock.steady_ms()
+            key = new_identifier()
+            booking = await cluster.book(0, key)
+            took_ms = cluster.deployment.clock.steady_ms() - started_ms
+            summary = await cluster.core(0).run(
+                dataclasses.replace(
+                    cluster.request(),
+                    pipeline='route-summary',
+                ),
+            )
+            assert cluster.runs(key) == 0
+        assert booking.kind is ErrorKind.LOG_UNAVAILABLE
+        assert booking.retry_after_ms > 0
+        assert is_not_run(booking)
+        assert isinstance(summary, Answer)
+        assert took_ms < 500
+
+    async def test_serves_again_after_an_outage(self):
+        """The same key is accepted once the log is back."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            cluster.log.faults.outage = True
+            await cluster.book(0, key)
+            await asyncio.sleep(10)
+            cluster.log.faults.outage = False
+            await asyncio.sleep(3)
+            second = await cluster.book(0, key)
+            assert cluster.runs(key) == 1
+        assert isinstance(second, Answer)
+
+    async def test_lost_answer_is_read_back(self):
+        """An append whose answer was lost is not made again."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            cluster.log.faults.lose_next_answers = 1
+            outcome = await cluster.book(0, key)
+            await asyncio.sleep(1)
+            page = cluster.log.read_now(STREAM, 0)
+            assert cluster.runs(key) == 1
+        claims = [claim for row in page.records for claim in _claims(row)]
+        assert isinstance(outcome, Answer)
+        assert len(claims) == 1
+
+    async def test_lost_append_is_made_again(self):
+        """An append that is not read back is made again."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            writer = cluster.shard(0).writer
+            writer._log = LosingLog(writer._log)
+            outcome = await cluster.book(0, key)
+            assert cluster.runs(key) == 1
+        assert isinstance(outcome, Answer)
+
+    async def test_outcome_survives_an_outage(self):
+        """An outcome that the log did not take is written later."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            cluster.slow_down(SLOW)
+            first = cluster.start_booking(0, key)
+            await asyncio.sleep(0.2)
+            cluster.log.faults.outage = True
+            assert isinstance(await first, Answer)
+            await asyncio.sleep(30)
+            cluster.log.faults.outage = False
+            await asyncio.sleep(5)
+            await cluster.deployment.kill_entry('entry-0')
+            second = await cluster.book(1, key)
+        assert isinstance(second, Answer)
+
+    async def test_deadline_before_confirmation(self):
+        """A claim that comes too late runs nothing and frees its key."""
+        key = new_identifier()
+        async with claim_cluster(delay_ms=400) as cluster:
+            first = await cluster.book(0, key, deadline_ms=300)
+            await asyncio.sleep(3)
+            assert cluster.runs(key) == 0
+            second = await cluster.book(1, key)
+            assert cluster.runs(key) == 1
+        assert is_not_run(first)
+        assert isinstance(second, Answer)
+
+
+@pytest.mark.looptime
+class TestKeyTime:
+    """Keys outside the claim window."""
+
+    @pytest.mark.parametrize(
+        ('shift_ms', 'kind'),
+        [
+            (-700_000, ErrorKind.KEY_EXPIRED),
+            (100_000, ErrorKind.KEY_IN_FUTURE),
+        ],
+    )
+    async def test_refused(self, shift_ms, kind):
+        """A key that is too old or too new is refused as not run."""
+        async with claim_cluster() as cluster:
+            clock = cluster.deployment.clock
+            key = key_at(clock.wall_ms() + shift_ms)
+            outcome = await cluster.book(0, key)
+            assert cluster.runs(key) == 0
+        assert outcome.kind is kind
+        assert is_not_run(outcome)
+
+    async def test_memory_is_bounded_by_the_window(self):
+        """Claims outside the window are dropped."""
+        async with claim_cluster(window_ms=5000) as cluster:
+            await cluster.book(0, key_at(_now(cluster)))
+            await asyncio.sleep(0.1)
+            assert len(cluster.shard(1).fold) == 1
+            await asyncio.sleep(15)
+            assert not len(cluster.shard(1).fold)
+
+
+@pytest.mark.looptime
+class TestStart:
+    """Entries that start late or lose their place."""
+
+    async def test_fresh_entry_knows_old_keys(self):
+        """A new entry reads back and does not run an old key again."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            await cluster.book(0, key)
+            await asyncio.sleep(60)
+            core = await cluster.deployment.start_entry(9)
+            outcome = await core.run(cluster.request(key))
+            assert cluster.runs(key) == 1
+        assert isinstance(outcome, Answer)
+
+    async def test_expired_records_are_not_skipped(self):
+        """A key whose records may have expired unread is not run."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            await cluster.book(0, key)
+            await asyncio.sleep(60)
+            head = cluster.shard(0).reader.coverage.next_offset
+            cluster.log.expire_before(STREAM, head)
+            core = await cluster.deployment.start_entry(9)
+            outcome = await core.run(cluster.request(key))
+            assert cluster.runs(key) == 1
+        assert outcome.kind is ErrorKind.OUTCOME_UNKNOWN
+
+    async def test_paused_reader_notices_a_gap(self):
+        """A reader that comes back to an expired offset says so."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            entry = cluster.deployment.entries['entry-1']
+            entry.log.cut = True
+            await asyncio.sleep(1)
+            await cluster.book(0, key)
+            await asyncio.sleep(10)
+            head = cluster.shard(0).reader.coverage.next_offset
+            cluster.log.expire_before(STREAM, head)
+            entry.log.cut = False
+            await asyncio.sleep(1)
+            outcome = await cluster.book(1, key)
+            assert cluster.runs(key) == 1
+            assert cluster.shard(1).reader.gaps == 1
+            await asyncio.sleep(5)
+            fresh = await cluster.book(1, key_at(_now(cluster)))
+        assert outcome.ran is Ran.UNKNOWN
+        assert isinstance(fresh, Answer)
+
+
+@pytest.mark.looptime
+class TestCheckpoint:
+    """Claims carried forward before they expire."""
+
+    async def test_fresh_entry_takes_the_checkpoint(self):
+        """Claims outlive their first records."""
+        key = new_identifier()
+        async with claim_cluster() as cluster:
+            first = await cluster.book(0, key)
+            await carry_and_expire(cluster, (0,))
+            core = await cluster.deployment.start_entry(9)
+            outcome = await core.run(cluster.request(key))
+            assert cluster.runs(key) == 1
+        assert outcome.output == first.output
+
+    async def test_two_at_once_with_new_records(self):
+        """Checkpoints that race with each other and a claim lose nothing."""
+        key, racing = new_identifier(), new_identifier()
+        async with claim_cluster() as cluster:
+            await cluster.book(0, key)
+            booked = cluster.start_booking(2, racing)
+            await carry_and_expire(cluster, (0, 1))
+            await booked
+            core = await cluster.deployment.start_entry(9)
+            outcomes = [
+                await core.run(cluster.request(asked))
+                for asked in (key, racing)
+            ]
+            assert cluster.runs(key) == 1
+            assert cluster.runs(racing) == 1
+        assert all(isinstance(outcome, Answer) for outcome in outcomes)
+
+
+async def carry_and_expire(cluster, indexes):
+    """Has entries write checkpoints, then expires what was before them."""
+    await asyncio.sleep(0.1)
+    through = min(
+        cluster.shard(index).reader.coverage.next_offset for index in indexes
+    )
+    for index in indexes:
+        shard = cluster.shard(index)
+        shard._ports.settings.retention_ms = 100
+        assert await shard.carry_forward_once()
+    await asyncio.sleep(1)
+    cluster.log.expire_before(STREAM, through)
+
+
+def key_at(time_ms):
+    """Returns a key made at a time."""
+    random_bits = uuid.UUID(new_identifier()).int & RANDOM_MASK
+    return str(uuid.UUID(int=(int(time_ms) << TIME_SHIFT_BITS) | random_bits))
+
+
+def _now(cluster):
+    return cluster.deployment.clock.wall_ms()
+
+
+def _claims(row):
+    return row.body.get('claims', ())
+
+
+class LosingLog:
+    """Log service that loses the first append before it has an effect."""
+
+    def __init__(self, log):
+        """Wraps a log service."""
+        self.lost = 0
+        self.read = log.read
+        self._append = log.append
+
+    async def append(self, stream, body):
+        """Loses the first record."""
+        if self.lost:
+            return await self._append(stream, body)
+        self.lost += 1
+        raise AppendUnknownError('lost on the way')
