--- a/borageyard/claim_gate.py
+++ b/borageyard/claim_gate.py
@@ -70,17 +70,22 @@
         """Tells whether a request runs under a claim."""
         return self._attempts.is_granted(request_id)
 
+    async def recall(self, admitted: AdmittedRequest) -> Outcome | None:
+        """Returns how another attempt of the request's key ends."""
+        request = admitted.request
+        _check_key(admitted, self._clock.wall_ms())
+        shard = self._log.shard_of(request.idempotency_key)
+        grant = await self._attach(shard, request, digest_request(request))
+        if grant is not None:
+            return grant.outcome
+        if is_down(shard):
+            raise RefusalError(self._refuse_unavailable(shard, request))
+        return None
+
     async def acquire(self, admitted: AdmittedRequest) -> ClaimGrant:
         """Claims the request's key, or finds out how it ended."""
         request = admitted.request
-        configuration = admitted.configuration
-        window = KeyWindow(
-            configuration.claim_window_ms,
-            configuration.clock_skew_ms,
-        )
-        kind = window.check(request.idempotency_key, self._clock.wall_ms())
-        if kind is not None:
-            raise RefusalError(Refusal(kind))
+        _check_key(admitted, self._clock.wall_ms())
         digest = digest_request(request)
         grant = None
         while grant is None:
@@ -96,6 +101,23 @@
         """Frees the key of a granted attempt under which nothing ran."""
         self._attempts.abandon(self._log.shard_of(grant.key), grant, refusal)
 
+    async def _attach(
+        self,
+        shard: ClaimShard,
+        request: PipelineRequest,
+        digest: str,
+    ) -> ClaimGrant | None:
+        """Follows another attempt of the key; none if none is known."""
+        running = self._attempts.find(request.idempotency_key)
+        if running is not None:
+            self._require_digest(running.digest, digest)
+            return await self._join(running, request)
+        winner = shard.fold.winner(request.idempotency_key)
+        if winner is None:
+            return None
+        self._require_digest(winner.digest, digest)
+        return await self._follow(shard, winner, request)
+
     async def _try_acquire(
         self,
         request: PipelineRequest,
@@ -104,19 +126,18 @@
         """Takes one turn; none if the key's state has changed meanwhile."""
         key = request.idempotency_key
         shard = self._log.shard_of(key)
-        running = self._attempts.find(key)
-        if running is not None:
-            self._require_digest(running.digest, digest)
-            return await self._join(running, request)
-        winner = shard.fold.winner(key)
-        if winner is not None:
-            self._require_digest(winner.digest, digest)
-            return await self._follow(shard, winner, request)
+        grant = await self._attach(shard, request, digest)
+        if grant is not None or self._is_known(shard, key):
+            return grant
         if is_down(shard) or not shard.covers_key(key):
             await self._require_records(shard, request)
             return None
         return await self._attempts.claim(shard, request, digest)
 
+    def _is_known(self, shard: ClaimShard, key: str) -> bool:
+        running = self._attempts.find(key)
+        return running is not None or shard.fold.winner(key) is not None
+
     async def _require_records(
         self,
         shard: ClaimShard,
@@ -129,13 +150,20 @@
                 while _must_wait(shard, key):
                     await shard.waiters.wait(key)
         if is_down(shard):
-            self.counts.log_unavailable += 1
-            raise RefusalError(log_unavailable(shard, key))
+            raise RefusalError(self._refuse_unavailable(shard, request))
         if not shard.covers_key(key):
             self.counts.unknown += 1
             detail = 'records of the key are not known'
             raise RefusalError(dataclasses.replace(UNKNOWN, detail=detail))
 
+    def _refuse_unavailable(
+        self,
+        shard: ClaimShard,
+        request: PipelineRequest,
+    ) -> Refusal:
+        self.counts.log_unavailable += 1
+        return log_unavailable(shard, request.idempotency_key)
+
     async def _join(
         self,
         running: Attempt,
@@ -209,6 +237,17 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
+def _check_key(admitted: AdmittedRequest, now_ms: float) -> None:
+    configuration = admitted.configuration
+    window = KeyWindow(
+        configuration.claim_window_ms,
+        configuration.clock_skew_ms,
+    )
+    kind = window.check(admitted.request.idempotency_key, now_ms)
+    if kind is not None:
+        raise RefusalError(Refusal(kind))
+
+
 def _must_wait(shard: ClaimShard, key: str) -> bool:
     if is_down(shard) or shard.covers_key(key):
         return False
--- a/borageyard/claim_service.py
+++ b/borageyard/claim_service.py
@@ -3,13 +3,13 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 from .claim_attempts import ClaimAttempts
 from .claim_gate import LogClaimGate
 from .claim_log import ClaimLog, ClaimLogPorts
-from .claim_peers import ClaimPeers, DomainSource
+from .claim_peers import ClaimPeers
 from .claims import KeyWindow
 from .clock import Clock
 from .generated.settings import ClaimsSettings, EntrySettings
@@ -17,7 +17,7 @@
 from .outcomes import OutcomeHolder
 from .peers import PeerLink
 from .pipeline import ConfigurationSource
-from .platform import LogService, PlatformError
+from .platform import ROLE_ENTRY, Instance, LogService, PlatformError
 
 DEFAULT_WINDOW_MS = 600_000
 DEFAULT_SKEW_MS = 2000
@@ -32,7 +32,7 @@
     peers: PeerLink
     clock: Clock
     configurations: ConfigurationSource
-    domains: DomainSource
+    list_instances: Callable[[], Sequence[Instance]]
 
 
 class ClaimService:
@@ -65,7 +65,7 @@
             ports.peers,
             self.holder,
             settings.instance_id,
-            ports.domains,
+            self._entry_domains,
         )
         self.attempts = ClaimAttempts(settings.instance_id, ports.clock)
         recorder = OutcomeRecorder(
@@ -120,5 +120,12 @@
             configuration.clock_skew_ms,
         )
 
+    def _entry_domains(self) -> dict[str, str]:
+        return {
+            row.instance_id: row.failure_domain
+            for row in self._ports.list_instances()
+            if row.role == ROLE_ENTRY
+        }
+
     def _count_entries(self) -> int:
         return len(self._ports.peers.peer_ids()) + 1
--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -3,35 +3,41 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Coroutine
+import random
+from collections.abc import Sequence
 from typing import Any
 
+from opentelemetry import trace
+
+from .addresses import EntryAddress, order_entries
 from .claim_service import ClaimService, ClaimServicePorts
 from .clock import MS_PER_S, Clock
 from .configuration_log import ConfigurationFold, ConfigurationReader
 from .detached import DetachedRuns
 from .dispatch import StageDispatcher
+from .draining import DrainPlan
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
+from .gate import PolicyAdmission
 from .generated.settings import EntrySettings
 from .local_gates import (
     NoStageStore,
-    OpenAdmission,
     OpenPermission,
 )
+from .membership import Membership
+from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
 from .peers import PeerLink
 from .pipeline import Outcome, PipelineGates, PipelineRunner
-from .platform import (
-    ROLE_ENTRY,
-    InstanceList,
-    LogService,
-    PlatformError,
-)
+from .platform import InstanceList, LogService, PlatformError
+from .policy import EntryPolicy, PolicyOptions, PolicyPlace
+from .policy_news import PolicyNews
 from .requests import PipelineRequest, TokenSink
-from .routing import TwoChoicesRouter
+from .suspects import SuspectRuns
 from .target import TargetClient
 from .targets import TargetDirectory, TargetWatcher
+from .tasks import running_tasks
+from .tracing import RequestRunner, TracedRunner, traced_gates
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +50,9 @@
     peers: PeerLink
     clock: Clock
     seed: int = 0
+    incarnation: int = 0
+    tracer: trace.Tracer | None = None
+    policy: PolicyOptions = dataclasses.field(default_factory=PolicyOptions)
 
 
 class EntryCore:
@@ -60,20 +69,52 @@
         self.ports = ports
         self.metrics = EntryMetrics()
         self.directory = TargetDirectory()
+        self.policy = EntryPolicy(
+            self.directory,
+            PolicyPlace(settings.failure_domain, ports.clock, ports.seed),
+            ports.policy,
+        )
+        PolicyNews(self.policy).register(ports.peers)
         self.fold = ConfigurationFold()
         self.permission = OpenPermission()
-        self.draining = False
+        self.drain_plan = DrainPlan(settings.drain_ms, settings.address_ttl_ms)
         self.watcher = TargetWatcher(
             self.directory,
             ports.instances,
             ports.targets,
             ports.clock,
+            self.policy.note_instances,
+        )
+        self.claims = ClaimService(
+            settings,
+            ClaimServicePorts(
+                log=ports.log,
+                peers=ports.peers,
+                clock=ports.clock,
+                configurations=self.fold,
+                list_instances=lambda: self.watcher.listed,
+            ),
         )
-        self.claims = ClaimService(settings, self._build_claim_ports())
         self._detached = DetachedRuns()
+        self.own = OwnState(
+            incarnation=ports.incarnation or int(ports.clock.wall_ms()),
+            failure_domain=settings.failure_domain,
+        )
+        self.membership = Membership(
+            settings.instance_id,
+            self.own.incarnation,
+        )
+        self._members = MembershipService(
+            self.membership,
+            self.own,
+            self.directory,
+            ports.peers,
+            ports.clock,
+            lambda: self.watcher.listed,
+        )
+        self._random = random.Random(ports.seed)
         self._reader = ConfigurationReader(self.fold, ports.log)
-        self._runner = PipelineRunner(self._build_gates(), ports.clock)
-        self.running = 0
+        self._runner = self._build_runner()
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -93,8 +134,10 @@
             running_tasks(
                 self._reader.follow(),
                 *self.claims.background(),
+                self._members.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
+                self.policy.queues.watch(),
             ),
         )
 
@@ -119,15 +162,56 @@
 
     async def drain(self) -> None:
         """Serves on until callers have other addresses, then ends work."""
-        self.draining = True
+        clock = self.ports.clock
+        self.drain_plan.leave(clock.steady_ms())
+        self.own.leaving = True
+        self.ports.peers.send_news()
         log_event(
             Event.ENTRY_DRAINING,
             instance_id=self.settings.instance_id,
         )
-        await asyncio.sleep(self.settings.drain_ms / MS_PER_S)
+        wait_ms = self.drain_plan.wait_ms(clock.steady_ms())
+        await asyncio.sleep(wait_ms / MS_PER_S)
         self.permission.closed = True
         await self._idle.wait()
 
+    @property
+    def draining(self) -> bool:
+        """Tells whether the entry has been told to stop."""
+        return self.drain_plan.leaving
+
+    @property
+    def running(self) -> int:
+        """Returns how many requests run."""
+        return self.own.running
+
+    def entry_addresses(self, failure_domain: str) -> Sequence[EntryAddress]:
+        """Returns the entries that a caller may use, the best first.
+
+        Args:
+            failure_domain: Where the caller is; empty if unknown.
+        """
+        now_ms = self.ports.clock.steady_ms()
+        entries = [
+            EntryAddress(
+                member.instance_id,
+                member.address,
+                member.failure_domain,
+                member.running,
+            )
+            for member in self.membership.alive(now_ms)
+            if member.address
+        ]
+        if not self.draining and self.own.address:
+            own = EntryAddress(
+                self.settings.instance_id,
+                self.own.address,
+                self.own.failure_domain,
+                self.own.running,
+            )
+            entries.append(own)
+        return order_entries(entries, failure_domain, self._random)
+
     async def _run_counted(
         self,
         request: PipelineRequest,
@@ -146,62 +230,39 @@
         self.metrics.note_outcome(request, outcome)
         return outcome
 
-    def _build_claim_ports(self) -> ClaimServicePorts:
-        return ClaimServicePorts(
-            log=self.ports.log,
-            peers=self.ports.peers,
-            clock=self.ports.clock,
-            configurations=self.fold,
-            domains=self._entry_domains,
-        )
-
-    def _entry_domains(self) -> dict[str, str]:
-        return {
-            row.instance_id: row.failure_domain
-            for row in self.watcher.listed
-            if row.role == ROLE_ENTRY
-        }
+    def _build_runner(self) -> RequestRunner:
+        gates = self._build_gates()
+        tracer = self.ports.tracer
+        if tracer is None:
+            return PipelineRunner(gates, self.ports.clock)
+        traced = PipelineRunner(traced_gates(gates, tracer), self.ports.clock)
+        return TracedRunner(traced, tracer)
 
     def _build_gates(self) -> PipelineGates:
         return PipelineGates(
             configurations=self.fold,
             permission=self.permission,
-            admission=OpenAdmission(),
+            admission=PolicyAdmission(self.policy),
             claims=self.claims.gate,
             store=NoStageStore(),
             dispatcher=StageDispatcher(
-                self.directory,
-                TwoChoicesRouter(self.ports.seed),
+                self.policy,
                 self.ports.targets,
-                self.ports.clock,
+                SuspectRuns(
+                    self.settings.instance_id,
+                    self.policy,
+                    self.ports.peers,
+                ),
             ),
         )
 
     @contextlib.contextmanager
     def _counted(self) -> Any:
-        self.running += 1
+        self.own.running += 1
         self._idle.clear()
         try:
             yield
         finally:
-            self.running -= 1
-            if not self.running:
+            self.own.running -= 1
+            if not self.own.running:
                 self._idle.set()
-
-
-@contextlib.asynccontextmanager
-async def running_tasks(
-    *work: Coroutine[Any, Any, None],
-) -> AsyncIterator[None]:
-    """Runs coroutines in the background of a scope.
-
-    Args:
-        *work: Coroutines that are cancelled at the end of the scope.
-    """
-    tasks = [asyncio.ensure_future(coroutine) for coroutine in work]
-    try:
-        yield
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
--- a/borageyard/log_reader.py
+++ b/borageyard/log_reader.py
@@ -192,11 +192,8 @@
 
     def _note_failure(self, error: PlatformError) -> None:
         if self.healthy:
-            log_event(
-                Event.PLATFORM_FAILED,
-                stream=self.stream,
-                reason=str(error),
-            )
+            reason = f'{self.stream}: {error}'
+            log_event(Event.PLATFORM_FAILED, reason=reason)
         self._note_health(healthy=False)
 
     def _note_health(self, *, healthy: bool) -> None:
--- a/borageyard/log_writer.py
+++ b/borageyard/log_writer.py
@@ -156,11 +156,9 @@
         self._count_sent(batch, -1)
         self._backoff.note_failure(self._clock.steady_ms())
         if self._backoff.is_down:
-            log_event(
-                Event.PLATFORM_FAILED,
-                stream=self._settings.stream,
-                reason=str(error),
-            )
+            stream = self._settings.stream
+            reason = f'{stream}: {error}'
+            log_event(Event.PLATFORM_FAILED, reason=reason)
             self.queue.refuse_optional(batch)
         self.queue.put_back(batch)
 
--- a/borageyard/pipeline.py
+++ b/borageyard/pipeline.py
@@ -6,7 +6,6 @@
 
 from .clock import Clock
 from .configuration import REQUEST_INPUT, Configuration, Pipeline, Stage
-from .dispatch import StageDispatcher
 from .errors import ErrorKind, Ran, Refusal, RefusalError
 from .events import Event, log_event
 from .requests import (
@@ -64,6 +63,19 @@
 class ClaimGate(Protocol):
     """Lets a non-idempotent request run at most once."""
 
+    async def recall(self, admitted: AdmittedRequest) -> Outcome | None:
+        """Returns how another attempt of the request's key ends.
+
+        Args:
+            admitted: A request that needs a claim.
+
+        Returns:
+            The outcome, or none if no other attempt is known.
+
+        Raises:
+            RefusalError: If the key can't be claimed.
+        """
+
     async def acquire(self, admitted: AdmittedRequest) -> ClaimGrant:
         """Claims the request's key before its first unrepeatable call.
 
@@ -101,6 +113,20 @@
         """Drops what was kept for a request that has ended."""
 
 
+class StageRunner(Protocol):
+    """Runs one stage to its whole result."""
+
+    async def run(self, stage_request: StageRequest) -> StageResult:
+        """Runs a stage.
+
+        Args:
+            stage_request: The stage and its inputs.
+
+        Raises:
+            RefusalError: If there is no whole result.
+        """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PipelineGates:
     """Everything that a request passes on its way."""
@@ -110,7 +136,7 @@
     admission: Admission
     claims: ClaimGate
     store: StageStore
-    dispatcher: StageDispatcher
+    dispatcher: StageRunner
 
 
 @dataclasses.dataclass(slots=True)
@@ -150,9 +176,7 @@
             The whole answer or an honest refusal.
         """
         try:
-            admitted = self._pin(request)
-            async with self._gates.admission.admit(admitted):
-                return await self._run_admitted(admitted, sink)
+            return await self._run_pinned(self._pin(request), sink)
         except RefusalError as error:
             refusal = error.refusal
         log_event(
@@ -187,6 +211,21 @@
         )
         return AdmittedRequest(bounded, pipeline, configuration)
 
+    async def _run_pinned(
+        self,
+        admitted: AdmittedRequest,
+        sink: TokenSink | None,
+    ) -> Outcome:
+        """Runs a request, unless another attempt of its key is known."""
+        if admitted.configuration.needs_claim(admitted.pipeline):
+            outcome = await self._gates.claims.recall(admitted)
+            if isinstance(outcome, Refusal):
+                raise RefusalError(outcome)
+            if outcome is not None:
+                return outcome
+        async with self._gates.admission.admit(admitted):
+            return await self._run_admitted(admitted, sink)
+
     async def _run_admitted(
         self,
         admitted: AdmittedRequest,
