--- a/borageyard/events.py
+++ b/borageyard/events.py
@@ -24,6 +24,8 @@
     CONFIGURATION_GAP = 1405
     MEMBER_LEFT = 1406
     PLATFORM_FAILED = 1501
+    LOG_GAP = 1511
+    APPEND_UNKNOWN = 1512
     PEER_CONNECTED = 1601
     PEER_LOST = 1602
     PEER_FRAME_BROKEN = 1603
@@ -36,6 +38,9 @@
     HEDGE_SENT = 1704
     RETRY_DENIED = 1705
     REQUEST_DELAYED = 1706
+    CLAIM_ABANDONED = 1901
+    CLAIM_RECORD_INVALID = 1902
+    CHECKPOINT_WRITTEN = 1903
 
 
 def log_event(event: Event, **fields: Any) -> None:
