--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -31,6 +31,7 @@
     token_payload,
 )
 
+DRAIN_PATH = '/v1/targets/drain'
 PIPELINE_PREFIX = '/v1/pipelines/'
 TOKEN_QUEUE_SIZE = 64
 TOKEN_HEADER = 'x-borage-token'
@@ -75,6 +76,8 @@
         where = (request.method, request.path)
         if where == ('POST', '/v1/configuration'):
             return await self._apply(request)
+        if where == ('POST', DRAIN_PATH):
+            return self._drain_target(request)
         route = self._routes.get(where)
         if route is None:
             return encode_refusal('', Refusal(ErrorKind.NOT_FOUND))
@@ -131,6 +134,17 @@
         keep_ms = core.settings.address_ttl_ms
         return json_response({'entries': rows, 'keep_ms': keep_ms})
 
+    def _drain_target(self, request: HttpRequest) -> HttpResponse:
+        """Marks a target as leaving by an operator's order."""
+        if not self._is_operator(request):
+            return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
+        target_id = request.query.get('target_id', '')
+        if not self._core.directory.mark_leaving(target_id):
+            refusal = Refusal(ErrorKind.NOT_FOUND, detail=target_id)
+            return encode_refusal('', refusal)
+        self._core.ports.peers.send_news()
+        return json_response({'target_id': target_id, 'leaving': True})
+
     def _status(self, request: HttpRequest) -> HttpResponse:
         core = self._core
         targets = [
--- a/borageyard/membership_service.py
+++ b/borageyard/membership_service.py
@@ -104,6 +104,7 @@
 
     def _provide(self) -> PeerMembershipBody:
         now_ms = self._clock.steady_ms()
+        self._share_target_marks(now_ms)
         own = self._own
         marks = self._membership.entry_marks.take(MARKS_PER_NEWS, now_ms)
         suspicions = self._membership.suspicions(now_ms)[:MARKS_PER_NEWS]
--- a/borageyard/news_plan.py
+++ b/borageyard/news_plan.py
@@ -1,16 +1,17 @@
 """Which peers the news goes to, within a budget of bytes."""
 
 import hashlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from .clock import MS_PER_S
 from .peers import PeerAddress
 
+RING_PEERS = 2
 HASH_BYTES = 8
 
 
 class NewsPlan:
-    """Chooses receivers in turn; few peers all get news, many a part."""
+    """Chooses receivers in turn; few peers all get news, of many a part."""
 
     def __init__(
         self,
@@ -30,6 +31,7 @@
         self._bytes_per_s = bytes_per_s
         self._budget_bytes = bytes_per_s
         self._refilled_at_ms: float | None = None
+        self._known: Collection[str] = ()
         self._neighbours: tuple[str, ...] = ()
         self._next = 0
 
@@ -41,27 +43,21 @@
     def update(self, peers: Iterable[PeerAddress]) -> None:
         """Chooses the receivers among the known peers.
 
-        All when they are few; else the successors on a ring of hashes and
-        one of each failure domain in turn, so that the graph is connected
-        and news crosses domains in few steps.
+        All when they are few. Else the successors on a ring of hashes, so
+        that every entry is heard by some and none is cut off, and further
+        ones drawn by a hash of the pair, so that news needs few steps.
 
         Args:
             peers: All peers known now.
         """
-        known = sorted(peers, key=self._distance)
-        if len(known) <= self._max_peers:
-            self._neighbours = tuple(peer.instance_id for peer in known)
+        by_name = {peer.instance_id: peer for peer in peers}
+        if by_name.keys() == self._known:
             return
-        ring = known[: self._max_peers // 2]
-        others = known[self._max_peers // 2 :]
-        first_of_domain: dict[str, PeerAddress] = {}
-        for peer in others:
-            first_of_domain.setdefault(peer.failure_domain, peer)
-        spread = [*first_of_domain.values(), *others]
-        chosen = dict.fromkeys(
-            member.instance_id for member in (*ring, *spread)
-        )
-        self._neighbours = tuple(chosen)[: self._max_peers]
+        self._known = by_name.keys()
+        known = sorted(by_name.values(), key=self._distance)
+        drawn = sorted(known[RING_PEERS:], key=self._draw)
+        chosen = (*known[:RING_PEERS], *drawn)[: self._max_peers]
+        self._neighbours = tuple(peer.instance_id for peer in chosen)
 
     def choose(self, size_bytes: int, now_ms: float) -> Sequence[str]:
         """Returns the receivers of this interval and spends the budget.
@@ -93,11 +89,14 @@
 
     def _distance(self, peer: PeerAddress) -> int:
         """Returns how far a peer is ahead on the ring of hashes."""
-        own = _ring_position(self._instance_id)
         span = 1 << (HASH_BYTES * 8)
-        return (_ring_position(peer.instance_id) - own) % span
+        ahead = _hash(peer.instance_id) - _hash(self._instance_id)
+        return ahead % span
+
+    def _draw(self, peer: PeerAddress) -> int:
+        return _hash(f'{self._instance_id} {peer.instance_id}')
 
 
-def _ring_position(instance_id: str) -> int:
-    hashed = hashlib.blake2b(instance_id.encode(), digest_size=HASH_BYTES)
+def _hash(text: str) -> int:
+    hashed = hashlib.blake2b(text.encode(), digest_size=HASH_BYTES)
     return int.from_bytes(hashed.digest(), 'big')
--- a/borageyard/targets.py
+++ b/borageyard/targets.py
@@ -64,11 +64,17 @@
         state.report_received_at_ms = now_ms
         state.leaving = state.leaving or report.leaving
 
-    def mark_leaving(self, target_id: str) -> None:
-        """Marks a target as leaving for the rest of its incarnation."""
+    def mark_leaving(self, target_id: str) -> bool:
+        """Marks a target as leaving for the rest of its incarnation.
+
+        Returns:
+            Whether the target is known.
+        """
         state = self._targets.get(target_id)
-        if state is not None:
-            state.leaving = True
+        if state is None:
+            return False
+        state.leaving = True
+        return True
 
     def all_targets(self) -> Sequence[TargetState]:
         """Returns every known target."""
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,207 @@
+"""Tests of an entry's view of the fleet."""
+
+import pytest
+
+from borageyard.generated.peer_membership import (
+    LeavingMarkBody,
+    PeerMembershipBody,
+    SuspicionBody,
+)
+from borageyard.membership import (
+    FORGET_AFTER_MS,
+    LOST_AFTER_MS,
+    PAUSE_MS,
+    SUSPECT_AFTER_MS,
+    Membership,
+    MemberState,
+)
+from borageyard.platform import ROLE_ENTRY, STATE_LEAVING, Instance
+
+TICK_MS = 200
+
+
+def row(name, incarnation=0, **fields):
+    """Returns a row of the list."""
+    return Instance(
+        instance_id=name,
+        role=ROLE_ENTRY,
+        address=f'{name}:1',
+        failure_domain='a',
+        incarnation=incarnation,
+        **fields,
+    )
+
+
+def names(members):
+    """Returns the names of members in order."""
+    return sorted(member.instance_id for member in members)
+
+
+class View:
+    """A membership with its time."""
+
+    def __init__(self, *rows):
+        """Starts with a list."""
+        self.now_ms = 0
+        self.members = Membership('self', 1)
+        self.rows = rows
+        self.members.note_list(rows, 0)
+
+    def hear(self, name, incarnation=1, **fields):
+        """Takes in news."""
+        news = PeerMembershipBody(incarnation=incarnation, **fields)
+        self.members.note_news(name, news, self.now_ms)
+
+    def wait(self, span_ms, *talking):
+        """Lets time pass in ticks while some peers talk."""
+        probed = set()
+        for _ in range(round(span_ms / TICK_MS)):
+            self.now_ms += TICK_MS
+            for name in talking:
+                self.hear(name)
+            probed.update(self.members.tick(self.now_ms))
+            self.members.note_list(self.rows, self.now_ms)
+        return probed
+
+    def state(self, name):
+        """Returns what is thought of a peer."""
+        return self.members.state(name, self.now_ms)
+
+    def alive(self):
+        """Returns the peers that callers may use."""
+        return names(self.members.alive(self.now_ms))
+
+
+class TestList:
+    """The lagging list."""
+
+    @pytest.mark.parametrize('rows', [(), (row('t'),)], ids=['none', 'other'])
+    def test_list_that_lost_entries_does_not_empty_the_fleet(self, rows):
+        """Peers that talk stay, whatever the list shows."""
+        view = View(row('b'), row('c'))
+        view.rows = rows
+        view.wait(FORGET_AFTER_MS * 2, 'b', 'c')
+        assert set(view.alive()) >= {'b', 'c'}
+
+    def test_empty_list_keeps_silent_peers_known(self):
+        """A list without entries is taken as a fault of the list."""
+        view = View(row('b'))
+        view.rows = ()
+        view.wait(FORGET_AFTER_MS * 2)
+        assert names(view.members.members()) == ['b']
+
+    def test_vanished_and_silent_peer_is_forgotten(self):
+        """A row that stays away takes a silent peer with it."""
+        view = View(row('b'), row('c'))
+        view.rows = (row('c'),)
+        view.wait(FORGET_AFTER_MS * 2, 'c')
+        assert names(view.members.members()) == ['c']
+
+    def test_listed_peer_that_was_never_heard_is_no_address(self):
+        """Only peers known to be alive are given to callers."""
+        view = View(row('b'))
+        assert view.alive() == []
+        assert 'b' in view.wait(TICK_MS)
+        view.members.note_contact('b', 1, view.now_ms)
+        assert view.alive() == ['b']
+
+    def test_unlisted_peer_that_talks_is_known(self):
+        """Direct contact comes before the list."""
+        view = View(row('b'))
+        view.hear('new', address='new:1')
+        assert view.alive() == ['new']
+
+
+class TestSilence:
+    """Suspicion before loss."""
+
+    def test_silent_peer_is_suspected_then_lost(self):
+        """Silence is probed first; loss comes later."""
+        view = View(row('b'))
+        view.hear('b')
+        assert 'b' in view.wait(SUSPECT_AFTER_MS + TICK_MS)
+        assert view.state('b') is MemberState.SUSPECTED
+        assert view.alive() == []
+        view.wait(LOST_AFTER_MS)
+        assert view.state('b') is MemberState.LOST
+
+    def test_paused_peer_that_wakes_is_alive(self):
+        """The same incarnation that talks again is taken back."""
+        view = View(row('b'))
+        view.hear('b')
+        view.wait(LOST_AFTER_MS + TICK_MS)
+        view.hear('b')
+        assert view.state('b') is MemberState.ALIVE
+
+    def test_own_pause_suspects_nobody(self):
+        """After this process was paused, everybody gets a new term."""
+        view = View(row('b'))
+        view.hear('b')
+        view.wait(TICK_MS)
+        view.now_ms += PAUSE_MS + LOST_AFTER_MS
+        view.members.tick(view.now_ms)
+        assert view.state('b') is MemberState.ALIVE
+
+    def test_suspicion_of_others_counts_without_contact(self):
+        """A peer that is not heard regularly is judged by its neighbours."""
+        view = View(row('b'), row('far'))
+        view.members.note_contact('far', 1, 0)
+        view.wait(SUSPECT_AFTER_MS * 2, 'b')
+        assert view.state('far') is MemberState.ALIVE
+        told = SuspicionBody(id='far', incarnation=1)
+        view.hear('b', suspicions=[told])
+        assert view.state('far') is not MemberState.ALIVE
+        view.members.note_contact('far', 1, view.now_ms)
+        assert view.state('far') is MemberState.ALIVE
+
+    def test_suspicion_ages_across_relays(self):
+        """A suspicion that nobody renews dies, however often it is told."""
+        view = View(row('b'), row('far'))
+        view.hear('b', suspicions=[SuspicionBody(id='far', age_ms=3900)])
+        assert view.members.suspicions(view.now_ms)
+        view.wait(TICK_MS)
+        assert not view.members.suspicions(view.now_ms)
+
+    def test_replaced_address_is_lost_at_once(self):
+        """Another instance at the address ends the old one."""
+        view = View(row('b'))
+        view.hear('b')
+        view.members.note_replaced('b')
+        assert view.state('b') is MemberState.LOST
+
+
+class TestLeaving:
+    """One-way marks of incarnations."""
+
+    def test_mark_holds_for_the_incarnation(self):
+        """Later news without the mark does not take it back."""
+        view = View(row('b'))
+        view.hear('b', leaving=True)
+        view.hear('b', leaving=False)
+        assert view.alive() == []
+        view.hear('b', incarnation=2)
+        assert view.alive() == ['b']
+
+    def test_old_incarnation_is_not_heard(self):
+        """News of a process that was replaced changes nothing."""
+        view = View(row('b'))
+        view.hear('b', incarnation=2)
+        view.hear('b', incarnation=1, leaving=True)
+        assert view.alive() == ['b']
+
+    def test_mark_spreads_through_a_peer(self):
+        """A mark told by another entry counts as well."""
+        view = View(row('b'), row('c'))
+        view.hear('c')
+        mark = LeavingMarkBody(id='c', incarnation=1)
+        view.hear('b', leaving_entries=[mark])
+        assert view.alive() == ['b']
+
+    def test_mark_of_the_list_holds_until_a_new_incarnation(self):
+        """A lagging list that shows the row live again changes nothing."""
+        view = View(row('b', state=STATE_LEAVING))
+        view.hear('b')
+        view.members.note_list((row('b'),), 0)
+        assert view.alive() == []
+        view.members.note_list((row('b', incarnation=1),), 0)
+        assert view.alive() == ['b']
