Go on with a request whose entry has died

A retry ran every stage anew and two copies of one request ran twice. Finished stages and tokens are now kept by a peer in another failure domain, which also names the one runner of a request; another entry waits for that runner while it lives and goes on where it stopped otherwise.

--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -14,10 +14,12 @@
 from .draining import DrainPlan
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
-from .generated.settings import EntrySettings
+from .generated.settings import EntrySettings, PeerSettings
+from .handover import HandoverStore
+from .handover_keepers import HandoverKeepers, HandoverPlace
+from .handover_memory import HandoverMemory
 from .local_gates import (
     LocalClaims,
-    NoStageStore,
     OpenAdmission,
     OpenPermission,
 )
@@ -86,6 +88,22 @@
             ports.clock,
             lambda: self.watcher.listed,
         )
+        peers = settings.peers or PeerSettings()
+        self.keepers = HandoverKeepers(
+            HandoverPlace(
+                settings.instance_id,
+                settings.failure_domain,
+                self._live_domains,
+            ),
+            ports.peers,
+            ports.clock,
+            HandoverMemory(peers.handover_bytes),
+        )
+        self.handover = HandoverStore(
+            self.keepers,
+            ports.peers,
+            ports.clock,
+        )
         self._random = random.Random(ports.seed)
         self._reader = ConfigurationReader(self.fold, ports.log)
         self._runner = PipelineRunner(self._build_gates(), ports.clock)
@@ -98,6 +116,7 @@
         Args:
             stack: Owns the background work.
         """
+        stack.push_async_callback(self.keepers.close)
         await self.watcher.poll_instances()
         with contextlib.suppress(PlatformError):
             await self._reader.catch_up()
@@ -124,7 +143,11 @@
         """
         with self._counted():
             try:
-                outcome = await self._runner.run(request, sink)
+                outcome = await self.handover.run(
+                    request,
+                    sink,
+                    self._runner.run,
+                )
             except Exception as error:
                 outcome = Refusal(ErrorKind.INTERNAL, ran=Ran.UNKNOWN)
                 log_event(
@@ -187,13 +210,24 @@
             entries.append(own)
         return order_entries(entries, failure_domain, self._random)
 
+    def _live_domains(self) -> dict[str, str]:
+        now_ms = self.ports.clock.steady_ms()
+        domains = {
+            member.instance_id: member.failure_domain
+            for member in self.membership.alive(now_ms)
+        }
+        if not self.draining:
+            own_id = self.settings.instance_id
+            domains[own_id] = self.settings.failure_domain
+        return domains
+
     def _build_gates(self) -> PipelineGates:
         return PipelineGates(
             configurations=self.fold,
             permission=self.permission,
             admission=OpenAdmission(),
             claims=LocalClaims(),
-            store=NoStageStore(),
+            store=self.handover,
             dispatcher=StageDispatcher(
                 self.directory,
                 TwoChoicesRouter(self.ports.seed),
--- a/borageyard/dispatch.py
+++ b/borageyard/dispatch.py
@@ -68,7 +68,7 @@
             RefusalError: If there is no whole result.
         """
         started_ms = self._clock.steady_ms()
-        progress = StageProgress()
+        progress = StageProgress(tokens=list(stage_request.resume_tokens))
         while True:
             target = self._choose(stage_request, progress)
             call = self._build_call(stage_request, progress)
--- /dev/null
+++ b/borageyard/handover_keepers.py
@@ -0,0 +1,169 @@
+"""The peers that keep the finished stages of requests."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Any
+
+from .clock import Clock
+from .generated.peer_handover import (
+    HandoverEndBody,
+    HandoverSaveBody,
+    HandoverSavedBody,
+    HandoverStartBody,
+    HandoverStartedBody,
+)
+from .handover_memory import HandoverMemory
+from .handover_places import choose_keeper, possible_keepers
+from .peers import PeerError, PeerLink
+
+KEEPER_TIMEOUT_MS = 100
+MAX_BACKGROUND = 512
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandoverPlace:
+    """Where an entry stands among the live ones."""
+
+    instance_id: str
+    failure_domain: str
+    domains: Callable[[], Mapping[str, str]]
+
+
+@dataclasses.dataclass(slots=True)
+class HandoverCounters:
+    """What hand-over did and what it could not do."""
+
+    resumed: int = 0
+    joined: int = 0
+    saves_lost: int = 0
+
+
+class HandoverKeepers:
+    """Reaches the keepers of requests, and is one for other entries."""
+
+    def __init__(
+        self,
+        place: HandoverPlace,
+        link: PeerLink,
+        clock: Clock,
+        memory: HandoverMemory,
+    ) -> None:
+        """Registers what peers may ask.
+
+        Args:
+            place: This entry and the live ones.
+            link: The way to the peers.
+            clock: Source of time.
+            memory: What is kept for other entries.
+        """
+        self.counters = HandoverCounters()
+        self.memory = memory
+        self.place = place
+        self._link = link
+        self._clock = clock
+        self._background: set[asyncio.Task[None]] = set()
+        link.register(HandoverSaveBody, self._answer_save)
+        link.register(HandoverStartBody, self._answer_start)
+        link.register(HandoverEndBody, self._answer_end)
+
+    def possible(self, key: str) -> tuple[str, ...]:
+        """Returns the entries that may keep a request."""
+        return tuple(possible_keepers(key, self.place.domains()))
+
+    def start_background(self, work: Coroutine[Any, Any, None]) -> bool:
+        """Runs something in the background; past the bound it is lost."""
+        task = asyncio.ensure_future(work)
+        if len(self._background) >= MAX_BACKGROUND:
+            task.cancel()
+            self.counters.saves_lost += 1
+            return False
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+        return True
+
+    async def start(
+        self,
+        keeper: str,
+        message: HandoverStartBody,
+    ) -> HandoverStartedBody | None:
+        """Registers a runner with a keeper; returns none if it is silent."""
+        if keeper == self.place.instance_id:
+            return self.memory.start(message, self._clock.steady_ms())
+        try:
+            return await self._link.request(
+                keeper,
+                message,
+                HandoverStartedBody,
+                KEEPER_TIMEOUT_MS,
+            )
+        except PeerError:
+            return None
+
+    async def save(
+        self,
+        message: HandoverSaveBody,
+    ) -> None:
+        """Has a peer in another failure domain keep stages or tokens."""
+        place = self.place
+        keeper = choose_keeper(
+            message.key,
+            place.instance_id,
+            place.failure_domain,
+            place.domains(),
+        )
+        kept = False
+        if keeper is not None:
+            with contextlib.suppress(PeerError):
+                reply = await self._link.request(
+                    keeper,
+                    message,
+                    HandoverSavedBody,
+                    KEEPER_TIMEOUT_MS,
+                )
+                kept = reply.kept
+        self.counters.saves_lost += int(not kept)
+
+    async def end(self, keeper: str, message: HandoverEndBody) -> None:
+        """Tells a keeper that a run has ended."""
+        if keeper == self.place.instance_id:
+            self.memory.end(message)
+            return
+        with contextlib.suppress(PeerError):
+            await self._link.request(
+                keeper,
+                message,
+                HandoverSavedBody,
+                KEEPER_TIMEOUT_MS,
+            )
+
+    async def close(self) -> None:
+        """Ends what runs in the background."""
+        work = tuple(self._background)
+        for task in work:
+            task.cancel()
+        await asyncio.gather(*work, return_exceptions=True)
+
+    async def _answer_save(
+        self,
+        peer_id: str,
+        message: HandoverSaveBody,
+    ) -> HandoverSavedBody:
+        kept = self.memory.save(message, self._clock.steady_ms())
+        return HandoverSavedBody(kept=kept)
+
+    async def _answer_start(
+        self,
+        peer_id: str,
+        message: HandoverStartBody,
+    ) -> HandoverStartedBody:
+        return self.memory.start(message, self._clock.steady_ms())
+
+    async def _answer_end(
+        self,
+        peer_id: str,
+        message: HandoverEndBody,
+    ) -> HandoverSavedBody:
+        self.memory.end(message)
+        return HandoverSavedBody()
--- /dev/null
+++ b/borageyard/handover_memory.py
@@ -0,0 +1,153 @@
+"""Stage results kept for other entries, within a bound."""
+
+import dataclasses
+
+import msgpack
+
+from .generated.peer_handover import (
+    HandoverEndBody,
+    HandoverSaveBody,
+    HandoverStartBody,
+    HandoverStartedBody,
+    KeptStageBody,
+)
+
+# Time after its deadline in which a request may still be asked for.
+GRACE_MS = 1000
+EXPIRE_EVERY_MS = 500
+# What a kept request costs beside its results.
+OVERHEAD_BYTES = 512
+
+
+@dataclasses.dataclass(slots=True)
+class KeptRequest:
+    """What is kept of one request."""
+
+    runner: str
+    expires_at_ms: float
+    version: int = 0
+    size_bytes: int = OVERHEAD_BYTES
+    stages: dict[str, KeptStageBody] = dataclasses.field(default_factory=dict)
+    tokens: list[str] = dataclasses.field(default_factory=list)
+
+
+class HandoverMemory:
+    """Requests of other entries by key; each has one runner at a time."""
+
+    def __init__(self, max_bytes: int) -> None:
+        """Starts empty.
+
+        Args:
+            max_bytes: Bound on everything that is kept.
+        """
+        self.size_bytes = 0
+        self.overflows = 0
+        self._max_bytes = max_bytes
+        self._expired_at_ms: float = -EXPIRE_EVERY_MS
+        self._kept: dict[str, KeptRequest] = {}
+
+    def __len__(self) -> int:
+        """Returns how many requests are kept."""
+        return len(self._kept)
+
+    def start(
+        self,
+        message: HandoverStartBody,
+        now_ms: float,
+    ) -> HandoverStartedBody:
+        """Registers the runner of a request, if no other one runs it.
+
+        Args:
+            message: Who is about to run it, and whom it replaces.
+            now_ms: Steady time.
+
+        Returns:
+            Who runs it, and what an earlier runner finished.
+        """
+        self._expire(now_ms)
+        expires_at_ms = now_ms + message.left_ms + GRACE_MS
+        kept = self._kept.get(message.key)
+        if kept is None:
+            if self._has_room(OVERHEAD_BYTES):
+                fresh = KeptRequest(message.runner, expires_at_ms)
+                self._kept[message.key] = fresh
+                self.size_bytes += OVERHEAD_BYTES
+            return HandoverStartedBody(runner=message.runner)
+        if kept.runner in {'', message.replaces}:
+            kept.runner = message.runner
+            kept.expires_at_ms = max(kept.expires_at_ms, expires_at_ms)
+        return HandoverStartedBody(
+            runner=kept.runner,
+            version=kept.version,
+            stages=list(kept.stages.values()),
+            tokens=list(kept.tokens),
+        )
+
+    def save(self, message: HandoverSaveBody, now_ms: float) -> bool:
+        """Keeps finished stages or tokens.
+
+        Args:
+            message: What its runner has finished.
+            now_ms: Steady time.
+
+        Returns:
+            Whether it is kept.
+        """
+        self._expire(now_ms)
+        size_bytes = _size(message)
+        if not self._has_room(size_bytes):
+            return False
+        kept = self._kept.get(message.key)
+        if kept is None:
+            expires_at_ms = now_ms + message.left_ms + GRACE_MS
+            kept = KeptRequest(message.runner, expires_at_ms, size_bytes=0)
+            self._kept[message.key] = kept
+        if kept.runner != message.runner:
+            return False
+        if kept.version != message.version:
+            kept.stages.clear()
+            kept.tokens.clear()
+            kept.version = message.version
+        kept.stages.update({stage.stage: stage for stage in message.stages})
+        if message.tokens and message.offset <= len(kept.tokens):
+            # Tokens after a gap are of no use.
+            earlier = kept.tokens[: message.offset]
+            kept.tokens = [*earlier, *message.tokens]
+        kept.size_bytes += size_bytes
+        self.size_bytes += size_bytes
+        return True
+
+    def end(self, message: HandoverEndBody) -> None:
+        """Drops an answered request, or frees it for the next runner."""
+        kept = self._kept.get(message.key)
+        if kept is None or kept.runner != message.runner:
+            return
+        if message.answered:
+            self._drop(message.key)
+        else:
+            kept.runner = ''
+
+    def _has_room(self, size_bytes: int) -> bool:
+        if self.size_bytes + size_bytes <= self._max_bytes:
+            return True
+        self.overflows += 1
+        return False
+
+    def _expire(self, now_ms: float) -> None:
+        if now_ms - self._expired_at_ms < EXPIRE_EVERY_MS:
+            return
+        self._expired_at_ms = now_ms
+        expired = [
+            key
+            for key, kept in self._kept.items()
+            if kept.expires_at_ms < now_ms
+        ]
+        for key in expired:
+            self._drop(key)
+
+    def _drop(self, key: str) -> None:
+        self.size_bytes -= self._kept.pop(key).size_bytes
+
+
+def _size(message: HandoverSaveBody) -> int:
+    return len(msgpack.packb(message.model_dump(exclude_defaults=True)))
--- /dev/null
+++ b/borageyard/handover_places.py
@@ -0,0 +1,79 @@
+"""Which entries keep the finished stages of a request."""
+
+import hashlib
+import json
+from collections.abc import Mapping, Sequence
+
+from .requests import PipelineRequest
+
+HASH_BYTES = 8
+KEY_BYTES = 16
+
+
+def handover_key(request: PipelineRequest) -> str:
+    """Returns the key under which a request's stages are kept.
+
+    It covers all that the answer depends on, so that another request under
+    the same id never gets them.
+
+    Args:
+        request: The request.
+    """
+    parts = [
+        request.request_id,
+        request.organisation,
+        request.pipeline,
+        request.idempotency_key,
+        request.body,
+    ]
+    text = json.dumps(parts, sort_keys=True)
+    hashed = hashlib.blake2b(text.encode(), digest_size=KEY_BYTES)
+    return hashed.hexdigest()
+
+
+def choose_keeper(
+    key: str,
+    runner: str,
+    runner_domain: str,
+    domains: Mapping[str, str],
+) -> str | None:
+    """Returns the entry that keeps the stages of a request.
+
+    The first in an order by hash that lies in another failure domain than
+    the runner; the first other one if all share a domain.
+
+    Args:
+        key: Key of the request.
+        runner: Entry that runs it.
+        runner_domain: Its failure domain.
+        domains: Failure domain of each live entry.
+    """
+    ranked = [name for name in _rank(key, domains) if name != runner]
+    away = [name for name in ranked if domains[name] != runner_domain]
+    return next(iter((*away, *ranked)), None)
+
+
+def possible_keepers(key: str, domains: Mapping[str, str]) -> Sequence[str]:
+    """Returns the entries that can be the keeper, whoever the runner is.
+
+    Args:
+        key: Key of the request.
+        domains: Failure domain of each live entry.
+
+    Returns:
+        At most two entries; the first one decides who runs the request.
+    """
+    if not domains:
+        return ()
+    first = _rank(key, domains)[0]
+    second = choose_keeper(key, first, domains[first], domains)
+    return (first,) if second is None else (first, second)
+
+
+def _rank(key: str, domains: Mapping[str, str]) -> list[str]:
+    return sorted(domains, key=lambda name: _weight(key, name))
+
+
+def _weight(key: str, name: str) -> bytes:
+    text = f'{key} {name}'
+    return hashlib.blake2b(text.encode(), digest_size=HASH_BYTES).digest()
--- a/borageyard/local_gates.py
+++ b/borageyard/local_gates.py
@@ -69,6 +69,10 @@
         """Returns no finished stages."""
         return {}
 
+    def tokens(self, admitted: AdmittedRequest) -> tuple[str, ...]:
+        """Returns no tokens."""
+        return ()
+
     async def save(
         self,
         admitted: AdmittedRequest,
--- a/borageyard/pipeline.py
+++ b/borageyard/pipeline.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+from collections.abc import Mapping
 from typing import Any, Protocol
 
 from .clock import Clock
@@ -17,6 +18,7 @@
     StageResult,
     TokenSink,
 )
+from .target import TokenEvent
 
 Outcome = Answer | Refusal
 
@@ -90,6 +92,9 @@
     async def load(self, admitted: AdmittedRequest) -> dict[str, StageResult]:
         """Returns the finished stages of a request by name."""
 
+    def tokens(self, admitted: AdmittedRequest) -> tuple[str, ...]:
+        """Returns the tokens of the output stage that are known already."""
+
     async def save(
         self,
         admitted: AdmittedRequest,
@@ -120,6 +125,7 @@
     results: dict[str, StageResult] = dataclasses.field(default_factory=dict)
     grant: ClaimGrant | None = None
     ran: Ran = Ran.NOT_RUN
+    tokens: tuple[str, ...] = ()
 
 
 class PipelineRunner:
@@ -192,7 +198,12 @@
         admitted: AdmittedRequest,
         sink: TokenSink | None,
     ) -> Outcome:
-        state = RunState(results=await self._gates.store.load(admitted))
+        results = await self._gates.store.load(admitted)
+        state = RunState(
+            results=results,
+            ran=_ran_before(admitted, results),
+            tokens=self._gates.store.tokens(admitted),
+        )
         try:
             outcome: Outcome = await self._run_stages(admitted, state, sink)
         except RefusalError as error:
@@ -217,6 +228,7 @@
                 state.grant = await self._gates.claims.acquire(admitted)
                 if state.grant.outcome is not None:
                     return state.grant.outcome
+            await _replay_tokens(stage_request)
             result = await self._gates.dispatcher.run(stage_request)
             state.results[stage.name] = result
             if not stage_request.idempotent:
@@ -244,8 +256,31 @@
     inputs = {
         source: _input_of(source, admitted, state) for source in stage.inputs
     }
-    streamed = sink is not None and _may_stream(admitted, stage)
-    return StageRequest(admitted, stage, inputs, sink if streamed else None)
+    if sink is None or not _may_stream(admitted, stage):
+        return StageRequest(admitted, stage, inputs)
+    return StageRequest(admitted, stage, inputs, sink, state.tokens)
+
+
+async def _replay_tokens(stage_request: StageRequest) -> None:
+    """Sends again what the caller may have missed of an earlier run."""
+    sink = stage_request.sink
+    if sink is None:
+        return
+    for offset, token in enumerate(stage_request.resume_tokens):
+        await sink.send(TokenEvent(offset, token))
+
+
+def _ran_before(
+    admitted: AdmittedRequest,
+    results: Mapping[str, StageResult],
+) -> Ran:
+    """Tells whether an earlier run did what may not be repeated."""
+    services = admitted.configuration.services
+    ran = any(
+        stage.name in results and not services[stage.service].idempotent
+        for stage in admitted.pipeline.stages
+    )
+    return Ran.RAN if ran else Ran.NOT_RUN
 
 
 def _may_stream(admitted: AdmittedRequest, stage: Stage) -> bool:
--- a/borageyard/requests.py
+++ b/borageyard/requests.py
@@ -21,6 +21,8 @@
     cache_prefix: str = ''
     stream: bool = False
     trace_parent: str = ''
+    # Under it finished stages are kept by a peer; empty if they are not.
+    handover_key: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,6 +73,7 @@
     stage: Stage
     inputs: dict[str, Any]
     sink: TokenSink | None = None
+    resume_tokens: tuple[str, ...] = ()
 
     @property
     def idempotent(self) -> bool:
--- a/borageyard/wire.py
+++ b/borageyard/wire.py
@@ -2,12 +2,15 @@
 
 import dataclasses
 import json
+import types
+from collections.abc import Mapping
 from typing import Any
 
-from .border import DocumentError, parse_json
+from .border import DocumentError, check_document, parse_json
 from .clock import Clock
-from .errors import ErrorKind, Refusal, RefusalError
+from .errors import ErrorKind, Ran, Refusal, RefusalError
 from .generated.http_bodies import AnswerBody, RefusalBody, StageReportBody
+from .handover_places import handover_key
 from .http_messages import (
     EVENT_STREAM_TYPE,
     HttpRequest,
@@ -15,7 +18,7 @@
     json_response,
 )
 from .identifiers import new_identifier
-from .requests import Answer, PipelineRequest
+from .requests import Answer, PipelineRequest, StageResult
 
 DEFAULT_DEADLINE_MS = 9000
 ORGANISATION_HEADER = 'x-borage-organisation'
@@ -24,6 +27,11 @@
 CACHE_PREFIX_HEADER = 'x-borage-cache-prefix'
 REQUEST_ID_HEADER = 'x-borage-request-id'
 KEY_HEADER = 'idempotency-key'
+ANSWER_TYPE = 'answer'
+REFUSAL_TYPE = 'refusal'
+RAN_BY_NOT_RUN: Mapping[bool | str, Ran] = types.MappingProxyType(
+    {True: Ran.NOT_RUN, False: Ran.RAN, Ran.UNKNOWN.value: Ran.UNKNOWN}
+)
 
 
 def decode_request(
@@ -53,7 +61,7 @@
     if deadline_ms <= 0:
         detail = f'{DEADLINE_HEADER}: expected a positive number'
         raise RefusalError(Refusal(ErrorKind.BAD_REQUEST, detail=detail))
-    return PipelineRequest(
+    decoded = PipelineRequest(
         request_id=request.header(REQUEST_ID_HEADER) or new_identifier(),
         pipeline=pipeline,
         organisation=request.header(ORGANISATION_HEADER),
@@ -65,6 +73,10 @@
         stream=EVENT_STREAM_TYPE in request.header('accept'),
         trace_parent=request.header('traceparent'),
     )
+    if not request.header(REQUEST_ID_HEADER):
+        return decoded
+    # Only a caller that named its request can come back for it.
+    return dataclasses.replace(decoded, handover_key=handover_key(decoded))
 
 
 def encode_outcome(
@@ -135,6 +147,43 @@
     )
 
 
+def decode_outcome(document: object) -> Answer | Refusal:
+    """Returns the outcome in the last event of a streamed answer.
+
+    Args:
+        document: Payload as encoded by :func:`outcome_payload`.
+
+    Raises:
+        DocumentError: If it is none.
+    """
+    fields = dict(document) if isinstance(document, dict) else {}
+    if fields.pop('type', None) == ANSWER_TYPE:
+        body = check_document(AnswerBody, fields, 'outcome')
+        stages = tuple(
+            StageResult(output=None, **stage.model_dump())
+            for stage in body.stages
+        )
+        return Answer(
+            request_id=body.request_id,
+            pipeline=body.pipeline,
+            configuration_version=body.configuration_version,
+            output=body.output,
+            stages=stages,
+        )
+    refusal = check_document(RefusalBody, fields, 'outcome')
+    try:
+        error_kind = ErrorKind(refusal.kind)
+    except ValueError:
+        error_kind = ErrorKind.INTERNAL
+    return Refusal(
+        kind=error_kind,
+        ran=RAN_BY_NOT_RUN[refusal.not_run],
+        detail=refusal.detail,
+        retry_after_ms=refusal.retry_after_ms,
+        stages_ran=tuple(refusal.stages_ran),
+    )
+
+
 def token_payload(token: str, offset: int) -> dict[str, Any]:
     """Returns the event for one token of a streamed answer."""
     return {'type': 'token', 'offset': offset, 'token': token}
@@ -145,7 +194,7 @@
     outcome: Answer | Refusal,
 ) -> dict[str, Any]:
     """Returns the last event of a streamed answer."""
-    kind = 'refusal' if isinstance(outcome, Refusal) else 'answer'
+    kind = REFUSAL_TYPE if isinstance(outcome, Refusal) else ANSWER_TYPE
     body = encode_outcome(request_id, outcome).body
     return {'type': kind, **json.loads(body)}
 
