--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -7,6 +7,8 @@
 from collections.abc import Sequence
 from typing import Any
 
+from opentelemetry import trace
+
 from .addresses import EntryAddress, order_entries
 from .clock import MS_PER_S, Clock
 from .configuration_log import ConfigurationFold, ConfigurationReader
@@ -14,13 +16,13 @@
 from .draining import DrainPlan
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
+from .gate import PolicyAdmission
 from .generated.settings import EntrySettings, PeerSettings
 from .handover import HandoverStore
 from .handover_keepers import HandoverKeepers, HandoverPlace
 from .handover_memory import HandoverMemory
 from .local_gates import (
     LocalClaims,
-    OpenAdmission,
     OpenPermission,
 )
 from .membership import Membership
@@ -29,11 +31,14 @@
 from .peers import PeerLink
 from .pipeline import Outcome, PipelineGates, PipelineRunner
 from .platform import InstanceList, LogService, PlatformError
+from .policy import EntryPolicy, PolicyOptions, PolicyPlace
+from .policy_news import PolicyNews
 from .requests import PipelineRequest, TokenSink
-from .routing import TwoChoicesRouter
+from .suspects import SuspectRuns
 from .target import TargetClient
 from .targets import TargetDirectory, TargetWatcher
 from .tasks import running_tasks
+from .tracing import RequestRunner, TracedRunner, traced_gates
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +52,8 @@
     clock: Clock
     seed: int = 0
     incarnation: int = 0
+    tracer: trace.Tracer | None = None
+    policy: PolicyOptions = dataclasses.field(default_factory=PolicyOptions)
 
 
 class EntryCore:
@@ -63,6 +70,12 @@
         self.ports = ports
         self.metrics = EntryMetrics()
         self.directory = TargetDirectory()
+        self.policy = EntryPolicy(
+            self.directory,
+            PolicyPlace(settings.failure_domain, ports.clock, ports.seed),
+            ports.policy,
+        )
+        PolicyNews(self.policy).register(ports.peers)
         self.fold = ConfigurationFold()
         self.permission = OpenPermission()
         self.drain_plan = DrainPlan(settings.drain_ms, settings.address_ttl_ms)
@@ -71,6 +84,7 @@
             ports.instances,
             ports.targets,
             ports.clock,
+            self.policy.note_instances,
         )
         self.own = OwnState(
             incarnation=ports.incarnation or int(ports.clock.wall_ms()),
@@ -106,7 +120,7 @@
         )
         self._random = random.Random(ports.seed)
         self._reader = ConfigurationReader(self.fold, ports.log)
-        self._runner = PipelineRunner(self._build_gates(), ports.clock)
+        self._runner = self._build_runner()
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -127,6 +141,7 @@
                 self._members.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
+                self.policy.queues.watch(),
             ),
         )
 
@@ -221,18 +236,29 @@
             domains[own_id] = self.settings.failure_domain
         return domains
 
+    def _build_runner(self) -> RequestRunner:
+        gates = self._build_gates()
+        tracer = self.ports.tracer
+        if tracer is None:
+            return PipelineRunner(gates, self.ports.clock)
+        traced = PipelineRunner(traced_gates(gates, tracer), self.ports.clock)
+        return TracedRunner(traced, tracer)
+
     def _build_gates(self) -> PipelineGates:
         return PipelineGates(
             configurations=self.fold,
             permission=self.permission,
-            admission=OpenAdmission(),
+            admission=PolicyAdmission(self.policy),
             claims=LocalClaims(),
             store=self.handover,
             dispatcher=StageDispatcher(
-                self.directory,
-                TwoChoicesRouter(self.ports.seed),
+                self.policy,
                 self.ports.targets,
-                self.ports.clock,
+                SuspectRuns(
+                    self.settings.instance_id,
+                    self.policy,
+                    self.ports.peers,
+                ),
             ),
         )
 
--- a/borageyard/entry.py
+++ b/borageyard/entry.py
@@ -18,6 +18,7 @@
 from .peer_link import TcpPeerLink
 from .peer_stream import PeerContext, PeerCounters, PeerIdentity
 from .settings import client_tls, http_limits, server_tls
+from .tracing import AttemptTracer, entry_tracer
 
 
 class Entry:
@@ -34,6 +35,7 @@
             settings: Checked settings.
             clock: Source of time; the machine's by default.
         """
+        tracer = entry_tracer(settings)
         self.settings = settings
         self._stack = contextlib.AsyncExitStack()
         limits = http_limits(settings)
@@ -49,10 +51,11 @@
                 self._client,
                 platform.instances_address,
             ),
-            targets=HttpTargetClient(self._client),
+            targets=HttpTargetClient(self._client, AttemptTracer(tracer)),
             peers=self.link,
             clock=clock,
             incarnation=incarnation,
+            tracer=tracer,
         )
         self.core = EntryCore(settings, ports)
         self._server = HttpServer(
--- a/borageyard/events.py
+++ b/borageyard/events.py
@@ -25,6 +25,13 @@
     PEER_FRAME_BROKEN = 1603
     PEER_REFUSED = 1604
     MEMBER_CHANGED = 1605
+    PEER_HANDLER_FAILED = 1606
+    STAGE_ROUTED = 1701
+    TARGET_EJECTED = 1702
+    REQUEST_QUARANTINED = 1703
+    HEDGE_SENT = 1704
+    RETRY_DENIED = 1705
+    REQUEST_DELAYED = 1706
 
 
 def log_event(event: Event, **fields: Any) -> None:
--- a/borageyard/pipeline.py
+++ b/borageyard/pipeline.py
@@ -7,7 +7,6 @@
 
 from .clock import Clock
 from .configuration import REQUEST_INPUT, Configuration, Pipeline, Stage
-from .dispatch import StageDispatcher
 from .errors import ErrorKind, Ran, Refusal, RefusalError
 from .events import Event, log_event
 from .requests import (
@@ -18,7 +17,6 @@
     StageResult,
     TokenSink,
 )
-from .target import TokenEvent
 
 Outcome = Answer | Refusal
 
@@ -106,6 +104,20 @@
         """Drops what was kept for a request that has ended."""
 
 
+class StageRunner(Protocol):
+    """Runs one stage to its whole result."""
+
+    async def run(self, stage_request: StageRequest) -> StageResult:
+        """Runs a stage.
+
+        Args:
+            stage_request: The stage and its inputs.
+
+        Raises:
+            RefusalError: If there is no whole result.
+        """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PipelineGates:
     """Everything that a request passes on its way."""
@@ -115,7 +127,7 @@
     admission: Admission
     claims: ClaimGate
     store: StageStore
-    dispatcher: StageDispatcher
+    dispatcher: StageRunner
 
 
 @dataclasses.dataclass(slots=True)
@@ -228,7 +240,7 @@
                 state.grant = await self._gates.claims.acquire(admitted)
                 if state.grant.outcome is not None:
                     return state.grant.outcome
-            await _replay_tokens(stage_request)
+            await stage_request.replay_tokens()
             result = await self._gates.dispatcher.run(stage_request)
             state.results[stage.name] = result
             if not stage_request.idempotent:
@@ -261,15 +273,6 @@
     return StageRequest(admitted, stage, inputs, sink, state.tokens)
 
 
-async def _replay_tokens(stage_request: StageRequest) -> None:
-    """Sends again what the caller may have missed of an earlier run."""
-    sink = stage_request.sink
-    if sink is None:
-        return
-    for offset, token in enumerate(stage_request.resume_tokens):
-        await sink.send(TokenEvent(offset, token))
-
-
 def _ran_before(
     admitted: AdmittedRequest,
     results: Mapping[str, StageResult],
