Draft a stop that waits for the last response

Cause: an entry ended when its last request had, not when it was sent. Change: activity.py counts responses that are still being sent.

--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -121,8 +121,6 @@
         self._random = random.Random(ports.seed)
         self._reader = ConfigurationReader(self.fold, ports.log)
         self._runner = self._build_runner()
-        self._idle = asyncio.Event()
-        self._idle.set()
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Reads what it needs and starts what runs in the background.
@@ -156,7 +154,7 @@
             request: What the caller asked for.
             sink: Where tokens go, if streamed.
         """
-        with self._counted():
+        with self.own.activity.counted():
             try:
                 outcome = await self.handover.run(
                     request,
@@ -186,7 +184,7 @@
         wait_ms = self.drain_plan.wait_ms(clock.steady_ms())
         await asyncio.sleep(wait_ms / MS_PER_S)
         self.permission.closed = True
-        await self._idle.wait()
+        await self.own.activity.wait_idle()
 
     @property
     def draining(self) -> bool:
@@ -261,14 +259,3 @@
                 ),
             ),
         )
-
-    @contextlib.contextmanager
-    def _counted(self) -> Any:
-        self.own.running += 1
-        self._idle.clear()
-        try:
-            yield
-        finally:
-            self.own.running -= 1
-            if not self.own.running:
-                self._idle.set()
--- a/borageyard/deployment.py
+++ b/borageyard/deployment.py
@@ -134,7 +134,7 @@
         self.instances.rows = [
             row for row in self.instances.rows if row.instance_id != instance_id
         ]
-        await entry.core.drain()
+        await entry.drain()
         await entry.__aexit__(None, None, None)
 
     async def _settle(self) -> None:
--- a/borageyard/entry.py
+++ b/borageyard/entry.py
@@ -104,6 +104,11 @@
             instance_id=self.settings.instance_id,
         )
 
+    async def drain(self) -> None:
+        """Stops as planned: no request is cut, none is answered falsely."""
+        await self.core.drain()
+        await self._server.finish()
+
     def _peer_context(self, incarnation: int) -> PeerContext:
         settings = self.settings
         return PeerContext(
@@ -139,4 +144,4 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     async with Entry(settings) as entry:
         await stop.wait()
-        await entry.core.drain()
+        await entry.drain()
--- a/borageyard/http_server.py
+++ b/borageyard/http_server.py
@@ -10,6 +10,7 @@
 import h11
 
 from .clock import MS_PER_S
+from .activity import Activity
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .http_messages import (
@@ -81,6 +82,7 @@
         self._limits = limits or HttpLimits()
         self._tls = tls
         self._server: asyncio.Server | None = None
+        self._activity = Activity()
         self._connections: set[asyncio.Task[None]] = set()
         self.address = ''
 
@@ -114,6 +116,13 @@
         shown_host, _ = address.rsplit(':', 1)
         self.address = f'{shown_host}:{bound[1]}'
 
+    async def finish(self) -> None:
+        """Stops listening and waits until all responses are sent."""
+        self._activity.closing = True
+        if self._server is not None:
+            self._server.close()
+        await self._activity.wait_idle()
+
     async def close(self) -> None:
         """Stops listening and ends all connections."""
         if self._server is not None:
@@ -134,7 +143,12 @@
         if task is None or not isinstance(reader, CallerGoneReader):
             return
         self._connections.add(task)
-        connection = ServerConnection(reader, writer, self._limits)
+        connection = ServerConnection(
+            reader,
+            writer,
+            self._limits,
+            self._activity,
+        )
         excess = len(self._connections) - self._limits.max_connections
         try:
             if excess > MAX_REFUSALS_AT_ONCE:
@@ -161,6 +175,7 @@
         reader: CallerGoneReader,
         writer: asyncio.StreamWriter,
         limits: HttpLimits,
+        activity: Activity,
     ) -> None:
         """Wraps the two directions of a connection.
 
@@ -168,10 +183,12 @@
             reader: Bytes from the caller.
             writer: Bytes to the caller.
             limits: Bounds on bodies and time.
+            activity: Counts the requests that are being answered.
         """
         self._reader = reader
         self._writer = StreamWriter(writer, limits.send_timeout_ms)
         self._limits = limits
+        self._activity = activity
         self._codec = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=MAX_HEAD_BYTES,
@@ -179,19 +196,21 @@
 
     async def serve(self, handler: Handler) -> None:
         """Answers requests until the caller or an error ends it."""
-        while True:
-            try:
-                request = await self._receive_request()
-            except RefusedRequestError as error:
-                return await self.refuse(error.refusal, error.request_id)
-            if request is None:
-                return None
-            with self._cancelled_when_gone():
-                response = await self._answer(handler, request)
-                await self._send_response(response)
+        while await self._await_first_bytes():
+            with self._activity.counted():
+                try:
+                    request = await self._receive_request()
+                except RefusedRequestError as error:
+                    return await self.refuse(error.refusal, error.request_id)
+                if request is None:
+                    return None
+                with self._cancelled_when_gone():
+                    response = await self._answer(handler, request)
+                    await self._send_response(response)
             if self._codec.our_state is not h11.DONE:
                 return None
             self._codec.start_next_cycle()
+        return None
 
     async def refuse(self, refusal: Refusal, request_id: str = '') -> None:
         """Sends a refusal, if the caller can still be told, and closes.
@@ -210,16 +229,14 @@
         await self._linger()
 
     async def _receive_request(self) -> HttpRequest | None:
-        """Reads a whole request within its time.
+        """Reads a whole request, whose first bytes are there, in its time.
 
         Returns:
-            The request, or none if the caller has no more.
+            The request, or none if the caller went away.
 
         Raises:
             RefusedRequestError: If it is malformed, too large or too slow.
         """
-        if not await self._await_first_bytes():
-            return None
         timeout_s = self._limits.receive_timeout_ms / MS_PER_S
         try:
             async with asyncio.timeout(timeout_s):
@@ -326,6 +343,8 @@
             headers.append(('content-length', str(len(response.body))))
         else:
             headers.append(('transfer-encoding', 'chunked'))
+        if self._activity.closing and 'connection' not in response.headers:
+            headers.append(('connection', 'close'))
         head = h11.Response(status_code=response.status, headers=headers)
         encoded = self._codec.send(head) or b''
         if response.chunks is not None:
--- a/borageyard/membership_service.py
+++ b/borageyard/membership_service.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import Callable, Sequence
 
+from .activity import Activity
 from .clock import MS_PER_S, Clock
 from .events import Event, log_event
 from .generated.peer_membership import (
@@ -32,7 +33,12 @@
     failure_domain: str
     address: str = ''
     leaving: bool = False
-    running: int = 0
+    activity: Activity = dataclasses.field(default_factory=Activity)
+
+    @property
+    def running(self) -> int:
+        """Returns how many requests run."""
+        return self.activity.count
 
 
 class MembershipService:
