--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -5,13 +5,12 @@
 import dataclasses
 import random
 from collections.abc import Sequence
-from typing import Any
 
 from opentelemetry import trace
 
 from .addresses import EntryAddress, order_entries
 from .clock import MS_PER_S, Clock
-from .configuration_log import ConfigurationFold, ConfigurationReader
+from .configuration_service import ConfigurationService
 from .dispatch import StageDispatcher
 from .draining import DrainPlan
 from .errors import ErrorKind, Ran, Refusal
@@ -21,16 +20,13 @@
 from .handover import HandoverStore
 from .handover_keepers import HandoverKeepers, HandoverPlace
 from .handover_memory import HandoverMemory
-from .local_gates import (
-    LocalClaims,
-    OpenPermission,
-)
+from .local_gates import LocalClaims
 from .membership import Membership
 from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
 from .peers import PeerLink
 from .pipeline import Outcome, PipelineGates, PipelineRunner
-from .platform import InstanceList, LogService, PlatformError
+from .platform import InstanceList, LogService
 from .policy import EntryPolicy, PolicyOptions, PolicyPlace
 from .policy_news import PolicyNews
 from .requests import PipelineRequest, TokenSink
@@ -76,8 +72,15 @@
             ports.policy,
         )
         PolicyNews(self.policy).register(ports.peers)
-        self.fold = ConfigurationFold()
-        self.permission = OpenPermission()
+        self.configuration = ConfigurationService(
+            settings.instance_id,
+            ports.log,
+            ports.peers,
+            ports.clock,
+            settings.platform.log_retention_ms,
+        )
+        self.fold = self.configuration.fold
+        self.permission = self.configuration.permission
         self.drain_plan = DrainPlan(settings.drain_ms, settings.address_ttl_ms)
         self.watcher = TargetWatcher(
             self.directory,
@@ -119,7 +122,6 @@
             ports.clock,
         )
         self._random = random.Random(ports.seed)
-        self._reader = ConfigurationReader(self.fold, ports.log)
         self._runner = self._build_runner()
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
@@ -130,12 +132,10 @@
         """
         stack.push_async_callback(self.keepers.close)
         await self.watcher.poll_instances()
-        with contextlib.suppress(PlatformError):
-            await self._reader.catch_up()
+        await self.configuration.start(stack, lambda: self.watcher.listed)
         platform = self.settings.platform
         await stack.enter_async_context(
             running_tasks(
-                self._reader.follow(),
                 self._members.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
@@ -183,7 +183,7 @@
         )
         wait_ms = self.drain_plan.wait_ms(clock.steady_ms())
         await asyncio.sleep(wait_ms / MS_PER_S)
-        self.permission.closed = True
+        await self.configuration.close()
         await self.own.activity.wait_idle()
 
     @property
--- a/borageyard/http_server.py
+++ b/borageyard/http_server.py
@@ -9,8 +9,8 @@
 
 import h11
 
-from .clock import MS_PER_S
 from .activity import Activity
+from .clock import MS_PER_S
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .http_messages import (
