--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -5,7 +5,6 @@
 import dataclasses
 import random
 from collections.abc import Sequence
-from typing import Any
 
 from opentelemetry import trace
 
@@ -19,8 +18,10 @@
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .gate import PolicyAdmission
-from .generated.settings import EntrySettings
-from .local_gates import NoStageStore
+from .generated.settings import EntrySettings, PeerSettings
+from .handover import HandoverStore
+from .handover_keepers import HandoverKeepers, HandoverPlace
+from .handover_memory import HandoverMemory
 from .membership import Membership
 from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
@@ -116,10 +117,24 @@
             ports.clock,
             lambda: self.watcher.listed,
         )
+        peers = settings.peers or PeerSettings()
+        self.keepers = HandoverKeepers(
+            HandoverPlace(
+                settings.instance_id,
+                settings.failure_domain,
+                self._live_domains,
+            ),
+            ports.peers,
+            ports.clock,
+            HandoverMemory(peers.handover_bytes),
+        )
+        self._handover = HandoverStore(
+            self.keepers,
+            ports.peers,
+            ports.clock,
+        )
         self._random = random.Random(ports.seed)
         self._runner = self._build_runner()
-        self._idle = asyncio.Event()
-        self._idle.set()
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Reads what it needs and starts what runs in the background.
@@ -127,6 +142,7 @@
         Args:
             stack: Owns the background work.
         """
+        stack.push_async_callback(self.keepers.close)
         await self.watcher.poll_instances()
         await self.configuration.start(stack, lambda: self.watcher.listed)
         await self.claims.open()
@@ -174,7 +190,7 @@
         wait_ms = self.drain_plan.wait_ms(clock.steady_ms())
         await asyncio.sleep(wait_ms / MS_PER_S)
         await self.configuration.close()
-        await self._idle.wait()
+        await self.own.activity.wait_idle()
 
     @property
     def draining(self) -> bool:
@@ -218,9 +234,13 @@
         request: PipelineRequest,
         sink: TokenSink | None,
     ) -> Outcome:
-        with self._counted():
+        with self.own.activity.counted():
             try:
-                outcome = await self._runner.run(request, sink)
+                outcome = await self._handover.run(
+                    request,
+                    sink,
+                    self._runner.run,
+                )
             except Exception as error:
                 outcome = Refusal(ErrorKind.INTERNAL, ran=Ran.UNKNOWN)
                 log_event(
@@ -231,6 +251,17 @@
         self.metrics.note_outcome(request, outcome)
         return outcome
 
+    def _live_domains(self) -> dict[str, str]:
+        now_ms = self.ports.clock.steady_ms()
+        domains = {
+            member.instance_id: member.failure_domain
+            for member in self.membership.alive(now_ms)
+        }
+        if not self.draining:
+            own_id = self.settings.instance_id
+            domains[own_id] = self.settings.failure_domain
+        return domains
+
     def _build_runner(self) -> RequestRunner:
         gates = self._build_gates()
         tracer = self.ports.tracer
@@ -245,7 +276,7 @@
             permission=self.permission,
             admission=PolicyAdmission(self.policy),
             claims=self.claims.gate,
-            store=NoStageStore(),
+            store=self._handover,
             dispatcher=StageDispatcher(
                 self.policy,
                 self.ports.targets,
@@ -256,14 +287,3 @@
                 ),
             ),
         )
-
-    @contextlib.contextmanager
-    def _counted(self) -> Any:
-        self.own.running += 1
-        self._idle.clear()
-        try:
-            yield
-        finally:
-            self.own.running -= 1
-            if not self.own.running:
-                self._idle.set()
--- a/borageyard/dispatch.py
+++ b/borageyard/dispatch.py
@@ -62,7 +62,10 @@
         Raises:
             RefusalError: If there is no whole result.
         """
-        progress = StageProgress(self._clock.steady_ms())
+        progress = StageProgress(
+            self._clock.steady_ms(),
+            tokens=list(stage_request.resume_tokens),
+        )
         self._policy.retries.note_first(stage_request.stage.service)
         while True:
             self._require_time(stage_request)
