--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -18,6 +18,7 @@
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .gate import PolicyAdmission
+from .gates import Outcome, PipelineGates
 from .generated.settings import EntrySettings, PeerSettings
 from .handover import HandoverStore
 from .handover_keepers import HandoverKeepers, HandoverPlace
@@ -26,7 +27,7 @@
 from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
 from .peers import PeerLink
-from .pipeline import Outcome, PipelineGates, PipelineRunner
+from .pipeline import PipelineRunner
 from .platform import InstanceList, LogService
 from .policy import EntryPolicy, PolicyOptions, PolicyPlace
 from .policy_news import PolicyNews
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -8,6 +8,7 @@
 from .configuration_handler import CONFIGURATION_PATH, ConfigurationHandler
 from .core import EntryCore
 from .errors import ErrorKind, Refusal, RefusalError
+from .gates import Outcome
 from .http_messages import (
     EVENT_STREAM_TYPE,
     HttpRequest,
@@ -15,7 +16,6 @@
     encode_event,
     json_response,
 )
-from .pipeline import Outcome
 from .policy_status import policy_status
 from .requests import PipelineRequest
 from .target import TokenEvent
--- a/borageyard/handover.py
+++ b/borageyard/handover.py
@@ -9,6 +9,7 @@
 from .border import DocumentError, parse_json
 from .clock import MS_PER_S, Clock
 from .errors import ErrorKind, Ran, Refusal
+from .gates import Outcome
 from .generated.peer_handover import (
     HandoverEndBody,
     HandoverJoinBody,
@@ -20,7 +21,6 @@
 )
 from .handover_keepers import KEEPER_TIMEOUT_MS, HandoverKeepers
 from .peers import PeerError, PeerLink
-from .pipeline import Outcome
 from .requests import (
     AdmittedRequest,
     Answer,
--- a/borageyard/outcome_recorder.py
+++ b/borageyard/outcome_recorder.py
@@ -7,8 +7,8 @@
 from .claim_peers import ClaimPeers
 from .claim_records import outcome_record
 from .claims import RecordedOutcome
+from .gates import ClaimGrant, Outcome
 from .outcomes import encode_document
-from .pipeline import ClaimGrant, Outcome
 
 
 class OutcomeRecorder:
--- a/borageyard/outcomes.py
+++ b/borageyard/outcomes.py
@@ -5,13 +5,13 @@
 
 from .border import check_document, parse_json
 from .errors import ErrorKind, Ran, Refusal
+from .gates import Outcome
 from .generated.log_claims import (
     AnswerOutcomeRecord,
     OutcomeDocumentRecord,
     RefusalOutcomeRecord,
     StageOutcomeRecord,
 )
-from .pipeline import Outcome
 from .requests import Answer, StageResult
 
 SOURCE = 'outcome'
--- a/borageyard/pipeline.py
+++ b/borageyard/pipeline.py
@@ -1,156 +1,26 @@
 """Runs a request through the stages of its pipeline."""
 
-import contextlib
 import dataclasses
-from collections.abc import Mapping
-from typing import Any, Protocol
+from typing import Any
 
 from .clock import Clock
-from .configuration import REQUEST_INPUT, Configuration, Pipeline, Stage
+from .configuration import REQUEST_INPUT, Stage
 from .errors import ErrorKind, Ran, Refusal, RefusalError
 from .events import Event, log_event
+from .gates import Outcome, PipelineGates
 from .requests import (
     AdmittedRequest,
-    Answer,
     PipelineRequest,
     StageRequest,
-    StageResult,
     TokenSink,
 )
-
-Outcome = Answer | Refusal
-
-
-class ConfigurationSource(Protocol):
-    """Tells the configuration in force."""
-
-    def current(self) -> Configuration | None:
-        """Returns the configuration, or none before one is known."""
-
-
-class ServingPermission(Protocol):
-    """Tells whether the entry may admit new work."""
-
-    def check(self) -> Refusal | None:
-        """Returns why work may not be admitted, or none if it may."""
-
-
-class Admission(Protocol):
-    """Decides which requests start and when."""
-
-    def admit(
-        self,
-        admitted: AdmittedRequest,
-    ) -> contextlib.AbstractAsyncContextManager[None]:
-        """Holds the request's place from its start to its end.
-
-        Args:
-            admitted: The request.
-
-        Raises:
-            RefusalError: If it may not start.
-        """
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimGrant:
-    """Leave to run a non-idempotent request, or its known outcome."""
-
-    key: str
-    attempt_id: str
-    outcome: Outcome | None = None
-
-
-class ClaimGate(Protocol):
-    """Lets a non-idempotent request run at most once."""
-
-    async def recall(self, admitted: AdmittedRequest) -> Outcome | None:
-        """Returns how another attempt of the request's key ends.
-
-        Args:
-            admitted: A request that needs a claim.
-
-        Returns:
-            The outcome, or none if no other attempt is known.
-
-        Raises:
-            RefusalError: If the key can't be claimed.
-        """
-
-    async def acquire(self, admitted: AdmittedRequest) -> ClaimGrant:
-        """Claims the request's key before its first unrepeatable call.
-
-        Args:
-            admitted: The request.
-
-        Returns:
-            A grant; if it carries an outcome, nothing may be run.
-
-        Raises:
-            RefusalError: If the key can't be claimed.
-        """
-
-    async def complete(self, grant: ClaimGrant, outcome: Outcome) -> None:
-        """Records how a granted request ended."""
-
-    async def abandon(self, grant: ClaimGrant, refusal: Refusal) -> None:
-        """Gives a grant up under which nothing was run."""
-
-
-class StageStore(Protocol):
-    """Keeps finished stage results until their request ends."""
-
-    async def load(self, admitted: AdmittedRequest) -> dict[str, StageResult]:
-        """Returns the finished stages of a request by name."""
-
-    def tokens(self, admitted: AdmittedRequest) -> tuple[str, ...]:
-        """Returns the tokens of the output stage that are known already."""
-
-    async def save(
-        self,
-        admitted: AdmittedRequest,
-        result: StageResult,
-    ) -> None:
-        """Keeps a finished stage."""
-
-    async def forget(self, admitted: AdmittedRequest) -> None:
-        """Drops what was kept for a request that has ended."""
-
-
-class StageRunner(Protocol):
-    """Runs one stage to its whole result."""
-
-    async def run(self, stage_request: StageRequest) -> StageResult:
-        """Runs a stage.
-
-        Args:
-            stage_request: The stage and its inputs.
-
-        Raises:
-            RefusalError: If there is no whole result.
-        """
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PipelineGates:
-    """Everything that a request passes on its way."""
-
-    configurations: ConfigurationSource
-    permission: ServingPermission
-    admission: Admission
-    claims: ClaimGate
-    store: StageStore
-    dispatcher: StageRunner
-
-
-@dataclasses.dataclass(slots=True)
-class RunState:
-    """How far a request has come."""
-
-    results: dict[str, StageResult] = dataclasses.field(default_factory=dict)
-    grant: ClaimGrant | None = None
-    ran: Ran = Ran.NOT_RUN
-    tokens: tuple[str, ...] = ()
+from .run_state import (
+    RunState,
+    build_answer,
+    has_no_claim_left,
+    ran_before,
+    with_progress,
+)
 
 
 class PipelineRunner:
@@ -225,7 +95,7 @@
         results = await self._gates.store.load(admitted)
         state = RunState(
             results=results,
-            ran=_ran_before(admitted, results),
+            ran=ran_before(admitted, results),
             tokens=self._gates.store.tokens(admitted),
         )
         outcome = await self._recall(admitted, state)
@@ -250,9 +120,9 @@
         if not isinstance(outcome, Refusal):
             return outcome
         unknown = outcome.ran is Ran.UNKNOWN
-        if unknown and _has_no_claim_left(admitted, state):
+        if unknown and has_no_claim_left(admitted, state):
             return None
-        raise RefusalError(_with_progress(outcome, state))
+        raise RefusalError(with_progress(outcome, state))
 
     async def _run_admitted(
         self,
@@ -263,7 +133,7 @@
         try:
             outcome: Outcome = await self._run_stages(admitted, state, sink)
         except RefusalError as error:
-            outcome = _with_progress(error.refusal, state)
+            outcome = with_progress(error.refusal, state)
         except Exception as error:
             log_event(
                 Event.REQUEST_FAILED,
@@ -297,7 +167,7 @@
             if not stage_request.idempotent:
                 state.ran = Ran.RAN
             await self._gates.store.save(admitted, result)
-        return _build_answer(admitted, state)
+        return build_answer(admitted, state)
 
     async def _settle(self, state: RunState, outcome: Outcome) -> None:
         """Records the outcome of a claimed request."""
@@ -324,28 +194,6 @@
     return StageRequest(admitted, stage, inputs, sink, state.tokens)
 
 
-def _ran_before(
-    admitted: AdmittedRequest,
-    results: Mapping[str, StageResult],
-) -> Ran:
-    """Tells whether an earlier run did what may not be repeated."""
-    services = admitted.configuration.services
-    ran = any(
-        stage.name in results and not services[stage.service].idempotent
-        for stage in admitted.pipeline.stages
-    )
-    return Ran.RAN if ran else Ran.NOT_RUN
-
-
-def _has_no_claim_left(admitted: AdmittedRequest, state: RunState) -> bool:
-    """Tells whether every stage that may not be repeated has finished."""
-    services = admitted.configuration.services
-    return all(
-        stage.name in state.results or services[stage.service].idempotent
-        for stage in admitted.pipeline.stages
-    )
-
-
 def _may_stream(admitted: AdmittedRequest, stage: Stage) -> bool:
     service = admitted.configuration.services[stage.service]
     return stage.name == admitted.pipeline.output and service.kind == 'engine'
@@ -359,25 +207,3 @@
     if source == REQUEST_INPUT:
         return admitted.request.body
     return state.results[source].output
-
-
-def _with_progress(refusal: Refusal, state: RunState) -> Refusal:
-    ran = refusal.ran if state.ran is Ran.NOT_RUN else state.ran
-    if refusal.ran is Ran.UNKNOWN:
-        ran = Ran.UNKNOWN
-    return dataclasses.replace(
-        refusal,
-        ran=ran,
-        stages_ran=tuple(state.results),
-    )
-
-
-def _build_answer(admitted: AdmittedRequest, state: RunState) -> Answer:
-    pipeline: Pipeline = admitted.pipeline
-    return Answer(
-        request_id=admitted.request.request_id,
-        pipeline=pipeline.name,
-        configuration_version=admitted.configuration.version,
-        output=state.results[pipeline.output].output,
-        stages=tuple(state.results.values()),
-    )
--- /dev/null
+++ b/borageyard/run_state.py
@@ -0,0 +1,65 @@
+"""How far a request has come, and what its caller may be told of it."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from .configuration import Pipeline
+from .errors import Ran, Refusal
+from .gates import ClaimGrant
+from .requests import AdmittedRequest, Answer, StageResult
+
+
+@dataclasses.dataclass(slots=True)
+class RunState:
+    """How far a request has come."""
+
+    results: dict[str, StageResult] = dataclasses.field(default_factory=dict)
+    grant: ClaimGrant | None = None
+    ran: Ran = Ran.NOT_RUN
+    tokens: tuple[str, ...] = ()
+
+
+def ran_before(
+    admitted: AdmittedRequest,
+    results: Mapping[str, StageResult],
+) -> Ran:
+    """Tells whether an earlier run did what may not be repeated."""
+    services = admitted.configuration.services
+    ran = any(
+        stage.name in results and not services[stage.service].idempotent
+        for stage in admitted.pipeline.stages
+    )
+    return Ran.RAN if ran else Ran.NOT_RUN
+
+
+def has_no_claim_left(admitted: AdmittedRequest, state: RunState) -> bool:
+    """Tells whether every stage that may not be repeated has finished."""
+    services = admitted.configuration.services
+    return all(
+        stage.name in state.results or services[stage.service].idempotent
+        for stage in admitted.pipeline.stages
+    )
+
+
+def with_progress(refusal: Refusal, state: RunState) -> Refusal:
+    """Returns a refusal that tells which stages ran."""
+    ran = refusal.ran if state.ran is Ran.NOT_RUN else state.ran
+    if refusal.ran is Ran.UNKNOWN:
+        ran = Ran.UNKNOWN
+    return dataclasses.replace(
+        refusal,
+        ran=ran,
+        stages_ran=tuple(state.results),
+    )
+
+
+def build_answer(admitted: AdmittedRequest, state: RunState) -> Answer:
+    """Returns the whole answer of a finished request."""
+    pipeline: Pipeline = admitted.pipeline
+    return Answer(
+        request_id=admitted.request.request_id,
+        pipeline=pipeline.name,
+        configuration_version=admitted.configuration.version,
+        output=state.results[pipeline.output].output,
+        stages=tuple(state.results.values()),
+    )
--- a/borageyard/tracing.py
+++ b/borageyard/tracing.py
@@ -23,8 +23,7 @@
 )
 
 from .errors import Refusal
-from .generated.settings import EntrySettings
-from .pipeline import (
+from .gates import (
     Admission,
     ClaimGate,
     ClaimGrant,
@@ -32,6 +31,7 @@
     PipelineGates,
     StageRunner,
 )
+from .generated.settings import EntrySettings
 from .requests import (
     AdmittedRequest,
     PipelineRequest,
