--- a/borageyard/permission.py
+++ b/borageyard/permission.py
@@ -29,6 +29,14 @@
     position: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAnswer:
+    """What an entry tells another that asks for its position."""
+
+    position: int
+    guest_ms: float
+
+
 def waiting_time_ms(permission_ms: float) -> float:
     """Returns a time after which a permission has lapsed on any clock.
 
@@ -124,18 +132,19 @@
             for member in sorted(self._fold.state.members)
         }
 
-    def note_guest(self, bound_ms: float) -> None:
-        """Notes a reply on which an entry outside the known set may rely.
+    def answer(self, *, asker_is_member: bool) -> PeerAnswer:
+        """Answers another entry, which may rely on the answer.
 
         Args:
-            bound_ms: How long its permission may run.
+            asker_is_member: Whether it is in the set that it knows itself.
         """
-        until_ms = self._clock.steady_ms() + waiting_time_ms(bound_ms)
-        self._guest_until_ms = max(self._guest_until_ms, until_ms)
-
-    def guest_ms(self) -> float:
-        """Returns how long others may still rely on replies given them."""
-        return max(self._guest_until_ms - self._clock.steady_ms(), 0)
+        now_ms = self._clock.steady_ms()
+        guest_ms = max(self._guest_until_ms - now_ms, 0)
+        if not asker_is_member:
+            bound_ms = waiting_time_ms(self._fold.permission_bound_ms)
+            until_ms = now_ms + bound_ms
+            self._guest_until_ms = max(self._guest_until_ms, until_ms)
+        return PeerAnswer(self._fold.state.changed_at, guest_ms)
 
     def _head_sent_at_ms(self) -> float:
         head = self._head
--- a/borageyard/permission_probes.py
+++ b/borageyard/permission_probes.py
@@ -137,17 +137,14 @@
         peer_id: str,
         probe: PermissionProbeBody,
     ) -> PermissionReplyBody:
-        position = self._fold.state.changed_at
-        if probe.position > position:
+        answer = self._permission.answer(asker_is_member=probe.is_member)
+        if probe.position > answer.position:
             self._ahead.add(peer_id)
-        reply = PermissionReplyBody(
+        return PermissionReplyBody(
             member=self._permission.member,
-            position=position,
-            guest_ms=self._permission.guest_ms(),
+            position=answer.position,
+            guest_ms=answer.guest_ms,
         )
-        if not probe.is_member:
-            self._permission.note_guest(self._fold.permission_bound_ms)
-        return reply
 
     async def _answer_state(
         self,
