--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -16,6 +16,7 @@
     json_response,
 )
 from .pipeline import Outcome
+from .policy_status import policy_status
 from .requests import PipelineRequest
 from .target import TokenEvent
 from .tokens import check_organisation
@@ -169,10 +170,12 @@
                 'draining': core.draining,
                 'running': core.running,
                 'targets': targets,
+                'policy': policy_status(core.policy),
             }
         )
 
     def _exposition(self, request: HttpRequest) -> HttpResponse:
+        self._core.metrics.note_policy(self._core.policy)
         body = self._core.metrics.exposition()
         return HttpResponse(HTTPStatus.OK, body, 'text/plain')
 
