Add the operators' commands and the bench of changes

Cause: an apply could not be followed to its end from a shell. Change: config check, diff, apply, show and history; bench config.

--- /dev/null
+++ b/borageyard/bench_config.py
@@ -0,0 +1,204 @@
+"""Experiment: time from an apply to acceptance by all entries."""
+
+import asyncio
+import contextlib
+import copy
+import dataclasses
+import pathlib
+import random
+import statistics
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
+
+from .bench_report import BenchReport, Bound
+from .configuration_changes import ChangeOutcome
+from .core import EntryCore
+from .demo import HUNDAGANGA, load_plan
+from .generated.http_configuration import ProposalBody
+from .identifiers import new_identifier
+from .memory_deployment import MemoryDeployment
+from .permission import waiting_time_ms
+from .requests import PipelineRequest
+from .virtual_time import run_virtual
+
+EXAMPLES = pathlib.Path('examples')
+ENTRIES = 5
+CHANGES = 20
+SETTLE_S = 3.0
+MIN_ONE_WAY_MS = 0.5
+MAX_ONE_WAY_MS = 3.0
+POLL_S = 0.001
+REQUESTS_PER_S = 100
+DEADLINE_MS = 9000
+WAIT_MS = 10_000
+QUIET_LIMIT_MS = 1000.0
+DEAD_LIMIT_MS = 3000.0
+FIRST_WEIGHT = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeTimes:
+    """How long one change took from its apply on."""
+
+    in_force_ms: float
+    accepted_ms: float
+    baseline_ms: float
+
+
+def run_config(seed: int) -> BenchReport:
+    """Measures changes quiet, under load and with a dead entry.
+
+    Virtual time; each change draws the one-way delay of links and of the
+    log anew. The baseline always waits until a permission has lapsed.
+
+    Args:
+        seed: Seed of delays and requests.
+
+    Returns:
+        Medians and maxima in milliseconds.
+    """
+    figures: dict[str, Any] = {
+        'entries': ENTRIES,
+        'changes_per_case': CHANGES,
+        'one_way_ms': f'{MIN_ONE_WAY_MS}-{MAX_ONE_WAY_MS}',
+    }
+    cases = {
+        'quiet': (False, False),
+        'load': (True, False),
+        'dead': (False, True),
+    }
+    for name, (loaded, with_dead) in cases.items():
+        times = run_virtual(_run_case(seed, loaded, with_dead))
+        figures.update(_summarise(name, times))
+    bounds = (
+        Bound('quiet_accepted_max_ms', QUIET_LIMIT_MS),
+        Bound('load_accepted_max_ms', QUIET_LIMIT_MS),
+        Bound('dead_accepted_max_ms', DEAD_LIMIT_MS),
+    )
+    return BenchReport('config', seed, figures, bounds)
+
+
+async def _run_case(
+    seed: int,
+    loaded: bool,
+    with_dead: bool,
+) -> list[ChangeTimes]:
+    plan = load_plan(HUNDAGANGA, EXAMPLES)
+    plan = dataclasses.replace(plan, entries=ENTRIES)
+    chance = random.Random(seed)
+    async with contextlib.AsyncExitStack() as stack:
+        deployment = await stack.enter_async_context(
+            MemoryDeployment(plan, seed=seed),
+        )
+        await asyncio.sleep(SETTLE_S)
+        if with_dead:
+            await deployment.kill_entry(tuple(deployment.entries)[-1])
+        if loaded:
+            await stack.enter_async_context(_load(deployment))
+        return [
+            await _time_change(deployment, version, chance)
+            for version in range(1, CHANGES + 1)
+        ]
+
+
+async def _time_change(
+    deployment: MemoryDeployment,
+    version: int,
+    chance: random.Random,
+) -> ChangeTimes:
+    """Applies one change through one entry and waits for all."""
+    await asyncio.sleep(chance.uniform(0.5, 1))
+    one_way_ms = chance.uniform(MIN_ONE_WAY_MS, MAX_ONE_WAY_MS)
+    deployment.network.delay_ms = one_way_ms
+    deployment.log.faults.delay_ms = 2 * one_way_ms
+    cores = [entry.core for entry in deployment.entries.values()]
+    started_ms = deployment.clock.steady_ms()
+    applied, decided_ms, in_force_ms = await asyncio.gather(
+        _apply(deployment, cores[version % len(cores)], version),
+        _wait_for_version(cores[:1], version + 1),
+        _wait_for_version(cores, version + 1),
+    )
+    bound_ms = cores[0].fold.permission_bound_ms
+    baseline_ms = decided_ms + waiting_time_ms(bound_ms)
+    return ChangeTimes(
+        in_force_ms=in_force_ms - started_ms,
+        accepted_ms=applied - started_ms,
+        baseline_ms=baseline_ms - started_ms,
+    )
+
+
+async def _apply(
+    deployment: MemoryDeployment,
+    core: EntryCore,
+    version: int,
+) -> float:
+    document = copy.deepcopy(dict(deployment.plan.document))
+    organisations = document['organisations']
+    organisations['dispatch']['weight'] = FIRST_WEIGHT + version
+    report = await core.configuration.changes.apply(
+        ProposalBody(
+            change_id=new_identifier(),
+            base_version=version,
+            author='bench',
+            document=document,
+            wait_ms=WAIT_MS,
+        ),
+    )
+    if report.outcome is not ChangeOutcome.ACCEPTED:
+        outcome = report.outcome.value
+        raise RuntimeError(f'change ended as {outcome}')
+    return deployment.clock.steady_ms()
+
+
+async def _wait_for_version(
+    cores: Sequence[EntryCore],
+    version: int,
+) -> float:
+    """Returns when all entries have folded a version."""
+    for core in cores:
+        while core.fold.version < version:
+            await core.fold.changed.wait()
+    return cores[0].ports.clock.steady_ms()
+
+
+@contextlib.asynccontextmanager
+async def _load(deployment: MemoryDeployment) -> AsyncIterator[None]:
+    """Sends requests to all entries in turn."""
+    sending = asyncio.ensure_future(_send_requests(deployment))
+    try:
+        yield
+    finally:
+        sending.cancel()
+
+
+async def _send_requests(deployment: MemoryDeployment) -> None:
+    cores = [entry.core for entry in deployment.entries.values()]
+    count = 0
+    async with asyncio.TaskGroup() as group:
+        while True:
+            core = cores[count % len(cores)]
+            group.create_task(core.run(_request(core, count)))
+            count += 1
+            await asyncio.sleep(1 / REQUESTS_PER_S)
+
+
+def _request(core: EntryCore, count: int) -> PipelineRequest:
+    pipelines = ('owner-assistant', 'route-summary')
+    return PipelineRequest(
+        request_id=new_identifier(),
+        pipeline=pipelines[count % len(pipelines)],
+        organisation='dispatch',
+        body={'note': f'request {count}'},
+        expires_at_ms=core.ports.clock.steady_ms() + DEADLINE_MS,
+        idempotency_key=new_identifier(),
+    )
+
+
+def _summarise(name: str, times: list[ChangeTimes]) -> dict[str, float]:
+    figures = {}
+    for field in dataclasses.fields(ChangeTimes):
+        stem = field.name.removesuffix('_ms')
+        taken = [getattr(change, field.name) for change in times]
+        figures[f'{name}_{stem}_p50_ms'] = statistics.median(taken)
+        figures[f'{name}_{stem}_max_ms'] = max(taken)
+    return {key: round(figure, 2) for key, figure in figures.items()}
--- a/borageyard/cli.py
+++ b/borageyard/cli.py
@@ -10,6 +10,7 @@
 
 from .bench import add_bench_command
 from .border import DocumentError
+from .cli_config import add_config_commands
 from .demo import print_demo, run_demo
 from .entry import serve_entry
 from .settings import load_entry_settings, load_standin_settings
@@ -55,6 +56,7 @@
     demo.add_argument('--examples', default='examples', metavar='DIR')
     demo.set_defaults(run=_run_demo)
     add_bench_command(commands)
+    add_config_commands(commands)
     return parser
 
 
--- /dev/null
+++ b/borageyard/cli_config.py
@@ -0,0 +1,279 @@
+"""Commands of operators for the configuration."""
+
+import argparse
+import asyncio
+import getpass
+import json
+import sys
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+from .border import DocumentError, Problem, load_json, shown
+from .configuration import parse_configuration
+from .configuration_diff import differences
+from .http_client import HttpCall, HttpCallError, HttpClient, HttpReply
+from .http_messages import encode_json
+from .identifiers import new_identifier
+from .tokens import TOKEN_HEADER
+
+EXIT_GOOD = 0
+EXIT_NOT_MET = 1
+PATH = '/v1/configuration'
+CALL_TIMEOUT_MS = 10_000
+POLL_S = 0.1
+DEFAULT_WAIT_S = 30.0
+PENDING = frozenset(('decided', 'unknown'))
+STATUS_OK = 200
+REFUSED_FROM = 400
+
+
+class NoEntryError(Exception):
+    """No entry answered."""
+
+
+class OperatorClient:
+    """Asks entries one after the other until one answers."""
+
+    def __init__(
+        self,
+        client: HttpClient,
+        addresses: list[str],
+        token: str,
+    ) -> None:
+        """Names the entries.
+
+        Args:
+            client: Sends the calls.
+            addresses: Addresses of entries, the first preferred.
+            token: Token of operators; empty for none.
+        """
+        self._client = client
+        self._addresses = addresses
+        self._token = token
+
+    async def get(self, path: str) -> dict[str, Any]:
+        """Returns the JSON body of an endpoint.
+
+        Args:
+            path: Path under the configuration's path.
+
+        Raises:
+            NoEntryError: If no entry answered.
+        """
+        reply = await self._call('GET', f'{PATH}{path}', b'')
+        return _decode(reply)
+
+    async def post(self, body: Mapping[str, Any]) -> dict[str, Any]:
+        """Proposes a change; its id makes asking twice harmless.
+
+        Args:
+            body: The proposal.
+
+        Raises:
+            NoEntryError: If no entry answered.
+        """
+        return _decode(await self._call('POST', PATH, encode_json(body)))
+
+    async def _call(self, method: str, path: str, body: bytes) -> HttpReply:
+        reasons = []
+        for address in self._addresses:
+            call = HttpCall(
+                address=address,
+                method=method,
+                path=path,
+                body=body,
+                headers={TOKEN_HEADER: self._token},
+                timeout_ms=CALL_TIMEOUT_MS,
+            )
+            try:
+                return await self._client.request(call)
+            except HttpCallError as error:
+                reasons.append(f'{address}: {error.reason}')
+        raise NoEntryError('; '.join(reasons))
+
+
+Command = Callable[[argparse.Namespace, OperatorClient], Awaitable[int]]
+
+
+def add_config_commands(commands: Any) -> None:
+    """Adds ``borageyard config`` to the command line.
+
+    Args:
+        commands: The subparsers of the command line.
+    """
+    config = commands.add_parser('config', help='look at or change it')
+    actions = config.add_subparsers(required=True, metavar='ACTION')
+    check = actions.add_parser('check', help='check a file as a whole')
+    check.add_argument('file')
+    check.set_defaults(run=_run_check)
+    diff = _add_remote(actions, 'diff', _diff)
+    diff.add_argument('file')
+    apply_parser = _add_remote(actions, 'apply', _apply)
+    apply_parser.add_argument('file')
+    apply_parser.add_argument(
+        '--base',
+        type=int,
+        metavar='VERSION',
+        help='version that the file was made from; that in force by default',
+    )
+    apply_parser.add_argument('--author', default='', metavar='NAME')
+    apply_parser.add_argument('--change-id', default='', metavar='ID')
+    apply_parser.add_argument(
+        '--wait-s',
+        type=float,
+        default=DEFAULT_WAIT_S,
+        metavar='SECONDS',
+    )
+    _add_remote(actions, 'show', _show)
+    _add_remote(actions, 'history', _history)
+
+
+def _add_remote(actions: Any, name: str, command: Command) -> Any:
+    parser = actions.add_parser(name)
+    parser.add_argument(
+        '--entry',
+        action='append',
+        required=True,
+        metavar='ADDRESS',
+        help='address of an entry; may be given several times',
+    )
+    parser.add_argument('--token', default='', metavar='TOKEN')
+    parser.set_defaults(run=_run_remote, command=command)
+    return parser
+
+
+def _run_check(arguments: argparse.Namespace) -> int:
+    parse_configuration(load_json(arguments.file), 0, arguments.file)
+    _print(f'{arguments.file}: good')
+    return EXIT_GOOD
+
+
+def _run_remote(arguments: argparse.Namespace) -> int:
+    try:
+        return asyncio.run(_with_client(arguments))
+    except NoEntryError as error:
+        sys.stderr.write(f'no entry answered: {error}\n')
+        return EXIT_NOT_MET
+
+
+async def _with_client(arguments: argparse.Namespace) -> int:
+    async with HttpClient() as client:
+        operator = OperatorClient(client, arguments.entry, arguments.token)
+        command: Command = arguments.command
+        return await command(arguments, operator)
+
+
+async def _show(
+    arguments: argparse.Namespace,
+    operator: OperatorClient,
+) -> int:
+    _print(json.dumps(await operator.get(''), indent=2))
+    return EXIT_GOOD
+
+
+async def _history(
+    arguments: argparse.Namespace,
+    operator: OperatorClient,
+) -> int:
+    history = await operator.get('/history')
+    for row in history.get('versions', ()):
+        accepted = 'accepted' if row['accepted'] else 'decided'
+        version = row['version']
+        author = row['author']
+        _print(f'{version}  {accepted}  {author}  {row["change_id"]}')
+    return EXIT_GOOD
+
+
+async def _diff(
+    arguments: argparse.Namespace,
+    operator: OperatorClient,
+) -> int:
+    """Prints what a file would change; exit 1 if it would."""
+    document = _load_document(arguments.file)
+    current = await operator.get('')
+    found = differences(current['document'] or {}, document)
+    for difference in found:
+        _print(str(difference))
+    return EXIT_NOT_MET if found else EXIT_GOOD
+
+
+async def _apply(
+    arguments: argparse.Namespace,
+    operator: OperatorClient,
+) -> int:
+    document = _load_document(arguments.file)
+    base_version = arguments.base
+    if base_version is None:
+        base_version = (await operator.get(''))['version']
+    change_id = arguments.change_id or new_identifier()
+    _print(f'change {change_id} on version {base_version}')
+    report = await operator.post(
+        {
+            'change_id': change_id,
+            'base_version': base_version,
+            'author': arguments.author or getpass.getuser(),
+            'document': document,
+            'wait_ms': 0,
+        },
+    )
+    report = await _follow(operator, report, arguments.wait_s)
+    return _print_end(report)
+
+
+async def _follow(
+    operator: OperatorClient,
+    report: dict[str, Any],
+    wait_s: float,
+) -> dict[str, Any]:
+    """Shows entry by entry where a change is until it has ended."""
+    ends_at_s = asyncio.get_running_loop().time() + wait_s
+    seen: dict[str, str] = {}
+    while True:
+        for row in report.get('entries', ()):
+            if seen.get(row['member']) != row['state']:
+                seen[row['member']] = row['state']
+                _print(f'  {row["member"]}: {row["state"]}')
+        is_late = asyncio.get_running_loop().time() >= ends_at_s
+        if is_late or report.get('outcome') not in PENDING:
+            return report
+        await asyncio.sleep(POLL_S)
+        change_id = report['change_id']
+        report = await operator.get(f'/progress?change_id={change_id}')
+
+
+def _print_end(report: dict[str, Any]) -> int:
+    outcome = report.get('outcome', report.get('kind', ''))
+    version = report.get('version', 0)
+    author = report.get('author', '')
+    _print(f'{outcome}: version {version} by {author}')
+    for text in (report.get('message', ''), report.get('detail', '')):
+        if text:
+            _print(text)
+    for row in report.get('differences', ()):
+        theirs = row['theirs'] or 'absent'
+        ours = row['ours'] or 'absent'
+        _print(f'  {row["path"]}: in force {theirs}, proposed {ours}')
+    return EXIT_GOOD if outcome == 'accepted' else EXIT_NOT_MET
+
+
+def _load_document(path: str) -> Any:
+    document = load_json(path)
+    parse_configuration(document, 0, path)
+    return document
+
+
+def _decode(reply: HttpReply) -> dict[str, Any]:
+    try:
+        body = json.loads(reply.body)
+    except ValueError as error:
+        raise NoEntryError(f'status {reply.status}, no JSON') from error
+    if not isinstance(body, dict):
+        problem = Problem('$', shown(body), 'an object')
+        raise DocumentError('answer of the entry', (problem,))
+    if reply.status != STATUS_OK and 'outcome' not in body:
+        raise NoEntryError(f'{body.get("kind")}: {body.get("detail", "")}')
+    return body
+
+
+def _print(line: str) -> None:
+    sys.stdout.write(f'{line}\n')
--- /dev/null
+++ b/tests/test_cli_config.py
@@ -0,0 +1,91 @@
+"""Tests of the operators' commands over real sockets."""
+
+import asyncio
+import copy
+import json
+import pathlib
+
+from borageyard.cli import main
+from borageyard.demo import load_plan
+from borageyard.deployment import Deployment
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+
+
+def write(path, document):
+    """Writes a document and returns its path."""
+    path.write_text(json.dumps(document), encoding='utf-8')
+    return str(path)
+
+
+def example():
+    """Returns a shipped configuration."""
+    path = EXAMPLES / 'hundaganga.configuration.json'
+    return json.loads(path.read_text(encoding='utf-8'))
+
+
+class TestCheck:
+    """A file checked without an entry."""
+
+    def test_good_file(self, tmp_path):
+        """A good file ends with 0."""
+        path = write(tmp_path / 'good.json', example())
+        assert main(['config', 'check', path]) == 0
+
+    def test_bad_file_names_place_value_and_expectation(self, tmp_path, capsys):
+        """A bad file ends with 2 and says what is wrong."""
+        document = example()
+        document['services']['ganga-llm']['model'] = 'nowhere'
+        path = write(tmp_path / 'bad.json', document)
+        assert main(['config', 'check', path]) == 2
+        shown = capsys.readouterr().err
+        assert '$.services.ganga-llm.model' in shown
+        assert '"nowhere"' in shown
+        assert 'the name of one of $.models' in shown
+
+    def test_no_entry_answers(self, tmp_path, capsys):
+        """Without any entry the command ends with 1."""
+        path = write(tmp_path / 'good.json', example())
+        arguments = ['config', 'apply', path, '--entry', '127.0.0.1:1']
+        assert main(arguments) == 1
+        assert 'no entry answered' in capsys.readouterr().err
+
+
+class TestApply:
+    """Changes through running entries."""
+
+    def test_shows_entries_and_ends_when_accepted(self, tmp_path, capsys):
+        """An apply shows each entry; the same base again is a conflict."""
+        document = copy.deepcopy(example())
+        document['organisations']['dispatch']['weight'] = 5
+        path = write(tmp_path / 'next.json', document)
+        codes = asyncio.run(apply_twice(path))
+        shown = capsys.readouterr().out
+        assert codes == [0, 1]
+        assert shown.count(': in_force') >= 2
+        assert 'accepted: version 2 by ada' in shown
+        assert 'conflict: version 2 by ada' in shown
+
+
+async def apply_twice(path):
+    """Applies the same file twice on version 1."""
+    plan = load_plan('hundaganga', EXAMPLES)
+    async with Deployment(plan) as deployment:
+        addresses = [entry.address for entry in deployment.all_entries()]
+        return [
+            await asyncio.to_thread(
+                main,
+                [
+                    'config',
+                    'apply',
+                    path,
+                    '--base',
+                    '1',
+                    '--author',
+                    'ada',
+                    '--entry',
+                    addresses[0],
+                ],
+            )
+            for _ in range(2)
+        ]
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -2,8 +2,8 @@
 
 import os
 
-import hypothesis.strategies as st
 from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     initialize,
@@ -29,6 +29,8 @@
 EXAMPLES = int(os.environ.get('BORAGEYARD_EXAMPLES', '60'))
 STEPS = int(os.environ.get('BORAGEYARD_STEPS', '80'))
 MAX_ENTRIES = 6
+KEPT_ENTRIES = 12
+NAMES = tuple(f'entry-{index}' for index in range(MAX_ENTRIES))
 RETENTION_MS = 1e12
 APPENDS_PER_S = 1e9
 RATES = (0.996, 1.0, 1.004)
@@ -184,13 +186,13 @@
         if entry.acts and len(self.flying) < 12:
             self.flying.append(Exchange(kind, entry, self.pick(other)))
 
-    @precondition(lambda self: self.flying)
+    @precondition(lambda machine: machine.flying)
     @rule(index=INDEX)
     def serve(self, index):
         """A question arrives."""
         self.serve_one(self.flying[index % len(self.flying)])
 
-    @precondition(lambda self: self.flying)
+    @precondition(lambda machine: machine.flying)
     @rule(index=INDEX, again=st.booleans())
     def deliver(self, index, again):
         """An answer arrives, out of order and perhaps twice."""
@@ -202,7 +204,7 @@
             if not again:
                 self.flying.remove(exchange)
 
-    @precondition(lambda self: self.flying)
+    @precondition(lambda machine: machine.flying)
     @rule(index=INDEX)
     def drop(self, index):
         """A question or its answer is lost."""
@@ -268,7 +270,7 @@
         clock = SkewedClock(self.clock, 1000 * self.incarnations, rate)
         entry = ModelEntry(name, self.incarnations, clock)
         self.entries.append(entry)
-        self.entries = self.entries[-2 * MAX_ENTRIES :]
+        self.entries = self.entries[-KEPT_ENTRIES:]
         self.append({'type': 'join', 'member': entry.member})
 
     def serve_one(self, exchange):
@@ -339,7 +341,7 @@
     def join(self, index, rate):
         """A new entry starts, perhaps under the name of an earlier one."""
         if sum(entry.alive for entry in self.entries) < MAX_ENTRIES:
-            self.start(f'entry-{index % MAX_ENTRIES}', rate)
+            self.start(NAMES[index % MAX_ENTRIES], rate)
 
     @rule(index=INDEX)
     def rejoin(self, index):
