--- /dev/null
+++ b/borageyard/baseline_routers.py
@@ -0,0 +1,120 @@
+"""Routers that the policy is compared with."""
+
+import itertools
+import random
+from collections.abc import Mapping, Sequence
+
+from .routing import Route, RouteQuery
+from .sized_target import SizedTarget
+from .targets import TargetState
+
+
+class RandomRouter:
+    """Any target."""
+
+    def __init__(self, seed: int) -> None:
+        """Seeds the choice.
+
+        Args:
+            seed: Seed of the random source.
+        """
+        self._random = random.Random(seed)
+
+    def choose(
+        self,
+        candidates: Sequence[TargetState],
+        query: RouteQuery,
+    ) -> Route | None:
+        """Returns a random target."""
+        free = _allowed(candidates, query)
+        return Route(self._random.choice(free)) if free else None
+
+
+class RoundRobinRouter:
+    """One target after the other."""
+
+    def __init__(self) -> None:
+        """Starts at the first."""
+        self._turn = itertools.count()
+
+    def choose(
+        self,
+        candidates: Sequence[TargetState],
+        query: RouteQuery,
+    ) -> Route | None:
+        """Returns the next target."""
+        free = _allowed(candidates, query)
+        if not free:
+            return None
+        return Route(free[next(self._turn) % len(free)])
+
+
+class LeastInFlightRouter:
+    """The target with the fewest own calls."""
+
+    def __init__(self, seed: int) -> None:
+        """Seeds the choice between equals.
+
+        Args:
+            seed: Seed of the random source.
+        """
+        self._random = random.Random(seed)
+
+    def choose(
+        self,
+        candidates: Sequence[TargetState],
+        query: RouteQuery,
+    ) -> Route | None:
+        """Returns the target with the fewest own calls."""
+        free = _allowed(candidates, query)
+        if not free:
+            return None
+        self._random.shuffle(free)
+        return Route(min(free, key=lambda state: state.in_flight))
+
+
+class ClairvoyantRouter:
+    """Sees each target's true state; no entry could."""
+
+    def __init__(self, targets: Mapping[str, SizedTarget]) -> None:
+        """Looks into the stand-ins.
+
+        Args:
+            targets: All targets by id.
+        """
+        self._targets = targets
+
+    def choose(
+        self,
+        candidates: Sequence[TargetState],
+        query: RouteQuery,
+    ) -> Route | None:
+        """Returns the target that would truly finish first."""
+        able = [
+            state
+            for state in _allowed(candidates, query)
+            if self._has_room(state)
+        ]
+        if not able:
+            return None
+        return Route(min(able, key=self._cost))
+
+    def _has_room(self, state: TargetState) -> bool:
+        target = self._targets[state.target_id]
+        return target.alive and self._calls(state) < target.profile.slots
+
+    def _cost(self, state: TargetState) -> float:
+        target = self._targets[state.target_id]
+        return target.faults.slow_factor * (1 + self._calls(state))
+
+    def _calls(self, state: TargetState) -> int:
+        return max(self._targets[state.target_id].calls, state.in_flight)
+
+
+def _allowed(
+    candidates: Sequence[TargetState],
+    query: RouteQuery,
+) -> list[TargetState]:
+    return [
+        state for state in candidates if state.target_id not in query.excluded
+    ]
--- a/borageyard/memory_deployment.py
+++ b/borageyard/memory_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+from collections.abc import Callable
 from types import TracebackType
 from typing import Self
 
@@ -22,6 +23,7 @@
     MemoryInstances,
     MemoryLog,
 )
+from .policy import PolicyOptions
 from .standins.target import StandinTarget, TargetProfile
 
 # Start of virtual time, so that identifiers made in it look real.
@@ -29,6 +31,10 @@
 NEWS_MS = 200
 NO_ADDRESS = '127.0.0.1:1'
 
+TargetBuilder = Callable[[TargetProfile, Clock, int], StandinTarget]
+# Returns what the policy of the entry with a number is made of.
+PolicyBuilder = Callable[[int], PolicyOptions]
+
 
 @dataclasses.dataclass(slots=True)
 class RunningEntry:
@@ -64,6 +70,9 @@
         self.targets: dict[str, StandinTarget] = {}
         self.entries: dict[str, RunningEntry] = {}
         self.client = MemoryTargetClient(self.targets)
+        # May be replaced before the start.
+        self.build_target: TargetBuilder = StandinTarget
+        self.build_policy: PolicyBuilder = _default_policy
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -112,6 +121,7 @@
             peers=self.network.join(name),
             clock=self.clock,
             seed=self.seed + index,
+            policy=self.build_policy(index),
         )
         core = EntryCore(_settings(name, domain), ports)
         stack = contextlib.AsyncExitStack()
@@ -160,7 +170,11 @@
                 kind=configuration.services[service].kind,
                 slots=configuration.services[service].max_in_flight,
             )
-            target = StandinTarget(profile, self.clock, self.seed + index)
+            target = self.build_target(
+                profile,
+                self.clock,
+                self.seed + index,
+            )
             self.targets[profile.target_id] = target
             self.instances.rows.append(
                 Instance(
@@ -173,6 +187,10 @@
             )
 
 
+def _default_policy(index: int) -> PolicyOptions:
+    return PolicyOptions()
+
+
 def _settings(name: str, domain: str) -> EntrySettings:
     return EntrySettings.model_validate(
         {
--- /dev/null
+++ b/borageyard/policy_experiment.py
@@ -0,0 +1,303 @@
+"""Runs one scenario with one policy through real entry cores."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+
+from .baseline_routers import (
+    ClairvoyantRouter,
+    LeastInFlightRouter,
+    RandomRouter,
+    RoundRobinRouter,
+)
+from .clock import MS_PER_S
+from .core import EntryCore
+from .deployment import DeploymentPlan
+from .errors import Refusal
+from .identifiers import new_identifier
+from .load_generator import Arrival
+from .memory_deployment import MemoryDeployment
+from .pipeline import Outcome
+from .policy import PolicyOptions
+from .requests import Answer, PipelineRequest
+from .sized_target import SizedTarget, Work
+
+SETTLE_MS = 500
+# Requests that end later than this after the last arrival are lost.
+GRACE_MS = 10_000
+MIN_RETRY_MS = 50
+MAX_TRIES = 6
+
+Actions = Callable[['ExperimentRun'], Awaitable[None]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerHabits:
+    """What callers do with a refusal that may be retried."""
+
+    max_tries: int = 3
+    heeds_retry_after: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scenario:
+    """A load and what goes wrong under it."""
+
+    name: str
+    plan: DeploymentPlan
+    arrivals: Sequence[Arrival]
+    act: Actions | None = None
+    habits: CallerHabits = CallerHabits()
+    report_lag_ms: float = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRecord:
+    """What one caller got."""
+
+    arrival: Arrival
+    request_ids: tuple[str, ...]
+    outcome: Outcome | None
+    ended_at_ms: float
+
+    @property
+    def attained(self) -> bool:
+        """Tells whether the whole answer came in time."""
+        latest_ms = self.arrival.at_ms + self.arrival.deadline_ms
+        return isinstance(self.outcome, Answer) and (
+            self.ended_at_ms <= latest_ms
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class ExperimentRun:
+    """A running scenario, and what is recorded of it."""
+
+    deployment: MemoryDeployment
+    started_at_ms: float
+    callers: list[CallerRecord] = dataclasses.field(default_factory=list)
+    alive: dict[str, EntryCore] = dataclasses.field(default_factory=dict)
+    calls: dict[str, set[asyncio.Future[Outcome]]] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(set),
+    )
+    marks: dict[str, float] = dataclasses.field(default_factory=dict)
+    cores: list[EntryCore] = dataclasses.field(default_factory=list)
+
+    @property
+    def targets(self) -> Mapping[str, SizedTarget]:
+        """Returns the stand-ins by id."""
+        return {
+            name: target
+            for name, target in self.deployment.targets.items()
+            if isinstance(target, SizedTarget)
+        }
+
+    @property
+    def work(self) -> Sequence[Work]:
+        """Returns every call that any target ran."""
+        return [
+            work for target in self.targets.values() for work in target.work
+        ]
+
+    def now_ms(self) -> float:
+        """Returns the time since the start of the load."""
+        return self.deployment.clock.steady_ms() - self.started_at_ms
+
+    async def wait_until(self, at_ms: float) -> None:
+        """Waits for a time of the scenario."""
+        await asyncio.sleep(max(at_ms - self.now_ms(), 0) / MS_PER_S)
+
+    async def kill_entry(self, name: str) -> None:
+        """Ends an entry; its callers lose their connections."""
+        self.alive.pop(name)
+        for call in tuple(self.calls[name]):
+            call.cancel()
+        await self.deployment.kill_entry(name)
+
+    async def start_entry(self, index: int) -> None:
+        """Starts another entry."""
+        core = await self.deployment.start_entry(index)
+        self.alive[core.settings.instance_id] = core
+        self.cores.append(core)
+
+
+PolicyBuilder = Callable[[MemoryDeployment, int], PolicyOptions]
+
+
+def build_policy(deployment: MemoryDeployment, seed: int) -> PolicyOptions:
+    """Returns the policy that is shipped."""
+    return PolicyOptions()
+
+
+def build_random(deployment: MemoryDeployment, seed: int) -> PolicyOptions:
+    """Returns random choice without admission or hedges."""
+    return _baseline(RandomRouter(seed))
+
+
+def build_round_robin(
+    deployment: MemoryDeployment,
+    seed: int,
+) -> PolicyOptions:
+    """Returns round robin without admission or hedges."""
+    return _baseline(RoundRobinRouter())
+
+
+def build_least(deployment: MemoryDeployment, seed: int) -> PolicyOptions:
+    """Returns least own in flight without admission or hedges."""
+    return _baseline(LeastInFlightRouter(seed))
+
+
+def build_clairvoyant(
+    deployment: MemoryDeployment,
+    seed: int,
+) -> PolicyOptions:
+    """Returns the shipped policy with a router that sees the truth."""
+    targets = {
+        name: target
+        for name, target in deployment.targets.items()
+        if isinstance(target, SizedTarget)
+    }
+    return PolicyOptions(router=ClairvoyantRouter(targets))
+
+
+def _baseline(
+    router: RandomRouter | RoundRobinRouter | LeastInFlightRouter,
+) -> PolicyOptions:
+    return PolicyOptions(router=router, admission=False, hedging=False)
+
+
+async def run_scenario(
+    scenario: Scenario,
+    build: PolicyBuilder,
+    seed: int,
+) -> ExperimentRun:
+    """Runs a scenario to its end.
+
+    Args:
+        scenario: The load and its faults.
+        build: Makes the policy of each entry.
+        seed: Seed of all random sources.
+
+    Returns:
+        What was recorded.
+    """
+    deployment = MemoryDeployment(scenario.plan, seed=seed)
+    deployment.build_target = SizedTarget
+    deployment.build_policy = lambda index: build(deployment, seed + index)
+    async with deployment:
+        for target in deployment.targets.values():
+            target.faults.report_lag_ms = scenario.report_lag_ms
+        await asyncio.sleep(SETTLE_MS / MS_PER_S)
+        run = ExperimentRun(deployment, deployment.clock.steady_ms())
+        for name, entry in deployment.entries.items():
+            run.alive[name] = entry.core
+            run.cores.append(entry.core)
+        await _drive(run, scenario, seed)
+    return run
+
+
+async def _drive(run: ExperimentRun, scenario: Scenario, seed: int) -> None:
+    """Sends all requests at their times, whatever has come back."""
+    source = random.Random(seed)
+    async with contextlib.AsyncExitStack() as stack:
+        if scenario.act is not None:
+            action = asyncio.ensure_future(scenario.act(run))
+            stack.callback(action.cancel)
+        callers = []
+        for arrival in scenario.arrivals:
+            await run.wait_until(arrival.at_ms)
+            caller = Caller(run, scenario.habits, source)
+            callers.append(asyncio.ensure_future(caller.call(arrival)))
+        await asyncio.wait(callers, timeout=GRACE_MS / MS_PER_S)
+        for task in callers:
+            task.cancel()
+
+
+class Caller:
+    """One caller: sends a request and perhaps sends it again."""
+
+    def __init__(
+        self,
+        run: ExperimentRun,
+        habits: CallerHabits,
+        source: random.Random,
+    ) -> None:
+        """Wraps a run.
+
+        Args:
+            run: Where it calls and what records it.
+            habits: What it does with refusals.
+            source: Chooses entries.
+        """
+        self._run = run
+        self._habits = habits
+        self._source = source
+        self._sent: list[str] = []
+
+    async def call(self, arrival: Arrival) -> None:
+        """Calls until there is an answer or no sense in another try."""
+        key = new_identifier()
+        latest_ms = arrival.at_ms + arrival.deadline_ms
+        outcome = None
+        for _ in range(self._habits.max_tries):
+            outcome = await self._try(arrival, key)
+            pause_ms = self._pause_ms(outcome)
+            if pause_ms is None or self._run.now_ms() + pause_ms > latest_ms:
+                break
+            await asyncio.sleep(pause_ms / MS_PER_S)
+        record = CallerRecord(
+            arrival=arrival,
+            request_ids=tuple(self._sent),
+            outcome=outcome,
+            ended_at_ms=self._run.now_ms(),
+        )
+        self._run.callers.append(record)
+
+    async def _try(self, arrival: Arrival, key: str) -> Outcome | None:
+        """Returns the outcome, or none if the connection was lost."""
+        name = self._source.choice(sorted(self._run.alive))
+        request = self._build(arrival, key)
+        self._sent.append(request.request_id)
+        core = self._run.alive[name]
+        call = asyncio.ensure_future(core.run(request))
+        self._run.calls[name].add(call)
+        call.add_done_callback(self._run.calls[name].discard)
+        await asyncio.wait((call,))
+        return None if call.cancelled() else call.result()
+
+    def _build(self, arrival: Arrival, key: str) -> PipelineRequest:
+        expires_at_ms = arrival.at_ms + arrival.deadline_ms
+        body = {
+            'input_tokens': arrival.input_tokens,
+            'output_tokens': arrival.output_tokens,
+            'of': key,
+        }
+        if arrival.text:
+            body = {**body, 'of': '', 'text': arrival.text}
+        return PipelineRequest(
+            request_id=new_identifier(),
+            pipeline=arrival.pipeline,
+            organisation=arrival.organisation,
+            body=body,
+            expires_at_ms=self._run.started_at_ms + expires_at_ms,
+            idempotency_key=key,
+            cache_prefix=arrival.cache_prefix,
+        )
+
+    def _pause_ms(self, outcome: Outcome | None) -> float | None:
+        """Returns the wait before another try, or none for no more."""
+        if outcome is None:
+            return MIN_RETRY_MS
+        if isinstance(outcome, Answer) or not outcome.answer.may_retry:
+            return None
+        if self._habits.heeds_retry_after:
+            return max(outcome.retry_after_ms, MIN_RETRY_MS)
+        return MIN_RETRY_MS
+
+
+def is_refused(outcome: Outcome | None) -> bool:
+    """Tells whether a caller was refused."""
+    return isinstance(outcome, Refusal)
