--- a/borageyard/admission.py
+++ b/borageyard/admission.py
@@ -7,8 +7,10 @@
 from .configuration import Configuration, Organisation, Stage
 from .latency import ServiceTimes
 
-# Quantiles of a stage's time that are planned with and that are hoped for.
+# Quantiles of a stage's time: that of a usual call, one to plan with while
+# others wait for the same targets, and one to hope for while none does.
 PLANNED_SHARE = 0.5
+CAUTIOUS_SHARE = 0.75
 BEST_SHARE = 0.1
 
 
@@ -16,7 +18,8 @@
 class StageNeed:
     """What a stage is expected to take."""
 
-    service_ms: float
+    best_ms: float
+    cautious_ms: float
     wait_ms: float = 0
 
 
@@ -35,11 +38,17 @@
 ) -> AdmissionDecision:
     """Admits a request if it is expected to finish in time.
 
+    While nobody waits a request may try its luck; under contention it would
+    take the place of one that is surer to finish.
+
     Args:
         slack_ms: Time to its deadline.
         needs: Its stages.
     """
-    expected_ms = sum(need.service_ms + need.wait_ms for need in needs)
+    expected_ms = sum(need.best_ms for need in needs)
+    waiting_ms = sum(need.wait_ms for need in needs)
+    if waiting_ms:
+        expected_ms = waiting_ms + sum(need.cautious_ms for need in needs)
     missing_ms = expected_ms - slack_ms
     if missing_ms <= 0:
         return AdmissionDecision(admitted=True, expected_ms=expected_ms)
@@ -122,19 +131,21 @@
         typical_ms = configuration.services[service].typical_ms
         return self._times.quantile_ms(service, share, typical_ms)
 
-    def least_ms(
+    def stages_ms(
         self,
         configuration: Configuration,
         stages: Sequence[Stage],
+        share: float = BEST_SHARE,
     ) -> float:
-        """Returns the time below which stages can hardly be run.
+        """Returns the time that stages take, without waits.
 
         Args:
             configuration: What the request is pinned to.
             stages: The stages that are left.
+            share: Which quantile of each stage's time.
         """
         return sum(
-            self.service_ms(configuration, stage.service, BEST_SHARE)
+            self.service_ms(configuration, stage.service, share)
             for stage in stages
         )
 
--- a/borageyard/dispatch.py
+++ b/borageyard/dispatch.py
@@ -98,7 +98,7 @@
         stage_request: StageRequest,
         progress: StageProgress,
     ) -> AsyncIterator[Route]:
-        """Holds a place on a target, a suspect's without neighbours."""
+        """Holds a place on a target, a suspect's without other suspects."""
         queues = self._policy.queues
         ask = self._policy.ask(stage_request, progress.failed_targets)
         asked_ms = self._clock.steady_ms()
@@ -128,7 +128,10 @@
             waste,
         )
         if route.alone:
-            digest = request_digest(stage_request.admitted)
+            digest = request_digest(
+                stage_request.admitted,
+                stage_request.stage.service,
+            )
             self._policy.quarantine.note_finished(digest)
         return StageAnswer(route, answer)
 
@@ -167,7 +170,10 @@
         )
 
     def _is_suspect(self, stage_request: StageRequest) -> bool:
-        standing = self._policy.standing(stage_request.admitted)
+        standing = self._policy.standing(
+            stage_request.admitted,
+            stage_request.stage.service,
+        )
         return standing is Standing.SUSPECT
 
     def _note_start(self, stage_request: StageRequest) -> None:
@@ -180,7 +186,8 @@
         self._policy.backlog.add(stage.service, organisation, -1)
 
     def _require_time(self, stage_request: StageRequest) -> None:
-        self._policy.refuse_quarantined(stage_request.admitted)
+        service = stage_request.stage.service
+        self._policy.refuse_quarantined(stage_request.admitted, (service,))
         now_ms = self._clock.steady_ms()
         if now_ms >= stage_request.admitted.request.expires_at_ms:
             raise RefusalError(
--- a/borageyard/gate.py
+++ b/borageyard/gate.py
@@ -26,7 +26,8 @@
     @contextlib.asynccontextmanager
     async def admit(self, admitted: AdmittedRequest) -> AsyncIterator[None]:
         """Holds the request's place from its start to its end."""
-        self._policy.refuse_quarantined(admitted)
+        services = [stage.service for stage in admitted.pipeline.stages]
+        self._policy.refuse_quarantined(admitted, services)
         if self._policy.options.admission:
             self._require_time(admitted)
             await self._pass_limit(admitted)
--- a/borageyard/load_generator.py
+++ b/borageyard/load_generator.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 import random
-import types
 from collections.abc import Mapping, Sequence
 
 from .clock import MS_PER_S
+from .generated.load_profile import LoadProfileDocument
 
 PREFIXES_PER_ORGANISATION = 12
 PREFIX_TOKENS = 400
@@ -14,24 +14,6 @@
 SIZE_SPREAD = 0.6
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PipelineLoad:
-    """Requests for one pipeline."""
-
-    share: float
-    deadline_ms: float
-    input_tokens: float = 400
-    output_tokens: float = 80
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadProfile:
-    """What the callers of a deployment ask for."""
-
-    pipelines: Mapping[str, PipelineLoad]
-    organisations: Mapping[str, float]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Arrival:
     """A request that a caller makes at a time."""
@@ -54,51 +36,10 @@
     rate_per_s: float
 
 
-DAWN_RUSH = LoadProfile(
-    pipelines=types.MappingProxyType(
-        {
-            'route-summary': PipelineLoad(0.4, 6000),
-            'owner-assistant': PipelineLoad(0.35, 6000),
-            'booking': PipelineLoad(0.15, 9000),
-            'check-in': PipelineLoad(0.05, 4000),
-            'payment': PipelineLoad(0.05, 9000),
-        }
-    ),
-    organisations=types.MappingProxyType(
-        {
-            'tjarnarhus-kennels': 0.4,
-            'reykjavik-walks': 0.25,
-            'dispatch': 0.2,
-            'akureyri-walks': 0.08,
-            'selfoss-walks': 0.07,
-        }
-    ),
-)
-LONG_HISTORIES = LoadProfile(
-    pipelines=types.MappingProxyType(
-        {
-            'loan-letter': PipelineLoad(0.35, 9000, 1500, 100),
-            'holdings-summary': PipelineLoad(0.3, 9000, 2500, 60),
-            'partner-suggestion': PipelineLoad(0.2, 9000, 800, 60),
-            'loan-placement': PipelineLoad(0.15, 9000, 500, 40),
-        }
-    ),
-    organisations=types.MappingProxyType(
-        {
-            'kerala-state': 0.4,
-            'kochi-public': 0.22,
-            'tvm-university': 0.2,
-            'kozhikode-college': 0.1,
-            'malabar-schools': 0.08,
-        }
-    ),
-)
-
-
 class LoadGenerator:
     """Draws arrivals of a profile from a seed."""
 
-    def __init__(self, profile: LoadProfile, seed: int) -> None:
+    def __init__(self, profile: LoadProfileDocument, seed: int) -> None:
         """Seeds the draws.
 
         Args:
--- a/borageyard/policy.py
+++ b/borageyard/policy.py
@@ -4,9 +4,17 @@
 import hashlib
 import json
 import math
-from collections.abc import Sequence
-
-from .admission import Backlog, StageNeed, StagePlanner, wait_ms
+from collections.abc import Iterable, Sequence
+
+from .admission import (
+    BEST_SHARE,
+    CAUTIOUS_SHARE,
+    PLANNED_SHARE,
+    Backlog,
+    StageNeed,
+    StagePlanner,
+    wait_ms,
+)
 from .affinity import PrefixAffinity
 from .clock import Clock
 from .costs import CostAccounts, CostKey, StageCost, Waste
@@ -25,7 +33,7 @@
 from .targets import TargetDirectory, TargetState
 
 HEDGE_SHARE = 0.95
-PLANNED_SHARE = 0.5
+HEDGE_FACTOR = 1.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -119,7 +127,10 @@
             service=stage.service,
             organisation=admitted.request.organisation,
             weight=admitted.weight,
-            latest_start_ms=self.latest_start_ms(stage_request),
+            latest_start_ms=self.latest_start_ms(
+                stage_request,
+                CAUTIOUS_SHARE,
+            ),
             query=RouteQuery(
                 now_ms=now_ms,
                 typical_ms=self.times.quantile_ms(
@@ -135,16 +146,26 @@
             ),
         )
 
-    def latest_start_ms(self, stage_request: StageRequest) -> float:
-        """Returns when a stage must start for its request to finish."""
+    def latest_start_ms(
+        self,
+        stage_request: StageRequest,
+        share: float = BEST_SHARE,
+    ) -> float:
+        """Returns when a stage must start for its request to finish.
+
+        Args:
+            stage_request: The stage.
+            share: Quantile of the stages' times that is planned with.
+        """
         admitted = stage_request.admitted
         stages = admitted.pipeline.stages
         index = stages.index(stage_request.stage)
-        least_ms = self.planner.least_ms(
+        left_ms = self.planner.stages_ms(
             admitted.configuration,
             stages[index:],
+            share,
         )
-        return admitted.request.expires_at_ms - least_ms
+        return admitted.request.expires_at_ms - left_ms
 
     def stage_deadline_ms(self, stage_request: StageRequest) -> float:
         """Returns when a stage must have ended to be of use."""
@@ -155,7 +176,7 @@
         if not stage_request.idempotent:
             return expires_at_ms
         later = stages[index + 1 :]
-        return expires_at_ms - self.planner.least_ms(
+        return expires_at_ms - self.planner.stages_ms(
             admitted.configuration,
             later,
         )
@@ -221,7 +242,7 @@
         now_ms = self.clock.steady_ms()
         target = route.target
         if error.kind is FailureKind.CRASH:
-            digest = request_digest(admitted)
+            digest = request_digest(admitted, target.instance.service)
             self.quarantine.note_crash(digest, now_ms, alone=route.alone)
         if self.outliers.note_failure(target, error.kind, now_ms):
             _log_ejection(target, error.kind.value)
@@ -241,11 +262,12 @@
     def hedge_delay_ms(self, stage_request: StageRequest) -> float:
         """Returns after which time a second attempt may help."""
         stage = stage_request.stage
-        return self.times.quantile_ms(
+        late_ms = self.times.quantile_ms(
             stage.service,
             HEDGE_SHARE,
             stage.timeout_ms,
         )
+        return HEDGE_FACTOR * late_ms
 
     def take_hedge(
         self,
@@ -284,54 +306,72 @@
         )
         return other
 
-    def standing(self, admitted: AdmittedRequest) -> Standing:
-        """Returns whether a request is suspected of crashing targets.
+    def standing(self, admitted: AdmittedRequest, service: str) -> Standing:
+        """Returns whether a request is suspected of crashing a service.
 
         Args:
             admitted: The request.
+            service: Name of the service.
         """
         if self.quarantine.is_empty:
             return Standing.CLEAR
-        now_ms = self.clock.steady_ms()
-        return self.quarantine.standing(request_digest(admitted), now_ms)
+        digest = request_digest(admitted, service)
+        return self.quarantine.standing(digest, self.clock.steady_ms())
 
-    def refuse_quarantined(self, admitted: AdmittedRequest) -> None:
+    def refuse_quarantined(
+        self,
+        admitted: AdmittedRequest,
+        services: Iterable[str],
+    ) -> None:
         """Refuses a request that has crashed too many targets.
 
         Args:
             admitted: The request.
+            services: Services that it still needs.
 
         Raises:
             RefusalError: If it is quarantined.
         """
-        if self.standing(admitted) is not Standing.QUARANTINED:
-            return
-        digest = request_digest(admitted)
+        for service in services:
+            if self.standing(admitted, service) is Standing.QUARANTINED:
+                raise RefusalError(self._quarantined(admitted, service))
+
+    def _quarantined(self, admitted: AdmittedRequest, service: str) -> Refusal:
+        digest = request_digest(admitted, service)
         now_ms = self.clock.steady_ms()
         left_ms = self.quarantine.left_ms(digest, now_ms)
         log_event(
             Event.REQUEST_QUARANTINED,
             request_id=admitted.request.request_id,
+            service=service,
             digest=digest,
             left_ms=left_ms,
         )
-        refusal = Refusal(
+        return Refusal(
             ErrorKind.QUARANTINED,
+            detail=service,
             retry_after_ms=math.ceil(left_ms),
         )
-        raise RefusalError(refusal)
 
     def _need(self, admitted: AdmittedRequest, service: str) -> StageNeed:
         configuration = admitted.configuration
-        service_ms = self.planner.service_ms(configuration, service)
+        planner = self.planner
+        service_ms = planner.service_ms(configuration, service)
         running, slots = self._usage(service)
         ahead = self.backlog.ahead(
             service,
             admitted.request.organisation,
             configuration.organisations,
         )
-        waited_ms = wait_ms(running + ahead, slots, service_ms)
-        return StageNeed(service_ms, waited_ms)
+        return StageNeed(
+            best_ms=planner.service_ms(configuration, service, BEST_SHARE),
+            cautious_ms=planner.service_ms(
+                configuration,
+                service,
+                CAUTIOUS_SHARE,
+            ),
+            wait_ms=wait_ms(running + ahead, slots, service_ms),
+        )
 
     def _usage(self, service: str) -> tuple[int, float]:
         """Returns own running calls and the slots that this entry may use."""
@@ -356,10 +396,11 @@
     )
 
 
-def request_digest(admitted: AdmittedRequest) -> str:
-    """Returns the digest under which crashes of a request are counted."""
+def request_digest(admitted: AdmittedRequest, service: str) -> str:
+    """Returns the digest under which crashes of a service are counted."""
     request = admitted.request
-    canonical = json.dumps([request.pipeline, request.body], sort_keys=True)
+    parts = (service, request.pipeline, request.body)
+    canonical = json.dumps(parts, sort_keys=True)
     return hashlib.sha256(canonical.encode()).hexdigest()
 
 
--- a/borageyard/policy_status.py
+++ b/borageyard/policy_status.py
@@ -46,7 +46,6 @@
         'duration_ms': state.duration_ms,
         'report_age_ms': _age_ms(state, now_ms),
         'ejected': policy.outliers.is_ejected(state.target_id, now_ms),
-        'reserved': state.reserved_until_ms > now_ms,
     }
 
 
--- a/borageyard/routing.py
+++ b/borageyard/routing.py
@@ -132,8 +132,6 @@
         state: The target.
         query: Time and number of entries.
     """
-    if state.reserved_until_ms > query.now_ms:
-        return False
     if state.in_flight < max(state.slots // query.entries, 1):
         return True
     return state.load(query.now_ms) < state.slots
--- a/borageyard/service_queue.py
+++ b/borageyard/service_queue.py
@@ -76,7 +76,7 @@
         Raises:
             RefusalError: If there is no target, or none in time.
         """
-        self._require_target(ask)
+        self.require_target(ask)
         if not self.waiting(ask.service):
             route = self.try_acquire(ask)
             if route is not None:
@@ -104,6 +104,27 @@
             route.target.change_in_flight(1, now_ms)
         return route
 
+    def require_target(self, ask: Ask) -> None:
+        """Refuses what no known target could run.
+
+        Args:
+            ask: What is needed.
+
+        Raises:
+            RefusalError: If all targets have failed it, or there is none.
+        """
+        candidates = self._directory.candidates(ask.service)
+        excluded = ask.query.excluded
+        if any(state.target_id not in excluded for state in candidates):
+            return
+        kind = ErrorKind.TARGET_FAILED if excluded else ErrorKind.NO_TARGET
+        refusal = Refusal(
+            kind,
+            detail=ask.service,
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+        raise RefusalError(refusal)
+
     def release(self, route: Route) -> None:
         """Gives the place of a route back.
 
@@ -124,12 +145,8 @@
         if queue is None:
             return
         blocked: list[Ticket[Waiter]] = []
-        while len(blocked) < MAX_TRIED:
-            ticket = queue.pop()
-            if ticket is None:
-                break
-            if not self._grant(ticket.waiter):
-                blocked.append(ticket)
+        while self._pump_one(queue, blocked):
+            continue
         for left in reversed(blocked):
             queue.put_back(left)
 
@@ -141,18 +158,20 @@
                 if self.waiting(service):
                     self.pump(service)
 
-    def _require_target(self, ask: Ask) -> None:
-        candidates = self._directory.candidates(ask.service)
-        excluded = ask.query.excluded
-        if any(state.target_id not in excluded for state in candidates):
-            return
-        kind = ErrorKind.TARGET_FAILED if excluded else ErrorKind.NO_TARGET
-        refusal = Refusal(
-            kind,
-            detail=ask.service,
-            retry_after_ms=RETRY_AFTER_MS,
-        )
-        raise RefusalError(refusal)
+    def _pump_one(
+        self,
+        queue: FairQueue[Waiter],
+        blocked: list[Ticket[Waiter]],
+    ) -> bool:
+        """Tells whether it is worth to try the next one."""
+        ticket = queue.pop()
+        if ticket is None:
+            return False
+        if self._grant(ticket.waiter):
+            return True
+        blocked.append(ticket)
+        picky = bool(ticket.waiter.ask.query.excluded)
+        return picky and len(blocked) < MAX_TRIED
 
     def _enqueue(self, waiter: Waiter) -> None:
         ask = waiter.ask
--- a/borageyard/sized_target.py
+++ b/borageyard/sized_target.py
@@ -1,5 +1,6 @@
 """Stand-in target whose time follows the sizes named in the request."""
 
+import contextlib
 import dataclasses
 from collections.abc import AsyncIterator, Mapping
 from typing import Any
@@ -69,13 +70,15 @@
             started_ms=self._steady_clock.steady_ms(),
         )
         self.work.append(work)
-        try:
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._time, work)
             event = await self._work_through(call)
-        finally:
-            work.spent_ms = self._steady_clock.steady_ms() - work.started_ms
         work.complete = True
         yield event
 
+    def _time(self, work: Work) -> None:
+        work.spent_ms = self._steady_clock.steady_ms() - work.started_ms
+
     async def _work_through(self, call: TargetCall) -> TokenEvent:
         sizes = _sizes_of(call)
         text = self.faults.crash_on_text
--- a/borageyard/suspects.py
+++ b/borageyard/suspects.py
@@ -20,12 +20,11 @@
 from .targets import TargetState
 
 NOTICE_TIMEOUT_MS = 100
-RESERVATION_MS = 10_000
 IDLE_POLL_MS = 20
 
 
 class SuspectRuns:
-    """Gives a suspect a target without neighbours at any entry."""
+    """Gives a suspect a target on which no other suspect runs."""
 
     def __init__(
         self,
@@ -43,8 +42,8 @@
         self._instance_id = instance_id
         self._policy = policy
         self._peers = peers
-        self._locks: dict[str, asyncio.Lock] = {}
-        self._held: set[str] = set()
+        # Targets of suspects, and whether no peer has objected.
+        self._held: dict[str, bool] = {}
         self._telling: set[asyncio.Future[None]] = set()
         peers.register(CrashNoticeBody, self._handle_notice)
         peers.register(ReservationBody, self._handle_reservation)
@@ -62,7 +61,7 @@
 
     @contextlib.asynccontextmanager
     async def alone(self, ask: Ask) -> AsyncIterator[Route]:
-        """Holds a target on which nothing else runs.
+        """Holds a target on which no other suspect runs.
 
         Args:
             ask: What is needed.
@@ -97,76 +96,53 @@
         ask: Ask,
         stack: contextlib.AsyncExitStack,
     ) -> Route:
-        lock = self._locks.setdefault(ask.service, asyncio.Lock())
-        await stack.enter_async_context(lock)
+        """Finds a target on which no entry runs a suspect."""
         tried = list(ask.query.excluded)
         while True:
             target = self._least_loaded(ask, tried)
-            self._hold_locally(target, stack)
-            if await self._reserve_at_peers(target, stack):
-                break
-            self._give_back(target)
+            if target is None:
+                await asyncio.sleep(IDLE_POLL_MS / MS_PER_S)
+                tried = list(ask.query.excluded)
+                continue
             tried.append(target.target_id)
+            if await self._reserve(target.target_id, stack):
+                break
         target.change_in_flight(1, self._policy.clock.steady_ms())
         return Route(target, alone=True)
 
-    def _least_loaded(self, ask: Ask, tried: Sequence[str]) -> TargetState:
+    def _least_loaded(
+        self,
+        ask: Ask,
+        tried: Sequence[str],
+    ) -> TargetState | None:
         now_ms = self._policy.clock.steady_ms()
-        candidates = [
+        self._policy.queues.require_target(ask)
+        candidates = self._policy.outliers.keep_healthy(
+            self._policy.directory.candidates(ask.service),
+            now_ms,
+        )
+        free = [
             state
-            for state in self._policy.directory.candidates(ask.service)
+            for state in candidates
             if state.target_id not in tried
+            and state.target_id not in self._held
         ]
-        if not candidates:
-            refusal = Refusal(
-                ErrorKind.NO_TARGET,
-                detail=f'none of {ask.service} for a suspect',
-                retry_after_ms=RETRY_AFTER_MS,
-            )
-            raise RefusalError(refusal)
-        healthy = self._policy.outliers.keep_healthy(candidates, now_ms)
-        return min(healthy, key=lambda state: state.load(now_ms))
-
-    def _hold_locally(
-        self,
-        target: TargetState,
-        stack: contextlib.AsyncExitStack,
-    ) -> None:
-        now_ms = self._policy.clock.steady_ms()
-        target.reserved_until_ms = now_ms + RESERVATION_MS
-        self._held.add(target.target_id)
-        stack.callback(self._give_back, target)
-
-    def _give_back(self, target: TargetState) -> None:
-        if target.target_id in self._held:
-            self._held.discard(target.target_id)
-            target.reserved_until_ms = 0
+        return min(free, key=lambda state: state.load(now_ms), default=None)
 
-    async def _reserve_at_peers(
+    async def _reserve(
         self,
-        target: TargetState,
+        target_id: str,
         stack: contextlib.AsyncExitStack,
     ) -> bool:
-        """Waits until nobody uses the target; tells of a conflict."""
-        target_id = target.target_id
-        reservation = ReservationBody(
-            target_id=target_id,
-            lasts_ms=RESERVATION_MS,
-        )
-        stack.push_async_callback(self._release_at_peers, target_id)
-        while True:
-            replies = await self._ask_peers(reservation)
-            if any(reply.conflict for reply in replies):
-                return False
-            theirs = sum(reply.in_flight for reply in replies)
-            if not theirs + target.in_flight:
-                return True
-            await asyncio.sleep(IDLE_POLL_MS / MS_PER_S)
-
-    async def _release_at_peers(self, target_id: str) -> None:
-        await self._ask_peers(
-            ReservationBody(target_id=target_id, lasts_ms=0),
-        )
+        """Tells whether no peer runs a suspect there."""
+        self._held[target_id] = False
+        replies = await self._ask_peers(ReservationBody(target_id=target_id))
+        if any(reply.conflict for reply in replies):
+            self._held.pop(target_id)
+            return False
+        self._held[target_id] = True
+        stack.callback(self._held.pop, target_id)
+        return True
 
     async def _ask_peers(
         self,
@@ -223,13 +199,7 @@
         peer_id: str,
         reservation: ReservationBody,
     ) -> ReservedBody:
-        target_id = reservation.target_id
-        state = self._policy.directory.find(target_id)
-        if state is None:
-            return ReservedBody(in_flight=0, conflict=False)
-        if target_id in self._held:
-            conflict = self._instance_id < peer_id
-            return ReservedBody(in_flight=state.in_flight, conflict=conflict)
-        now_ms = self._policy.clock.steady_ms()
-        state.reserved_until_ms = now_ms + reservation.lasts_ms
-        return ReservedBody(in_flight=state.in_flight, conflict=False)
+        agreed = self._held.get(reservation.target_id)
+        if agreed is None:
+            return ReservedBody(conflict=False)
+        return ReservedBody(conflict=agreed or self._instance_id < peer_id)
--- a/borageyard/targets.py
+++ b/borageyard/targets.py
@@ -38,7 +38,6 @@
     in_flight: int = 0
     duration_ms: float = 0
     samples: int = 0
-    reserved_until_ms: float = 0
     reported_others: float = 0
     reported_at_ms: float = -math.inf
     told_others: dict[str, tuple[float, int]] = dataclasses.field(
