--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -3,31 +3,36 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Coroutine
+import random
+from collections.abc import Sequence
 from typing import Any
 
+from opentelemetry import trace
+
+from .addresses import EntryAddress, order_entries
 from .clock import MS_PER_S, Clock
-from .configuration_log import ConfigurationFold, ConfigurationReader
+from .configuration_service import ConfigurationService
 from .dispatch import StageDispatcher
+from .draining import DrainPlan
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .gate import PolicyAdmission
 from .generated.settings import EntrySettings
-from .local_gates import (
-    LocalClaims,
-    NoStageStore,
-    OpenPermission,
-)
+from .local_gates import LocalClaims, NoStageStore
+from .membership import Membership
+from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
 from .peers import PeerLink
 from .pipeline import Outcome, PipelineGates, PipelineRunner
-from .platform import InstanceList, LogService, PlatformError
+from .platform import InstanceList, LogService
 from .policy import EntryPolicy, PolicyOptions, PolicyPlace
 from .policy_news import PolicyNews
 from .requests import PipelineRequest, TokenSink
 from .suspects import SuspectRuns
 from .target import TargetClient
 from .targets import TargetDirectory, TargetWatcher
+from .tasks import running_tasks
+from .tracing import RequestRunner, TracedRunner, traced_gates
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +45,8 @@
     peers: PeerLink
     clock: Clock
     seed: int = 0
+    incarnation: int = 0
+    tracer: trace.Tracer | None = None
     policy: PolicyOptions = dataclasses.field(default_factory=PolicyOptions)
 
 
@@ -63,9 +70,16 @@
             ports.policy,
         )
         PolicyNews(self.policy).register(ports.peers)
-        self.fold = ConfigurationFold()
-        self.permission = OpenPermission()
-        self.draining = False
+        self.configuration = ConfigurationService(
+            settings.instance_id,
+            ports.log,
+            ports.peers,
+            ports.clock,
+            settings.platform.log_retention_ms,
+        )
+        self.fold = self.configuration.fold
+        self.permission = self.configuration.permission
+        self.drain_plan = DrainPlan(settings.drain_ms, settings.address_ttl_ms)
         self.watcher = TargetWatcher(
             self.directory,
             ports.instances,
@@ -73,9 +87,24 @@
             ports.clock,
             self.policy.note_instances,
         )
-        self._reader = ConfigurationReader(self.fold, ports.log)
-        self._runner = PipelineRunner(self._build_gates(), ports.clock)
-        self.running = 0
+        self.own = OwnState(
+            incarnation=ports.incarnation or int(ports.clock.wall_ms()),
+            failure_domain=settings.failure_domain,
+        )
+        self.membership = Membership(
+            settings.instance_id,
+            self.own.incarnation,
+        )
+        self._members = MembershipService(
+            self.membership,
+            self.own,
+            self.directory,
+            ports.peers,
+            ports.clock,
+            lambda: self.watcher.listed,
+        )
+        self._random = random.Random(ports.seed)
+        self._runner = self._build_runner()
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -86,12 +115,11 @@
             stack: Owns the background work.
         """
         await self.watcher.poll_instances()
-        with contextlib.suppress(PlatformError):
-            await self._reader.catch_up()
+        await self.configuration.start(stack, lambda: self.watcher.listed)
         platform = self.settings.platform
         await stack.enter_async_context(
             running_tasks(
-                self._reader.follow(),
+                self._members.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
                 self.policy.queues.watch(),
@@ -124,15 +152,64 @@
 
     async def drain(self) -> None:
         """Serves on until callers have other addresses, then ends work."""
-        self.draining = True
+        clock = self.ports.clock
+        self.drain_plan.leave(clock.steady_ms())
+        self.own.leaving = True
+        self.ports.peers.send_news()
         log_event(
             Event.ENTRY_DRAINING,
             instance_id=self.settings.instance_id,
         )
-        await asyncio.sleep(self.settings.drain_ms / MS_PER_S)
-        self.permission.closed = True
+        wait_ms = self.drain_plan.wait_ms(clock.steady_ms())
+        await asyncio.sleep(wait_ms / MS_PER_S)
+        await self.configuration.close()
         await self._idle.wait()
 
+    @property
+    def draining(self) -> bool:
+        """Tells whether the entry has been told to stop."""
+        return self.drain_plan.leaving
+
+    @property
+    def running(self) -> int:
+        """Returns how many requests run."""
+        return self.own.running
+
+    def entry_addresses(self, failure_domain: str) -> Sequence[EntryAddress]:
+        """Returns the entries that a caller may use, the best first.
+
+        Args:
+            failure_domain: Where the caller is; empty if unknown.
+        """
+        now_ms = self.ports.clock.steady_ms()
+        entries = [
+            EntryAddress(
+                member.instance_id,
+                member.address,
+                member.failure_domain,
+                member.running,
+            )
+            for member in self.membership.alive(now_ms)
+            if member.address
+        ]
+        if not self.draining and self.own.address:
+            own = EntryAddress(
+                self.settings.instance_id,
+                self.own.address,
+                self.own.failure_domain,
+                self.own.running,
+            )
+            entries.append(own)
+        return order_entries(entries, failure_domain, self._random)
+
+    def _build_runner(self) -> RequestRunner:
+        gates = self._build_gates()
+        tracer = self.ports.tracer
+        if tracer is None:
+            return PipelineRunner(gates, self.ports.clock)
+        traced = PipelineRunner(traced_gates(gates, tracer), self.ports.clock)
+        return TracedRunner(traced, tracer)
+
     def _build_gates(self) -> PipelineGates:
         return PipelineGates(
             configurations=self.fold,
@@ -153,29 +230,11 @@
 
     @contextlib.contextmanager
     def _counted(self) -> Any:
-        self.running += 1
+        self.own.running += 1
         self._idle.clear()
         try:
             yield
         finally:
-            self.running -= 1
-            if not self.running:
+            self.own.running -= 1
+            if not self.own.running:
                 self._idle.set()
-
-
-@contextlib.asynccontextmanager
-async def running_tasks(
-    *work: Coroutine[Any, Any, None],
-) -> AsyncIterator[None]:
-    """Runs coroutines in the background of a scope.
-
-    Args:
-        *work: Coroutines that are cancelled at the end of the scope.
-    """
-    tasks = [asyncio.ensure_future(coroutine) for coroutine in work]
-    try:
-        yield
-    finally:
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -2,15 +2,10 @@
 
 import asyncio
 import contextlib
-import hmac
 from collections.abc import AsyncIterator
 from http import HTTPStatus
-from typing import Any
 
-from .addresses import order_entries
-from .border import DocumentError, Problem, parse_json, shown
-from .configuration import parse_configuration
-from .configuration_log import CONFIGURATION_STREAM
+from .configuration_handler import CONFIGURATION_PATH, ConfigurationHandler
 from .core import EntryCore
 from .errors import ErrorKind, Refusal, RefusalError
 from .http_messages import (
@@ -21,21 +16,22 @@
     json_response,
 )
 from .pipeline import Outcome
-from .platform import PlatformError
 from .policy_status import policy_status
 from .requests import PipelineRequest
 from .target import TokenEvent
+from .tokens import check_organisation
 from .wire import (
+    ORGANISATION_HEADER,
     decode_request,
     encode_outcome,
     encode_refusal,
     outcome_payload,
+    request_id_of,
     token_payload,
 )
 
 PIPELINE_PREFIX = '/v1/pipelines/'
 TOKEN_QUEUE_SIZE = 64
-TOKEN_HEADER = 'x-borage-token'
 
 
 class QueueSink:
@@ -62,6 +58,11 @@
             core: What runs the requests.
         """
         self._core = core
+        self._configuration = ConfigurationHandler(
+            core.fold,
+            core.configuration.changes,
+            core.settings.operator_token,
+        )
         self._routes = {
             ('GET', '/v1/entries'): self._entries,
             ('GET', '/v1/status'): self._status,
@@ -74,25 +75,42 @@
         """Answers one request."""
         if request.path.startswith(PIPELINE_PREFIX):
             return await self._run_pipeline(request)
-        where = (request.method, request.path)
-        if where == ('POST', '/v1/configuration'):
-            return await self._apply(request)
-        route = self._routes.get(where)
+        if request.path.startswith(CONFIGURATION_PATH):
+            return await self._configuration.handle(request)
+        route = self._routes.get((request.method, request.path))
         if route is None:
-            return encode_refusal('', Refusal(ErrorKind.NOT_FOUND))
+            return self._refuse_route(request)
         return route(request)
 
+    def _refuse_route(self, request: HttpRequest) -> HttpResponse:
+        paths = {path for _, path in self._routes}
+        kind = ErrorKind.NOT_FOUND
+        if request.path in paths:
+            kind = ErrorKind.METHOD_NOT_ALLOWED
+        return encode_refusal(request_id_of(request.headers), Refusal(kind))
+
     async def _run_pipeline(self, request: HttpRequest) -> HttpResponse:
         pipeline = request.path.removeprefix(PIPELINE_PREFIX)
         try:
-            decoded = decode_request(request, pipeline, self._core.ports.clock)
+            decoded = self._check(request, pipeline)
         except RefusalError as error:
-            return encode_refusal('', error.refusal)
+            request_id = request_id_of(request.headers)
+            return encode_refusal(request_id, error.refusal)
         if decoded.stream:
             return await self._stream(decoded)
         outcome = await self._core.run(decoded)
         return encode_outcome(decoded.request_id, outcome)
 
+    def _check(self, request: HttpRequest, pipeline: str) -> PipelineRequest:
+        if request.method != 'POST':
+            raise RefusalError(Refusal(ErrorKind.METHOD_NOT_ALLOWED))
+        configuration = self._core.fold.current()
+        if configuration is not None:
+            name = request.header(ORGANISATION_HEADER)
+            organisation = configuration.organisations.get(name)
+            check_organisation(organisation, request)
+        return decode_request(request, pipeline, self._core.ports.clock)
+
     async def _stream(self, request: PipelineRequest) -> HttpResponse:
         """Answers with events once the first token is there."""
         sink = QueueSink()
@@ -128,10 +146,7 @@
                 'address': row.address,
                 'failure_domain': row.failure_domain,
             }
-            for row in order_entries(core.watcher.listed, domain)
-            if not (
-                core.draining and row.instance_id == core.settings.instance_id
-            )
+            for row in core.entry_addresses(domain)
         ]
         keep_ms = core.settings.address_ttl_ms
         return json_response({'entries': rows, 'keep_ms': keep_ms})
@@ -168,47 +183,14 @@
         return json_response({'alive': True})
 
     def _readiness(self, request: HttpRequest) -> HttpResponse:
-        known = self._core.fold.current() is not None
-        if known and not self._core.draining:
+        permitted = self._core.permission.check() is None
+        if permitted and not self._core.draining:
             return json_response({'ready': True})
         return json_response(
             {'ready': False},
             HTTPStatus.SERVICE_UNAVAILABLE,
         )
 
-    async def _apply(self, request: HttpRequest) -> HttpResponse:
-        if not self._is_operator(request):
-            return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
-        try:
-            proposal = _parse_proposal(request)
-        except DocumentError as error:
-            kind = ErrorKind.CONFIGURATION_INVALID
-            return encode_refusal('', Refusal(kind, detail=str(error)))
-        log = self._core.ports.log
-        try:
-            offset = await log.append(CONFIGURATION_STREAM, proposal)
-        except PlatformError as error:
-            kind = ErrorKind.LOG_UNAVAILABLE
-            return encode_refusal('', Refusal(kind, detail=str(error)))
-        return json_response({'offset': offset})
-
-    def _is_operator(self, request: HttpRequest) -> bool:
-        token = self._core.settings.operator_token
-        shown_token = request.header(TOKEN_HEADER)
-        return not token or hmac.compare_digest(
-            token.encode(),
-            shown_token.encode(),
-        )
-
-
-def _parse_proposal(request: HttpRequest) -> dict[str, Any]:
-    proposal = parse_json(request.body, 'proposal')
-    if not isinstance(proposal, dict):
-        problem = Problem('$', shown(proposal), 'an object')
-        raise DocumentError('proposal', (problem,))
-    parse_configuration(proposal.get('document'), 0)
-    return proposal
-
 
 async def _relay(
     request: PipelineRequest,
--- a/borageyard/memory_deployment.py
+++ b/borageyard/memory_deployment.py
@@ -124,6 +124,7 @@
             policy=self.build_policy(index),
         )
         core = EntryCore(_settings(name, domain), ports)
+        core.own.address = name
         stack = contextlib.AsyncExitStack()
         await core.start(stack)
         self.entries[name] = RunningEntry(core, log, stack)
