--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -10,6 +10,7 @@
 from opentelemetry import trace
 
 from .addresses import EntryAddress, order_entries
+from .cache_watcher import CacheWatcher
 from .clock import MS_PER_S, Clock
 from .configuration_service import ConfigurationService
 from .dispatch import StageDispatcher
@@ -79,6 +80,13 @@
         )
         self.fold = self.configuration.fold
         self.permission = self.configuration.permission
+        self._cache_watcher = CacheWatcher(
+            self.directory,
+            self.policy.affinity,
+            ports.targets,
+            ports.clock,
+            self.fold,
+        )
         self.drain_plan = DrainPlan(settings.drain_ms, settings.address_ttl_ms)
         self.watcher = TargetWatcher(
             self.directory,
@@ -123,6 +131,7 @@
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
                 self.policy.queues.watch(),
+                self._cache_watcher.watch(),
             ),
         )
 
--- a/borageyard/http_target.py
+++ b/borageyard/http_target.py
@@ -2,12 +2,13 @@
 
 import json
 import types
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Mapping, Sequence
 from typing import Any, TypeVar
 
 import pydantic
 
 from .border import DocumentError, check_document, parse_json, shown
+from .generated.cache_events import CacheEventsBody
 from .generated.http_bodies import (
     LoadReportBody,
     TargetAnswerBody,
@@ -21,6 +22,7 @@
     encode_json,
 )
 from .target import (
+    CacheEvent,
     FailureKind,
     LoadReport,
     TargetAnswer,
@@ -101,6 +103,28 @@
         }
         return LoadReport(**fields, models=models)
 
+    async def cache_events(
+        self,
+        address: str,
+        after: int,
+    ) -> Sequence[CacheEvent]:
+        """Returns changes of a target's prompt cache."""
+        call = HttpCall(
+            address=address,
+            method='GET',
+            path=f'/v1/cache-events?after={after}',
+            timeout_ms=LOAD_TIMEOUT_MS,
+        )
+        try:
+            reply = await self._client.request(call)
+        except HttpCallError as error:
+            raise _call_failure(error) from error
+        changes = _decode(CacheEventsBody, reply.body)
+        return [
+            CacheEvent(event.sequence, event.action, event.prefix)
+            for event in changes.events
+        ]
+
 
 async def _request_answer(
     client: HttpClient,
--- a/borageyard/load_generator.py
+++ b/borageyard/load_generator.py
@@ -81,7 +81,7 @@
         ]
 
     def _draw_phase(self, phase: RatePhase, start_ms: float) -> list[Arrival]:
-        drawn = []
+        drawn: list[Arrival] = []
         at_ms = start_ms
         while True:
             at_ms += self._random.expovariate(phase.rate_per_s) * MS_PER_S
--- a/borageyard/memory_target.py
+++ b/borageyard/memory_target.py
@@ -1,7 +1,7 @@
 """Stand-in targets met in memory, behind the protocol of targets."""
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Mapping, Sequence
 
 from .clock import MS_PER_S
 from .standins.target import (
@@ -10,6 +10,7 @@
     TargetRefusedError,
 )
 from .target import (
+    CacheEvent,
     FailureKind,
     LoadReport,
     TargetAnswer,
@@ -69,6 +70,17 @@
         """Returns the load report of a target."""
         return self._find(address).load()
 
+    async def cache_events(
+        self,
+        address: str,
+        after: int,
+    ) -> Sequence[CacheEvent]:
+        """Returns changes of a target's prompt cache, unless lost."""
+        target = self._find(address)
+        if target.faults.lose_cache_events:
+            return ()
+        return [CacheEvent(**event) for event in target.cache.events[after:]]
+
     def _find(self, address: str) -> StandinTarget:
         target = self._targets.get(address)
         if target is None or not target.alive or address in self.cut:
--- a/borageyard/service_queue.py
+++ b/borageyard/service_queue.py
@@ -145,8 +145,9 @@
         if queue is None:
             return
         blocked: list[Ticket[Waiter]] = []
-        while self._pump_one(queue, blocked):
-            continue
+        going = True
+        while going:
+            going = self._pump_one(queue, blocked)
         for left in reversed(blocked):
             queue.put_back(left)
 
--- a/borageyard/standins/target.py
+++ b/borageyard/standins/target.py
@@ -66,6 +66,7 @@
     crash_on_text: str = ''
     report_lag_ms: float = 0
     leaving: bool = False
+    lose_cache_events: bool = False
 
     def take(self, name: str) -> bool:
         """Uses up one of a counted fault.
--- a/borageyard/standins/target_http.py
+++ b/borageyard/standins/target_http.py
@@ -96,7 +96,9 @@
 
     def _cache_events(self, request: HttpRequest) -> HttpResponse:
         after = int(request.query.get('after', '0'))
-        return json_response(self.target.cache.events[after:])
+        lost = self.target.faults.lose_cache_events
+        events = [] if lost else self.target.cache.events[after:]
+        return json_response({'events': events})
 
     def _executions(self, request: HttpRequest) -> HttpResponse:
         rows = map(dataclasses.asdict, self.target.executions)
--- a/borageyard/target.py
+++ b/borageyard/target.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import enum
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Mapping, Sequence
 from typing import Any, Protocol
 
 
@@ -63,6 +63,15 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A change of a target's prompt cache."""
+
+    sequence: int
+    action: str
+    prefix: str
+
+
 class FailureKind(enum.Enum):
     """Ways in which an attempt can fail."""
 
@@ -132,3 +141,18 @@
         Raises:
             TargetError: If there is none.
         """
+
+    async def cache_events(
+        self,
+        address: str,
+        after: int,
+    ) -> Sequence[CacheEvent]:
+        """Returns changes of a target's prompt cache, late and with gaps.
+
+        Args:
+            address: Address of the target.
+            after: First sequence number wanted.
+
+        Raises:
+            TargetError: If there is no answer.
+        """
--- /dev/null
+++ b/tests/test_cache_watcher.py
@@ -0,0 +1,76 @@
+"""Tests of what cache events teach."""
+
+import pytest
+
+from borageyard.affinity import PrefixAffinity
+from borageyard.cache_watcher import CacheWatcher
+from borageyard.clock import ManualClock
+from borageyard.configuration import Configuration, Service
+from borageyard.platform import ROLE_TARGET, Instance
+from borageyard.target import CacheEvent, FailureKind, TargetError
+from borageyard.targets import TargetDirectory
+
+ENGINE = Service('llm', 'engine', True, False, '', 8, 100)
+
+
+class EventClient:
+    """Target client that only has cache events."""
+
+    def __init__(self):
+        """Starts without events."""
+        self.events = []
+        self.down = False
+
+    async def cache_events(self, address, after):
+        """Returns the events from a number on."""
+        if self.down:
+            raise TargetError(FailureKind.CONNECT, 'down', not_run=True)
+        return [event for event in self.events if event.sequence >= after]
+
+
+class OneConfiguration:
+    """Configuration source with one engine service."""
+
+    def current(self):
+        """Returns the configuration."""
+        return Configuration(1, '', 0, 0, 0, {}, {}, {'llm': ENGINE}, {})
+
+
+class TestCacheWatcher:
+    """Events, gaps and restarts change what is believed."""
+
+    def setup_method(self):
+        """Builds a watcher of one target."""
+        directory = TargetDirectory()
+        directory.update([Instance('t0', ROLE_TARGET, 't0', 'a', 'llm')])
+        self.affinity = PrefixAffinity()
+        self.client = EventClient()
+        self.watcher = CacheWatcher(
+            directory,
+            self.affinity,
+            self.client,
+            ManualClock(),
+            OneConfiguration(),
+        )
+
+    @pytest.mark.looptime
+    async def test_stored_and_evicted(self):
+        """A stored prefix is held until it is evicted."""
+        self.client.events.append(CacheEvent(0, 'stored', 'walk'))
+        await self.watcher.poll()
+        assert list(self.affinity.holders('walk')) == ['t0']
+        self.client.events.append(CacheEvent(5, 'evicted', 'walk'))
+        await self.watcher.poll()
+        assert not self.affinity.holders('walk')
+
+    @pytest.mark.looptime
+    async def test_starts_again_after_a_restart(self):
+        """After a target was away its numbers may start at 0 again."""
+        self.client.events.append(CacheEvent(9, 'stored', 'walk'))
+        await self.watcher.poll()
+        self.client.down = True
+        await self.watcher.poll()
+        self.client.down = False
+        self.client.events = [CacheEvent(0, 'stored', 'rain')]
+        await self.watcher.poll()
+        assert list(self.affinity.holders('rain')) == ['t0']
