--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -6,6 +6,8 @@
 from collections.abc import AsyncIterator, Coroutine
 from typing import Any
 
+from opentelemetry import trace
+
 from .clock import MS_PER_S, Clock
 from .configuration_log import ConfigurationFold, ConfigurationReader
 from .dispatch import StageDispatcher
@@ -26,6 +28,7 @@
 from .routing import TwoChoicesRouter
 from .target import TargetClient
 from .targets import TargetDirectory, TargetWatcher
+from .tracing import RequestRunner, TracedRunner, traced_gates
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +41,7 @@
     peers: PeerLink
     clock: Clock
     seed: int = 0
+    tracer: trace.Tracer | None = None
 
 
 class EntryCore:
@@ -64,7 +68,7 @@
             ports.clock,
         )
         self._reader = ConfigurationReader(self.fold, ports.log)
-        self._runner = PipelineRunner(self._build_gates(), ports.clock)
+        self._runner = self._build_runner()
         self.running = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -122,6 +126,14 @@
         self.permission.closed = True
         await self._idle.wait()
 
+    def _build_runner(self) -> RequestRunner:
+        gates = self._build_gates()
+        tracer = self.ports.tracer
+        if tracer is None:
+            return PipelineRunner(gates, self.ports.clock)
+        traced = PipelineRunner(traced_gates(gates, tracer), self.ports.clock)
+        return TracedRunner(traced, tracer)
+
     def _build_gates(self) -> PipelineGates:
         return PipelineGates(
             configurations=self.fold,
--- a/borageyard/entry.py
+++ b/borageyard/entry.py
@@ -17,6 +17,7 @@
 from .http_target import HttpTargetClient
 from .peers import MemoryPeerNetwork
 from .settings import client_tls, http_limits, server_tls
+from .tracing import AttemptTracer, entry_tracer
 
 
 class Entry:
@@ -33,6 +34,7 @@
             settings: Checked settings.
             clock: Source of time; the machine's by default.
         """
+        tracer = entry_tracer(settings)
         self.settings = settings
         self._stack = contextlib.AsyncExitStack()
         limits = http_limits(settings)
@@ -44,9 +46,10 @@
                 self._client,
                 platform.instances_address,
             ),
-            targets=HttpTargetClient(self._client),
+            targets=HttpTargetClient(self._client, AttemptTracer(tracer)),
             peers=MemoryPeerNetwork().join(settings.instance_id),
             clock=clock or SystemClock(),
+            tracer=tracer,
         )
         self.core = EntryCore(settings, ports)
         self._server = HttpServer(
--- a/borageyard/http_target.py
+++ b/borageyard/http_target.py
@@ -1,18 +1,18 @@
 """Targets met over HTTP."""
 
-import dataclasses
-from collections.abc import AsyncIterator
-from typing import TypeVar
+import json
+import types
+from collections.abc import AsyncIterator, Mapping
+from typing import Any, TypeVar
 
 import pydantic
 
-from .border import DocumentError, check_document, parse_json
+from .border import DocumentError, check_document, parse_json, shown
 from .generated.http_bodies import (
     LoadReportBody,
     TargetAnswerBody,
     TargetCallBody,
     TargetRefusalBody,
-    TokenEventBody,
 )
 from .http_client import HttpCall, HttpCallError, HttpClient, read_events
 from .http_messages import (
@@ -28,41 +28,48 @@
     TargetError,
     TokenEvent,
 )
+from .tracing import TRACE_PARENT, AttemptTracer
 
 ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
 
 LOAD_TIMEOUT_MS = 500
 STATUS_OK = 200
-# Fields of a call that the wire does not carry in the body.
-UNSENT_FIELDS = frozenset(('idempotent', 'trace_parent'))
+# Fields of a call that the body carries.
+SENT_FIELDS = tuple(TargetCallBody.model_fields)
+TOKEN_EVENT_TYPES: Mapping[str, type] = types.MappingProxyType(
+    {
+        'attempt_id': str,
+        'offset': int,
+        'token': str,
+        'done': bool,
+        'tokens': int,
+        'cached_tokens': int,
+    },
+)
 
 
 class HttpTargetClient:
     """Calls targets over HTTP and checks that answers match attempts."""
 
-    def __init__(self, client: HttpClient) -> None:
+    def __init__(
+        self,
+        client: HttpClient,
+        attempts: AttemptTracer | None = None,
+    ) -> None:
         """Wraps a client.
 
         Args:
             client: Sends the calls.
+            attempts: Opens spans; none by default.
         """
         self._client = client
+        self._attempts = attempts or AttemptTracer()
 
     async def call(self, address: str, call: TargetCall) -> TargetAnswer:
         """Runs a stage and returns its whole answer."""
-        try:
-            reply = await self._client.request(_encode(address, call))
-        except HttpCallError as error:
-            raise _call_failure(error) from error
-        if reply.status != STATUS_OK:
-            raise _refusal(reply.body, reply.status)
-        answer = _decode(TargetAnswerBody, reply.body)
-        _check_attempt(answer.attempt_id, call)
-        return TargetAnswer(
-            output=answer.output,
-            tokens=answer.tokens,
-            cached_tokens=answer.cached_tokens,
-        )
+        with self._attempts.span(call) as trace_parent:
+            http_call = _encode(address, call, trace_parent)
+            return await _request_answer(self._client, http_call, call)
 
     async def stream(
         self,
@@ -70,14 +77,10 @@
         call: TargetCall,
     ) -> AsyncIterator[TokenEvent]:
         """Runs a stage and yields its tokens, the last event being done."""
-        http_call = _encode(address, call)
-        try:
-            async with self._client.stream(http_call) as (status, _, chunks):
-                await _require_ok(status, chunks)
-                async for event in _decode_events(chunks, call):
-                    yield event
-        except HttpCallError as error:
-            raise _call_failure(error) from error
+        with self._attempts.span(call) as trace_parent:
+            http_call = _encode(address, call, trace_parent)
+            async for event in _stream_events(self._client, http_call, call):
+                yield event
 
     async def load(self, address: str) -> LoadReport:
         """Returns the load report of a target."""
@@ -99,6 +102,40 @@
         return LoadReport(**fields, models=models)
 
 
+async def _request_answer(
+    client: HttpClient,
+    http_call: HttpCall,
+    call: TargetCall,
+) -> TargetAnswer:
+    try:
+        reply = await client.request(http_call)
+    except HttpCallError as error:
+        raise _call_failure(error) from error
+    if reply.status != STATUS_OK:
+        raise _refusal(reply.body, reply.status)
+    answer = _decode(TargetAnswerBody, reply.body)
+    _check_attempt(answer.attempt_id, call)
+    return TargetAnswer(
+        output=answer.output,
+        tokens=answer.tokens,
+        cached_tokens=answer.cached_tokens,
+    )
+
+
+async def _stream_events(
+    client: HttpClient,
+    http_call: HttpCall,
+    call: TargetCall,
+) -> AsyncIterator[TokenEvent]:
+    try:
+        async with client.stream(http_call) as (status, _, chunks):
+            await _require_ok(status, chunks)
+            async for event in _decode_events(chunks, call):
+                yield event
+    except HttpCallError as error:
+        raise _call_failure(error) from error
+
+
 async def _decode_events(
     chunks: AsyncIterator[bytes],
     call: TargetCall,
@@ -119,22 +156,17 @@
         raise _refusal(body, status)
 
 
-def _encode(address: str, call: TargetCall) -> HttpCall:
-    fields = {
-        field.name: getattr(call, field.name)
-        for field in dataclasses.fields(call)
-        if field.name not in UNSENT_FIELDS
-    }
-    body = TargetCallBody.model_construct(**fields)
+def _encode(address: str, call: TargetCall, trace_parent: str) -> HttpCall:
+    body = {name: getattr(call, name) for name in SENT_FIELDS}
     accept = EVENT_STREAM_TYPE if call.stream else JSON_TYPE
     headers = {'content-type': JSON_TYPE, 'accept': accept}
-    if call.trace_parent:
-        headers['traceparent'] = call.trace_parent
+    if trace_parent:
+        headers[TRACE_PARENT] = trace_parent
     return HttpCall(
         address=address,
         method='POST',
         path='/v1/run',
-        body=encode_json(body.model_dump()),
+        body=encode_json(body),
         headers=headers,
         timeout_ms=call.deadline_ms,
         reuse=call.idempotent,
@@ -153,12 +185,30 @@
     call: TargetCall,
     expected: int,
 ) -> TokenEvent:
-    event = _decode(TokenEventBody, payload)
-    _check_attempt(event.attempt_id, call)
+    fields = _parse_event(payload)
+    _check_attempt(fields.pop('attempt_id', ''), call)
+    event = TokenEvent(**fields)
     if event.offset != expected:
         reason = f'token {event.offset} in place of {expected}'
         raise TargetError(FailureKind.MALFORMED, reason)
-    return TokenEvent(**event.model_dump(exclude={'attempt_id'}))
+    if event.tokens < 0 or event.cached_tokens < 0:
+        raise TargetError(FailureKind.MALFORMED, 'negative count')
+    return event
+
+
+def _parse_event(payload: bytes) -> dict[str, Any]:
+    """Checks the fields of a token event, as its model does, but cheaply."""
+    try:
+        event = json.loads(payload)
+    except (ValueError, RecursionError) as error:
+        raise TargetError(FailureKind.MALFORMED, str(error)) from error
+    if not isinstance(event, dict) or 'offset' not in event:
+        raise TargetError(FailureKind.MALFORMED, 'no token event')
+    for name, found in event.items():
+        if found.__class__ is not TOKEN_EVENT_TYPES.get(name):
+            reason = f'{name}: {shown(found)}'
+            raise TargetError(FailureKind.MALFORMED, reason)
+    return event
 
 
 def _check_attempt(attempt_id: str, call: TargetCall) -> None:
--- a/borageyard/pipeline.py
+++ b/borageyard/pipeline.py
@@ -6,7 +6,6 @@
 
 from .clock import Clock
 from .configuration import REQUEST_INPUT, Configuration, Pipeline, Stage
-from .dispatch import StageDispatcher
 from .errors import ErrorKind, Ran, Refusal, RefusalError
 from .events import Event, log_event
 from .requests import (
@@ -101,6 +100,20 @@
         """Drops what was kept for a request that has ended."""
 
 
+class StageRunner(Protocol):
+    """Runs one stage to its whole result."""
+
+    async def run(self, stage_request: StageRequest) -> StageResult:
+        """Runs a stage.
+
+        Args:
+            stage_request: The stage and its inputs.
+
+        Raises:
+            RefusalError: If there is no whole result.
+        """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PipelineGates:
     """Everything that a request passes on its way."""
@@ -110,7 +123,7 @@
     admission: Admission
     claims: ClaimGate
     store: StageStore
-    dispatcher: StageDispatcher
+    dispatcher: StageRunner
 
 
 @dataclasses.dataclass(slots=True)
--- a/borageyard/standins/target.py
+++ b/borageyard/standins/target.py
@@ -91,6 +91,7 @@
     attempt_id: str
     stage: str
     started_at_ms: float
+    trace_parent: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -317,6 +318,7 @@
                 attempt_id=call.attempt_id,
                 stage=call.stage,
                 started_at_ms=self._clock.wall_ms(),
+                trace_parent=call.trace_parent,
             ),
         )
         inputs = json.dumps(dict(call.inputs))
--- a/borageyard/standins/target_http.py
+++ b/borageyard/standins/target_http.py
@@ -115,7 +115,10 @@
         except DocumentError as error:
             refusal = {'reason': str(error), 'not_run': True}
             return json_response(refusal, HTTPStatus.BAD_REQUEST)
-        call = TargetCall(**body.model_dump())
+        call = TargetCall(
+            **body.model_dump(),
+            trace_parent=request.header('traceparent'),
+        )
         if call.stream:
             return HttpResponse(
                 status=HTTPStatus.OK,
--- /dev/null
+++ b/borageyard/tracing.py
@@ -0,0 +1,273 @@
+"""Spans of the hops of a request, in the W3C trace context.
+
+Without an exporter nothing here is composed into an entry and no span is
+built; the caller's trace context is then passed on as it came.
+"""
+
+import contextlib
+import dataclasses
+import sys
+from collections.abc import AsyncIterator, Iterator
+from typing import Protocol
+
+from opentelemetry import trace
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import (
+    ConsoleSpanExporter,
+    SimpleSpanProcessor,
+    SpanExporter,
+)
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+from .errors import Refusal
+from .generated.settings import EntrySettings
+from .pipeline import (
+    Admission,
+    ClaimGate,
+    ClaimGrant,
+    Outcome,
+    PipelineGates,
+    StageRunner,
+)
+from .requests import (
+    AdmittedRequest,
+    PipelineRequest,
+    StageRequest,
+    StageResult,
+    TokenSink,
+)
+from .target import TargetCall
+
+TRACE_PARENT = 'traceparent'
+EXPORTER_CONSOLE = 'console'
+
+
+class RequestRunner(Protocol):
+    """Runs a request to its outcome."""
+
+    async def run(
+        self,
+        request: PipelineRequest,
+        sink: TokenSink | None = None,
+    ) -> Outcome:
+        """Runs a request to its outcome."""
+
+
+def entry_tracer(
+    settings: EntrySettings,
+    exporter: SpanExporter | None = None,
+) -> trace.Tracer | None:
+    """Returns the tracer of an entry, or none without an exporter.
+
+    Args:
+        settings: Name the entry and its exporter.
+        exporter: Where spans go in place of what the settings name.
+    """
+    telemetry = settings.telemetry
+    if exporter is None and telemetry is not None:
+        exporter = _named_exporter(telemetry.span_exporter)
+    if exporter is None:
+        return None
+    resource = Resource(
+        {
+            'service.name': 'borageyard',
+            'service.instance.id': settings.instance_id,
+        },
+    )
+    provider = TracerProvider(resource=resource, shutdown_on_exit=False)
+    provider.add_span_processor(SimpleSpanProcessor(exporter))
+    return provider.get_tracer('borageyard')
+
+
+class TracedRunner:
+    """Opens the span of a request, below that of its caller."""
+
+    def __init__(self, runner: RequestRunner, tracer: trace.Tracer) -> None:
+        """Wraps a runner.
+
+        Args:
+            runner: Runs the requests.
+            tracer: Builds the spans.
+        """
+        self._runner = runner
+        self._tracer = tracer
+
+    async def run(
+        self,
+        request: PipelineRequest,
+        sink: TokenSink | None = None,
+    ) -> Outcome:
+        """Runs a request in its span."""
+        carrier = {TRACE_PARENT: request.trace_parent}
+        parent = TraceContextTextMapPropagator().extract(carrier)
+        attributes = {
+            'request_id': request.request_id,
+            'pipeline': request.pipeline,
+            'organisation': request.organisation,
+        }
+        with self._tracer.start_as_current_span(
+            'request',
+            context=parent,
+            kind=trace.SpanKind.SERVER,
+            attributes=attributes,
+        ) as span:
+            outcome = await self._runner.run(request, sink)
+            ended = 'answer'
+            if isinstance(outcome, Refusal):
+                ended = outcome.kind.value
+            span.set_attribute('outcome', ended)
+            return outcome
+
+
+class TracedAdmission:
+    """Opens a span for the wait before a request starts."""
+
+    def __init__(self, admission: Admission, tracer: trace.Tracer) -> None:
+        """Wraps an admission.
+
+        Args:
+            admission: Decides which requests start.
+            tracer: Builds the spans.
+        """
+        self._admission = admission
+        self._tracer = tracer
+
+    @contextlib.asynccontextmanager
+    async def admit(self, admitted: AdmittedRequest) -> AsyncIterator[None]:
+        """Holds the request's place; the span ends when it starts."""
+        async with contextlib.AsyncExitStack() as stack:
+            with self._tracer.start_as_current_span('admission'):
+                place = self._admission.admit(admitted)
+                await stack.enter_async_context(place)
+            yield
+
+
+class TracedClaims:
+    """Opens a span for each call of the claim gate."""
+
+    def __init__(self, claims: ClaimGate, tracer: trace.Tracer) -> None:
+        """Wraps a claim gate.
+
+        Args:
+            claims: Lets a request run at most once.
+            tracer: Builds the spans.
+        """
+        self._claims = claims
+        self._tracer = tracer
+
+    async def acquire(self, admitted: AdmittedRequest) -> ClaimGrant:
+        """Claims the request's key."""
+        with self._tracer.start_as_current_span('claim'):
+            return await self._claims.acquire(admitted)
+
+    async def complete(self, grant: ClaimGrant, outcome: Outcome) -> None:
+        """Records how a granted request ended."""
+        with self._tracer.start_as_current_span('claim_outcome'):
+            await self._claims.complete(grant, outcome)
+
+    async def abandon(self, grant: ClaimGrant) -> None:
+        """Gives a grant up under which nothing was run."""
+        with self._tracer.start_as_current_span('claim_abandon'):
+            await self._claims.abandon(grant)
+
+
+class TracedStages:
+    """Opens a span for each stage."""
+
+    def __init__(self, stages: StageRunner, tracer: trace.Tracer) -> None:
+        """Wraps a runner of stages.
+
+        Args:
+            stages: Runs the stages.
+            tracer: Builds the spans.
+        """
+        self._stages = stages
+        self._tracer = tracer
+
+    async def run(self, stage_request: StageRequest) -> StageResult:
+        """Runs a stage in its span."""
+        stage = stage_request.stage
+        attributes = {'stage': stage.name, 'service': stage.service}
+        with self._tracer.start_as_current_span(
+            'stage',
+            attributes=attributes,
+        ) as span:
+            result = await self._stages.run(stage_request)
+            span.set_attribute('target_id', result.target_id)
+            span.set_attribute('attempts', result.attempts)
+            return result
+
+
+class AttemptTracer:
+    """Opens a span for each attempt at a target."""
+
+    def __init__(self, tracer: trace.Tracer | None = None) -> None:
+        """Wraps a tracer.
+
+        Args:
+            tracer: Builds the spans; none builds none.
+        """
+        self._tracer = tracer
+
+    @contextlib.contextmanager
+    def span(self, call: TargetCall) -> Iterator[str]:
+        """Holds the span of an attempt.
+
+        A stream may be left in another context than it was begun in, so
+        the span is not made the current one.
+
+        Args:
+            call: The attempt.
+
+        Yields:
+            The trace context to send to the target.
+        """
+        if self._tracer is None:
+            yield call.trace_parent
+            return
+        with contextlib.ExitStack() as stack:
+            span = self._tracer.start_span(
+                'attempt',
+                kind=trace.SpanKind.CLIENT,
+                attributes={
+                    'attempt_id': call.attempt_id,
+                    'stage': call.stage,
+                },
+            )
+            stack.callback(span.end)
+            try:
+                yield _trace_parent_of(span)
+            except Exception as error:
+                span.set_status(trace.StatusCode.ERROR, str(error))
+                raise
+
+
+def traced_gates(gates: PipelineGates, tracer: trace.Tracer) -> PipelineGates:
+    """Returns gates that open a span for each hop.
+
+    Args:
+        gates: What requests pass.
+        tracer: Builds the spans.
+    """
+    return dataclasses.replace(
+        gates,
+        admission=TracedAdmission(gates.admission, tracer),
+        claims=TracedClaims(gates.claims, tracer),
+        dispatcher=TracedStages(gates.dispatcher, tracer),
+    )
+
+
+def _trace_parent_of(span: trace.Span) -> str:
+    carrier: dict[str, str] = {}
+    context = trace.set_span_in_context(span)
+    TraceContextTextMapPropagator().inject(carrier, context)
+    return carrier[TRACE_PARENT]
+
+
+def _named_exporter(name: str) -> SpanExporter | None:
+    if name == EXPORTER_CONSOLE:
+        return ConsoleSpanExporter(out=sys.stderr)
+    return None
