Count refusals by kind and show the lag of the loop

Refusals are counted by kind and by what is known of their having run, also those before a request is run; names that are not declared make no series, so callers can't make the metrics grow. The worst lag of the loop within the last seconds is a gauge. The log goes where telemetry.log_path says.

--- a/borageyard/cli.py
+++ b/borageyard/cli.py
@@ -6,12 +6,12 @@
 import sys
 from collections.abc import Sequence
 
-import eliot
-
 from .bench import add_bench_command
 from .border import DocumentError
 from .demo import print_demo, run_demo
 from .entry import serve_entry
+from .events import open_log
+from .generated.settings import TelemetrySettings
 from .settings import load_entry_settings, load_standin_settings
 from .standins.command import STANDIN_KINDS, serve_standin
 
@@ -60,9 +60,9 @@
 
 def _run_entry(arguments: argparse.Namespace) -> int:
     settings = load_entry_settings(arguments.settings)
-    eliot.to_file(sys.stderr)
-
-    asyncio.run(serve_entry(settings))
+    telemetry = settings.telemetry or TelemetrySettings()
+    with open_log(telemetry.log_path):
+        asyncio.run(serve_entry(settings))
     return EXIT_GOOD
 
 
--- a/borageyard/entry.py
+++ b/borageyard/entry.py
@@ -15,9 +15,11 @@
 from .http_platform import HttpInstanceList, HttpLogService
 from .http_server import HttpServer
 from .http_target import HttpTargetClient
+from .loop_lag import LoopLag
 from .peer_link import TcpPeerLink
 from .peer_stream import PeerContext, PeerCounters, PeerIdentity
 from .settings import client_tls, http_limits, server_tls
+from .tasks import running_tasks
 from .tracing import AttemptTracer, entry_tracer
 
 
@@ -83,6 +85,9 @@
             await stack.enter_async_context(self._server)
             await self._server.start(self.settings.listen_address)
             self.core.own.address = self.address
+            metrics = self.core.metrics
+            lag = LoopLag().watch(on_probe=metrics.note_loop_lag)
+            await stack.enter_async_context(running_tasks(lag))
             self._stack = stack.pop_all()
         log_event(
             Event.ENTRY_STARTED,
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -93,6 +93,7 @@
         try:
             decoded = self._check(request, pipeline)
         except RefusalError as error:
+            self._core.metrics.note_refusal(error.refusal)
             request_id = request_id_of(request.headers)
             return encode_refusal(request_id, error.refusal)
         if decoded.stream:
--- a/borageyard/events.py
+++ b/borageyard/events.py
@@ -1,10 +1,18 @@
 """Numbered events of the structured log; docs/EVENTS.md is the catalogue."""
 
+import contextlib
 import enum
-from typing import Any
+import pathlib
+import sys
+from collections.abc import Iterator
+from typing import IO, Any
 
 import eliot
 
+from .border import DocumentError, Problem, shown
+
+STANDARD_ERROR = '-'
+
 
 @enum.unique
 class Event(enum.IntEnum):
@@ -40,3 +48,32 @@
         event_number=event.value,
         **fields,
     )
+
+
+@contextlib.contextmanager
+def open_log(path: str) -> Iterator[None]:
+    """Writes all events to a file while the scope lasts.
+
+    Args:
+        path: Path of the file; ``-`` is standard error.
+
+    Raises:
+        DocumentError: If the file can't be written.
+    """
+    with contextlib.ExitStack() as stack:
+        output: IO[str] = sys.stderr
+        if path != STANDARD_ERROR:
+            output = stack.enter_context(_open(path))
+        destination = eliot.FileDestination(file=output)
+        eliot.add_destinations(destination)
+        stack.callback(eliot.remove_destination, destination)
+        yield
+
+
+def _open(path: str) -> IO[str]:
+    try:
+        return pathlib.Path(path).open('a', encoding='utf-8')
+    except OSError as error:
+        expected = f'a file that can be written ({error})'
+        problem = Problem('$.telemetry.log_path', shown(path), expected)
+        raise DocumentError('settings', (problem,)) from error
--- a/borageyard/metrics.py
+++ b/borageyard/metrics.py
@@ -2,7 +2,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from .errors import Refusal
+from .errors import ErrorKind, Refusal
 from .requests import Answer, PipelineRequest
 
 ACCEPT_TEXT = ('text/plain',)
@@ -33,6 +33,33 @@
             registry=self.registry,
         )
 
+        self.refusals = self._counter(
+            'borageyard_refusals_total',
+            'Refusals by kind and by what is known of their having run.',
+        )
+        self.loop_lag = Gauge(
+            'borageyard_loop_lag_ms',
+            'Worst lag of the event loop within the last seconds.',
+            registry=self.registry,
+        )
+
+    def note_loop_lag(self, worst_ms: float) -> None:
+        """Sets the lag of the event loop.
+
+        Args:
+            worst_ms: The worst of the last seconds.
+        """
+        self.loop_lag.set({}, worst_ms)
+
+    def note_refusal(self, refusal: Refusal) -> None:
+        """Counts a refusal, also one before a request was run.
+
+        Args:
+            refusal: Why there was no answer.
+        """
+        not_run = str(refusal.not_run).lower()
+        self.refusals.inc({'kind': refusal.kind.value, 'not_run': not_run})
+
     def note_outcome(
         self,
         request: PipelineRequest,
@@ -44,16 +71,15 @@
             request: The request.
             outcome: How it ended.
         """
-        ended = 'answer'
         if isinstance(outcome, Refusal):
-            ended = outcome.kind.value
+            self._count(request, outcome.kind)
+            self.note_refusal(outcome)
+            return
+        self._count(request, None)
         labels = {
             'pipeline': request.pipeline,
             'organisation': request.organisation,
         }
-        self.requests.inc({**labels, 'outcome': ended})
-        if isinstance(outcome, Refusal):
-            return
         for stage in outcome.stages:
             where = {'pipeline': request.pipeline, 'stage': stage.stage}
             self.stage_time.observe(where, stage.duration_ms)
@@ -64,5 +90,19 @@
         body, _ = render(self.registry, list(ACCEPT_TEXT))
         return bytes(body)
 
+    def _count(
+        self,
+        request: PipelineRequest,
+        refused: ErrorKind | None,
+    ) -> None:
+        """Counts an outcome; names that are not declared make no series."""
+        known = refused is not ErrorKind.NOT_FOUND
+        labels = {
+            'pipeline': request.pipeline if known else '',
+            'organisation': request.organisation if known else '',
+            'outcome': 'answer' if refused is None else refused.value,
+        }
+        self.requests.inc(labels)
+
     def _counter(self, name: str, text: str) -> Counter:
         return Counter(name, text, registry=self.registry)
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,76 @@
+"""Tests of metrics and of the lag of the loop."""
+
+import asyncio
+
+import pytest
+
+from borageyard.errors import ErrorKind, Ran, Refusal
+from borageyard.loop_lag import LoopLag
+from borageyard.metrics import EntryMetrics
+from borageyard.requests import Answer, PipelineRequest, StageResult
+
+
+def request_for(pipeline):
+    """Returns a request of an organisation."""
+    return PipelineRequest('r', pipeline, 'dispatch', {}, 0)
+
+
+def answer_of(pipeline):
+    """Returns an answer with one stage."""
+    stage = StageResult('encode', 'encoder-0', {}, 12, tokens=3)
+    return Answer('r', pipeline, 1, {}, (stage,))
+
+
+class TestEntryMetrics:
+    """What an entry counts."""
+
+    def test_outcomes_and_refusals(self):
+        """Answers and refusals by kind appear in the exposition."""
+        metrics = EntryMetrics()
+        request = request_for('booking')
+        metrics.note_outcome(request, answer_of('booking'))
+        unknown = Refusal(ErrorKind.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN)
+        metrics.note_outcome(request, unknown)
+        text = metrics.exposition().decode()
+        assert 'borageyard_refusals_total{' in text
+        assert 'kind="outcome_unknown",not_run="unknown"} 1' in text
+        assert 'outcome="answer"' in text
+        assert 'borageyard_stage_duration_ms_count{' in text
+
+    def test_unknown_names_make_no_series(self):
+        """Callers can't make metrics grow with names they invent."""
+        metrics = EntryMetrics()
+        for number in range(50):
+            refusal = Refusal(ErrorKind.NOT_FOUND)
+            metrics.note_outcome(request_for(f'made-up-{number}'), refusal)
+        text = metrics.exposition().decode()
+        assert 'made-up' not in text
+        assert text.count('outcome="not_found"') == 1
+
+
+class TestLoopLag:
+    """The lag of the event loop."""
+
+    @pytest.mark.looptime
+    async def test_blocked_loop_shows(self, monkeypatch):
+        """A probe that runs late shows by how much."""
+        sleep = asyncio.sleep
+
+        async def sleep_late(delay_s):
+            await sleep(delay_s + 0.05)
+
+        monkeypatch.setattr(asyncio, 'sleep', sleep_late)
+        lag = LoopLag()
+        seen = []
+        watching = asyncio.ensure_future(lag.watch(100, seen.append))
+        await sleep(0.4)
+        watching.cancel()
+        assert seen == pytest.approx([50, 50])
+        assert lag.worst_ms == pytest.approx(50)
+
+    def test_old_probes_are_forgotten(self):
+        """Only the window counts."""
+        lag = LoopLag(window=2)
+        for probe_ms in (90, 1, 2):
+            lag.note(probe_ms)
+        assert lag.worst_ms == pytest.approx(2)
