--- a/borageyard/events.py
+++ b/borageyard/events.py
@@ -2,16 +2,22 @@
 
 import contextlib
 import enum
+import itertools
 import pathlib
 import sys
+import time
 from collections.abc import Iterator
 from typing import IO, Any
 
 import eliot
 
 from .border import DocumentError, Problem, shown
+from .identifiers import new_identifier
 
 STANDARD_ERROR = '-'
+PROCESS_TASK = new_identifier()
+_LEVELS = itertools.count(1)
+_LOGGER = eliot.Logger()
 
 
 @enum.unique
@@ -50,10 +56,16 @@
         event: Its number and name.
         **fields: What the catalogue says that it carries.
     """
-    eliot.log_message(
-        message_type=event.name.lower(),
-        event_number=event.value,
-        **fields,
+    # A task of eliot is a request here, else the whole process.
+    _LOGGER.write(
+        {
+            'message_type': event.name.lower(),
+            'event_number': event.value,
+            'timestamp': time.time(),
+            'task_uuid': fields.get('request_id', PROCESS_TASK),
+            'task_level': [next(_LEVELS)],
+            **fields,
+        },
     )
 
 
--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -5,7 +5,7 @@
 import contextlib
 import dataclasses
 import ssl
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Iterator, Mapping
 from types import TracebackType
 from typing import Self
 
@@ -88,6 +88,7 @@
         self._limits = limits
         self._codec = h11.Connection(h11.CLIENT)
         self._read_bytes = 0
+        self._answer_from_bytes = 0
         self.calls = 0
         self.idle_since_s: float = 0
 
@@ -104,15 +105,14 @@
         return self._codec.our_state is h11.IDLE and clean and not closed
 
     @property
-    def answered(self) -> bool:
-        """Tells whether any byte has come back for the newest call."""
-        return self._codec.their_state is not h11.SEND_RESPONSE or bool(
-            self._codec.trailing_data[0],
-        )
+    def stale(self) -> bool:
+        """Tells whether a kept connection ended before its newest answer."""
+        return self.calls > 1 and self._read_bytes == self._answer_from_bytes
 
     async def send(self, call: HttpCall) -> None:
         """Writes a whole request."""
         self.calls += 1
+        self._answer_from_bytes = self._read_bytes
         headers = [
             ('host', call.address),
             ('content-length', str(len(call.body))),
@@ -138,26 +138,43 @@
             raise HttpCallError('connection closed before a response', True)
         return event.status_code, decode_headers(event.headers)
 
+    async def receive_body(self) -> bytes:
+        """Reads the whole body, up to the limit."""
+        body = bytearray()
+        while chunk := await self._next_chunk():
+            body += chunk
+            self._require_size(len(body))
+        return bytes(body)
+
     async def receive_chunks(self) -> AsyncIterator[bytes]:
         """Reads the body, up to the limit."""
         size_bytes = 0
-        while True:
+        while chunk := await self._next_chunk():
+            size_bytes += len(chunk)
+            self._require_size(size_bytes)
+            yield bytes(chunk)
+
+    def close(self) -> None:
+        """Drops the connection."""
+        self._raw_writer.transport.abort()
+
+    async def _next_chunk(self) -> bytes | bytearray:
+        """Returns the next part of the body; nothing at its end."""
+        event = await self._next_event()
+        while isinstance(event, h11.Data):
+            if event.data:
+                return event.data
             event = await self._next_event()
-            if isinstance(event, h11.EndOfMessage):
-                break
-            if not isinstance(event, h11.Data):
-                raise HttpCallError('response is truncated', True)
-            size_bytes += len(event.data)
-            if size_bytes > self._limits.max_body_bytes:
-                raise HttpCallError('response is too large', True)
-            yield bytes(event.data)
+        if not isinstance(event, h11.EndOfMessage):
+            raise HttpCallError('response is truncated', sent=True)
         if self._codec.our_state is h11.DONE:
             with contextlib.suppress(h11.ProtocolError):
                 self._codec.start_next_cycle()
+        return b''
 
-    def close(self) -> None:
-        """Drops the connection."""
-        self._raw_writer.transport.abort()
+    def _require_size(self, size_bytes: int) -> None:
+        if size_bytes > self._limits.max_body_bytes:
+            raise HttpCallError('response is too large', sent=True)
 
     async def _next_event(self) -> object:
         while True:
@@ -169,6 +186,21 @@
             self._codec.receive_data(received)
 
 
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """How far a call has come."""
+
+    connection: ClientConnection | None = None
+    sent: bool = False
+
+    @property
+    def held(self) -> ClientConnection:
+        """Returns the connection of a call that was sent."""
+        if self.connection is None:
+            raise HttpCallError('not connected', sent=False)
+        return self.connection
+
+
 class HttpClient:
     """Sends requests over pooled connections."""
 
@@ -215,10 +247,11 @@
         Raises:
             HttpCallError: If the whole response did not arrive in time.
         """
-        async with self.stream(call) as (status, headers, chunks):
-            body = b''.join([chunk async for chunk in chunks])
-            return HttpReply(status, headers, body)
-        raise HttpCallError('no response', sent=True)
+        with self._exchange_for(call) as exchange:
+            async with asyncio.timeout(call.timeout_ms / MS_PER_S):
+                status, headers = await self._begin(call, exchange)
+                body = await exchange.held.receive_body()
+        return HttpReply(status, headers, body)
 
     @contextlib.asynccontextmanager
     async def stream(
@@ -236,25 +269,47 @@
         Raises:
             HttpCallError: If the exchange failed or took too long.
         """
-        connection = None
-        sent = False
-        try:
+        with self._exchange_for(call) as exchange:
             async with asyncio.timeout(call.timeout_ms / MS_PER_S):
-                connection = await self._connect(call)
-                sent = True
-                status, headers = await _exchange(connection, call)
-                while status is None:
-                    connection.close()
-                    connection = await self._connect(call)
-                    status, headers = await _exchange(connection, call)
-                yield status, headers, connection.receive_chunks()
+                status, headers = await self._begin(call, exchange)
+                yield status, headers, exchange.held.receive_chunks()
+
+    @contextlib.contextmanager
+    def _exchange_for(self, call: HttpCall) -> Iterator[Exchange]:
+        """Turns failures into call errors and gives the connection back."""
+        exchange = Exchange()
+        try:
+            yield exchange
         except TimeoutError as error:
-            raise HttpCallError('timed out', sent) from error
+            raise HttpCallError('timed out', exchange.sent) from error
         except (OSError, h11.ProtocolError) as error:
-            raise HttpCallError(str(error) or 'reset', sent) from error
+            reason = str(error) or 'reset'
+            raise HttpCallError(reason, exchange.sent) from error
         finally:
-            if connection is not None:
-                self._release(call.address, connection)
+            if exchange.connection is not None:
+                self._release(call.address, exchange.connection)
+
+    async def _begin(
+        self,
+        call: HttpCall,
+        exchange: Exchange,
+    ) -> tuple[int, dict[str, str]]:
+        """Sends a call and reads the head of its response.
+
+        A kept connection may have been closed by the server while the call
+        was on its way; calls that may use kept connections may be repeated.
+        """
+        while True:
+            connection = await self._connect(call)
+            exchange.connection = connection
+            exchange.sent = True
+            try:
+                await connection.send(call)
+                return await connection.receive_head()
+            except (OSError, h11.ProtocolError, HttpCallError) as error:
+                if isinstance(error, TimeoutError) or not connection.stale:
+                    raise
+            connection.close()
 
     async def _connect(self, call: HttpCall) -> ClientConnection:
         idle = self._idle.get(call.address)
@@ -279,28 +334,6 @@
         connection.close()
 
 
-async def _exchange(
-    connection: ClientConnection,
-    call: HttpCall,
-) -> tuple[int | None, dict[str, str]]:
-    """Sends a call and reads the head of its response.
-
-    A kept connection may have been closed by the server while the call was
-    on its way; calls that may use kept connections may also be repeated.
-
-    Returns:
-        Status and headers; no status if a kept connection was closed.
-    """
-    try:
-        await connection.send(call)
-        return await connection.receive_head()
-    except (OSError, h11.ProtocolError, HttpCallError) as error:
-        stale = connection.calls > 1 and not connection.answered
-        if stale and not isinstance(error, TimeoutError):
-            return None, {}
-        raise
-
-
 async def read_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
     """Splits chunks into the payloads of server-sent events.
 
--- a/borageyard/http_target.py
+++ b/borageyard/http_target.py
@@ -1,16 +1,13 @@
 """Targets met over HTTP."""
 
-import json
-import types
-from collections.abc import AsyncIterator, Mapping
-from typing import Any, TypeVar
+from collections.abc import AsyncIterator
+from typing import TypeVar
 
 import pydantic
 
-from .border import DocumentError, check_document, parse_json, shown
+from .border import DocumentError, check_document, parse_json
 from .generated.http_bodies import (
     LoadReportBody,
-    TargetAnswerBody,
     TargetCallBody,
     TargetRefusalBody,
 )
@@ -28,6 +25,7 @@
     TargetError,
     TokenEvent,
 )
+from .target_fields import ANSWER_TYPES, TOKEN_EVENT_TYPES, parse_fields
 from .tracing import TRACE_PARENT, AttemptTracer
 
 ModelT = TypeVar('ModelT', bound=pydantic.BaseModel)
@@ -36,16 +34,6 @@
 STATUS_OK = 200
 # Fields of a call that the body carries.
 SENT_FIELDS = tuple(TargetCallBody.model_fields)
-TOKEN_EVENT_TYPES: Mapping[str, type] = types.MappingProxyType(
-    {
-        'attempt_id': str,
-        'offset': int,
-        'token': str,
-        'done': bool,
-        'tokens': int,
-        'cached_tokens': int,
-    },
-)
 
 
 class HttpTargetClient:
@@ -113,13 +101,9 @@
         raise _call_failure(error) from error
     if reply.status != STATUS_OK:
         raise _refusal(reply.body, reply.status)
-    answer = _decode(TargetAnswerBody, reply.body)
-    _check_attempt(answer.attempt_id, call)
-    return TargetAnswer(
-        output=answer.output,
-        tokens=answer.tokens,
-        cached_tokens=answer.cached_tokens,
-    )
+    fields = parse_fields(reply.body, ANSWER_TYPES, 'output')
+    _check_attempt(fields.pop('attempt_id', ''), call)
+    return TargetAnswer(**fields)
 
 
 async def _stream_events(
@@ -185,29 +169,12 @@
     call: TargetCall,
     expected: int,
 ) -> TokenEvent:
-    fields = _parse_event(payload)
+    fields = parse_fields(payload, TOKEN_EVENT_TYPES, 'offset')
     _check_attempt(fields.pop('attempt_id', ''), call)
     event = TokenEvent(**fields)
     if event.offset != expected:
         reason = f'token {event.offset} in place of {expected}'
         raise TargetError(FailureKind.MALFORMED, reason)
-    if event.tokens < 0 or event.cached_tokens < 0:
-        raise TargetError(FailureKind.MALFORMED, 'negative count')
-    return event
-
-
-def _parse_event(payload: bytes) -> dict[str, Any]:
-    """Checks the fields of a token event, as its model does, but cheaply."""
-    try:
-        event = json.loads(payload)
-    except (ValueError, RecursionError) as error:
-        raise TargetError(FailureKind.MALFORMED, str(error)) from error
-    if not isinstance(event, dict) or 'offset' not in event:
-        raise TargetError(FailureKind.MALFORMED, 'no token event')
-    for name, found in event.items():
-        if found.__class__ is not TOKEN_EVENT_TYPES.get(name):
-            reason = f'{name}: {shown(found)}'
-            raise TargetError(FailureKind.MALFORMED, reason)
     return event
 
 
--- /dev/null
+++ b/borageyard/target_fields.py
@@ -0,0 +1,76 @@
+"""Cheap checks of what targets send for each answer and each token.
+
+They accept what the generated models accept (a test compares the two), but
+build no model for each token.
+"""
+
+import json
+import types
+from collections.abc import Mapping
+from typing import Any
+
+from .border import shown
+from .target import FailureKind, TargetError
+
+FieldTypes = Mapping[str, type]
+
+# Fields of TargetAnswerBody.
+ANSWER_TYPES: FieldTypes = types.MappingProxyType(
+    {
+        'attempt_id': str,
+        'output': object,
+        'tokens': int,
+        'cached_tokens': int,
+    },
+)
+# Fields of TokenEventBody.
+TOKEN_EVENT_TYPES: FieldTypes = types.MappingProxyType(
+    {
+        'attempt_id': str,
+        'offset': int,
+        'token': str,
+        'done': bool,
+        'tokens': int,
+        'cached_tokens': int,
+    },
+)
+
+
+def parse_fields(
+    payload: bytes,
+    expected: FieldTypes,
+    required: str,
+) -> dict[str, Any]:
+    """Decodes and checks an answer or a token event.
+
+    Args:
+        payload: JSON text.
+        expected: Types of the fields that there may be.
+        required: Field that must be there.
+
+    Returns:
+        The fields.
+
+    Raises:
+        TargetError: If the payload does not fit.
+    """
+    try:
+        fields = json.loads(payload)
+    except (ValueError, RecursionError) as error:
+        raise TargetError(FailureKind.MALFORMED, str(error)) from error
+    if not isinstance(fields, dict) or required not in fields:
+        raise TargetError(FailureKind.MALFORMED, f'no {required}')
+    for name, found in fields.items():
+        if not _fits(found, expected.get(name)):
+            reason = f'{shown(name)}: {shown(found)}'
+            raise TargetError(FailureKind.MALFORMED, reason)
+    return fields
+
+
+def _fits(found: object, kind: type | None) -> bool:
+    """Tells whether a field has its type; numbers are counts."""
+    if kind is None or kind is object:
+        return kind is object
+    if found.__class__ is not kind:
+        return False
+    return not isinstance(found, int) or found >= 0
--- a/borageyard/wire.py
+++ b/borageyard/wire.py
@@ -1,14 +1,13 @@
 """Translates between HTTP and requests, answers and refusals."""
 
 import dataclasses
-import json
 from collections.abc import Mapping
 from typing import Any
 
 from .border import DocumentError, parse_json
 from .clock import Clock
 from .errors import ErrorKind, Refusal, RefusalError
-from .generated.http_bodies import AnswerBody, RefusalBody, StageReportBody
+from .generated.http_bodies import StageReportBody
 from .http_messages import (
     EVENT_STREAM_TYPE,
     HttpRequest,
@@ -26,6 +25,7 @@
 REQUEST_ID_HEADER = 'x-borage-request-id'
 KEY_HEADER = 'idempotency-key'
 MAX_ID_CHARS = 128
+STAGE_FIELDS = tuple(StageReportBody.model_fields)
 MAX_DEADLINE_MS = 86_400_000
 
 
@@ -97,7 +97,7 @@
     """
     if isinstance(outcome, Refusal):
         return encode_refusal(request_id, outcome)
-    return json_response(answer_body(outcome).model_dump())
+    return json_response(answer_body(outcome))
 
 
 def encode_refusal(request_id: str, refusal: Refusal) -> HttpResponse:
@@ -108,7 +108,7 @@
         refusal: Why there is no answer.
     """
     body = refusal_body(request_id or new_identifier(), refusal)
-    response = json_response(body.model_dump(), refusal.answer.status)
+    response = json_response(body, refusal.answer.status)
     if refusal.retry_after_ms:
         seconds = -(-refusal.retry_after_ms // 1000)
         headers = {'retry-after': str(seconds)}
@@ -116,41 +116,32 @@
     return response
 
 
-def answer_body(answer: Answer) -> AnswerBody:
-    """Returns the body for an answer."""
-    stages = [
-        StageReportBody(
-            stage=result.stage,
-            target_id=result.target_id,
-            duration_ms=result.duration_ms,
-            attempts=result.attempts,
-            tokens=result.tokens,
-            cached_tokens=result.cached_tokens,
-        )
-        for result in answer.stages
-    ]
-    return AnswerBody(
-        request_id=answer.request_id,
-        pipeline=answer.pipeline,
-        configuration_version=answer.configuration_version,
-        output=answer.output,
-        stages=stages,
-    )
-
-
-def refusal_body(request_id: str, refusal: Refusal) -> RefusalBody:
-    """Returns the body for a refusal."""
-    not_run: Any = refusal.not_run
-    return RefusalBody(
-        request_id=request_id,
-        kind=refusal.kind.value,
-        not_run=not_run,
-        may_retry=refusal.answer.may_retry,
-        retry_after_ms=refusal.retry_after_ms,
-        stages_ran=list(refusal.stages_ran),
-        message=refusal.answer.message,
-        detail=refusal.detail,
-    )
+def answer_body(answer: Answer) -> dict[str, Any]:
+    """Returns the body for an answer, as AnswerBody describes it."""
+    return {
+        'request_id': answer.request_id,
+        'pipeline': answer.pipeline,
+        'configuration_version': answer.configuration_version,
+        'output': answer.output,
+        'stages': [
+            {name: getattr(stage, name) for name in STAGE_FIELDS}
+            for stage in answer.stages
+        ],
+    }
+
+
+def refusal_body(request_id: str, refusal: Refusal) -> dict[str, Any]:
+    """Returns the body for a refusal, as RefusalBody describes it."""
+    return {
+        'request_id': request_id,
+        'kind': refusal.kind.value,
+        'not_run': refusal.not_run,
+        'may_retry': refusal.answer.may_retry,
+        'retry_after_ms': refusal.retry_after_ms,
+        'stages_ran': list(refusal.stages_ran),
+        'message': refusal.answer.message,
+        'detail': refusal.detail,
+    }
 
 
 def token_payload(token: str, offset: int) -> dict[str, Any]:
@@ -163,9 +154,9 @@
     outcome: Answer | Refusal,
 ) -> dict[str, Any]:
     """Returns the last event of a streamed answer."""
-    kind = 'refusal' if isinstance(outcome, Refusal) else 'answer'
-    body = encode_outcome(request_id, outcome).body
-    return {'type': kind, **json.loads(body)}
+    if isinstance(outcome, Refusal):
+        return {'type': 'refusal', **refusal_body(request_id, outcome)}
+    return {'type': 'answer', **answer_body(outcome)}
 
 
 def _read_int(request: HttpRequest, name: str, default: int) -> int:
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,6 +1,7 @@
 """Tests of reports of experiments."""
 
-from borageyard.bench import BenchReport, Bound, print_report
+from borageyard.bench import print_report
+from borageyard.bench_report import BenchReport, Bound
 
 
 class TestBounds:
