--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -11,13 +11,14 @@
 from rich import console, table
 
 from .bench_config import run_config
+from .bench_overhead import run_overhead
 from .bench_report import BenchReport, Bound
 
 Experiment = Callable[[int], BenchReport]
 
 # Experiments by name; each one lives in its own module.
 EXPERIMENTS: Mapping[str, Experiment] = types.MappingProxyType(
-    {'config': run_config},
+    {'config': run_config, 'overhead': run_overhead},
 )
 
 
