Ship a client that finds entries and repeats safely

Callers had to fail over by themselves and could neither tell a lost request from one that was not run nor keep its key. The client caches addresses, tries others within the deadline under the same ids, goes on with streams and never calls a request not run that may have run.

--- /dev/null
+++ b/borageyard/client.py
@@ -0,0 +1,294 @@
+"""Client of callers: finds entries, fails over and repeats safely."""
+
+import asyncio
+import contextlib
+import dataclasses
+import ssl
+from collections.abc import AsyncIterator, Iterable, Mapping
+from types import TracebackType
+from typing import Any, Self
+
+from .address_book import AddressBook
+from .border import DocumentError, check_document, parse_json
+from .client_retries import RequestAttempts, RetryAfter
+from .client_stream import (
+    Outcome,
+    StreamReader,
+    StreamRestart,
+    decode_reply,
+)
+from .clock import MS_PER_S, Clock, SystemClock
+from .errors import Refusal
+from .generated.http_bodies import EntryAddressesBody
+from .http_client import (
+    HttpCall,
+    HttpCallError,
+    HttpClient,
+    HttpReply,
+)
+from .http_messages import EVENT_STREAM_TYPE, HttpLimits, encode_json
+from .identifiers import new_identifier
+from .target import TokenEvent
+from .wire import (
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    ORGANISATION_HEADER,
+    REQUEST_ID_HEADER,
+)
+
+CONNECT_TIMEOUT_MS = 300
+ADDRESSES_TIMEOUT_MS = 500
+# While it waits for an answer, a caller looks whether the entry lives.
+WATCH_MS = 500
+WATCH_FAILURES = 2
+# Time given to an entry to answer a request that expires.
+ANSWER_GRACE_MS = 200
+
+
+class EntrySilentError(Exception):
+    """An entry that stopped answering while a request ran there."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """What a caller asks for; the ids stay through all attempts."""
+
+    pipeline: str
+    organisation: str
+    body: Any
+    deadline_ms: int = 9000
+    idempotency_key: str = dataclasses.field(default_factory=new_identifier)
+    request_id: str = dataclasses.field(default_factory=new_identifier)
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+
+
+class EntryClient:
+    """Sends requests to whichever entry answers."""
+
+    def __init__(
+        self,
+        seeds: Iterable[str],
+        failure_domain: str = '',
+        tls: ssl.SSLContext | None = None,
+        clock: Clock | None = None,
+    ) -> None:
+        """Prepares a client without connections.
+
+        Args:
+            seeds: Addresses of some entries; one of them has to live.
+            failure_domain: Where the caller is; empty if unknown.
+            tls: Context for TLS, or none for plain TCP.
+            clock: Source of time; the machine's by default.
+        """
+        self.book = AddressBook(seeds)
+        self._failure_domain = failure_domain
+        self._clock = clock or SystemClock()
+        limits = HttpLimits(connect_timeout_ms=CONNECT_TIMEOUT_MS)
+        self._http = HttpClient(limits, tls)
+        self._refreshing = asyncio.Lock()
+        self._stack = contextlib.AsyncExitStack()
+        self._calls = 0
+
+    async def __aenter__(self) -> Self:
+        """Returns the client."""
+        await self._stack.enter_async_context(self._http)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Drops all connections."""
+        await self._stack.aclose()
+
+    async def call(self, request: CallerRequest) -> Outcome:
+        """Runs a request and returns its outcome.
+
+        Args:
+            request: What is asked for.
+
+        Returns:
+            The whole answer, or a refusal whose ``ran`` tells whether
+            something that may not be repeated was run.
+        """
+        attempts = self._start_attempts(request)
+        tried: set[str] = set()
+        while True:
+            address = await self._choose(tried)
+            verdict = await self._attempt(address, request, attempts)
+            if not isinstance(verdict, RetryAfter):
+                return verdict
+            await asyncio.sleep(verdict.wait_ms / MS_PER_S)
+
+    async def stream(
+        self,
+        request: CallerRequest,
+    ) -> AsyncIterator[TokenEvent | StreamRestart | Outcome]:
+        """Runs a request and yields its tokens, then its outcome.
+
+        Args:
+            request: What is asked for.
+
+        Yields:
+            Tokens without a gap or a repeat, whichever entries they come
+            from, and the outcome at the end.
+        """
+        attempts = self._start_attempts(request)
+        tried: set[str] = set()
+        received: list[str] = []
+        while True:
+            address = await self._choose(tried)
+            call = self._build_call(address, request, attempts, stream=True)
+            reader = StreamReader(self._http, call, received)
+            async with contextlib.aclosing(reader.events()) as events:
+                async for event in events:
+                    yield event
+            verdict = self._judge_stream(address, reader, attempts)
+            if not isinstance(verdict, RetryAfter):
+                yield verdict
+                return
+            await asyncio.sleep(verdict.wait_ms / MS_PER_S)
+
+    def _start_attempts(self, request: CallerRequest) -> RequestAttempts:
+        self._calls += 1
+        expires_at_ms = self._clock.steady_ms() + request.deadline_ms
+        return RequestAttempts(expires_at_ms, seed=self._calls)
+
+    async def _choose(self, tried: set[str]) -> str:
+        await self._refresh()
+        address = self.book.choose(tried, self._clock.steady_ms())
+        tried.add(address)
+        return address
+
+    async def _attempt(
+        self,
+        address: str,
+        request: CallerRequest,
+        attempts: RequestAttempts,
+    ) -> RetryAfter | Outcome:
+        call = self._build_call(address, request, attempts)
+        try:
+            reply = await self._request_watched(call)
+        except HttpCallError as error:
+            return self._note_lost(address, error, attempts)
+        self.book.note_success(address)
+        return attempts.note_outcome(
+            decode_reply(reply),
+            self._clock.steady_ms(),
+        )
+
+    def _judge_stream(
+        self,
+        address: str,
+        reader: StreamReader,
+        attempts: RequestAttempts,
+    ) -> RetryAfter | Outcome:
+        if reader.outcome is None:
+            error = reader.error or HttpCallError('stream ended', sent=True)
+            return self._note_lost(address, error, attempts)
+        self.book.note_success(address)
+        now_ms = self._clock.steady_ms()
+        return attempts.note_outcome(reader.outcome, now_ms)
+
+    def _note_lost(
+        self,
+        address: str,
+        error: HttpCallError,
+        attempts: RequestAttempts,
+    ) -> RetryAfter | Refusal:
+        now_ms = self._clock.steady_ms()
+        self.book.note_failure(address, now_ms)
+        return attempts.note_lost(error.reason, now_ms, sent=error.sent)
+
+    async def _request_watched(self, call: HttpCall) -> HttpReply:
+        """Sends a request and gives up once its entry is silent."""
+        work = asyncio.ensure_future(self._http.request(call))
+        watch = asyncio.ensure_future(self._watch(call.address))
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(_cancel, work)
+            stack.push_async_callback(_cancel, watch)
+            await asyncio.wait(
+                (work, watch),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if work.done():
+                return await work
+        raise HttpCallError('entry is silent', sent=True)
+
+    async def _watch(self, address: str) -> None:
+        """Returns once an entry has stopped answering."""
+        failures = 0
+        call = HttpCall(address, 'GET', '/healthz', timeout_ms=WATCH_MS)
+        while failures < WATCH_FAILURES:
+            await asyncio.sleep(WATCH_MS / MS_PER_S)
+            try:
+                await self._http.request(call)
+            except HttpCallError:
+                failures += 1
+            else:
+                failures = 0
+
+    async def _refresh(self) -> None:
+        """Asks entries in turn for addresses when the kept ones expire."""
+        async with self._refreshing:
+            now_ms = self._clock.steady_ms()
+            if not self.book.is_stale(now_ms):
+                return
+            for address in self.book.ordered(now_ms):
+                if await self._ask_addresses(address):
+                    return
+
+    async def _ask_addresses(self, address: str) -> bool:
+        now_ms = self._clock.steady_ms()
+        path = f'/v1/entries?failure_domain={self._failure_domain}'
+        call = HttpCall(address, 'GET', path, timeout_ms=ADDRESSES_TIMEOUT_MS)
+        try:
+            reply = await self._http.request(call)
+        except HttpCallError:
+            self.book.note_failure(address, now_ms)
+            return False
+        try:
+            body = check_document(
+                EntryAddressesBody,
+                parse_json(reply.body, address),
+                address,
+            )
+        except DocumentError:
+            return False
+        listed = [entry.address for entry in body.entries]
+        self.book.note_entries(listed, body.keep_ms, now_ms)
+        return bool(listed)
+
+    def _build_call(
+        self,
+        address: str,
+        request: CallerRequest,
+        attempts: RequestAttempts,
+        *,
+        stream: bool = False,
+    ) -> HttpCall:
+        left_ms = max(attempts.left_ms(self._clock.steady_ms()), 1)
+        headers = {
+            **request.headers,
+            ORGANISATION_HEADER: request.organisation,
+            KEY_HEADER: request.idempotency_key,
+            REQUEST_ID_HEADER: request.request_id,
+            DEADLINE_HEADER: str(int(left_ms) or 1),
+        }
+        if stream:
+            headers['accept'] = EVENT_STREAM_TYPE
+        return HttpCall(
+            address=address,
+            method='POST',
+            path=f'/v1/pipelines/{request.pipeline}',
+            body=encode_json(request.body),
+            headers=headers,
+            timeout_ms=left_ms + ANSWER_GRACE_MS,
+        )
+
+
+async def _cancel(task: asyncio.Future[Any]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
