Measure rolling replacements and the loss of an entry

Nothing showed whether a planned stop cuts requests or what the loss of an entry costs callers. Two experiments with their baselines do.

--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -10,48 +10,19 @@
 
 from rich import console, table
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Bound:
-    """A bound on a figure, taken from a stated target."""
-
-    figure: str
-    limit: float
-    at_most: bool = True
-
-    def is_met(self, figures: Mapping[str, Any]) -> bool:
-        """Tells whether the figure was measured and keeps the bound."""
-        measured = figures.get(self.figure)
-        if measured is None:
-            return False
-        if self.at_most:
-            return bool(measured <= self.limit)
-        return bool(measured >= self.limit)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class BenchReport:
-    """What an experiment measured."""
-
-    name: str
-    seed: int
-    figures: Mapping[str, Any]
-    bounds: tuple[Bound, ...] = ()
-
-    @property
-    def missed(self) -> tuple[str, ...]:
-        """Returns the figures whose bounds are not met."""
-        return tuple(
-            bound.figure
-            for bound in self.bounds
-            if not bound.is_met(self.figures)
-        )
-
+from .bench_entry_loss import run_entry_loss
+from .bench_report import BenchReport, Bound
+from .bench_rolling import run_rolling
 
 Experiment = Callable[[int], BenchReport]
 
 # Experiments by name; each one lives in its own module.
-EXPERIMENTS: Mapping[str, Experiment] = types.MappingProxyType({})
+EXPERIMENTS: Mapping[str, Experiment] = types.MappingProxyType(
+    {
+        'entry-loss': run_entry_loss,
+        'rolling': run_rolling,
+    },
+)
 
 
 def add_bench_command(commands: Any) -> None:
--- /dev/null
+++ b/borageyard/bench_rolling.py
@@ -0,0 +1,75 @@
+"""Experiment: every entry replaced in turn under load."""
+
+import asyncio
+import pathlib
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from .bench_report import BenchReport, Bound
+from .caller_load import (
+    CallerFleet,
+    CallerLoad,
+    CallerTotals,
+    count_double_runs,
+    pause,
+    shape_of,
+)
+from .demo import HUNDAGANGA, load_plan
+from .deployment import Deployment
+
+EXAMPLES = pathlib.Path('examples')
+RATE_PER_S = 25
+CALLERS = 4
+DEADLINE_MS = 9000
+SETTLE_MS = 1000
+PAUSE_MS = 300
+
+Replace = Callable[[Deployment, str], Awaitable[None]]
+
+
+def run_rolling(seed: int) -> BenchReport:
+    """Replaces all entries, as planned and, as a baseline, by killing them.
+
+    Args:
+        seed: Seed of the load.
+    """
+    planned, doubles = asyncio.run(_run(seed, Deployment.stop_entry))
+    killed, _ = asyncio.run(_run(seed, Deployment.kill_entry))
+    figures: dict[str, Any] = {
+        'requests': planned.requests,
+        'cut_requests': planned.requests - planned.answered,
+        'double_runs': doubles,
+        'killed_requests': killed.requests,
+        'killed_cut_requests': killed.requests - killed.answered,
+        'reasons': dict(planned.reasons),
+    }
+    bounds = (Bound('cut_requests', 0), Bound('double_runs', 0))
+    return BenchReport('rolling', seed, figures, bounds)
+
+
+async def _run(seed: int, replace: Replace) -> tuple[CallerTotals, int]:
+    """Measures callers that never retry, so that each cut is seen."""
+    plan = load_plan(HUNDAGANGA, EXAMPLES)
+    async with (
+        Deployment(plan) as deployment,
+        CallerFleet(deployment) as fleet,
+    ):
+        await pause(SETTLE_MS)
+        callers = [await fleet.plain(attempts=1) for _ in range(CALLERS)]
+        shape = shape_of(deployment, RATE_PER_S, DEADLINE_MS)
+        load = CallerLoad({'plain': callers}, shape, seed)
+        stop = asyncio.Event()
+        work = asyncio.ensure_future(load.run(stop))
+        await _replace_all(deployment, replace)
+        stop.set()
+        await work
+        return load.totals['plain'], count_double_runs(deployment)
+
+
+async def _replace_all(deployment: Deployment, replace: Replace) -> None:
+    names = [entry.settings.instance_id for entry in deployment.all_entries()]
+    for index, name in enumerate(names):
+        await deployment.start_entry(len(names) + index)
+        await pause(SETTLE_MS)
+        await replace(deployment, name)
+        await pause(PAUSE_MS)
--- /dev/null
+++ b/borageyard/caller_load.py
@@ -0,0 +1,250 @@
+"""Callers that send requests at a steady rate, for the benches."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from types import TracebackType
+from typing import Self
+
+from .client import CallerRequest, EntryClient, build_call
+from .client_stream import Outcome, decode_reply
+from .clock import MS_PER_S, SystemClock
+from .deployment import Deployment
+from .errors import ErrorKind, Ran, Refusal
+from .http_client import HttpCallError, HttpClient
+from .requests import Answer
+
+SendRequest = Callable[[CallerRequest], Awaitable[Outcome]]
+
+
+@dataclasses.dataclass(slots=True)
+class CallerTotals:
+    """What some callers saw."""
+
+    requests: int = 0
+    answered: int = 0
+    late: int = 0
+    refused: int = 0
+    refused_not_run: int = 0
+    unknown: int = 0
+    reasons: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+
+    @property
+    def attainment(self) -> float:
+        """Returns the share with a whole answer within the deadline."""
+        return self.answered / max(self.requests, 1)
+
+    def note(self, outcome: Outcome, left_ms: float) -> None:
+        """Counts the end of a request.
+
+        Args:
+            outcome: How it ended.
+            left_ms: Time that was left to its deadline.
+        """
+        self.requests += 1
+        if isinstance(outcome, Answer):
+            self.answered += int(left_ms >= 0)
+            self.late += int(left_ms < 0)
+            return
+        self.reasons[f'{outcome.kind}: {outcome.detail}'] += 1
+        self.refused += 1
+        self.refused_not_run += int(outcome.ran is Ran.NOT_RUN)
+        self.unknown += int(outcome.ran is Ran.UNKNOWN)
+
+
+class PlainCaller:
+    """An HTTP caller that keeps addresses and sends a few times at most.
+
+    Its retries carry the same ids, as the interface asks of every caller.
+    """
+
+    def __init__(
+        self,
+        http: HttpClient,
+        finder: EntryClient,
+        attempts: int,
+    ) -> None:
+        """Prepares a caller.
+
+        Args:
+            http: Sends the calls.
+            finder: Knows the addresses, as long as they may be kept.
+            attempts: How often a request is sent at most.
+        """
+        self._http = http
+        self._finder = finder
+        self._attempts = attempts
+        self._clock = SystemClock()
+
+    async def call(self, request: CallerRequest) -> Outcome:
+        """Sends a request to the first address, then to the next ones."""
+        expires_at_ms = self._clock.steady_ms() + request.deadline_ms
+        outcome: Outcome = Refusal(ErrorKind.INTERNAL)
+        for number in range(self._attempts):
+            addresses = await self._finder.addresses()
+            address = addresses[number % len(addresses)]
+            left_ms = expires_at_ms - self._clock.steady_ms()
+            outcome = await self._send(address, request, left_ms)
+            if isinstance(outcome, Answer):
+                break
+        return outcome
+
+    async def _send(
+        self,
+        address: str,
+        request: CallerRequest,
+        left_ms: float,
+    ) -> Outcome:
+        call = build_call(address, request, left_ms)
+        try:
+            return decode_reply(await self._http.request(call))
+        except HttpCallError as error:
+            ran = Ran.UNKNOWN if error.sent else Ran.NOT_RUN
+            kind = ErrorKind.OUTCOME_UNKNOWN
+            return Refusal(kind, ran=ran, detail=error.reason)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadShape:
+    """What is sent, how often and for how long."""
+
+    pipelines: Sequence[str]
+    organisations: Sequence[str]
+    rate_per_s: float
+    deadline_ms: int
+
+
+class CallerLoad:
+    """Sends requests of a steady rate to several kinds of callers."""
+
+    def __init__(
+        self,
+        callers: Mapping[str, Sequence[SendRequest]],
+        shape: LoadShape,
+        seed: int,
+    ) -> None:
+        """Prepares a load.
+
+        Args:
+            callers: Callers by kind; each kind gets the same requests.
+            shape: What is sent.
+            seed: Seed of the choices and of the arrivals.
+        """
+        self.totals = {name: CallerTotals() for name in callers}
+        self._callers = callers
+        self._shape = shape
+        self._random = random.Random(seed)
+        self._clock = SystemClock()
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Sends until told to stop, then waits for the last outcomes.
+
+        Args:
+            stop: Ends the load.
+        """
+        async with asyncio.TaskGroup() as group:
+            while not stop.is_set():
+                for name in self._callers:
+                    group.create_task(self._send(name))
+                pause_s = self._random.expovariate(self._shape.rate_per_s)
+                await asyncio.sleep(pause_s)
+
+    async def _send(self, name: str) -> None:
+        request = CallerRequest(
+            pipeline=self._random.choice(self._shape.pipelines),
+            organisation=self._random.choice(self._shape.organisations),
+            body={'note': str(self._random.random())},
+            deadline_ms=self._shape.deadline_ms,
+        )
+        expires_at_ms = self._clock.steady_ms() + request.deadline_ms
+        caller = self._random.choice(self._callers[name])
+        outcome = await caller(request)
+        left_ms = expires_at_ms - self._clock.steady_ms()
+        self.totals[name].note(outcome, left_ms)
+
+
+def count_double_runs(deployment: Deployment) -> int:
+    """Counts runs beyond the first of each unrepeatable stage.
+
+    Args:
+        deployment: Whose targets are looked at.
+    """
+    services = deployment.plan.document['services']
+    runs: collections.Counter[tuple[str, str]] = collections.Counter()
+    for server in deployment.targets.values():
+        service = server.target.profile.service
+        if services[service].get('idempotent', True):
+            continue
+        runs.update(
+            (run.idempotency_key, run.stage) for run in server.target.executions
+        )
+    return sum(count - 1 for count in runs.values())
+
+
+class CallerFleet:
+    """Callers of each kind before a running deployment."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        """Wraps a deployment.
+
+        Args:
+            deployment: What is called.
+        """
+        self._seeds = [entry.address for entry in deployment.all_entries()]
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        """Returns the fleet."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Drops all connections."""
+        await self._stack.aclose()
+
+    async def shipped(self) -> SendRequest:
+        """Returns a caller that uses the shipped client."""
+        client = EntryClient(self._seeds)
+        return (await self._stack.enter_async_context(client)).call
+
+    async def plain(self, attempts: int) -> SendRequest:
+        """Returns a caller that sends a request a few times at most."""
+        http = await self._stack.enter_async_context(HttpClient())
+        finder = EntryClient(self._seeds)
+        await self._stack.enter_async_context(finder)
+        return PlainCaller(http, finder, attempts).call
+
+
+def shape_of(
+    deployment: Deployment,
+    rate_per_s: float,
+    deadline_ms: int,
+) -> LoadShape:
+    """Returns a load of all pipelines and organisations.
+
+    Args:
+        deployment: Whose configuration is looked at.
+        rate_per_s: Requests a second for each kind of callers.
+        deadline_ms: Deadline of each request.
+    """
+    document = deployment.plan.document
+    return LoadShape(
+        pipelines=sorted(document['pipelines']),
+        organisations=sorted(document['organisations']),
+        rate_per_s=rate_per_s,
+        deadline_ms=deadline_ms,
+    )
+
+
+async def pause(duration_ms: float) -> None:
+    """Waits for a time in milliseconds."""
+    await asyncio.sleep(duration_ms / MS_PER_S)
--- a/borageyard/client.py
+++ b/borageyard/client.py
@@ -4,7 +4,7 @@
 import contextlib
 import dataclasses
 import ssl
-from collections.abc import AsyncIterator, Iterable, Mapping
+from collections.abc import AsyncIterator, Iterable, Mapping, Sequence
 from types import TracebackType
 from typing import Any, Self
 
@@ -103,6 +103,11 @@
         """Drops all connections."""
         await self._stack.aclose()
 
+    async def addresses(self) -> Sequence[str]:
+        """Returns the addresses to use now, the best first."""
+        await self._refresh()
+        return self.book.ordered(self._clock.steady_ms())
+
     async def call(self, request: CallerRequest) -> Outcome:
         """Runs a request and returns its outcome.
 
@@ -140,8 +145,13 @@
         received: list[str] = []
         while True:
             address = await self._choose(tried)
-            call = self._build_call(address, request, attempts, stream=True)
-            reader = StreamReader(self._http, call, received)
+            reader = StreamReader(
+                self._http,
+                build_call(
+                    address, request, self._left_ms(attempts), stream=True
+                ),
+                received,
+            )
             async with contextlib.aclosing(reader.events()) as events:
                 async for event in events:
                     yield event
@@ -156,6 +166,9 @@
         expires_at_ms = self._clock.steady_ms() + request.deadline_ms
         return RequestAttempts(expires_at_ms, seed=self._calls)
 
+    def _left_ms(self, attempts: RequestAttempts) -> float:
+        return attempts.left_ms(self._clock.steady_ms())
+
     async def _choose(self, tried: set[str]) -> str:
         await self._refresh()
         address = self.book.choose(tried, self._clock.steady_ms())
@@ -168,7 +181,7 @@
         request: CallerRequest,
         attempts: RequestAttempts,
     ) -> RetryAfter | Outcome:
-        call = self._build_call(address, request, attempts)
+        call = build_call(address, request, self._left_ms(attempts))
         try:
             reply = await self._request_watched(call)
         except HttpCallError as error:
@@ -261,32 +274,39 @@
         self.book.note_entries(listed, body.keep_ms, now_ms)
         return bool(listed)
 
-    def _build_call(
-        self,
-        address: str,
-        request: CallerRequest,
-        attempts: RequestAttempts,
-        *,
-        stream: bool = False,
-    ) -> HttpCall:
-        left_ms = max(attempts.left_ms(self._clock.steady_ms()), 1)
-        headers = {
-            **request.headers,
-            ORGANISATION_HEADER: request.organisation,
-            KEY_HEADER: request.idempotency_key,
-            REQUEST_ID_HEADER: request.request_id,
-            DEADLINE_HEADER: str(int(left_ms) or 1),
-        }
-        if stream:
-            headers['accept'] = EVENT_STREAM_TYPE
-        return HttpCall(
-            address=address,
-            method='POST',
-            path=f'/v1/pipelines/{request.pipeline}',
-            body=encode_json(request.body),
-            headers=headers,
-            timeout_ms=left_ms + ANSWER_GRACE_MS,
-        )
+
+def build_call(
+    address: str,
+    request: CallerRequest,
+    left_ms: float,
+    *,
+    stream: bool = False,
+) -> HttpCall:
+    """Returns one attempt of a request.
+
+    Args:
+        address: The entry.
+        request: What is asked for.
+        left_ms: Time left to the deadline.
+        stream: Whether tokens are wanted as they come.
+    """
+    headers = {
+        **request.headers,
+        ORGANISATION_HEADER: request.organisation,
+        KEY_HEADER: request.idempotency_key,
+        REQUEST_ID_HEADER: request.request_id,
+        DEADLINE_HEADER: str(max(int(left_ms), 1)),
+    }
+    if stream:
+        headers['accept'] = EVENT_STREAM_TYPE
+    return HttpCall(
+        address=address,
+        method='POST',
+        path=f'/v1/pipelines/{request.pipeline}',
+        body=encode_json(request.body),
+        headers=headers,
+        timeout_ms=max(left_ms, 1) + ANSWER_GRACE_MS,
+    )
 
 
 async def _cancel(task: asyncio.Future[Any]) -> None:
--- a/borageyard/demo.py
+++ b/borageyard/demo.py
@@ -1,7 +1,6 @@
 """The main job in one process: both deployments, a crash and a stop."""
 
 import asyncio
-import collections
 import dataclasses
 import json
 import pathlib
@@ -12,6 +11,7 @@
 
 from rich import console, table
 
+from .caller_load import count_double_runs
 from .clock import MS_PER_S
 from .deployment import Deployment, DeploymentPlan
 from .http_client import HttpCall, HttpCallError, HttpClient
@@ -132,7 +132,7 @@
                     stopped = self._entries.pop(0).settings.instance_id
                     group.create_task(self._deployment.stop_entry(stopped))
                 await asyncio.sleep(ARRIVAL_MS / MS_PER_S)
-        self.totals.double_runs = self._count_double_runs()
+        self.totals.double_runs = count_double_runs(self._deployment)
         return self.totals
 
     async def _send(
@@ -163,20 +163,6 @@
             return
         self.totals.note(reply.status, json.loads(reply.body), request_id)
 
-    def _count_double_runs(self) -> int:
-        """Counts runs beyond the first of each unrepeatable stage."""
-        services = self._deployment.plan.document['services']
-        runs: collections.Counter[tuple[str, str]] = collections.Counter()
-        for server in self._deployment.targets.values():
-            service = server.target.profile.service
-            if services[service].get('idempotent', True):
-                continue
-            runs.update(
-                (run.idempotency_key, run.stage)
-                for run in server.target.executions
-            )
-        return sum(count - 1 for count in runs.values())
-
 
 async def run_demo(examples: pathlib.Path) -> Sequence[tuple[str, DemoTotals]]:
     """Runs both deployments one after the other.
--- a/borageyard/deployment.py
+++ b/borageyard/deployment.py
@@ -137,6 +137,11 @@
         await entry.drain()
         await entry.__aexit__(None, None, None)
 
+    async def kill_entry(self, instance_id: str) -> None:
+        """Ends an entry without a goodbye; the list still shows it."""
+        entry = self.entries.pop(instance_id)
+        await entry.__aexit__(None, None, None)
+
     async def _settle(self) -> None:
         """Waits until every entry has a configuration and the list."""
         for entry in self.all_entries():
--- a/borageyard/peer_server.py
+++ b/borageyard/peer_server.py
@@ -7,7 +7,7 @@
 import pydantic
 
 from .events import Event, log_event
-from .generated.peer_frames import PeerFrameBody
+from .generated.peer_frames import PeerFrameBody, PeerGreetingBody
 from .http_messages import split_address
 from .peer_codec import FrameError
 from .peer_stream import (
@@ -167,7 +167,7 @@
         self._context.on_contact(peer_id, greeting.incarnation)
         await send_greeting(writer, self._context)
         stream = ServedStream(
-            peer_id,
+            greeting,
             self._inbox,
             self._context,
             writer.transport.abort,
@@ -188,7 +188,7 @@
 
     def __init__(
         self,
-        peer_id: str,
+        greeting: PeerGreetingBody,
         inbox: PeerInbox,
         context: PeerContext,
         abort: Callable[[], None],
@@ -196,13 +196,14 @@
         """Wraps what the stream needs.
 
         Args:
-            peer_id: Who opened it.
+            greeting: Who opened it.
             inbox: Takes requests and news.
             context: Bounds and counters.
             abort: Closes the stream at once.
         """
         self.outbox = FrameOutbox(context)
-        self._peer_id = peer_id
+        self._peer_id = greeting.instance_id
+        self._incarnation = greeting.incarnation
         self._inbox = inbox
         self._context = context
         self._abort = abort
@@ -220,6 +221,7 @@
                 self._take(await receive_frame(reader, self._context))
 
     def _take(self, frame: PeerFrameBody) -> None:
+        self._context.on_contact(self._peer_id, self._incarnation)
         if frame.type == FRAME_PING:
             self._reply(PeerFrameBody(type=FRAME_PONG))
         elif frame.type == FRAME_NEWS:
