--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -9,8 +9,10 @@
 from opentelemetry import trace
 
 from .addresses import EntryAddress, order_entries
+from .claim_service import ClaimService, ClaimServicePorts
 from .clock import MS_PER_S, Clock
 from .configuration_service import ConfigurationService
+from .detached import DetachedRuns
 from .dispatch import StageDispatcher
 from .draining import DrainPlan
 from .errors import ErrorKind, Ran, Refusal
@@ -20,7 +22,6 @@
 from .handover import HandoverStore
 from .handover_keepers import HandoverKeepers, HandoverPlace
 from .handover_memory import HandoverMemory
-from .local_gates import LocalClaims
 from .membership import Membership
 from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
@@ -89,6 +90,17 @@
             ports.clock,
             self.policy.note_instances,
         )
+        self.claims = ClaimService(
+            settings,
+            ClaimServicePorts(
+                log=ports.log,
+                peers=ports.peers,
+                clock=ports.clock,
+                configurations=self.fold,
+                list_instances=lambda: self.watcher.listed,
+            ),
+        )
+        self._detached = DetachedRuns()
         self.own = OwnState(
             incarnation=ports.incarnation or int(ports.clock.wall_ms()),
             failure_domain=settings.failure_domain,
@@ -105,22 +117,7 @@
             ports.clock,
             lambda: self.watcher.listed,
         )
-        peers = settings.peers or PeerSettings()
-        self.keepers = HandoverKeepers(
-            HandoverPlace(
-                settings.instance_id,
-                settings.failure_domain,
-                self._live_domains,
-            ),
-            ports.peers,
-            ports.clock,
-            HandoverMemory(peers.handover_bytes),
-        )
-        self.handover = HandoverStore(
-            self.keepers,
-            ports.peers,
-            ports.clock,
-        )
+        self.handover = self._build_handover()
         self._random = random.Random(ports.seed)
         self._runner = self._build_runner()
 
@@ -130,12 +127,15 @@
         Args:
             stack: Owns the background work.
         """
-        stack.push_async_callback(self.keepers.close)
+        stack.push_async_callback(self.handover.keepers.close)
         await self.watcher.poll_instances()
         await self.configuration.start(stack, lambda: self.watcher.listed)
+        await self.claims.open()
+        stack.push_async_callback(self._detached.close)
         platform = self.settings.platform
         await stack.enter_async_context(
             running_tasks(
+                *self.claims.background(),
                 self._members.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
@@ -150,26 +150,17 @@
     ) -> Outcome:
         """Runs a request to its outcome, whatever happens.
 
+        A caller that goes away ends its request, but for one that holds a
+        claim: that one runs on, so that its outcome gets recorded.
+
         Args:
             request: What the caller asked for.
             sink: Where tokens go, if streamed.
         """
-        with self.own.activity.counted():
-            try:
-                outcome = await self.handover.run(
-                    request,
-                    sink,
-                    self._runner.run,
-                )
-            except Exception as error:
-                outcome = Refusal(ErrorKind.INTERNAL, ran=Ran.UNKNOWN)
-                log_event(
-                    Event.REQUEST_FAILED,
-                    request_id=request.request_id,
-                    reason=repr(error),
-                )
-        self.metrics.note_outcome(request, outcome)
-        return outcome
+        return await self._detached.run(
+            self._run_counted(request, sink),
+            lambda: self.claims.gate.is_granted(request.request_id),
+        )
 
     async def drain(self) -> None:
         """Serves on until callers have other addresses, then ends work."""
@@ -234,6 +225,42 @@
             domains[own_id] = self.settings.failure_domain
         return domains
 
+    async def _run_counted(
+        self,
+        request: PipelineRequest,
+        sink: TokenSink | None,
+    ) -> Outcome:
+        with self.own.activity.counted():
+            try:
+                outcome = await self.handover.run(
+                    request,
+                    sink,
+                    self._runner.run,
+                )
+            except Exception as error:
+                outcome = Refusal(ErrorKind.INTERNAL, ran=Ran.UNKNOWN)
+                log_event(
+                    Event.REQUEST_FAILED,
+                    request_id=request.request_id,
+                    reason=repr(error),
+                )
+        self.metrics.note_outcome(request, outcome)
+        return outcome
+
+    def _build_handover(self) -> HandoverStore:
+        settings = self.settings
+        peers = settings.peers or PeerSettings()
+        place = HandoverPlace(
+            settings.instance_id,
+            settings.failure_domain,
+            self._live_domains,
+        )
+        link = self.ports.peers
+        clock = self.ports.clock
+        memory = HandoverMemory(peers.handover_bytes)
+        keepers = HandoverKeepers(place, link, clock, memory)
+        return HandoverStore(keepers, link, clock)
+
     def _build_runner(self) -> RequestRunner:
         gates = self._build_gates()
         tracer = self.ports.tracer
@@ -247,7 +274,7 @@
             configurations=self.fold,
             permission=self.permission,
             admission=PolicyAdmission(self.policy),
-            claims=LocalClaims(),
+            claims=self.claims.gate,
             store=self.handover,
             dispatcher=StageDispatcher(
                 self.policy,
--- a/borageyard/handover.py
+++ b/borageyard/handover.py
@@ -94,7 +94,7 @@
             link: The way to the peers.
             clock: Source of time.
         """
-        self._keepers = keepers
+        self.keepers = keepers
         self._own_id = keepers.place.instance_id
         self._link = link
         self._clock = clock
@@ -143,13 +143,13 @@
             run.earlier = None
             return {}
         if earlier.stages or earlier.tokens:
-            self._keepers.counters.resumed += 1
+            self.keepers.counters.resumed += 1
             message = run.save_message(
                 self._own_id,
                 self._clock.steady_ms(),
                 earlier.stages,
             )
-            self._keepers.start_background(self._keepers.save(message))
+            self.keepers.start_background(self.keepers.save(message))
         return {kept.stage: _stage_result(kept) for kept in earlier.stages}
 
     def tokens(self, admitted: AdmittedRequest) -> tuple[str, ...]:
@@ -168,7 +168,7 @@
         run = self._runs.get(admitted.request.handover_key)
         if run is None:
             return
-        idempotent = _is_idempotent(admitted, result.stage)
+        idempotent = result.stage not in admitted.unrepeatable
         last = admitted.pipeline.stages[-1].name
         if idempotent and result.stage == last:
             return
@@ -176,9 +176,9 @@
         now_ms = self._clock.steady_ms()
         message = run.save_message(self._own_id, now_ms, (kept,))
         if idempotent:
-            self._keepers.start_background(self._keepers.save(message))
+            self.keepers.start_background(self.keepers.save(message))
         else:
-            await self._keepers.save(message)
+            await self.keepers.save(message)
 
     async def forget(self, admitted: AdmittedRequest) -> None:
         """Leaves it to the end of the run."""
@@ -189,7 +189,7 @@
             run.offset = event.offset
         run.tokens.append(event.token)
         if not run.flushing:
-            run.flushing = self._keepers.start_background(self._flush(run))
+            run.flushing = self.keepers.start_background(self._flush(run))
 
     @contextlib.asynccontextmanager
     async def _registered(self, run: LocalRun) -> AsyncIterator[None]:
@@ -210,8 +210,8 @@
             answered=_is_answered(run.outcome),
         )
         for keeper in run.keepers:
-            self._keepers.start_background(
-                self._keepers.end(keeper, message),
+            self.keepers.start_background(
+                self.keepers.end(keeper, message),
             )
 
     async def _join_elsewhere(self, run: LocalRun) -> Outcome | None:
@@ -224,7 +224,7 @@
                     self._ask_outcome(runner, run.request),
                 )
                 if outcome is not None:
-                    self._keepers.counters.joined += 1
+                    self.keepers.counters.joined += 1
                     return outcome
             gone = runner
             runner = await self._begin(run, gone)
@@ -239,9 +239,9 @@
             left_ms=self._left_ms(run.request),
             replaces=replaces,
         )
-        run.keepers = self._keepers.possible(key)
+        run.keepers = self.keepers.possible(key)
         replies = await asyncio.gather(
-            *(self._keepers.start(keeper, message) for keeper in run.keepers),
+            *(self.keepers.start(keeper, message) for keeper in run.keepers),
         )
         known = [reply for reply in replies if reply is not None]
         if not known:
@@ -295,7 +295,7 @@
         run.flushing = False
         now_ms = self._clock.steady_ms()
         message = run.save_message(self._own_id, now_ms)
-        await self._keepers.save(message)
+        await self.keepers.save(message)
 
     def _left_ms(self, request: PipelineRequest) -> float:
         return request.expires_at_ms - self._clock.steady_ms()
@@ -356,14 +356,5 @@
     return reply.version, len(reply.stages), len(reply.tokens)
 
 
-def _is_idempotent(admitted: AdmittedRequest, name: str) -> bool:
-    services = admitted.configuration.services
-    return all(
-        services[stage.service].idempotent
-        for stage in admitted.pipeline.stages
-        if stage.name == name
-    )
-
-
 def _stage_result(kept: KeptStageBody) -> StageResult:
     return StageResult(**kept.model_dump())
--- a/borageyard/platform.py
+++ b/borageyard/platform.py
@@ -1,5 +1,6 @@
 """What the platform offers, as protocols, with twins in memory."""
 
+import asyncio
 import dataclasses
 from collections.abc import Mapping, Sequence
 from typing import Any, Protocol
@@ -146,6 +147,7 @@
 
     outage: bool = False
     lose_next_answers: int = 0
+    outage_after_loss: bool = False
     delay_ms: float = 0
 
 
@@ -174,6 +176,7 @@
         self._starts: dict[str, int] = {}
         self.faults = LogFaults()
         self.appends = 0
+        self.appended = asyncio.Event()
 
     def append_now(self, stream: str, body: Record) -> int:
         """Appends without waiting.
@@ -190,8 +193,11 @@
         offset = self._starts.get(stream, 0) + len(records)
         records.append(LogRecord(offset, self._clock.wall_ms(), dict(body)))
         self.appends += 1
+        self.appended.set()
+        self.appended = asyncio.Event()
         if self.faults.lose_next_answers:
             self.faults.lose_next_answers -= 1
+            self.faults.outage |= self.faults.outage_after_loss
             raise AppendUnknownError('answer lost')
         return offset
 
