--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -117,7 +117,22 @@
             ports.clock,
             lambda: self.watcher.listed,
         )
-        self.handover = self._build_handover()
+        peers = settings.peers or PeerSettings()
+        self.keepers = HandoverKeepers(
+            HandoverPlace(
+                settings.instance_id,
+                settings.failure_domain,
+                self._live_domains,
+            ),
+            ports.peers,
+            ports.clock,
+            HandoverMemory(peers.handover_bytes),
+        )
+        self._handover = HandoverStore(
+            self.keepers,
+            ports.peers,
+            ports.clock,
+        )
         self._random = random.Random(ports.seed)
         self._runner = self._build_runner()
 
@@ -127,7 +142,7 @@
         Args:
             stack: Owns the background work.
         """
-        stack.push_async_callback(self.handover.keepers.close)
+        stack.push_async_callback(self.keepers.close)
         await self.watcher.poll_instances()
         await self.configuration.start(stack, lambda: self.watcher.listed)
         await self.claims.open()
@@ -214,17 +229,6 @@
             entries.append(own)
         return order_entries(entries, failure_domain, self._random)
 
-    def _live_domains(self) -> dict[str, str]:
-        now_ms = self.ports.clock.steady_ms()
-        domains = {
-            member.instance_id: member.failure_domain
-            for member in self.membership.alive(now_ms)
-        }
-        if not self.draining:
-            own_id = self.settings.instance_id
-            domains[own_id] = self.settings.failure_domain
-        return domains
-
     async def _run_counted(
         self,
         request: PipelineRequest,
@@ -232,7 +236,7 @@
     ) -> Outcome:
         with self.own.activity.counted():
             try:
-                outcome = await self.handover.run(
+                outcome = await self._handover.run(
                     request,
                     sink,
                     self._runner.run,
@@ -247,19 +251,16 @@
         self.metrics.note_outcome(request, outcome)
         return outcome
 
-    def _build_handover(self) -> HandoverStore:
-        settings = self.settings
-        peers = settings.peers or PeerSettings()
-        place = HandoverPlace(
-            settings.instance_id,
-            settings.failure_domain,
-            self._live_domains,
-        )
-        link = self.ports.peers
-        clock = self.ports.clock
-        memory = HandoverMemory(peers.handover_bytes)
-        keepers = HandoverKeepers(place, link, clock, memory)
-        return HandoverStore(keepers, link, clock)
+    def _live_domains(self) -> dict[str, str]:
+        now_ms = self.ports.clock.steady_ms()
+        domains = {
+            member.instance_id: member.failure_domain
+            for member in self.membership.alive(now_ms)
+        }
+        if not self.draining:
+            own_id = self.settings.instance_id
+            domains[own_id] = self.settings.failure_domain
+        return domains
 
     def _build_runner(self) -> RequestRunner:
         gates = self._build_gates()
@@ -275,7 +276,7 @@
             permission=self.permission,
             admission=PolicyAdmission(self.policy),
             claims=self.claims.gate,
-            store=self.handover,
+            store=self._handover,
             dispatcher=StageDispatcher(
                 self.policy,
                 self.ports.targets,
--- a/borageyard/handover.py
+++ b/borageyard/handover.py
@@ -94,7 +94,7 @@
             link: The way to the peers.
             clock: Source of time.
         """
-        self.keepers = keepers
+        self._keepers = keepers
         self._own_id = keepers.place.instance_id
         self._link = link
         self._clock = clock
@@ -143,13 +143,13 @@
             run.earlier = None
             return {}
         if earlier.stages or earlier.tokens:
-            self.keepers.counters.resumed += 1
+            self._keepers.counters.resumed += 1
             message = run.save_message(
                 self._own_id,
                 self._clock.steady_ms(),
                 earlier.stages,
             )
-            self.keepers.start_background(self.keepers.save(message))
+            self._keepers.start_background(self._keepers.save(message))
         return {kept.stage: _stage_result(kept) for kept in earlier.stages}
 
     def tokens(self, admitted: AdmittedRequest) -> tuple[str, ...]:
@@ -176,9 +176,9 @@
         now_ms = self._clock.steady_ms()
         message = run.save_message(self._own_id, now_ms, (kept,))
         if idempotent:
-            self.keepers.start_background(self.keepers.save(message))
+            self._keepers.start_background(self._keepers.save(message))
         else:
-            await self.keepers.save(message)
+            await self._keepers.save(message)
 
     async def forget(self, admitted: AdmittedRequest) -> None:
         """Leaves it to the end of the run."""
@@ -189,7 +189,7 @@
             run.offset = event.offset
         run.tokens.append(event.token)
         if not run.flushing:
-            run.flushing = self.keepers.start_background(self._flush(run))
+            run.flushing = self._keepers.start_background(self._flush(run))
 
     @contextlib.asynccontextmanager
     async def _registered(self, run: LocalRun) -> AsyncIterator[None]:
@@ -210,8 +210,8 @@
             answered=_is_answered(run.outcome),
         )
         for keeper in run.keepers:
-            self.keepers.start_background(
-                self.keepers.end(keeper, message),
+            self._keepers.start_background(
+                self._keepers.end(keeper, message),
             )
 
     async def _join_elsewhere(self, run: LocalRun) -> Outcome | None:
@@ -224,7 +224,7 @@
                     self._ask_outcome(runner, run.request),
                 )
                 if outcome is not None:
-                    self.keepers.counters.joined += 1
+                    self._keepers.counters.joined += 1
                     return outcome
             gone = runner
             runner = await self._begin(run, gone)
@@ -239,9 +239,9 @@
             left_ms=self._left_ms(run.request),
             replaces=replaces,
         )
-        run.keepers = self.keepers.possible(key)
+        run.keepers = self._keepers.possible(key)
         replies = await asyncio.gather(
-            *(self.keepers.start(keeper, message) for keeper in run.keepers),
+            *(self._keepers.start(keeper, message) for keeper in run.keepers),
         )
         known = [reply for reply in replies if reply is not None]
         if not known:
@@ -295,7 +295,7 @@
         run.flushing = False
         now_ms = self._clock.steady_ms()
         message = run.save_message(self._own_id, now_ms)
-        await self.keepers.save(message)
+        await self._keepers.save(message)
 
     def _left_ms(self, request: PipelineRequest) -> float:
         return request.expires_at_ms - self._clock.steady_ms()
--- a/borageyard/pipeline.py
+++ b/borageyard/pipeline.py
@@ -228,15 +228,32 @@
             ran=_ran_before(admitted, results),
             tokens=self._gates.store.tokens(admitted),
         )
-        if admitted.unrepeatable - results.keys():
-            outcome = await self._gates.claims.recall(admitted)
-            if isinstance(outcome, Refusal):
-                raise RefusalError(outcome)
-            if outcome is not None:
-                return outcome
+        outcome = await self._recall(admitted, state)
+        if outcome is not None:
+            return outcome
         async with self._gates.admission.admit(admitted):
             return await self._run_admitted(admitted, state, sink)
 
+    async def _recall(
+        self,
+        admitted: AdmittedRequest,
+        state: RunState,
+    ) -> Outcome | None:
+        """Returns the outcome of another attempt of the key, if known.
+
+        An attempt whose outcome is unknown is gone on with, if all that may
+        not be repeated is known to have finished.
+        """
+        if not admitted.configuration.needs_claim(admitted.pipeline):
+            return None
+        outcome = await self._gates.claims.recall(admitted)
+        if not isinstance(outcome, Refusal):
+            return outcome
+        unknown = outcome.ran is Ran.UNKNOWN
+        if unknown and admitted.unrepeatable <= state.results.keys():
+            return None
+        raise RefusalError(_with_progress(outcome, state))
+
     async def _run_admitted(
         self,
         admitted: AdmittedRequest,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -146,7 +146,7 @@
         kept = [event.token for event in first.events]
         assert texts[: len(kept)] == kept
         assert ''.join(texts) == outcome.output['text']
-        resumed = core.handover.keepers.counters.resumed
+        resumed = core.keepers.counters.resumed
         assert resumed == 1
 
     async def test_refusal_after_resume_is_honest(self):
