--- a/borageyard/requests.py
+++ b/borageyard/requests.py
@@ -55,6 +55,16 @@
             self.request.organisation
         ].weight
 
+    @property
+    def unrepeatable(self) -> frozenset[str]:
+        """Returns the stages that may not be repeated."""
+        services = self.configuration.services
+        return frozenset(
+            stage.name
+            for stage in self.pipeline.stages
+            if not services[stage.service].idempotent
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StageResult:
