--- a/borageyard/admission.py
+++ b/borageyard/admission.py
@@ -3,19 +3,13 @@
 import collections
 import dataclasses
 from collections.abc import Mapping, Sequence
+from typing import NamedTuple
 
 from .configuration import Configuration, Organisation, Stage
-from .latency import ServiceTimes
+from .latency import ServiceTimes, UsualTimes
 
-# Quantiles of a stage's time: that of a usual call, one to plan with while
-# others wait for the same targets, and one to hope for while none does.
-PLANNED_SHARE = 0.5
-CAUTIOUS_SHARE = 0.75
-BEST_SHARE = 0.1
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageNeed:
+class StageNeed(NamedTuple):
     """What a stage is expected to take."""
 
     best_ms: float
@@ -59,14 +53,47 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class PendingStages:
+    """Stages that wait for one service."""
+
+    counts: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter,
+    )
+    weights: dict[str, float] = dataclasses.field(default_factory=dict)
+    whole: int = 0
+    weight: float = 0
+
+    def add(self, organisation: Organisation, count: int) -> None:
+        """Changes the stages of an organisation."""
+        name = organisation.name
+        if name not in self.weights:
+            self.weights[name] = organisation.weight
+            self.weight += organisation.weight
+        self.whole += count
+        self.counts[name] += count
+        if not self.counts[name]:
+            self.counts.pop(name)
+            self.weight -= self.weights.pop(name)
+
+    def others_weight(self, name: str) -> float:
+        """Returns the weight of all that wait but one organisation."""
+        return self.weight - self.weights.get(name, 0)
+
+
 class Backlog:
     """Admitted stages that have not started, by service and organisation."""
 
     def __init__(self) -> None:
         """Starts empty."""
-        self._pending: dict[str, collections.Counter[str]] = {}
+        self._pending: dict[str, PendingStages] = {}
 
-    def add(self, service: str, organisation: str, count: int) -> None:
+    def add(
+        self,
+        service: str,
+        organisation: Organisation,
+        count: int,
+    ) -> None:
         """Changes the number of stages that have yet to start.
 
         Args:
@@ -74,10 +101,8 @@
             organisation: Whose they are.
             count: How many come or, if negative, go.
         """
-        pending = self._pending.setdefault(service, collections.Counter())
-        pending[organisation] += count
-        if pending[organisation] <= 0:
-            pending.pop(organisation)
+        pending = self._pending.setdefault(service, PendingStages())
+        pending.add(organisation, count)
 
     def ahead(
         self,
@@ -93,15 +118,13 @@
             organisations: All organisations with their weights.
         """
         pending = self._pending.get(service)
-        if not pending:
+        if pending is None:
             return 0
-        own = pending[organisation]
-        scale = (own + 1) / organisations[organisation].weight
-        return own + sum(
-            min(count, scale * organisations[name].weight)
-            for name, count in pending.items()
-            if name != organisation and name in organisations
-        )
+        own = pending.counts[organisation]
+        weight = organisations[organisation].weight
+        others = pending.whole - own
+        fair = (own + 1) * pending.others_weight(organisation) / weight
+        return own + min(others, fair)
 
 
 class StagePlanner:
@@ -115,37 +138,49 @@
         """
         self._times = times
 
-    def service_ms(
+    def usual_times(
         self,
         configuration: Configuration,
         service: str,
-        share: float = PLANNED_SHARE,
-    ) -> float:
-        """Returns a quantile of a service's time.
+    ) -> UsualTimes:
+        """Returns what a service takes.
 
         Args:
             configuration: Tells what is typical before any was measured.
             service: Name of the service.
-            share: Which quantile.
         """
         typical_ms = configuration.services[service].typical_ms
-        return self._times.quantile_ms(service, share, typical_ms)
+        return self._times.usual_times(service, typical_ms)
+
+    def best_ms(
+        self,
+        configuration: Configuration,
+        stages: Sequence[Stage],
+    ) -> float:
+        """Returns the least time that stages take, without waits.
+
+        Args:
+            configuration: What the request is pinned to.
+            stages: The stages that are left.
+        """
+        return sum(
+            self.usual_times(configuration, stage.service).best_ms
+            for stage in stages
+        )
 
-    def stages_ms(
+    def cautious_ms(
         self,
         configuration: Configuration,
         stages: Sequence[Stage],
-        share: float = BEST_SHARE,
     ) -> float:
-        """Returns the time that stages take, without waits.
+        """Returns the time to plan stages with under contention.
 
         Args:
             configuration: What the request is pinned to.
             stages: The stages that are left.
-            share: Which quantile of each stage's time.
         """
         return sum(
-            self.service_ms(configuration, stage.service, share)
+            self.usual_times(configuration, stage.service).cautious_ms
             for stage in stages
         )
 
--- a/borageyard/dispatch.py
+++ b/borageyard/dispatch.py
@@ -182,8 +182,7 @@
         if stage.name in admitted.progress.started:
             return
         admitted.progress.started.add(stage.name)
-        organisation = admitted.request.organisation
-        self._policy.backlog.add(stage.service, organisation, -1)
+        self._policy.backlog.add(stage.service, admitted.organisation, -1)
 
     def _require_time(self, stage_request: StageRequest) -> None:
         service = stage_request.stage.service
--- a/borageyard/ejection.py
+++ b/borageyard/ejection.py
@@ -33,6 +33,7 @@
     def __init__(self) -> None:
         """Starts with every target in."""
         self._health: dict[str, TargetHealth] = {}
+        self._suspected: set[str] = set()
 
     def is_ejected(self, target_id: str, now_ms: float) -> bool:
         """Tells whether a target is out at a time."""
@@ -58,7 +59,8 @@
         health = self._find(target.target_id)
         health.failures = 0
         if _is_slow(target, service):
-            return self._eject(health, now_ms)
+            return self._eject(target, health, now_ms)
+        self._suspected.discard(target.target_id)
         health.probing = False
         health.ejections = 0
         health.ejected_until_ms = 0
@@ -84,7 +86,7 @@
         health.failures += 1
         gone = kind in {FailureKind.CONNECT, FailureKind.CRASH}
         if gone or health.probing or health.failures >= FAILURES_TO_EJECT:
-            return self._eject(health, now_ms)
+            return self._eject(target, health, now_ms)
         return False
 
     def keep_healthy(
@@ -101,6 +103,8 @@
         Returns:
             Those that may be chosen; never none if there were some.
         """
+        if not self._suspected:
+            return candidates
         healthy = [
             state for state in candidates if self._may_take(state, now_ms)
         ]
@@ -112,9 +116,9 @@
         return ranked[: max(len(candidates) - allowed, 1)]
 
     def _may_take(self, state: TargetState, now_ms: float) -> bool:
-        health = self._health.get(state.target_id)
-        if health is None:
+        if state.target_id not in self._suspected:
             return True
+        health = self._find(state.target_id)
         if health.ejected_until_ms > now_ms:
             return False
         return not (health.probing and state.in_flight)
@@ -123,7 +127,13 @@
         health = self._health.get(state.target_id)
         return health.ejected_until_ms if health else 0
 
-    def _eject(self, health: TargetHealth, now_ms: float) -> bool:
+    def _eject(
+        self,
+        target: TargetState,
+        health: TargetHealth,
+        now_ms: float,
+    ) -> bool:
+        self._suspected.add(target.target_id)
         if health.ejected_until_ms > now_ms:
             return False
         lasts_ms = FIRST_EJECTION_MS * BACKOFF**health.ejections
--- a/borageyard/gate.py
+++ b/borageyard/gate.py
@@ -56,9 +56,7 @@
     async def _pass_limit(self, admitted: AdmittedRequest) -> None:
         request = admitted.request
         now_ms = self._policy.clock.steady_ms()
-        organisation = admitted.configuration.organisations[
-            request.organisation
-        ]
+        organisation = admitted.organisation
         slack_ms = request.expires_at_ms - now_ms
         decision = self._policy.limits.take(organisation, now_ms, slack_ms / 4)
         if not decision.allowed:
@@ -76,14 +74,16 @@
             await asyncio.sleep(decision.wait_ms / MS_PER_S)
 
     def _enter(self, admitted: AdmittedRequest) -> None:
-        organisation = admitted.request.organisation
         for stage in admitted.pipeline.stages:
-            self._policy.backlog.add(stage.service, organisation, 1)
+            self._policy.backlog.add(stage.service, admitted.organisation, 1)
 
     def _leave(self, admitted: AdmittedRequest, *, useful: bool) -> None:
-        organisation = admitted.request.organisation
         progress = admitted.progress
         for stage in admitted.pipeline.stages:
             if stage.name not in progress.started:
-                self._policy.backlog.add(stage.service, organisation, -1)
+                self._policy.backlog.add(
+                    stage.service,
+                    admitted.organisation,
+                    -1,
+                )
         self._policy.costs.book(progress.spent, useful=useful)
--- a/borageyard/policy.py
+++ b/borageyard/policy.py
@@ -6,17 +6,11 @@
 import math
 from collections.abc import Iterable, Sequence
 
-from .admission import (
-    BEST_SHARE,
-    CAUTIOUS_SHARE,
-    PLANNED_SHARE,
-    Backlog,
-    StageNeed,
-    StagePlanner,
-    wait_ms,
-)
+from .admission import Backlog, StageNeed, StagePlanner, wait_ms
 from .affinity import PrefixAffinity
+from .capacity import ServiceCapacity
 from .clock import Clock
+from .configuration import Stage
 from .costs import CostAccounts, CostKey, StageCost, Waste
 from .ejection import OutlierDetector
 from .errors import ErrorKind, Refusal, RefusalError
@@ -76,6 +70,7 @@
         self.times = ServiceTimes()
         self.planner = StagePlanner(self.times)
         self.backlog = Backlog()
+        self.capacity = ServiceCapacity(directory, place.clock)
         self.affinity = PrefixAffinity()
         self.limits = OrganisationLimits()
         self.retries = RetryBudgets()
@@ -121,62 +116,46 @@
         """
         admitted = stage_request.admitted
         stage = stage_request.stage
-        service = admitted.configuration.services[stage.service]
-        now_ms = self.clock.steady_ms()
+        configuration = admitted.configuration
+        service = configuration.services[stage.service]
+        left_ms = self.planner.cautious_ms(
+            configuration,
+            _stages_from(stage_request),
+        )
+        usual = self.planner.usual_times(configuration, stage.service)
         return Ask(
             service=stage.service,
             organisation=admitted.request.organisation,
-            weight=admitted.weight,
-            latest_start_ms=self.latest_start_ms(
-                stage_request,
-                CAUTIOUS_SHARE,
-            ),
+            weight=admitted.organisation.weight,
+            latest_start_ms=admitted.request.expires_at_ms - left_ms,
             query=RouteQuery(
-                now_ms=now_ms,
-                typical_ms=self.times.quantile_ms(
-                    stage.service,
-                    PLANNED_SHARE,
-                    service.typical_ms,
-                ),
+                now_ms=self.clock.steady_ms(),
+                typical_ms=usual.planned_ms,
                 excluded=excluded,
                 cache_prefix=admitted.request.cache_prefix,
                 model=service.model,
-                model_version=admitted.configuration.model_version(service),
+                model_version=configuration.model_version(service),
                 entries=self.limits.entries,
             ),
         )
 
-    def latest_start_ms(
-        self,
-        stage_request: StageRequest,
-        share: float = BEST_SHARE,
-    ) -> float:
-        """Returns when a stage must start for its request to finish.
-
-        Args:
-            stage_request: The stage.
-            share: Quantile of the stages' times that is planned with.
-        """
+    def latest_start_ms(self, stage_request: StageRequest) -> float:
+        """Returns after when a stage can hardly finish its request."""
         admitted = stage_request.admitted
-        stages = admitted.pipeline.stages
-        index = stages.index(stage_request.stage)
-        left_ms = self.planner.stages_ms(
+        left_ms = self.planner.best_ms(
             admitted.configuration,
-            stages[index:],
-            share,
+            _stages_from(stage_request),
         )
         return admitted.request.expires_at_ms - left_ms
 
     def stage_deadline_ms(self, stage_request: StageRequest) -> float:
         """Returns when a stage must have ended to be of use."""
         admitted = stage_request.admitted
-        stages = admitted.pipeline.stages
-        index = stages.index(stage_request.stage)
         expires_at_ms = admitted.request.expires_at_ms
         if not stage_request.idempotent:
             return expires_at_ms
-        later = stages[index + 1 :]
-        return expires_at_ms - self.planner.stages_ms(
+        later = _stages_from(stage_request)[1:]
+        return expires_at_ms - self.planner.best_ms(
             admitted.configuration,
             later,
         )
@@ -285,11 +264,11 @@
             return None
         left_ms = self.stage_deadline_ms(stage_request)
         left_ms -= self.clock.steady_ms()
-        typical_ms = self.planner.service_ms(
+        usual = self.planner.usual_times(
             stage_request.admitted.configuration,
             service,
         )
-        if left_ms < typical_ms:
+        if left_ms < usual.planned_ms:
             return None
         ask = self.ask(stage_request, (route.target.target_id,))
         other = self.queues.try_acquire(ask)
@@ -355,35 +334,24 @@
 
     def _need(self, admitted: AdmittedRequest, service: str) -> StageNeed:
         configuration = admitted.configuration
-        planner = self.planner
-        service_ms = planner.service_ms(configuration, service)
-        running, slots = self._usage(service)
+        usual = self.planner.usual_times(configuration, service)
+        usage = self.capacity.usage(service, self.limits.entries)
         ahead = self.backlog.ahead(
             service,
             admitted.request.organisation,
             configuration.organisations,
         )
         return StageNeed(
-            best_ms=planner.service_ms(configuration, service, BEST_SHARE),
-            cautious_ms=planner.service_ms(
-                configuration,
-                service,
-                CAUTIOUS_SHARE,
-            ),
-            wait_ms=wait_ms(running + ahead, slots, service_ms),
+            usual.best_ms,
+            usual.cautious_ms,
+            wait_ms(usage.running + ahead, usage.slots, usual.planned_ms),
         )
 
-    def _usage(self, service: str) -> tuple[int, float]:
-        """Returns own running calls and the slots that this entry may use."""
-        now_ms = self.clock.steady_ms()
-        entries = self.limits.entries
-        targets = self.directory.candidates(service)
-        running = sum(state.in_flight for state in targets)
-        slots = sum(
-            max(state.slots - state.others(now_ms), state.slots / entries)
-            for state in targets
-        )
-        return running, slots
+
+def _stages_from(stage_request: StageRequest) -> Sequence[Stage]:
+    """Returns a stage and those after it."""
+    stages = stage_request.admitted.pipeline.stages
+    return stages[stages.index(stage_request.stage) :]
 
 
 def cost_key(stage_request: StageRequest) -> CostKey:
--- /dev/null
+++ b/borageyard/policy_slopes.py
@@ -0,0 +1,152 @@
+"""Time of decisions against the number of targets and organisations."""
+
+import time
+import types
+from collections.abc import Callable, Mapping
+from typing import TypeVar
+
+from .admission import decide_admission
+from .clock import ManualClock
+from .configuration import (
+    Configuration,
+    Organisation,
+    Pipeline,
+    Service,
+    Stage,
+)
+from .platform import ROLE_TARGET, Instance
+from .policy import EntryPolicy, PolicyOptions, PolicyPlace
+from .requests import AdmittedRequest, PipelineRequest, StageRequest
+from .target import LoadReport
+from .targets import TargetDirectory
+
+TARGET_COUNTS = (10, 100, 1000)
+ORGANISATION_COUNTS = (5, 100, 1000)
+USUAL_TARGETS = 6
+USUAL_ORGANISATIONS = 5
+DECISIONS = 500
+ROUNDS = 5
+NS_PER_US = 1000
+SLOTS = 8
+TYPICAL_MS = 100
+# Time between the requests of an entry at 40 a second.
+ARRIVAL_MS = 25
+DEADLINE_MS = 6000
+RATE_PER_S = 1e9
+BURST = 1_000_000_000
+SERVICE = 'llm'
+NamedT = TypeVar('NamedT')
+STAGES = ('encode', 'retrieve', 'rerank', 'generate')
+
+
+def decision_slopes() -> dict[str, float]:
+    """Returns microseconds for each decision at some sizes."""
+    figures = {}
+    for targets in TARGET_COUNTS:
+        bench = DecisionBench(targets, USUAL_ORGANISATIONS)
+        name = f'routing_us_at_{targets}_targets'
+        figures[name] = measure_us(bench.route)
+    for organisations in ORGANISATION_COUNTS:
+        many = DecisionBench(USUAL_TARGETS, organisations)
+        label = f'admission_us_at_{organisations}_organisations'
+        figures[label] = measure_us(many.admit)
+    return figures
+
+
+def measure_us(decide: Callable[[], object]) -> float:
+    """Returns the time of a decision in the fastest of some rounds.
+
+    Args:
+        decide: Takes one decision.
+    """
+    rounds = []
+    for _ in range(ROUNDS):
+        started_ns = time.perf_counter_ns()
+        for _ in range(DECISIONS):
+            decide()
+        rounds.append(time.perf_counter_ns() - started_ns)
+    return min(rounds) / DECISIONS / NS_PER_US
+
+
+class DecisionBench:
+    """A policy with some targets and organisations."""
+
+    def __init__(self, targets: int, organisations: int) -> None:
+        """Builds a policy that has seen load.
+
+        Args:
+            targets: Targets of the one service.
+            organisations: Organisations with waiting requests.
+        """
+        self._clock = ManualClock()
+        self._policy = EntryPolicy(
+            _directory(targets),
+            PolicyPlace('a', self._clock),
+            PolicyOptions(),
+        )
+        self._configuration = _configuration(organisations)
+        self._admitted = self._build_request()
+        self._stage = StageRequest(
+            self._admitted,
+            self._admitted.pipeline.stages[0],
+            {},
+        )
+        for organisation in self._configuration.organisations.values():
+            self._policy.backlog.add(SERVICE, organisation, 1)
+
+    def route(self) -> None:
+        """Chooses a target and gives it back."""
+        route = self._policy.queues.try_acquire(self._policy.ask(self._stage))
+        if route is not None:
+            self._policy.queues.release(route)
+
+    def admit(self) -> None:
+        """Decides on a request by deadline and by limit."""
+        self._clock.advance(ARRIVAL_MS)
+        decide_admission(DEADLINE_MS, self._policy.needs(self._admitted))
+        organisation = self._configuration.organisations['o0']
+        self._policy.limits.take(organisation, self._clock.steady_ms())
+
+    def _build_request(self) -> AdmittedRequest:
+        request = PipelineRequest('r', 'p', 'o0', {}, DEADLINE_MS)
+        pipeline = self._configuration.pipelines['p']
+        return AdmittedRequest(request, pipeline, self._configuration)
+
+
+def _directory(count: int) -> TargetDirectory:
+    directory = TargetDirectory()
+    directory.update(
+        Instance(f't{index}', ROLE_TARGET, '', 'a', SERVICE)
+        for index in range(count)
+    )
+    for index in range(count):
+        report = LoadReport(f't{index}', 0, 1, 0, SLOTS)
+        directory.note_report(report, 0)
+    return directory
+
+
+def _configuration(organisations: int) -> Configuration:
+    names = [f'o{index}' for index in range(organisations)]
+    service = Service(SERVICE, 'engine', True, False, '', SLOTS, TYPICAL_MS)
+    stages = tuple(Stage(name, SERVICE, (), DEADLINE_MS, '') for name in STAGES)
+    pipeline = Pipeline('p', DEADLINE_MS, stages, STAGES[-1])
+    return Configuration(
+        version=1,
+        digest='',
+        claim_window_ms=0,
+        clock_skew_ms=0,
+        permission_ms=0,
+        organisations=_frozen(
+            {
+                name: Organisation(name, 1, RATE_PER_S, BURST, '')
+                for name in names
+            }
+        ),
+        models=_frozen({}),
+        services=_frozen({SERVICE: service}),
+        pipelines=_frozen({'p': pipeline}),
+    )
+
+
+def _frozen(named: dict[str, NamedT]) -> Mapping[str, NamedT]:
+    return types.MappingProxyType(named)
--- a/borageyard/policy_status.py
+++ b/borageyard/policy_status.py
@@ -4,7 +4,6 @@
 from collections.abc import Mapping
 from typing import Any
 
-from .admission import BEST_SHARE, PLANNED_SHARE
 from .policy import EntryPolicy
 from .targets import TargetState
 
@@ -50,11 +49,8 @@
 
 
 def _service(policy: EntryPolicy, name: str) -> Mapping[str, Any]:
-    return {
-        'waiting': policy.queues.waiting(name),
-        'best_ms': policy.times.quantile_ms(name, BEST_SHARE, 0),
-        'planned_ms': policy.times.quantile_ms(name, PLANNED_SHARE, 0),
-    }
+    usual = policy.times.usual_times(name, 0)
+    return {'waiting': policy.queues.waiting(name), **usual._asdict()}
 
 
 def _age_ms(state: TargetState, now_ms: float) -> float | None:
--- a/borageyard/requests.py
+++ b/borageyard/requests.py
@@ -3,7 +3,7 @@
 import dataclasses
 from typing import Any, Protocol
 
-from .configuration import Configuration, Pipeline, Stage
+from .configuration import Configuration, Organisation, Pipeline, Stage
 from .costs import CostKey, StageCost
 from .target import TokenEvent
 
@@ -47,11 +47,9 @@
     )
 
     @property
-    def weight(self) -> float:
-        """Returns the weight of the request's organisation."""
-        return self.configuration.organisations[
-            self.request.organisation
-        ].weight
+    def organisation(self) -> Organisation:
+        """Returns the organisation whose request it is."""
+        return self.configuration.organisations[self.request.organisation]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/borageyard/routing.py
+++ b/borageyard/routing.py
@@ -9,13 +9,15 @@
 from .targets import TargetState
 
 CHOICES = 3
+# Targets looked at for each one compared, for some have no room.
+DRAWS_PER_CHOICE = 2
 # Growth of a call's time from an idle to a full target.
 BATCH_SLOWDOWN = 0.5
 # Cost of leaving the failure domain.
 OTHER_DOMAIN_MS = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class RouteQuery:
     """What a choice depends on besides the targets."""
 
@@ -83,28 +85,43 @@
         query: RouteQuery,
     ) -> Route | None:
         """Returns the best route, or none if no target has room."""
-        free = [
-            state
-            for state in candidates
-            if state.target_id not in query.excluded and has_room(state, query)
-        ]
-        free = _with_version(free, query)
-        if not free:
+        pool = candidates
+        if query.excluded:
+            pool = [
+                state
+                for state in candidates
+                if state.target_id not in query.excluded
+            ]
+        drawn = self._draw(pool, query)
+        if query.model:
+            drawn = _with_version(drawn, pool, query)
+        if not drawn:
             return None
-        drawn = self._random.sample(free, min(self._choices, len(free)))
-        drawn.extend(self._holders(free, query))
         routes = [self._predict(state, query) for state in drawn]
         return min(routes, key=_predicted_ms)
 
-    def _holders(
+    def _draw(
         self,
-        free: Sequence[TargetState],
+        pool: Sequence[TargetState],
         query: RouteQuery,
     ) -> list[TargetState]:
-        if not query.cache_prefix:
-            return []
+        """Returns some random targets with room, and holders of the prefix."""
+        count = min(self._choices * DRAWS_PER_CHOICE, len(pool))
+        drawn = [
+            state
+            for state in self._random.sample(pool, count)
+            if has_room(state, query)
+        ]
+        if not drawn:
+            drawn = [state for state in pool if has_room(state, query)]
         holders = self._affinity.holders(query.cache_prefix)
-        return [state for state in free if state.target_id in holders]
+        if not holders:
+            return drawn[: self._choices]
+        return drawn[: self._choices] + [
+            state
+            for state in pool
+            if state.target_id in holders and has_room(state, query)
+        ]
 
     def _predict(self, state: TargetState, query: RouteQuery) -> Route:
         service_ms = state.duration_ms or query.typical_ms
@@ -138,14 +155,20 @@
 
 
 def _with_version(
-    free: list[TargetState],
+    drawn: list[TargetState],
+    pool: Sequence[TargetState],
     query: RouteQuery,
 ) -> list[TargetState]:
-    """Prefers targets that have the needed version loaded."""
-    if not query.model:
-        return free
-    loaded = [state for state in free if _has_version(state, query)]
-    return loaded or free
+    """Prefers targets that have the needed version loaded, if any has."""
+    loaded = [state for state in drawn if _has_version(state, query)]
+    if loaded:
+        return loaded
+    elsewhere = [
+        state
+        for state in pool
+        if _has_version(state, query) and has_room(state, query)
+    ]
+    return elsewhere or drawn
 
 
 def _has_version(state: TargetState, query: RouteQuery) -> bool:
--- a/borageyard/service_queue.py
+++ b/borageyard/service_queue.py
@@ -98,8 +98,8 @@
         now_ms = self._clock.steady_ms()
         candidates = self._directory.candidates(ask.service)
         healthy = self._outliers.keep_healthy(candidates, now_ms)
-        query = dataclasses.replace(ask.query, now_ms=now_ms)
-        route = self.router.choose(healthy, query)
+        ask.query.now_ms = now_ms
+        route = self.router.choose(healthy, ask.query)
         if route is not None:
             route.target.change_in_flight(1, now_ms)
         return route
--- a/borageyard/targets.py
+++ b/borageyard/targets.py
@@ -25,6 +25,8 @@
 DURATION_WEIGHT = 0.2
 DEFAULT_SLOTS = 8
 SILENT_MS = 2000
+# Time for which the weighed load of other entries is used again.
+REWEIGH_MS = 20
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,6 +42,8 @@
     samples: int = 0
     reported_others: float = 0
     reported_at_ms: float = -math.inf
+    weighed_others: float = 0
+    weighed_at_ms: float = -math.inf
     told_others: dict[str, tuple[float, int]] = dataclasses.field(
         default_factory=dict,
     )
@@ -84,6 +88,7 @@
             if changed_at_ms > now_ms
         )
         whole = report.running + report.queued
+        self.weighed_at_ms = -math.inf
         self.reported_others = max(whole - own_then, 0)
 
     def load(self, now_ms: float) -> float:
@@ -96,6 +101,12 @@
 
     def others(self, now_ms: float) -> float:
         """Returns the calls of other entries, older news weighing less."""
+        if now_ms - self.weighed_at_ms >= REWEIGH_MS:
+            self.weighed_others = self._weigh_others(now_ms)
+            self.weighed_at_ms = now_ms
+        return self.weighed_others
+
+    def _weigh_others(self, now_ms: float) -> float:
         report_weight = _freshness(now_ms - self.reported_at_ms)
         told = 0
         told_at_ms = now_ms
@@ -115,6 +126,7 @@
     def __init__(self) -> None:
         """Starts empty."""
         self._targets: dict[str, TargetState] = {}
+        self._by_service: dict[str, list[TargetState]] = {}
 
     def update(self, instances: Iterable[Instance]) -> None:
         """Takes in a new instance list; an empty one changes nothing.
@@ -126,6 +138,10 @@
         if not rows:
             return
         self._targets = {row.instance_id: self._merge(row) for row in rows}
+        self._by_service = {}
+        for state in self._targets.values():
+            service = state.instance.service
+            self._by_service.setdefault(service, []).append(state)
 
     def note_report(
         self,
@@ -162,6 +178,7 @@
         for state in self._targets.values():
             count = in_flight.get(state.target_id, 0)
             state.told_others[peer_id] = (now_ms, count)
+            state.weighed_at_ms = -math.inf
 
     def forget_silent(self, now_ms: float) -> None:
         """Drops what peers said that have been silent for long."""
@@ -188,11 +205,8 @@
 
     def candidates(self, service: str) -> Sequence[TargetState]:
         """Returns the targets of a service that may get new work."""
-        return tuple(
-            state
-            for state in self._targets.values()
-            if state.instance.service == service and not state.leaving
-        )
+        known = self._by_service.get(service, ())
+        return [state for state in known if not state.leaving]
 
     def _merge(self, row: Instance) -> TargetState:
         known = self._targets.get(row.instance_id)
--- a/tests/test_policy_decisions.py
+++ b/tests/test_policy_decisions.py
@@ -180,7 +180,7 @@
             name: Organisation(name, 1, 1, 1, '') for name in names
         }
         backlog = Backlog()
-        backlog.add('llm', 'flood', 500)
+        backlog.add('llm', organisations['flood'], 500)
         assert backlog.ahead('llm', 'small', organisations) == 1
         assert backlog.ahead('llm', 'flood', organisations) == 500
 
