Draft the experiment of the policy

Cause: the policy had no measurement beside its baselines. Change: bench_policy with scenarios, baselines and bounds.

--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -51,7 +51,9 @@
 Experiment = Callable[[int], BenchReport]
 
 # Experiments by name; each one lives in its own module.
-EXPERIMENTS: Mapping[str, Experiment] = types.MappingProxyType({})
+EXPERIMENTS: Mapping[str, Experiment] = types.MappingProxyType(
+    {'policy': run_policy},
+)
 
 
 def add_bench_command(commands: Any) -> None:
--- /dev/null
+++ b/borageyard/bench_policy.py
@@ -0,0 +1,200 @@
+"""Experiment: the policy under load and faults, with its baselines."""
+
+import pathlib
+import types
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from .bench import BenchReport, Bound
+from .policy_experiment import (
+    ExperimentRun,
+    PolicyBuilder,
+    Scenario,
+    build_clairvoyant,
+    build_least,
+    build_policy,
+    build_random,
+    build_round_robin,
+    run_scenario,
+)
+from .policy_figures import RunFigures, limit_use, measure
+from .policy_scenarios import (
+    FLOOD_BURST,
+    FLOOD_LIMIT_PER_S,
+    FLOODED,
+    HUNDAGANGA,
+    VEMBANAD,
+    ScenarioBook,
+)
+from .policy_slopes import decision_slopes
+from .virtual_time import run_virtual
+
+EXAMPLES = pathlib.Path('examples')
+SHIPPED = 'policy'
+CLAIRVOYANT = 'clairvoyant'
+BASELINES: Mapping[str, PolicyBuilder] = types.MappingProxyType(
+    {
+        'random': build_random,
+        'round-robin': build_round_robin,
+        'least-in-flight': build_least,
+    }
+)
+POLICIES: Mapping[str, PolicyBuilder] = types.MappingProxyType(
+    {SHIPPED: build_policy, **BASELINES, CLAIRVOYANT: build_clairvoyant}
+)
+LIMIT_WINDOW_S = 10
+FLOOD = 'flood'
+STEADY = 'steady'
+OVERLOAD = 'overload'
+USUAL_LOAD = 'steady-80'
+HIGH_LOAD = 'steady-95'
+CRASHING = 'crashing-request'
+
+BOUNDS = (
+    Bound('ratio_to_clairvoyant_at_80', 0.95, at_most=False),
+    Bound('margin_to_best_baseline', 0, at_most=False),
+    Bound('flood_loss_of_others', 0.02),
+    Bound('crashes_by_one_digest', 2),
+    Bound('innocents_quarantined', 0),
+    Bound('repeat_share', 0.1),
+    Bound('limit_use', 1.05),
+    Bound('late_work_to_leaving', 0),
+    Bound('wasted_share_at_95', 0.05),
+    Bound('overload_goodput_to_peak', 0.9, at_most=False),
+    Bound('double_runs', 0),
+    Bound('routing_us_at_100_targets', 50),
+    Bound('admission_us_at_5_organisations', 20),
+)
+
+
+class PolicyBench:
+    """Runs scenarios and gathers their figures."""
+
+    def __init__(self, seed: int) -> None:
+        """Starts without figures.
+
+        Args:
+            seed: Seed of load and policies.
+        """
+        self._seed = seed
+        self.measured: dict[str, Mapping[str, RunFigures]] = {}
+        self._limit_uses: list[float] = []
+        self._usual_of_others: float = 0
+
+    def run_all(self) -> None:
+        """Runs every scenario with every policy."""
+        main = ScenarioBook(HUNDAGANGA, EXAMPLES, self._seed)
+        for scenario in main.all_scenarios():
+            self.run(scenario)
+        other = ScenarioBook(VEMBANAD, EXAMPLES, self._seed)
+        for steady in other.steady_scenarios():
+            self.run(steady)
+
+    def run(self, scenario: Scenario) -> None:
+        """Runs a scenario with every policy.
+
+        Args:
+            scenario: What is run.
+        """
+        measured = {}
+        left_out = FLOODED if FLOOD in scenario.name else ''
+        for name, build in POLICIES.items():
+            run = run_virtual(run_scenario(scenario, build, self._seed))
+            measured[name] = measure(run, left_out)
+            if name == SHIPPED:
+                self._note_limits(scenario, run)
+        self.measured[scenario.name] = measured
+
+    def figures(self) -> dict[str, Any]:
+        """Returns the figures with bounds, then those of each run."""
+        figures = {
+            **self._comparisons(),
+            **self._promises(),
+            **decision_slopes(),
+        }
+        for scenario, measured in self.measured.items():
+            for policy, run in measured.items():
+                place = f'{scenario}/{policy}'
+                figures[f'{place}.attainment'] = run.attainment
+                figures[f'{place}.wasted_share'] = run.wasted_share
+                figures[f'{place}.work_ms'] = run.work_ms_per_answer
+        return figures
+
+    def _note_limits(self, scenario: Scenario, run: ExperimentRun) -> None:
+        if scenario.name.endswith(USUAL_LOAD) and not self._usual_of_others:
+            self._usual_of_others = measure(run, FLOODED).attainment
+        if FLOOD in scenario.name:
+            allowed = FLOOD_LIMIT_PER_S * LIMIT_WINDOW_S + FLOOD_BURST
+            self._limit_uses.append(limit_use(run, FLOODED, allowed))
+
+    def _comparisons(self) -> dict[str, Any]:
+        margins = {name: _margin(run) for name, run in self.measured.items()}
+        worst = min(margins, key=lambda name: margins[name])
+        floods = [run.attainment for run in self._shipped(FLOOD)]
+        return {
+            'ratio_to_clairvoyant_at_80': min(map(_ratio, self._all_usual())),
+            'margin_to_best_baseline': margins[worst],
+            'margin_is_worst_in': worst,
+            'flood_loss_of_others': self._usual_of_others - min(floods),
+            'overload_goodput_to_peak': min(
+                self._goodput_to_peak(site.name)
+                for site in (HUNDAGANGA, VEMBANAD)
+            ),
+        }
+
+    def _promises(self) -> dict[str, Any]:
+        runs = list(self._shipped(''))
+        crashing = list(self._shipped(CRASHING))
+        high = list(self._shipped(HIGH_LOAD))
+        return {
+            'crashes_by_one_digest': max(run.crashes for run in crashing),
+            'innocents_quarantined': sum(
+                run.innocents_quarantined for run in runs
+            ),
+            'repeat_share': max(run.repeat_share for run in runs),
+            'limit_use': max(self._limit_uses),
+            'late_work_to_leaving': sum(
+                run.late_work_to_leaving for run in runs
+            ),
+            'wasted_share_at_95': max(run.wasted_share for run in high),
+            'double_runs': sum(run.double_runs for run in runs),
+        }
+
+    def _shipped(self, part: str) -> Iterator[RunFigures]:
+        for name, measured in self.measured.items():
+            if part in name:
+                yield measured[SHIPPED]
+
+    def _all_usual(self) -> list[Mapping[str, RunFigures]]:
+        return [
+            measured
+            for name, measured in self.measured.items()
+            if name.endswith(USUAL_LOAD)
+        ]
+
+    def _goodput_to_peak(self, site: str) -> float:
+        over = next(self._shipped(f'{site}/{OVERLOAD}'))
+        steady = self._shipped(f'{site}/{STEADY}')
+        peak = max(run.attained_per_s for run in steady)
+        return over.attained_per_s / max(peak, over.attained_per_s)
+
+
+def _margin(measured: Mapping[str, RunFigures]) -> float:
+    """Returns how far the policy is above the best baseline."""
+    best = max(measured[name].attainment for name in BASELINES)
+    return measured[SHIPPED].attainment - best
+
+
+def _ratio(measured: Mapping[str, RunFigures]) -> float:
+    return measured[SHIPPED].attainment / measured[CLAIRVOYANT].attainment
+
+
+def run_policy(seed: int) -> BenchReport:
+    """Runs the experiment.
+
+    Args:
+        seed: Seed of load and policies.
+    """
+    bench = PolicyBench(seed)
+    bench.run_all()
+    return BenchReport('policy', seed, bench.figures(), BOUNDS)
--- a/borageyard/policy_figures.py
+++ b/borageyard/policy_figures.py
@@ -25,17 +25,24 @@
     crashes: int
     innocents_quarantined: int
     late_work_to_leaving: int
+    work_ms_per_answer: float
 
 
-def measure(run: ExperimentRun) -> RunFigures:
+def measure(run: ExperimentRun, left_out: str = '') -> RunFigures:
     """Returns the figures of a finished run.
 
     Requests that are meant to crash are left out of the attainment.
 
     Args:
         run: What was recorded.
+        left_out: Organisation whose requests are left out as well.
     """
-    callers = [caller for caller in run.callers if not caller.arrival.text]
+    callers = [
+        caller
+        for caller in run.callers
+        if not caller.arrival.text and caller.arrival.organisation != left_out
+    ]
+    spent_ms = sum(work.spent_ms for work in run.work)
     attained = sum(caller.attained for caller in callers)
     last_ms = max(caller.arrival.at_ms for caller in callers)
     return RunFigures(
@@ -48,24 +55,10 @@
         crashes=sum(not target.alive for target in run.targets.values()),
         innocents_quarantined=sum(map(_is_quarantined, callers)),
         late_work_to_leaving=_late_work(run),
+        work_ms_per_answer=spent_ms / max(attained, 1),
     )
 
 
-def attainment_of(run: ExperimentRun, excluded: str) -> float:
-    """Returns the attainment of all organisations but one.
-
-    Args:
-        run: What was recorded.
-        excluded: Name of the organisation.
-    """
-    callers = [
-        caller
-        for caller in run.callers
-        if caller.arrival.organisation != excluded
-    ]
-    return sum(caller.attained for caller in callers) / len(callers)
-
-
 def wasted_share(run: ExperimentRun) -> float:
     """Returns the share of work that no answer in time was made of."""
     answered = {
