--- a/borageyard/bench_policy.py
+++ b/borageyard/bench_policy.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-from .bench import BenchReport, Bound
+from .bench_report import BenchReport, Bound
 from .policy_experiment import (
     ExperimentRun,
     PolicyBuilder,
@@ -50,20 +50,31 @@
 HIGH_LOAD = 'steady-95'
 CRASHING = 'crashing-request'
 
+MIN_RATIO_TO_CLAIRVOYANT = 0.95
+MAX_FLOOD_LOSS = 0.02
+MAX_LIMIT_USE = 1.05
+MAX_WASTED_SHARE = 0.05
+MIN_GOODPUT_TO_PEAK = 0.9
+MAX_REPEAT_SHARE = 0.1
+MAX_ROUTING_US = 50
+MAX_ADMISSION_US = 20
+MAX_CRASHES = 2
 BOUNDS = (
-    Bound('ratio_to_clairvoyant_at_80', 0.95, at_most=False),
+    Bound(
+        'ratio_to_clairvoyant_at_80', MIN_RATIO_TO_CLAIRVOYANT, at_most=False
+    ),
     Bound('margin_to_best_baseline', 0, at_most=False),
-    Bound('flood_loss_of_others', 0.02),
-    Bound('crashes_by_one_digest', 2),
+    Bound('flood_loss_of_others', MAX_FLOOD_LOSS),
+    Bound('crashes_by_one_digest', MAX_CRASHES),
     Bound('innocents_quarantined', 0),
-    Bound('repeat_share', 0.1),
-    Bound('limit_use', 1.05),
+    Bound('repeat_share', MAX_REPEAT_SHARE),
+    Bound('limit_use', MAX_LIMIT_USE),
     Bound('late_work_to_leaving', 0),
-    Bound('wasted_share_at_95', 0.05),
-    Bound('overload_goodput_to_peak', 0.9, at_most=False),
+    Bound('wasted_share_at_95', MAX_WASTED_SHARE),
+    Bound('overload_goodput_to_peak', MIN_GOODPUT_TO_PEAK, at_most=False),
     Bound('double_runs', 0),
-    Bound('routing_us_at_100_targets', 50),
-    Bound('admission_us_at_5_organisations', 20),
+    Bound('routing_us_at_100_targets', MAX_ROUTING_US),
+    Bound('admission_us_at_5_organisations', MAX_ADMISSION_US),
 )
 
 
--- a/borageyard/pipeline.py
+++ b/borageyard/pipeline.py
@@ -63,6 +63,19 @@
 class ClaimGate(Protocol):
     """Lets a non-idempotent request run at most once."""
 
+    async def recall(self, admitted: AdmittedRequest) -> Outcome | None:
+        """Returns how another attempt of the request's key ends.
+
+        Args:
+            admitted: A request that needs a claim.
+
+        Returns:
+            The outcome, or none if no other attempt is known.
+
+        Raises:
+            RefusalError: If the key can't be claimed.
+        """
+
     async def acquire(self, admitted: AdmittedRequest) -> ClaimGrant:
         """Claims the request's key before its first unrepeatable call.
 
@@ -79,7 +92,7 @@
     async def complete(self, grant: ClaimGrant, outcome: Outcome) -> None:
         """Records how a granted request ended."""
 
-    async def abandon(self, grant: ClaimGrant) -> None:
+    async def abandon(self, grant: ClaimGrant, refusal: Refusal) -> None:
         """Gives a grant up under which nothing was run."""
 
 
@@ -163,9 +176,7 @@
             The whole answer or an honest refusal.
         """
         try:
-            admitted = self._pin(request)
-            async with self._gates.admission.admit(admitted):
-                return await self._run_admitted(admitted, sink)
+            return await self._run_pinned(self._pin(request), sink)
         except RefusalError as error:
             refusal = error.refusal
         log_event(
@@ -200,6 +211,21 @@
         )
         return AdmittedRequest(bounded, pipeline, configuration)
 
+    async def _run_pinned(
+        self,
+        admitted: AdmittedRequest,
+        sink: TokenSink | None,
+    ) -> Outcome:
+        """Runs a request, unless another attempt of its key is known."""
+        if admitted.configuration.needs_claim(admitted.pipeline):
+            outcome = await self._gates.claims.recall(admitted)
+            if isinstance(outcome, Refusal):
+                raise RefusalError(outcome)
+            if outcome is not None:
+                return outcome
+        async with self._gates.admission.admit(admitted):
+            return await self._run_admitted(admitted, sink)
+
     async def _run_admitted(
         self,
         admitted: AdmittedRequest,
@@ -210,6 +236,13 @@
             outcome: Outcome = await self._run_stages(admitted, state, sink)
         except RefusalError as error:
             outcome = _with_progress(error.refusal, state)
+        except Exception as error:
+            log_event(
+                Event.REQUEST_FAILED,
+                request_id=admitted.request.request_id,
+                reason=repr(error),
+            )
+            outcome = Refusal(ErrorKind.INTERNAL, ran=Ran.UNKNOWN)
         await self._settle(state, outcome)
         await self._gates.store.forget(admitted)
         if isinstance(outcome, Refusal):
@@ -243,7 +276,7 @@
         if grant is None or grant.outcome is not None:
             return
         if isinstance(outcome, Refusal) and outcome.ran is Ran.NOT_RUN:
-            await self._gates.claims.abandon(grant)
+            await self._gates.claims.abandon(grant, outcome)
             return
         await self._gates.claims.complete(grant, outcome)
 
--- a/tests/test_configuration_sync.py
+++ b/tests/test_configuration_sync.py
@@ -117,14 +117,9 @@
         async with running() as deployment:
             core = core_of(deployment, 0)
             deployment.log.faults.lose_next_answers = 1
-            deployment.log.faults.delay_ms = 1
+            deployment.log.faults.outage_after_loss = True
             change = proposal(deployment, 'one')
-            applied = asyncio.ensure_future(
-                core.configuration.changes.apply(change)
-            )
-            await asyncio.sleep(0.0011)
-            deployment.log.faults.outage = True
-            report = await applied
+            report = await core.configuration.changes.apply(change)
             deployment.log.faults.outage = False
             await asyncio.sleep(2)
             later = await core.configuration.changes.progress('one')
