Refuse at admission only what is hopeless

Cause: admission planned with the 75th percentile of each stage and told a request that missed by a millisecond to come back in one; its callers used up their tries at once.

Change: admission adds up the 10th percentiles and the waits, and tells at least 250 ms to come back; a hedge needs a target below three quarters of its slots.

--- a/borageyard/admission.py
+++ b/borageyard/admission.py
@@ -8,12 +8,15 @@
 from .configuration import Configuration, Organisation, Stage
 from .latency import ServiceTimes, UsualTimes
 
+# A queue shrinks at a part of the rate at which it is served.
+RETRY_FACTOR = 2
+MIN_RETRY_AFTER_MS = 250
+
 
 class StageNeed(NamedTuple):
-    """What a stage is expected to take."""
+    """What a stage takes at best, and its wait for a target."""
 
     best_ms: float
-    cautious_ms: float
     wait_ms: float = 0
 
 
@@ -30,26 +33,20 @@
     slack_ms: float,
     needs: Sequence[StageNeed],
 ) -> AdmissionDecision:
-    """Admits a request if it is expected to finish in time.
-
-    While nobody waits a request may try its luck; under contention it would
-    take the place of one that is surer to finish.
+    """Admits a request unless it can hardly finish in time.
 
     Args:
         slack_ms: Time to its deadline.
         needs: Its stages.
     """
-    expected_ms = sum(need.best_ms for need in needs)
-    waiting_ms = sum(need.wait_ms for need in needs)
-    if waiting_ms:
-        expected_ms = waiting_ms + sum(need.cautious_ms for need in needs)
+    expected_ms = sum(need.best_ms + need.wait_ms for need in needs)
     missing_ms = expected_ms - slack_ms
     if missing_ms <= 0:
         return AdmissionDecision(admitted=True, expected_ms=expected_ms)
     return AdmissionDecision(
         admitted=False,
         expected_ms=expected_ms,
-        retry_after_ms=missing_ms,
+        retry_after_ms=max(missing_ms * RETRY_FACTOR, MIN_RETRY_AFTER_MS),
     )
 
 
--- a/borageyard/policy.py
+++ b/borageyard/policy.py
@@ -28,6 +28,8 @@
 
 HEDGE_SHARE = 0.95
 HEDGE_FACTOR = 1.5
+# Share of a target's slots above which it takes no hedges.
+MAX_HEDGE_LOAD = 0.75
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -274,7 +276,7 @@
         other = self.queues.try_acquire(ask)
         if other is None:
             return None
-        if not self.retries.take_hedge(service):
+        if not self._may_hedge_on(other.target):
             self.queues.release(other)
             return None
         log_event(
@@ -315,6 +317,12 @@
             if self.standing(admitted, service) is Standing.QUARANTINED:
                 raise RefusalError(self._quarantined(admitted, service))
 
+    def _may_hedge_on(self, target: TargetState) -> bool:
+        load = target.load(self.clock.steady_ms())
+        if load > target.slots * MAX_HEDGE_LOAD:
+            return False
+        return self.retries.take_hedge(target.instance.service)
+
     def _quarantined(self, admitted: AdmittedRequest, service: str) -> Refusal:
         digest = request_digest(admitted, service)
         now_ms = self.clock.steady_ms()
@@ -343,7 +351,6 @@
         )
         return StageNeed(
             usual.best_ms,
-            usual.cautious_ms,
             wait_ms(usage.running + ahead, usage.slots, usual.planned_ms),
         )
 
--- a/borageyard/policy_news.py
+++ b/borageyard/policy_news.py
@@ -30,6 +30,7 @@
     def provide(self) -> PolicyNewsBody:
         """Returns what the other entries should know."""
         now_ms = self._policy.clock.steady_ms()
+        self._policy.directory.forget_silent(now_ms)
         targets = self._policy.directory.all_targets()
         in_flight = {
             state.target_id: state.in_flight
@@ -52,7 +53,6 @@
         now_ms = self._policy.clock.steady_ms()
         directory = self._policy.directory
         directory.note_peer(peer_id, news.in_flight, now_ms)
-        directory.forget_silent(now_ms)
         self._policy.limits.note_peer(peer_id, news.demand_per_s, now_ms)
         take_in_crashes(self._policy, news.crashes)
 
