--- a/borageyard/cache_watcher.py
+++ b/borageyard/cache_watcher.py
@@ -5,7 +5,7 @@
 
 from .affinity import PrefixAffinity
 from .clock import MS_PER_S, Clock
-from .pipeline import ConfigurationSource
+from .gates import ConfigurationSource
 from .target import CacheEvent, TargetClient, TargetError
 from .targets import TargetDirectory, TargetState
 
--- a/borageyard/policy_experiment.py
+++ b/borageyard/policy_experiment.py
@@ -17,10 +17,10 @@
 from .core import EntryCore
 from .deployment import DeploymentPlan
 from .errors import Refusal
+from .gates import Outcome
 from .identifiers import new_identifier
 from .load_generator import Arrival
 from .memory_deployment import MemoryDeployment
-from .pipeline import Outcome
 from .policy import PolicyOptions
 from .requests import Answer, PipelineRequest
 from .sized_target import SizedTarget, Work
--- a/borageyard/requests.py
+++ b/borageyard/requests.py
@@ -22,6 +22,8 @@
     cache_prefix: str = ''
     stream: bool = False
     trace_parent: str = ''
+    # Under it finished stages are kept by a peer; empty if they are not.
+    handover_key: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,9 +94,17 @@
     stage: Stage
     inputs: dict[str, Any]
     sink: TokenSink | None = None
+    resume_tokens: tuple[str, ...] = ()
 
     @property
     def idempotent(self) -> bool:
         """Tells whether the stage may be run again."""
         services = self.admitted.configuration.services
         return services[self.stage.service].idempotent
+
+    async def replay_tokens(self) -> None:
+        """Sends again what the caller may have missed of an earlier run."""
+        if self.sink is None:
+            return
+        for offset, token in enumerate(self.resume_tokens):
+            await self.sink.send(TokenEvent(offset, token))
