--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -13,6 +13,7 @@
 from .bench_config import run_config
 from .bench_entry_loss import run_entry_loss
 from .bench_overhead import run_overhead
+from .bench_policy import run_policy
 from .bench_report import BenchReport, Bound
 from .bench_rolling import run_rolling
 
@@ -25,6 +26,7 @@
         'overhead': run_overhead,
         'entry-loss': run_entry_loss,
         'rolling': run_rolling,
+        'policy': run_policy,
     },
 )
 
