Add status, call and settings commands and an end-to-end test

borageyard call sends a request with a key that is shown before it is sent, borageyard status shows entries and targets, borageyard settings writes docs/CONFIGURATION.md from the schemas; a test holds the page current. An entry and its stand-ins run as separate processes in a test that applies a configuration, calls a pipeline and stops the entry by SIGTERM.

--- a/borageyard/cli.py
+++ b/borageyard/cli.py
@@ -8,6 +8,9 @@
 
 from .bench import add_bench_command
 from .border import DocumentError
+from .cli_call import add_call_command
+from .cli_settings import add_settings_command
+from .cli_status import add_status_command
 from .demo import print_demo, run_demo
 from .entry import serve_entry
 from .events import open_log
@@ -17,6 +20,27 @@
 
 EXIT_GOOD = 0
 EXIT_USAGE = 2
+EPILOG = """\
+exit codes: 0 good; 1 an outcome was not met; 2 bad usage or settings, with
+the path, the value and what was expected, and nothing was started.
+
+first steps:
+  borageyard demo                       run everything once on this machine
+  borageyard entry --settings FILE      run an entry
+  borageyard call PIPELINE --entry ...  send a request
+  borageyard status --entry ...         see entries and targets
+  borageyard COMMAND --help             more on a command
+"""
+ENTRY_DESCRIPTION = """\
+Runs an entry until SIGTERM. It then leaves the addresses that callers are
+given, serves on for drain_ms, refuses new requests as not run and ends when
+its last request has. Logs go to telemetry.log_path (docs/EVENTS.md).
+"""
+STANDIN_DESCRIPTION = """\
+Runs a small stand-in of a target, the log service, the instance list or the
+weight store until SIGTERM. POST /v1/faults switches the faults of a target
+or of the log.
+"""
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -42,22 +66,46 @@
     parser = argparse.ArgumentParser(
         prog='borageyard',
         description='Serves multi-stage model pipelines under one deadline.',
+        epilog=EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     commands = parser.add_subparsers(required=True, metavar='COMMAND')
-    entry = commands.add_parser('entry', help='run an entry instance')
-    entry.add_argument('--settings', required=True, metavar='FILE')
+    entry = commands.add_parser(
+        'entry',
+        help='run an entry instance',
+        description=ENTRY_DESCRIPTION,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    _add_settings(entry)
     entry.set_defaults(run=_run_entry)
-    standin = commands.add_parser('standin', help='run a stand-in')
+    standin = commands.add_parser(
+        'standin',
+        help='run a stand-in of an outside system, for tests',
+        description=STANDIN_DESCRIPTION,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
     standin.add_argument('kind', choices=STANDIN_KINDS)
-    standin.add_argument('--settings', required=True, metavar='FILE')
+    _add_settings(standin)
     standin.set_defaults(run=_run_standin)
     demo = commands.add_parser('demo', help='run the main job once')
     demo.add_argument('--examples', default='examples', metavar='DIR')
     demo.set_defaults(run=_run_demo)
+    add_call_command(commands)
+    add_status_command(commands)
+    add_settings_command(commands)
     add_bench_command(commands)
     return parser
 
 
+def _add_settings(command: argparse.ArgumentParser) -> None:
+    command.add_argument(
+        '--settings',
+        required=True,
+        metavar='FILE',
+        help='JSON file; docs/CONFIGURATION.md lists every setting',
+    )
+
+
 def _run_entry(arguments: argparse.Namespace) -> int:
     settings = load_entry_settings(arguments.settings)
     telemetry = settings.telemetry or TelemetrySettings()
--- /dev/null
+++ b/borageyard/cli_settings.py
@@ -0,0 +1,116 @@
+"""Command that writes the page of settings from the schemas."""
+
+import argparse
+import json
+import sys
+import types
+from collections.abc import Iterator, Mapping
+from importlib import resources
+from typing import Any
+
+EXIT_GOOD = 0
+HELP = 'print the page of all settings and of the configuration'
+SCHEMAS = ('settings', 'configuration')
+INTRODUCTION = """\
+# Settings and configuration
+
+Generated from `borageyard/schema` by `borageyard settings`; do not edit. A
+process reads its settings from a JSON file when it starts. The configuration
+is one JSON document that operators apply as a whole. A file that does not fit
+is refused with the path, the value and what was expected.
+"""
+
+Schema = Mapping[str, Any]
+
+BOUND_WORDS: Mapping[str, str] = types.MappingProxyType(
+    {
+        'minimum': 'at least',
+        'exclusiveMinimum': 'more than',
+        'maximum': 'at most',
+        'minLength': 'length at least',
+        'minItems': 'items at least',
+        'maxItems': 'items at most',
+        'pattern': 'pattern',
+    }
+)
+
+
+def add_settings_command(commands: Any) -> None:
+    """Adds ``borageyard settings`` to the command line.
+
+    Args:
+        commands: The subparsers of the command line.
+    """
+    command = commands.add_parser('settings', help=HELP, description=HELP)
+    command.set_defaults(run=_run_settings)
+
+
+def settings_page() -> str:
+    """Returns docs/CONFIGURATION.md."""
+    sections = [INTRODUCTION]
+    for name in SCHEMAS:
+        sections.extend(_describe_file(_load(name)))
+    return '\n'.join(sections)
+
+
+def _run_settings(arguments: argparse.Namespace) -> int:
+    sys.stdout.write(settings_page())
+    return EXIT_GOOD
+
+
+def _load(name: str) -> Schema:
+    folder = resources.files(__package__).joinpath('schema')
+    text = folder.joinpath(f'{name}.json').read_text(encoding='utf-8')
+    schema: Schema = json.loads(text)
+    return schema
+
+
+def _describe_file(schema: Schema) -> Iterator[str]:
+    title = schema['title']
+    yield f'## {title}\n'
+    yield schema.get('description', '')
+    yield ''
+    if 'properties' in schema:
+        yield _describe_object(schema)
+    for name, part in schema.get('$defs', {}).items():
+        if 'properties' in part:
+            yield f'### {name}\n'
+            yield _describe_object(part)
+
+
+def _describe_object(part: Schema) -> str:
+    lines = ['| Field | Type | Default | Meaning |', '|---|---|---|---|']
+    required = part.get('required', ())
+    for name, field in part['properties'].items():
+        default = 'required' if name in required else _default(field)
+        meaning = field.get('description', '').replace('|', r'\|')
+        lines.append(f'| `{name}` | {_type(field)} | {default} | {meaning} |')
+    rows = '\n'.join(lines)
+    return f'{rows}\n'
+
+
+def _default(field: Schema) -> str:
+    if 'default' not in field:
+        return 'none'
+    default = json.dumps(field['default'])
+    return f'`{default}`'
+
+
+def _type(field: Schema) -> str:
+    """Returns the type of a field with its bounds."""
+    reference: str = field.get('$ref', '')
+    if reference:
+        return reference.rpartition('/')[2]
+    choices = field.get('enum', ())
+    if choices:
+        return ', '.join(f'`{choice}`' for choice in choices)
+    kind = str(field.get('type', 'any'))
+    inner = field.get('items') or field.get('additionalProperties')
+    if isinstance(inner, dict):
+        kind = f'{kind} of {_type(inner)}'
+    bounds = ', '.join(
+        f'{BOUND_WORDS[name]} {bound}'
+        for name, bound in field.items()
+        if name in BOUND_WORDS
+    )
+    return f'{kind}, {bounds}' if bounds else kind
