--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -10,6 +10,7 @@
 
 from rich import console, table
 
+from .bench_config import run_config
 from .bench_overhead import run_overhead
 from .bench_report import BenchReport, Bound
 
@@ -17,7 +18,7 @@
 
 # Experiments by name; each one lives in its own module.
 EXPERIMENTS: Mapping[str, Experiment] = types.MappingProxyType(
-    {'overhead': run_overhead},
+    {'config': run_config, 'overhead': run_overhead},
 )
 
 
--- a/borageyard/cli.py
+++ b/borageyard/cli.py
@@ -5,10 +5,12 @@
 import pathlib
 import sys
 from collections.abc import Sequence
+from typing import Any
 
 from .bench import add_bench_command
 from .border import DocumentError
 from .cli_call import add_call_command
+from .cli_config import add_config_commands
 from .cli_settings import add_settings_command
 from .cli_status import add_status_command
 from .demo import print_demo, run_demo
@@ -70,6 +72,19 @@
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     commands = parser.add_subparsers(required=True, metavar='COMMAND')
+    _add_daemons(commands)
+    demo = commands.add_parser('demo', help='run the main job once')
+    demo.add_argument('--examples', default='examples', metavar='DIR')
+    demo.set_defaults(run=_run_demo)
+    add_call_command(commands)
+    add_status_command(commands)
+    add_settings_command(commands)
+    add_bench_command(commands)
+    add_config_commands(commands)
+    return parser
+
+
+def _add_daemons(commands: Any) -> None:
     entry = commands.add_parser(
         'entry',
         help='run an entry instance',
@@ -87,14 +102,6 @@
     standin.add_argument('kind', choices=STANDIN_KINDS)
     _add_settings(standin)
     standin.set_defaults(run=_run_standin)
-    demo = commands.add_parser('demo', help='run the main job once')
-    demo.add_argument('--examples', default='examples', metavar='DIR')
-    demo.set_defaults(run=_run_demo)
-    add_call_command(commands)
-    add_status_command(commands)
-    add_settings_command(commands)
-    add_bench_command(commands)
-    return parser
 
 
 def _add_settings(command: argparse.ArgumentParser) -> None:
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -6,17 +6,17 @@
 from .configuration_handler import CONFIGURATION_PATH, ConfigurationHandler
 from .core import EntryCore
 from .errors import ErrorKind, Refusal, RefusalError
+from .gates import Outcome
 from .http_messages import (
     EVENT_STREAM_TYPE,
     HttpRequest,
     HttpResponse,
     json_response,
 )
-from .pipeline import Outcome
 from .policy_status import policy_status
 from .requests import PipelineRequest
 from .token_relay import QueueSink, TokenRelay
-from .tokens import check_organisation
+from .tokens import check_organisation, is_operator
 from .wire import (
     ORGANISATION_HEADER,
     decode_request,
@@ -25,6 +25,7 @@
     request_id_of,
 )
 
+DRAIN_PATH = '/v1/targets/drain'
 PIPELINE_PREFIX = '/v1/pipelines/'
 LARGE_BODY_BYTES = 65_536
 
@@ -69,6 +70,7 @@
         )
         self._routes = {
             ('GET', '/v1/entries'): self._entries,
+            ('POST', DRAIN_PATH): self._drain_target,
             ('GET', '/v1/status'): self._status,
             ('GET', '/metrics'): self._exposition,
             ('GET', '/healthz'): self._liveness,
@@ -157,6 +159,17 @@
         keep_ms = core.settings.address_ttl_ms
         return json_response({'entries': rows, 'keep_ms': keep_ms})
 
+    def _drain_target(self, request: HttpRequest) -> HttpResponse:
+        """Marks a target as leaving by an operator's order."""
+        if not is_operator(self._core.settings.operator_token, request):
+            return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
+        target_id = request.query.get('target_id', '')
+        if not self._core.directory.mark_leaving(target_id):
+            refusal = Refusal(ErrorKind.NOT_FOUND, detail=target_id)
+            return encode_refusal('', refusal)
+        self._core.ports.peers.send_news()
+        return json_response({'target_id': target_id, 'leaving': True})
+
     def _status(self, request: HttpRequest) -> HttpResponse:
         core = self._core
         targets = [
--- a/borageyard/targets.py
+++ b/borageyard/targets.py
@@ -173,11 +173,17 @@
                 if now_ms - told[0] < SILENT_MS
             }
 
-    def mark_leaving(self, target_id: str) -> None:
-        """Marks a target as leaving for the rest of its incarnation."""
+    def mark_leaving(self, target_id: str) -> bool:
+        """Marks a target as leaving for the rest of its incarnation.
+
+        Returns:
+            Whether the target is known.
+        """
         state = self._targets.get(target_id)
-        if state is not None:
-            state.leaving = True
+        if state is None:
+            return False
+        state.leaving = True
+        return True
 
     def find(self, target_id: str) -> TargetState | None:
         """Returns a target by its id, or none if it is not known."""
--- a/borageyard/token_relay.py
+++ b/borageyard/token_relay.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Iterator
 
+from .gates import Outcome
 from .http_messages import encode_event
-from .pipeline import Outcome
 from .target import TokenEvent
 from .wire import outcome_payload, token_payload
 
