--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -5,30 +5,31 @@
 import dataclasses
 import random
 from collections.abc import Sequence
-from typing import Any
 
 from opentelemetry import trace
 
 from .addresses import EntryAddress, order_entries
+from .cache_watcher import CacheWatcher
+from .claim_service import ClaimService, ClaimServicePorts
 from .clock import MS_PER_S, Clock
-from .configuration_log import ConfigurationFold, ConfigurationReader
+from .configuration_service import ConfigurationService
+from .detached import DetachedRuns
 from .dispatch import StageDispatcher
 from .draining import DrainPlan
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .gate import PolicyAdmission
-from .generated.settings import EntrySettings
-from .local_gates import (
-    LocalClaims,
-    NoStageStore,
-    OpenPermission,
-)
+from .gates import Outcome, PipelineGates
+from .generated.settings import EntrySettings, PeerSettings
+from .handover import HandoverStore
+from .handover_keepers import HandoverKeepers, HandoverPlace
+from .handover_memory import HandoverMemory
 from .membership import Membership
 from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
 from .peers import PeerLink
-from .pipeline import Outcome, PipelineGates, PipelineRunner
-from .platform import InstanceList, LogService, PlatformError
+from .pipeline import PipelineRunner
+from .platform import InstanceList, LogService
 from .policy import EntryPolicy, PolicyOptions, PolicyPlace
 from .policy_news import PolicyNews
 from .requests import PipelineRequest, TokenSink
@@ -49,8 +50,8 @@
     peers: PeerLink
     clock: Clock
     seed: int = 0
-    incarnation: int = 0
     tracer: trace.Tracer | None = None
+    incarnation: int = 0
     policy: PolicyOptions = dataclasses.field(default_factory=PolicyOptions)
 
 
@@ -74,8 +75,22 @@
             ports.policy,
         )
         PolicyNews(self.policy).register(ports.peers)
-        self.fold = ConfigurationFold()
-        self.permission = OpenPermission()
+        self.configuration = ConfigurationService(
+            settings.instance_id,
+            ports.log,
+            ports.peers,
+            ports.clock,
+            settings.platform.log_retention_ms,
+        )
+        self.fold = self.configuration.fold
+        self.permission = self.configuration.permission
+        self._cache_watcher = CacheWatcher(
+            self.directory,
+            self.policy.affinity,
+            ports.targets,
+            ports.clock,
+            self.fold,
+        )
         self.drain_plan = DrainPlan(settings.drain_ms, settings.address_ttl_ms)
         self.watcher = TargetWatcher(
             self.directory,
@@ -84,6 +99,17 @@
             ports.clock,
             self.policy.note_instances,
         )
+        self.claims = ClaimService(
+            settings,
+            ClaimServicePorts(
+                log=ports.log,
+                peers=ports.peers,
+                clock=ports.clock,
+                configurations=self.fold,
+                list_instances=lambda: self.watcher.listed,
+            ),
+        )
+        self._detached = DetachedRuns()
         self.own = OwnState(
             incarnation=ports.incarnation or int(ports.clock.wall_ms()),
             failure_domain=settings.failure_domain,
@@ -100,11 +126,24 @@
             ports.clock,
             lambda: self.watcher.listed,
         )
+        peers = settings.peers or PeerSettings()
+        self.keepers = HandoverKeepers(
+            HandoverPlace(
+                settings.instance_id,
+                settings.failure_domain,
+                self._live_domains,
+            ),
+            ports.peers,
+            ports.clock,
+            HandoverMemory(peers.handover_bytes),
+        )
+        self._handover = HandoverStore(
+            self.keepers,
+            ports.peers,
+            ports.clock,
+        )
         self._random = random.Random(ports.seed)
-        self._reader = ConfigurationReader(self.fold, ports.log)
         self._runner = self._build_runner()
-        self._idle = asyncio.Event()
-        self._idle.set()
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Reads what it needs and starts what runs in the background.
@@ -112,17 +151,20 @@
         Args:
             stack: Owns the background work.
         """
+        stack.push_async_callback(self.keepers.close)
         await self.watcher.poll_instances()
-        with contextlib.suppress(PlatformError):
-            await self._reader.catch_up()
+        await self.configuration.start(stack, lambda: self.watcher.listed)
+        await self.claims.open()
+        stack.push_async_callback(self._detached.close)
         platform = self.settings.platform
         await stack.enter_async_context(
             running_tasks(
-                self._reader.follow(),
+                *self.claims.background(),
                 self._members.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
                 self.policy.queues.watch(),
+                self._cache_watcher.watch(),
             ),
         )
 
@@ -133,22 +175,17 @@
     ) -> Outcome:
         """Runs a request to its outcome, whatever happens.
 
+        A caller that goes away ends its request, but for one that holds a
+        claim: that one runs on, so that its outcome gets recorded.
+
         Args:
             request: What the caller asked for.
             sink: Where tokens go, if streamed.
         """
-        with self._counted():
-            try:
-                outcome = await self._runner.run(request, sink)
-            except Exception as error:
-                outcome = Refusal(ErrorKind.INTERNAL, ran=Ran.UNKNOWN)
-                log_event(
-                    Event.REQUEST_FAILED,
-                    request_id=request.request_id,
-                    reason=repr(error),
-                )
-        self.metrics.note_outcome(request, outcome)
-        return outcome
+        return await self._detached.run(
+            self._run_counted(request, sink),
+            lambda: self.claims.gate.is_granted(request.request_id),
+        )
 
     async def drain(self) -> None:
         """Serves on until callers have other addresses, then ends work."""
@@ -162,8 +199,8 @@
         )
         wait_ms = self.drain_plan.wait_ms(clock.steady_ms())
         await asyncio.sleep(wait_ms / MS_PER_S)
-        self.permission.closed = True
-        await self._idle.wait()
+        await self.configuration.close()
+        await self.own.activity.wait_idle()
 
     @property
     def draining(self) -> bool:
@@ -202,6 +239,39 @@
             entries.append(own)
         return order_entries(entries, failure_domain, self._random)
 
+    async def _run_counted(
+        self,
+        request: PipelineRequest,
+        sink: TokenSink | None,
+    ) -> Outcome:
+        with self.own.activity.counted():
+            try:
+                outcome = await self._handover.run(
+                    request,
+                    sink,
+                    self._runner.run,
+                )
+            except Exception as error:
+                outcome = Refusal(ErrorKind.INTERNAL, ran=Ran.UNKNOWN)
+                log_event(
+                    Event.REQUEST_FAILED,
+                    request_id=request.request_id,
+                    reason=repr(error),
+                )
+        self.metrics.note_outcome(request, outcome)
+        return outcome
+
+    def _live_domains(self) -> dict[str, str]:
+        now_ms = self.ports.clock.steady_ms()
+        domains = {
+            member.instance_id: member.failure_domain
+            for member in self.membership.alive(now_ms)
+        }
+        if not self.draining:
+            own_id = self.settings.instance_id
+            domains[own_id] = self.settings.failure_domain
+        return domains
+
     def _build_runner(self) -> RequestRunner:
         gates = self._build_gates()
         tracer = self.ports.tracer
@@ -215,8 +285,8 @@
             configurations=self.fold,
             permission=self.permission,
             admission=PolicyAdmission(self.policy),
-            claims=LocalClaims(),
-            store=NoStageStore(),
+            claims=self.claims.gate,
+            store=self._handover,
             dispatcher=StageDispatcher(
                 self.policy,
                 self.ports.targets,
@@ -227,14 +297,3 @@
                 ),
             ),
         )
-
-    @contextlib.contextmanager
-    def _counted(self) -> Any:
-        self.own.running += 1
-        self._idle.clear()
-        try:
-            yield
-        finally:
-            self.own.running -= 1
-            if not self.own.running:
-                self._idle.set()
--- a/borageyard/deployment.py
+++ b/borageyard/deployment.py
@@ -134,7 +134,12 @@
         self.instances.rows = [
             row for row in self.instances.rows if row.instance_id != instance_id
         ]
-        await entry.core.drain()
+        await entry.drain()
+        await entry.__aexit__(None, None, None)
+
+    async def kill_entry(self, instance_id: str) -> None:
+        """Ends an entry without a goodbye; the list still shows it."""
+        entry = self.entries.pop(instance_id)
         await entry.__aexit__(None, None, None)
 
     async def _settle(self) -> None:
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -1,55 +1,55 @@
 """HTTP endpoints of an entry."""
 
 import asyncio
-import contextlib
-from collections.abc import AsyncIterator
 from http import HTTPStatus
-from typing import Any
 
-from .border import DocumentError, Problem, parse_json, shown
-from .configuration import parse_configuration
-from .configuration_log import CONFIGURATION_STREAM
+from .configuration_handler import CONFIGURATION_PATH, ConfigurationHandler
 from .core import EntryCore
 from .errors import ErrorKind, Refusal, RefusalError
+from .gates import Outcome
 from .http_messages import (
     EVENT_STREAM_TYPE,
     HttpRequest,
     HttpResponse,
-    encode_event,
     json_response,
 )
-from .pipeline import Outcome
-from .platform import PlatformError
 from .policy_status import policy_status
 from .requests import PipelineRequest
-from .target import TokenEvent
+from .token_relay import QueueSink, TokenRelay
 from .tokens import check_organisation, is_operator
 from .wire import (
     ORGANISATION_HEADER,
     decode_request,
     encode_outcome,
     encode_refusal,
-    outcome_payload,
     request_id_of,
-    token_payload,
 )
 
+DRAIN_PATH = '/v1/targets/drain'
 PIPELINE_PREFIX = '/v1/pipelines/'
-TOKEN_QUEUE_SIZE = 64
+LARGE_BODY_BYTES = 65_536
 
 
-class QueueSink:
-    """Token sink that hands tokens over through a bounded queue."""
+class LargeBodyTurns:
+    """Lets one large body be decoded in each turn of the loop.
+
+    Decoding blocks the loop; many large bodies that arrive together would
+    otherwise be decoded in one turn.
+    """
 
     def __init__(self) -> None:
-        """Starts empty."""
-        self.queue: asyncio.Queue[TokenEvent | None] = asyncio.Queue(
-            TOKEN_QUEUE_SIZE,
-        )
+        """Starts with nobody waiting."""
+        self._lock = asyncio.Lock()
+
+    async def turn(self, size_bytes: int) -> None:
+        """Waits for a turn, if the body is large.
 
-    async def send(self, event: TokenEvent) -> None:
-        """Queues a token, waiting while the queue is full."""
-        await self.queue.put(event)
+        Args:
+            size_bytes: Size of the body.
+        """
+        if size_bytes >= LARGE_BODY_BYTES:
+            async with self._lock:
+                await asyncio.sleep(0)
 
 
 class EntryHandler:
@@ -62,8 +62,15 @@
             core: What runs the requests.
         """
         self._core = core
+        self._large_bodies = LargeBodyTurns()
+        self._configuration = ConfigurationHandler(
+            core.fold,
+            core.configuration.changes,
+            core.settings.operator_token,
+        )
         self._routes = {
             ('GET', '/v1/entries'): self._entries,
+            ('POST', DRAIN_PATH): self._drain_target,
             ('GET', '/v1/status'): self._status,
             ('GET', '/metrics'): self._exposition,
             ('GET', '/healthz'): self._liveness,
@@ -74,10 +81,9 @@
         """Answers one request."""
         if request.path.startswith(PIPELINE_PREFIX):
             return await self._run_pipeline(request)
-        where = (request.method, request.path)
-        if where == ('POST', '/v1/configuration'):
-            return await self._apply(request)
-        route = self._routes.get(where)
+        if request.path.startswith(CONFIGURATION_PATH):
+            return await self._configuration.handle(request)
+        route = self._routes.get((request.method, request.path))
         if route is None:
             return self._refuse_route(request)
         return route(request)
@@ -91,9 +97,11 @@
 
     async def _run_pipeline(self, request: HttpRequest) -> HttpResponse:
         pipeline = request.path.removeprefix(PIPELINE_PREFIX)
+        await self._large_bodies.turn(len(request.body))
         try:
             decoded = self._check(request, pipeline)
         except RefusalError as error:
+            self._core.metrics.note_refusal(error.refusal)
             request_id = request_id_of(request.headers)
             return encode_refusal(request_id, error.refusal)
         if decoded.stream:
@@ -125,7 +133,7 @@
         return HttpResponse(
             status=HTTPStatus.OK,
             content_type=EVENT_STREAM_TYPE,
-            chunks=_relay(request, first, sink, work),
+            chunks=TokenRelay(request.request_id, first, sink, work),
         )
 
     async def _run_streamed(
@@ -151,6 +159,17 @@
         keep_ms = core.settings.address_ttl_ms
         return json_response({'entries': rows, 'keep_ms': keep_ms})
 
+    def _drain_target(self, request: HttpRequest) -> HttpResponse:
+        """Marks a target as leaving by an operator's order."""
+        if not is_operator(self._core.settings.operator_token, request):
+            return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
+        target_id = request.query.get('target_id', '')
+        if not self._core.directory.mark_leaving(target_id):
+            refusal = Refusal(ErrorKind.NOT_FOUND, detail=target_id)
+            return encode_refusal('', refusal)
+        self._core.ports.peers.send_news()
+        return json_response({'target_id': target_id, 'leaving': True})
+
     def _status(self, request: HttpRequest) -> HttpResponse:
         core = self._core
         targets = [
@@ -169,6 +188,7 @@
                 'configuration_version': core.fold.version,
                 'draining': core.draining,
                 'running': core.running,
+                'claims': core.claims.status(),
                 'targets': targets,
                 'policy': policy_status(core.policy),
             }
@@ -183,53 +203,10 @@
         return json_response({'alive': True})
 
     def _readiness(self, request: HttpRequest) -> HttpResponse:
-        known = self._core.fold.current() is not None
-        if known and not self._core.draining:
+        permitted = self._core.permission.check() is None
+        if permitted and not self._core.draining:
             return json_response({'ready': True})
         return json_response(
             {'ready': False},
             HTTPStatus.SERVICE_UNAVAILABLE,
         )
-
-    async def _apply(self, request: HttpRequest) -> HttpResponse:
-        if not self._is_operator(request):
-            return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
-        try:
-            proposal = _parse_proposal(request)
-        except DocumentError as error:
-            kind = ErrorKind.CONFIGURATION_INVALID
-            return encode_refusal('', Refusal(kind, detail=str(error)))
-        log = self._core.ports.log
-        try:
-            offset = await log.append(CONFIGURATION_STREAM, proposal)
-        except PlatformError as error:
-            kind = ErrorKind.LOG_UNAVAILABLE
-            return encode_refusal('', Refusal(kind, detail=str(error)))
-        return json_response({'offset': offset})
-
-    def _is_operator(self, request: HttpRequest) -> bool:
-        return is_operator(self._core.settings.operator_token, request)
-
-
-def _parse_proposal(request: HttpRequest) -> dict[str, Any]:
-    proposal = parse_json(request.body, 'proposal')
-    if not isinstance(proposal, dict):
-        problem = Problem('$', shown(proposal), 'an object')
-        raise DocumentError('proposal', (problem,))
-    parse_configuration(proposal.get('document'), 0)
-    return proposal
-
-
-async def _relay(
-    request: PipelineRequest,
-    first: TokenEvent,
-    sink: QueueSink,
-    work: asyncio.Future[Outcome],
-) -> AsyncIterator[bytes]:
-    with contextlib.ExitStack() as stack:
-        stack.callback(work.cancel)
-        event: TokenEvent | None = first
-        while event is not None:
-            yield encode_event(token_payload(event.token, event.offset))
-            event = await sink.queue.get()
-        yield encode_event(outcome_payload(request.request_id, await work))
--- a/borageyard/events.py
+++ b/borageyard/events.py
@@ -1,11 +1,26 @@
 """Numbered events of the structured log; docs/EVENTS.md is the catalogue."""
 
+import contextlib
 import enum
-from typing import Any
+import itertools
+import pathlib
+import sys
+import time
+from collections.abc import Iterator
+from typing import IO, Any
 
 import eliot
 
+from .border import DocumentError, Problem, shown
+from .identifiers import new_identifier
 
+STANDARD_ERROR = '-'
+PROCESS_TASK = new_identifier()
+_LEVELS = itertools.count(1)
+_LOGGER = eliot.Logger()
+
+
+@enum.unique
 class Event(enum.IntEnum):
     """Every event that an entry logs."""
 
@@ -19,7 +34,13 @@
     ANSWER_CROSSED = 1302
     CONFIGURATION_IN_FORCE = 1401
     CONFIGURATION_REJECTED = 1402
+    CONFIGURATION_ADOPTED = 1403
+    CONFIGURATION_ACCEPTED = 1404
+    CONFIGURATION_GAP = 1405
+    MEMBER_LEFT = 1406
     PLATFORM_FAILED = 1501
+    LOG_GAP = 1511
+    APPEND_UNKNOWN = 1512
     PEER_CONNECTED = 1601
     PEER_LOST = 1602
     PEER_FRAME_BROKEN = 1603
@@ -32,6 +53,9 @@
     HEDGE_SENT = 1704
     RETRY_DENIED = 1705
     REQUEST_DELAYED = 1706
+    CLAIM_ABANDONED = 1901
+    CLAIM_RECORD_INVALID = 1902
+    CHECKPOINT_WRITTEN = 1903
 
 
 def log_event(event: Event, **fields: Any) -> None:
@@ -41,8 +65,43 @@
         event: Its number and name.
         **fields: What the catalogue says that it carries.
     """
-    eliot.log_message(
-        message_type=event.name.lower(),
-        event_number=event.value,
-        **fields,
+    # A task of eliot is a request here, else the whole process.
+    _LOGGER.write(
+        {
+            'message_type': event.name.lower(),
+            'event_number': event.value,
+            'timestamp': time.time(),
+            'task_uuid': fields.get('request_id', PROCESS_TASK),
+            'task_level': [next(_LEVELS)],
+            **fields,
+        },
     )
+
+
+@contextlib.contextmanager
+def open_log(path: str) -> Iterator[None]:
+    """Writes all events to a file while the scope lasts.
+
+    Args:
+        path: Path of the file; ``-`` is standard error.
+
+    Raises:
+        DocumentError: If the file can't be written.
+    """
+    with contextlib.ExitStack() as stack:
+        output: IO[str] = sys.stderr
+        if path != STANDARD_ERROR:
+            output = stack.enter_context(_open(path))
+        destination = eliot.FileDestination(file=output)
+        eliot.add_destinations(destination)
+        stack.callback(eliot.remove_destination, destination)
+        yield
+
+
+def _open(path: str) -> IO[str]:
+    try:
+        return pathlib.Path(path).open('a', encoding='utf-8')
+    except OSError as error:
+        expected = f'a file that can be written ({error})'
+        problem = Problem('$.telemetry.log_path', shown(path), expected)
+        raise DocumentError('settings', (problem,)) from error
--- a/borageyard/fault_actions.py
+++ b/borageyard/fault_actions.py
@@ -7,8 +7,8 @@
 from .clock import MS_PER_S
 from .fault_ports import Life
 from .fault_table import Fault
+from .gates import Outcome
 from .memory_deployment import MemoryDeployment
-from .pipeline import Outcome
 
 FAULT_LASTS_MS = 2000
 PAUSE_LASTS_MS = 6000
--- a/borageyard/fault_caller.py
+++ b/borageyard/fault_caller.py
@@ -8,11 +8,13 @@
 from .errors import Ran
 from .fault_table import Ending, Fault, Step
 from .fault_world import DEADLINE_MS, FaultWorld
-from .pipeline import Outcome
+from .gates import Outcome
 from .requests import Answer, PipelineRequest
 from .target import TokenEvent
 
 RETRY_AFTER_MS = 300
+# Faults under which a request does not reach its entry.
+UNDELIVERED = frozenset((Fault.REFUSED, Fault.RESET, Fault.HALF_OPEN))
 RESPONSE_TIMEOUT_MS = DEADLINE_MS + RETRY_AFTER_MS
 
 
@@ -106,7 +108,7 @@
             fault = await self._world.reach(step, entry)
             if fault is Fault.SLOW:
                 await asyncio.sleep(RETRY_AFTER_MS / MS_PER_S)
-            elif fault is not None:
+            elif fault in UNDELIVERED:
                 return False
             if self._is_dead(entry):
                 return False
--- a/borageyard/fault_ports.py
+++ b/borageyard/fault_ports.py
@@ -4,14 +4,14 @@
 import contextlib
 import dataclasses
 import types
-from collections.abc import AsyncGenerator, Mapping, Sequence
+from collections.abc import AsyncGenerator, Iterable, Mapping, Sequence
 from typing import Protocol, TypeVar
 
 import pydantic
 
 from .clock import MS_PER_S
 from .fault_table import Fault, Step
-from .peers import NewsSection, PeerHandler, PeerLink
+from .peers import NewsSection, PeerAddress, PeerHandler, PeerLink
 from .platform import (
     AppendRefusedError,
     Instance,
@@ -21,6 +21,7 @@
     Record,
 )
 from .target import (
+    CacheEvent,
     FailureKind,
     LoadReport,
     TargetAnswer,
@@ -42,6 +43,7 @@
         Fault.REFUSED: FailureKind.CRASH,
         Fault.RESET: FailureKind.CRASH,
         Fault.TRUNCATED: FailureKind.CRASH,
+        Fault.TARGET_CRASH: FailureKind.CRASH,
     }
 )
 # Tokens that have passed when a stream is in its middle.
@@ -215,6 +217,14 @@
         self._inner = inner
         self._life = life
 
+    def update_peers(self, peers: Iterable[PeerAddress]) -> None:
+        """Takes in all peers that are known now."""
+        self._inner.update_peers(peers)
+
+    def send_news(self) -> None:
+        """Tells the news now."""
+        self._inner.send_news()
+
     def peer_ids(self) -> Sequence[str]:
         """Returns the peers that can be tried."""
         return self._inner.peer_ids()
@@ -303,7 +313,7 @@
         await self._open(steps, address, call)
         work = asyncio.ensure_future(self._inner.call(address, call))
         self._orphans.add(work)
-        work.add_done_callback(self._orphans.discard)
+        work.add_done_callback(self._end_call)
         await asyncio.sleep(1 / MS_PER_S)
         await self._exchange(steps.wait, address, call)
         answer = await asyncio.shield(work)
@@ -334,6 +344,21 @@
         await self._life.live()
         return await self._inner.load(address)
 
+    async def cache_events(
+        self,
+        address: str,
+        after: int,
+    ) -> Sequence[CacheEvent]:
+        """Returns changes of a target's prompt cache."""
+        await self._life.live()
+        return await self._inner.cache_events(address, after)
+
+    def _end_call(self, work: asyncio.Future[TargetAnswer]) -> None:
+        """Takes note of the end of a call, also one that was lost."""
+        self._orphans.discard(work)
+        if not work.cancelled():
+            work.exception()
+
     async def _open(
         self,
         steps: StageSteps,
@@ -363,7 +388,7 @@
             Fault.HALF_OPEN: call.deadline_ms,
             Fault.LATE: call.deadline_ms,
         }
-        if fault is None:
+        if fault is None or _has_arrived(fault, step, call):
             return
         await asyncio.sleep(delays_ms.get(fault, 0) / MS_PER_S)
         kind = FAILURES.get(fault)
@@ -371,6 +396,12 @@
             raise TargetError(kind, fault.value)
 
 
+def _has_arrived(fault: Fault, step: Step | None, call: TargetCall) -> bool:
+    """Tells whether a target crashed after its whole answer had arrived."""
+    steps = STEPS_BY_STAGE[call.stage]
+    return fault is Fault.TARGET_CRASH and step is steps.end
+
+
 def _stream_step(steps: StageSteps, event: TokenEvent) -> Step | None:
     if event.done:
         return steps.end
@@ -380,19 +411,10 @@
 
 
 def _append_step(body: Record) -> Step | None:
-    kinds = _record_kinds(body)
-    if 'claim' in kinds:
+    if body.get('claims'):
         return Step.CLAIM_APPEND
-    return Step.OUTCOME_APPEND if 'outcome' in kinds else None
+    return Step.OUTCOME_APPEND if body.get('outcomes') else None
 
 
 def _holds_claim(page: LogPage) -> bool:
-    return any('claim' in _record_kinds(stored.body) for stored in page.records)
-
-
-def _record_kinds(body: Record) -> frozenset[str]:
-    """Returns the kinds of the records that share an append."""
-    batch = body.get('records', [body])
-    with contextlib.suppress(AttributeError, TypeError):
-        return frozenset(record.get('type', '') for record in batch)
-    return frozenset()
+    return any(stored.body.get('claims') for stored in page.records)
--- a/borageyard/fault_table.py
+++ b/borageyard/fault_table.py
@@ -230,7 +230,8 @@
 
 
 def _endings(step: Step, fault: Fault) -> frozenset[Ending]:
-    if step in AFTER_SEND and fault in LOSING_FAULTS:
+    arrived = step is Step.BOOK_END and fault is Fault.TARGET_CRASH
+    if step in AFTER_SEND and fault in LOSING_FAULTS and not arrived:
         return frozenset((Ending.UNKNOWN,))
     if fault is Fault.ENTRY_CRASH and step in CLAIMED:
         return frozenset((Ending.UNKNOWN, Ending.ANSWER))
--- a/borageyard/fault_world.py
+++ b/borageyard/fault_world.py
@@ -98,7 +98,7 @@
         if self.cell.fault in EXCHANGE_FAULTS:
             return self.cell.fault
         self.actions.start(self.cell.fault, entry, address)
-        return None
+        return self.cell.fault
 
     @property
     def first_entry(self) -> str:
--- a/borageyard/faults.py
+++ b/borageyard/faults.py
@@ -210,7 +210,8 @@
 def _next_entry(world: FaultWorld, tries: int) -> str:
     if world.cell.step is Step.RETRY_SAME and tries == 1:
         return world.first_entry
-    return f'entry-{tries % ENTRIES}'
+    number = 1 + (tries - 1) % (ENTRIES - 1)
+    return f'entry-{number}'
 
 
 async def _note_retry(world: FaultWorld, entry: str) -> None:
--- a/borageyard/memory_deployment.py
+++ b/borageyard/memory_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import time
 from collections.abc import Callable
 from types import TracebackType
 from typing import Self
@@ -23,13 +24,19 @@
     MemoryInstances,
     MemoryLog,
 )
+from .policy import PolicyOptions
 from .standins.target import StandinTarget, TargetProfile
 
-# Start of virtual time, so that identifiers made in it look real.
-EPOCH_MS = 1_790_000_000_000
+# How far virtual time starts ahead of the machine's, so that identifiers that
+# are made in a test are never in its future.
+EPOCH_LEAD_MS = 60_000
 NEWS_MS = 200
 NO_ADDRESS = '127.0.0.1:1'
 
+TargetBuilder = Callable[[TargetProfile, Clock, int], StandinTarget]
+# Returns what the policy of the entry with a number is made of.
+PolicyBuilder = Callable[[int], PolicyOptions]
+
 
 # Given the instance id and the ports of an entry.
 PortsWrapper = Callable[[str, EntryPorts], EntryPorts]
@@ -65,13 +72,16 @@
         self.plan = plan
         self.seed = seed
         self._wrap_ports = wrap_ports or _keep_ports
-        self.clock = clock or LoopClock(EPOCH_MS)
+        self.clock = clock or LoopClock(time.time() * MS_PER_S + EPOCH_LEAD_MS)
         self.log = MemoryLog(self.clock)
         self.instances = MemoryInstances()
         self.network = MemoryPeerNetwork()
         self.targets: dict[str, StandinTarget] = {}
         self.entries: dict[str, RunningEntry] = {}
         self.client = MemoryTargetClient(self.targets)
+        # May be replaced before the start.
+        self.build_target: TargetBuilder = StandinTarget
+        self.build_policy: PolicyBuilder = _default_policy
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -120,6 +130,7 @@
             peers=self.network.join(name),
             clock=self.clock,
             seed=self.seed + index,
+            policy=self.build_policy(index),
         )
         core = EntryCore(
             _settings(name, domain),
@@ -172,7 +183,11 @@
                 kind=configuration.services[service].kind,
                 slots=configuration.services[service].max_in_flight,
             )
-            target = StandinTarget(profile, self.clock, self.seed + index)
+            target = self.build_target(
+                profile,
+                self.clock,
+                self.seed + index,
+            )
             self.targets[profile.target_id] = target
             self.instances.rows.append(
                 Instance(
@@ -189,6 +204,10 @@
     return ports
 
 
+def _default_policy(index: int) -> PolicyOptions:
+    return PolicyOptions()
+
+
 def _settings(name: str, domain: str) -> EntrySettings:
     return EntrySettings.model_validate(
         {
--- a/borageyard/memory_log.py
+++ b/borageyard/memory_log.py
@@ -6,6 +6,9 @@
 from .clock import MS_PER_S
 from .platform import LogPage, MemoryLog, PlatformError, Record
 
+# How often a waiting read looks for faults of the log.
+POLL_MS = 50
+
 
 class MemoryLogService:
     """Offers a log in memory behind the protocol of the log service."""
@@ -32,13 +35,20 @@
     ) -> LogPage:
         """Reads records, waiting for the first one if there is none."""
         await self._delay()
+        waited_ms = 0
         page = self.log.read_now(stream, offset)
-        if page.records or not wait_ms:
-            return page
+        while not page.records and waited_ms < wait_ms:
+            await self._wait_for_append()
+            waited_ms += POLL_MS
+            page = self.log.read_now(stream, offset)
+        return page
+
+    async def _wait_for_append(self) -> None:
+        """Waits for the next append, or for a while to notice faults."""
+        appended = self.log.appended
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(wait_ms / MS_PER_S):
-                await self.log.wait_for_append(stream)
-        return self.log.read_now(stream, offset)
+            async with asyncio.timeout(POLL_MS / MS_PER_S):
+                await appended.wait()
 
     async def _delay(self) -> None:
         if self.cut:
--- a/borageyard/platform.py
+++ b/borageyard/platform.py
@@ -147,6 +147,7 @@
 
     outage: bool = False
     lose_next_answers: int = 0
+    outage_after_loss: bool = False
     delay_ms: float = 0
 
 
@@ -173,9 +174,9 @@
         self._refilled_at_ms = clock.steady_ms()
         self._streams: dict[str, list[LogRecord]] = {}
         self._starts: dict[str, int] = {}
-        self._appended: dict[str, asyncio.Event] = {}
         self.faults = LogFaults()
         self.appends = 0
+        self.appended = asyncio.Event()
 
     def append_now(self, stream: str, body: Record) -> int:
         """Appends without waiting.
@@ -192,16 +193,14 @@
         offset = self._starts.get(stream, 0) + len(records)
         records.append(LogRecord(offset, self._clock.wall_ms(), dict(body)))
         self.appends += 1
-        self._appended.pop(stream, asyncio.Event()).set()
+        self.appended.set()
+        self.appended = asyncio.Event()
         if self.faults.lose_next_answers:
             self.faults.lose_next_answers -= 1
+            self.faults.outage |= self.faults.outage_after_loss
             raise AppendUnknownError('answer lost')
         return offset
 
-    async def wait_for_append(self, stream: str) -> None:
-        """Waits for the next record of a stream."""
-        await self._appended.setdefault(stream, asyncio.Event()).wait()
-
     def read_now(self, stream: str, offset: int) -> LogPage:
         """Reads without waiting.
 
--- a/borageyard/policy.py
+++ b/borageyard/policy.py
@@ -4,11 +4,13 @@
 import hashlib
 import json
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from .admission import Backlog, StageNeed, StagePlanner, wait_ms
 from .affinity import PrefixAffinity
+from .capacity import ServiceCapacity
 from .clock import Clock
+from .configuration import Stage
 from .costs import CostAccounts, CostKey, StageCost, Waste
 from .ejection import OutlierDetector
 from .errors import ErrorKind, Refusal, RefusalError
@@ -25,7 +27,9 @@
 from .targets import TargetDirectory, TargetState
 
 HEDGE_SHARE = 0.95
-PLANNED_SHARE = 0.5
+HEDGE_FACTOR = 1.5
+# Share of a target's slots above which it takes no hedges.
+MAX_HEDGE_LOAD = 0.75
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +72,7 @@
         self.times = ServiceTimes()
         self.planner = StagePlanner(self.times)
         self.backlog = Backlog()
+        self.capacity = ServiceCapacity(directory, place.clock)
         self.affinity = PrefixAffinity()
         self.limits = OrganisationLimits()
         self.retries = RetryBudgets()
@@ -113,49 +118,46 @@
         """
         admitted = stage_request.admitted
         stage = stage_request.stage
-        service = admitted.configuration.services[stage.service]
-        now_ms = self.clock.steady_ms()
+        configuration = admitted.configuration
+        service = configuration.services[stage.service]
+        left_ms = self.planner.cautious_ms(
+            configuration,
+            _stages_from(stage_request),
+        )
+        usual = self.planner.usual_times(configuration, stage.service)
         return Ask(
             service=stage.service,
             organisation=admitted.request.organisation,
-            weight=admitted.weight,
-            latest_start_ms=self.latest_start_ms(stage_request),
+            weight=admitted.organisation.weight,
+            latest_start_ms=admitted.request.expires_at_ms - left_ms,
             query=RouteQuery(
-                now_ms=now_ms,
-                typical_ms=self.times.quantile_ms(
-                    stage.service,
-                    PLANNED_SHARE,
-                    service.typical_ms,
-                ),
+                now_ms=self.clock.steady_ms(),
+                typical_ms=usual.planned_ms,
                 excluded=excluded,
                 cache_prefix=admitted.request.cache_prefix,
                 model=service.model,
-                model_version=admitted.configuration.model_version(service),
+                model_version=configuration.model_version(service),
                 entries=self.limits.entries,
             ),
         )
 
     def latest_start_ms(self, stage_request: StageRequest) -> float:
-        """Returns when a stage must start for its request to finish."""
+        """Returns after when a stage can hardly finish its request."""
         admitted = stage_request.admitted
-        stages = admitted.pipeline.stages
-        index = stages.index(stage_request.stage)
-        least_ms = self.planner.least_ms(
+        left_ms = self.planner.best_ms(
             admitted.configuration,
-            stages[index:],
+            _stages_from(stage_request),
         )
-        return admitted.request.expires_at_ms - least_ms
+        return admitted.request.expires_at_ms - left_ms
 
     def stage_deadline_ms(self, stage_request: StageRequest) -> float:
         """Returns when a stage must have ended to be of use."""
         admitted = stage_request.admitted
-        stages = admitted.pipeline.stages
-        index = stages.index(stage_request.stage)
         expires_at_ms = admitted.request.expires_at_ms
         if not stage_request.idempotent:
             return expires_at_ms
-        later = stages[index + 1 :]
-        return expires_at_ms - self.planner.least_ms(
+        later = _stages_from(stage_request)[1:]
+        return expires_at_ms - self.planner.best_ms(
             admitted.configuration,
             later,
         )
@@ -221,7 +223,7 @@
         now_ms = self.clock.steady_ms()
         target = route.target
         if error.kind is FailureKind.CRASH:
-            digest = request_digest(admitted)
+            digest = request_digest(admitted, target.instance.service)
             self.quarantine.note_crash(digest, now_ms, alone=route.alone)
         if self.outliers.note_failure(target, error.kind, now_ms):
             _log_ejection(target, error.kind.value)
@@ -241,11 +243,12 @@
     def hedge_delay_ms(self, stage_request: StageRequest) -> float:
         """Returns after which time a second attempt may help."""
         stage = stage_request.stage
-        return self.times.quantile_ms(
+        late_ms = self.times.quantile_ms(
             stage.service,
             HEDGE_SHARE,
             stage.timeout_ms,
         )
+        return HEDGE_FACTOR * late_ms
 
     def take_hedge(
         self,
@@ -263,17 +266,17 @@
             return None
         left_ms = self.stage_deadline_ms(stage_request)
         left_ms -= self.clock.steady_ms()
-        typical_ms = self.planner.service_ms(
+        usual = self.planner.usual_times(
             stage_request.admitted.configuration,
             service,
         )
-        if left_ms < typical_ms:
+        if left_ms < usual.planned_ms:
             return None
         ask = self.ask(stage_request, (route.target.target_id,))
         other = self.queues.try_acquire(ask)
         if other is None:
             return None
-        if not self.retries.take_hedge(service):
+        if not self._may_hedge_on(other.target):
             self.queues.release(other)
             return None
         log_event(
@@ -284,66 +287,78 @@
         )
         return other
 
-    def standing(self, admitted: AdmittedRequest) -> Standing:
-        """Returns whether a request is suspected of crashing targets.
+    def standing(self, admitted: AdmittedRequest, service: str) -> Standing:
+        """Returns whether a request is suspected of crashing a service.
 
         Args:
             admitted: The request.
+            service: Name of the service.
         """
         if self.quarantine.is_empty:
             return Standing.CLEAR
-        now_ms = self.clock.steady_ms()
-        return self.quarantine.standing(request_digest(admitted), now_ms)
+        digest = request_digest(admitted, service)
+        return self.quarantine.standing(digest, self.clock.steady_ms())
 
-    def refuse_quarantined(self, admitted: AdmittedRequest) -> None:
+    def refuse_quarantined(
+        self,
+        admitted: AdmittedRequest,
+        services: Iterable[str],
+    ) -> None:
         """Refuses a request that has crashed too many targets.
 
         Args:
             admitted: The request.
+            services: Services that it still needs.
 
         Raises:
             RefusalError: If it is quarantined.
         """
-        if self.standing(admitted) is not Standing.QUARANTINED:
-            return
-        digest = request_digest(admitted)
+        for service in services:
+            if self.standing(admitted, service) is Standing.QUARANTINED:
+                raise RefusalError(self._quarantined(admitted, service))
+
+    def _may_hedge_on(self, target: TargetState) -> bool:
+        load = target.load(self.clock.steady_ms())
+        if load > target.slots * MAX_HEDGE_LOAD:
+            return False
+        return self.retries.take_hedge(target.instance.service)
+
+    def _quarantined(self, admitted: AdmittedRequest, service: str) -> Refusal:
+        digest = request_digest(admitted, service)
         now_ms = self.clock.steady_ms()
         left_ms = self.quarantine.left_ms(digest, now_ms)
         log_event(
             Event.REQUEST_QUARANTINED,
             request_id=admitted.request.request_id,
+            service=service,
             digest=digest,
             left_ms=left_ms,
         )
-        refusal = Refusal(
+        return Refusal(
             ErrorKind.QUARANTINED,
+            detail=service,
             retry_after_ms=math.ceil(left_ms),
         )
-        raise RefusalError(refusal)
 
     def _need(self, admitted: AdmittedRequest, service: str) -> StageNeed:
         configuration = admitted.configuration
-        service_ms = self.planner.service_ms(configuration, service)
-        running, slots = self._usage(service)
+        usual = self.planner.usual_times(configuration, service)
+        usage = self.capacity.usage(service, self.limits.entries)
         ahead = self.backlog.ahead(
             service,
             admitted.request.organisation,
             configuration.organisations,
         )
-        waited_ms = wait_ms(running + ahead, slots, service_ms)
-        return StageNeed(service_ms, waited_ms)
-
-    def _usage(self, service: str) -> tuple[int, float]:
-        """Returns own running calls and the slots that this entry may use."""
-        now_ms = self.clock.steady_ms()
-        entries = self.limits.entries
-        targets = self.directory.candidates(service)
-        running = sum(state.in_flight for state in targets)
-        slots = sum(
-            max(state.slots - state.others(now_ms), state.slots / entries)
-            for state in targets
+        return StageNeed(
+            usual.best_ms,
+            wait_ms(usage.running + ahead, usage.slots, usual.planned_ms),
         )
-        return running, slots
+
+
+def _stages_from(stage_request: StageRequest) -> Sequence[Stage]:
+    """Returns a stage and those after it."""
+    stages = stage_request.admitted.pipeline.stages
+    return stages[stages.index(stage_request.stage) :]
 
 
 def cost_key(stage_request: StageRequest) -> CostKey:
@@ -356,10 +371,11 @@
     )
 
 
-def request_digest(admitted: AdmittedRequest) -> str:
-    """Returns the digest under which crashes of a request are counted."""
+def request_digest(admitted: AdmittedRequest, service: str) -> str:
+    """Returns the digest under which crashes of a service are counted."""
     request = admitted.request
-    canonical = json.dumps([request.pipeline, request.body], sort_keys=True)
+    parts = (service, request.pipeline, request.body)
+    canonical = json.dumps(parts, sort_keys=True)
     return hashlib.sha256(canonical.encode()).hexdigest()
 
 
--- a/borageyard/requests.py
+++ b/borageyard/requests.py
@@ -3,7 +3,7 @@
 import dataclasses
 from typing import Any, Protocol
 
-from .configuration import Configuration, Pipeline, Stage
+from .configuration import Configuration, Organisation, Pipeline, Stage
 from .costs import CostKey, StageCost
 from .target import TokenEvent
 
@@ -22,6 +22,8 @@
     cache_prefix: str = ''
     stream: bool = False
     trace_parent: str = ''
+    # Under it finished stages are kept by a peer; empty if they are not.
+    handover_key: str = ''
 
 
 @dataclasses.dataclass(slots=True)
@@ -47,11 +49,19 @@
     )
 
     @property
-    def weight(self) -> float:
-        """Returns the weight of the request's organisation."""
-        return self.configuration.organisations[
-            self.request.organisation
-        ].weight
+    def organisation(self) -> Organisation:
+        """Returns the organisation whose request it is."""
+        return self.configuration.organisations[self.request.organisation]
+
+    @property
+    def unrepeatable(self) -> frozenset[str]:
+        """Returns the stages that may not be repeated."""
+        services = self.configuration.services
+        return frozenset(
+            stage.name
+            for stage in self.pipeline.stages
+            if not services[stage.service].idempotent
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,9 +104,17 @@
     stage: Stage
     inputs: dict[str, Any]
     sink: TokenSink | None = None
+    resume_tokens: tuple[str, ...] = ()
 
     @property
     def idempotent(self) -> bool:
         """Tells whether the stage may be run again."""
         services = self.admitted.configuration.services
         return services[self.stage.service].idempotent
+
+    async def replay_tokens(self) -> None:
+        """Sends again what the caller may have missed of an earlier run."""
+        if self.sink is None:
+            return
+        for offset, token in enumerate(self.resume_tokens):
+            await self.sink.send(TokenEvent(offset, token))
