--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -10,15 +10,17 @@
 from opentelemetry import trace
 
 from .addresses import EntryAddress, order_entries
+from .claim_service import ClaimService, ClaimServicePorts
 from .clock import MS_PER_S, Clock
 from .configuration_service import ConfigurationService
+from .detached import DetachedRuns
 from .dispatch import StageDispatcher
 from .draining import DrainPlan
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .gate import PolicyAdmission
 from .generated.settings import EntrySettings
-from .local_gates import LocalClaims, NoStageStore
+from .local_gates import NoStageStore
 from .membership import Membership
 from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
@@ -87,6 +89,17 @@
             ports.clock,
             self.policy.note_instances,
         )
+        self.claims = ClaimService(
+            settings,
+            ClaimServicePorts(
+                log=ports.log,
+                peers=ports.peers,
+                clock=ports.clock,
+                configurations=self.fold,
+                list_instances=lambda: self.watcher.listed,
+            ),
+        )
+        self._detached = DetachedRuns()
         self.own = OwnState(
             incarnation=ports.incarnation or int(ports.clock.wall_ms()),
             failure_domain=settings.failure_domain,
@@ -116,9 +129,12 @@
         """
         await self.watcher.poll_instances()
         await self.configuration.start(stack, lambda: self.watcher.listed)
+        await self.claims.open()
+        stack.push_async_callback(self._detached.close)
         platform = self.settings.platform
         await stack.enter_async_context(
             running_tasks(
+                *self.claims.background(),
                 self._members.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
@@ -133,22 +149,17 @@
     ) -> Outcome:
         """Runs a request to its outcome, whatever happens.
 
+        A caller that goes away ends its request, but for one that holds a
+        claim: that one runs on, so that its outcome gets recorded.
+
         Args:
             request: What the caller asked for.
             sink: Where tokens go, if streamed.
         """
-        with self._counted():
-            try:
-                outcome = await self._runner.run(request, sink)
-            except Exception as error:
-                outcome = Refusal(ErrorKind.INTERNAL, ran=Ran.UNKNOWN)
-                log_event(
-                    Event.REQUEST_FAILED,
-                    request_id=request.request_id,
-                    reason=repr(error),
-                )
-        self.metrics.note_outcome(request, outcome)
-        return outcome
+        return await self._detached.run(
+            self._run_counted(request, sink),
+            lambda: self.claims.gate.is_granted(request.request_id),
+        )
 
     async def drain(self) -> None:
         """Serves on until callers have other addresses, then ends work."""
@@ -202,6 +213,24 @@
             entries.append(own)
         return order_entries(entries, failure_domain, self._random)
 
+    async def _run_counted(
+        self,
+        request: PipelineRequest,
+        sink: TokenSink | None,
+    ) -> Outcome:
+        with self._counted():
+            try:
+                outcome = await self._runner.run(request, sink)
+            except Exception as error:
+                outcome = Refusal(ErrorKind.INTERNAL, ran=Ran.UNKNOWN)
+                log_event(
+                    Event.REQUEST_FAILED,
+                    request_id=request.request_id,
+                    reason=repr(error),
+                )
+        self.metrics.note_outcome(request, outcome)
+        return outcome
+
     def _build_runner(self) -> RequestRunner:
         gates = self._build_gates()
         tracer = self.ports.tracer
@@ -215,7 +244,7 @@
             configurations=self.fold,
             permission=self.permission,
             admission=PolicyAdmission(self.policy),
-            claims=LocalClaims(),
+            claims=self.claims.gate,
             store=NoStageStore(),
             dispatcher=StageDispatcher(
                 self.policy,
--- a/borageyard/tracing.py
+++ b/borageyard/tracing.py
@@ -158,6 +158,11 @@
         self._claims = claims
         self._tracer = tracer
 
+    async def recall(self, admitted: AdmittedRequest) -> Outcome | None:
+        """Returns how another attempt of the request's key ends."""
+        with self._tracer.start_as_current_span('claim_recall'):
+            return await self._claims.recall(admitted)
+
     async def acquire(self, admitted: AdmittedRequest) -> ClaimGrant:
         """Claims the request's key."""
         with self._tracer.start_as_current_span('claim'):
@@ -168,10 +173,10 @@
         with self._tracer.start_as_current_span('claim_outcome'):
             await self._claims.complete(grant, outcome)
 
-    async def abandon(self, grant: ClaimGrant) -> None:
+    async def abandon(self, grant: ClaimGrant, refusal: Refusal) -> None:
         """Gives a grant up under which nothing was run."""
         with self._tracer.start_as_current_span('claim_abandon'):
-            await self._claims.abandon(grant)
+            await self._claims.abandon(grant, refusal)
 
 
 class TracedStages:
