Bring targets to the declared models under a control lease

Cause: nothing loaded what the configuration declares. Change: a lease in the log whose fencing number only grows; its holder compares declared with reported models and orders the difference, one load at a time and only while the other targets can carry the load. An old version goes once the new configuration is accepted and the longest deadline has passed. also_load names versions to load before a change. Conclusion: in virtual time a version change refuses no request.

--- a/borageyard/configuration.py
+++ b/borageyard/configuration.py
@@ -36,6 +36,12 @@
     version: str
     size_bytes: int
     adapters: tuple[str, ...]
+    also_load: tuple[str, ...]
+
+    @property
+    def versions(self) -> tuple[str, ...]:
+        """Returns all versions that targets must have loaded."""
+        return (self.version, *self.also_load)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,6 +97,11 @@
         model = self.models.get(service.model)
         return model.version if model else ''
 
+    @property
+    def longest_deadline_ms(self) -> int:
+        """Returns the longest deadline of a pipeline."""
+        return max(pipeline.deadline_ms for pipeline in self.pipelines.values())
+
     def needs_claim(self, pipeline: Pipeline) -> bool:
         """Tells whether a pipeline has a stage that may not be repeated."""
         return any(
--- a/borageyard/configuration_log.py
+++ b/borageyard/configuration_log.py
@@ -187,6 +187,7 @@
                 'version': proposed.version,
                 'digest': proposed.digest,
                 'permission_ms': proposed.permission_ms,
+                'deadline_ms': proposed.longest_deadline_ms,
             },
         )
         self.state.put_in_force(proposed, record.document, won)
--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -4,7 +4,7 @@
 import contextlib
 import dataclasses
 import random
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
 from typing import Any
 
 from opentelemetry import trace
@@ -20,15 +20,18 @@
 from .events import Event, log_event
 from .gate import PolicyAdmission
 from .generated.settings import EntrySettings
+from .leases import LeaseKeeper
 from .local_gates import NoStageStore
 from .membership import Membership
 from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
+from .orders import OrderClient
 from .peers import PeerLink
 from .pipeline import Outcome, PipelineGates, PipelineRunner
-from .platform import InstanceList, LogService
+from .platform import InstanceList, LogService, WeightStore
 from .policy import EntryPolicy, PolicyOptions, PolicyPlace
 from .policy_news import PolicyNews
+from .reconciler import LeaseFollower, Reconciler
 from .requests import PipelineRequest, TokenSink
 from .suspects import SuspectRuns
 from .target import TargetClient
@@ -49,6 +52,8 @@
     seed: int = 0
     incarnation: int = 0
     tracer: trace.Tracer | None = None
+    orders: OrderClient | None = None
+    weights: WeightStore | None = None
     policy: PolicyOptions = dataclasses.field(default_factory=PolicyOptions)
 
 
@@ -116,6 +121,7 @@
             ports.clock,
             lambda: self.watcher.listed,
         )
+        self.reconciler: Reconciler | None = None
         self._random = random.Random(ports.seed)
         self._runner = self._build_runner()
         self._idle = asyncio.Event()
@@ -135,6 +141,7 @@
         await stack.enter_async_context(
             running_tasks(
                 *self.claims.background(),
+                *self._reconciling(),
                 self._members.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
@@ -231,6 +238,22 @@
         self.metrics.note_outcome(request, outcome)
         return outcome
 
+    def _reconciling(self) -> list[Coroutine[Any, Any, None]]:
+        """Returns the work that gives orders, if there is a way to."""
+        ports = self.ports
+        if ports.orders is None or ports.weights is None:
+            return []
+        keeper = LeaseKeeper(self.permission.member)
+        self.reconciler = Reconciler(
+            self.configuration,
+            self.directory,
+            LeaseFollower(keeper, ports.log, ports.clock),
+            ports.orders,
+            ports.weights,
+            ports.clock,
+        )
+        return [self.reconciler.run()]
+
     def _build_runner(self) -> RequestRunner:
         gates = self._build_gates()
         tracer = self.ports.tracer
--- a/borageyard/deployment.py
+++ b/borageyard/deployment.py
@@ -19,6 +19,7 @@
     MemoryInstances,
     MemoryLog,
 )
+from .standins.orders import preload
 from .standins.platform_http import (
     InstancesHandler,
     LogHandler,
@@ -180,7 +181,9 @@
             slots=configuration.services[service].max_in_flight,
         )
         target = StandinTarget(profile, self.clock, seed=index)
-        return TargetServer(target)
+        preload(target, configuration)
+        fencing = configuration.services[service].fencing
+        return TargetServer(target, fencing=fencing)
 
     def _list_target(self, server: TargetServer, index: int) -> None:
         profile = server.target.profile
--- a/borageyard/entry.py
+++ b/borageyard/entry.py
@@ -12,6 +12,7 @@
 from .events import Event, log_event
 from .generated.settings import EntrySettings, PeerSettings
 from .http_client import HttpClient
+from .http_orders import HttpOrderClient, HttpWeightStore
 from .http_platform import HttpInstanceList, HttpLogService
 from .http_server import HttpServer
 from .http_target import HttpTargetClient
@@ -56,6 +57,11 @@
             clock=clock,
             incarnation=incarnation,
             tracer=tracer,
+            orders=HttpOrderClient(self._client),
+            weights=HttpWeightStore(
+                self._client,
+                platform.weights_address,
+            ),
         )
         self.core = EntryCore(settings, ports)
         self._server = HttpServer(
--- /dev/null
+++ b/borageyard/http_orders.py
@@ -0,0 +1,95 @@
+"""Orders to targets and the weight store over HTTP."""
+
+from .border import DocumentError, check_document, parse_json
+from .generated.log_leases import OrderBody, OrderReplyBody, WeightRateBody
+from .http_client import HttpCall, HttpCallError, HttpClient
+from .http_messages import encode_json
+from .orders import ORDER_FLIGHT_MS, Order, OrderError
+from .platform import PlatformError
+
+ORDERS_PATH = '/v1/orders'
+STATUS_OK = 200
+STATUS_CONFLICT = 409
+RATE_TIMEOUT_MS = 500
+
+
+class HttpOrderClient:
+    """Sends orders over HTTP; an order ends within its flight time."""
+
+    def __init__(self, client: HttpClient) -> None:
+        """Wraps a client.
+
+        Args:
+            client: Sends the calls.
+        """
+        self._client = client
+
+    async def send(self, address: str, order: Order, number: int) -> None:
+        """Sends an order."""
+        body = OrderBody(
+            number=number,
+            action=order.action,
+            model=order.model,
+            version=order.version,
+            size_bytes=order.size_bytes,
+        )
+        call = HttpCall(
+            address=address,
+            method='POST',
+            path=ORDERS_PATH,
+            body=encode_json(body.model_dump()),
+            timeout_ms=ORDER_FLIGHT_MS,
+            reuse=False,
+        )
+        try:
+            reply = await self._client.request(call)
+        except HttpCallError as error:
+            raise OrderError(error.reason) from error
+        if reply.status != STATUS_OK:
+            stale = reply.status == STATUS_CONFLICT
+            raise OrderError(f'status {reply.status}', stale=stale)
+        try:
+            check_document(
+                OrderReplyBody,
+                parse_json(reply.body, 'target'),
+                'target',
+            )
+        except DocumentError as error:
+            raise OrderError(str(error)) from error
+
+
+class HttpWeightStore:
+    """The weight store over HTTP."""
+
+    def __init__(self, client: HttpClient, address: str) -> None:
+        """Names the store.
+
+        Args:
+            client: Sends the calls.
+            address: Address of the store.
+        """
+        self._client = client
+        self._address = address
+
+    async def rate_bytes_per_s(self) -> float:
+        """Returns the rate that all loads share."""
+        call = HttpCall(
+            address=self._address,
+            method='GET',
+            path='/v1/rate',
+            timeout_ms=RATE_TIMEOUT_MS,
+        )
+        try:
+            reply = await self._client.request(call)
+        except HttpCallError as error:
+            raise PlatformError(error.reason) from error
+        if reply.status != STATUS_OK:
+            raise PlatformError(f'status {reply.status}')
+        try:
+            return check_document(
+                WeightRateBody,
+                parse_json(reply.body, 'weight store'),
+                'weight store',
+            ).rate_bytes_per_s
+        except DocumentError as error:
+            raise PlatformError(str(error)) from error
--- a/borageyard/memory_deployment.py
+++ b/borageyard/memory_deployment.py
@@ -14,6 +14,7 @@
 from .deployment import DeploymentPlan
 from .generated.settings import EntrySettings
 from .memory_log import MemoryLogService
+from .memory_orders import MemoryOrderClient, MemoryWeights
 from .memory_target import MemoryTargetClient
 from .peers import MemoryPeerNetwork
 from .platform import (
@@ -23,6 +24,11 @@
     MemoryInstances,
     MemoryLog,
 )
+from .standins.orders import (
+    DEFAULT_RATE_BYTES_PER_S,
+    StandinOrders,
+    preload,
+)
 from .standins.target import StandinTarget, TargetProfile
 
 # How far virtual time starts ahead of the machine's, so that identifiers that
@@ -66,6 +72,8 @@
         self.targets: dict[str, StandinTarget] = {}
         self.entries: dict[str, RunningEntry] = {}
         self.client = MemoryTargetClient(self.targets)
+        self.orders: dict[str, StandinOrders] = {}
+        self.weights = MemoryWeights(DEFAULT_RATE_BYTES_PER_S)
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -113,6 +121,8 @@
             targets=self.client,
             peers=self.network.join(name),
             clock=self.clock,
+            orders=MemoryOrderClient(self.orders),
+            weights=self.weights,
             seed=self.seed + index,
         )
         core = EntryCore(_settings(name, domain), ports)
@@ -164,6 +174,11 @@
                 slots=configuration.services[service].max_in_flight,
             )
             target = StandinTarget(profile, self.clock, self.seed + index)
+            preload(target, configuration)
+            self.orders[profile.target_id] = StandinOrders(
+                target,
+                fencing=configuration.services[service].fencing,
+            )
             self.targets[profile.target_id] = target
             self.instances.rows.append(
                 Instance(
--- /dev/null
+++ b/borageyard/reconciler.py
@@ -0,0 +1,208 @@
+"""Brings targets to the declared models while it holds the control lease."""
+
+import asyncio
+import contextlib
+
+from .clock import MS_PER_S, Clock
+from .configuration import Configuration
+from .configuration_service import ConfigurationService
+from .events import Event, log_event
+from .leases import LEASE_STREAM, LeaseKeeper
+from .orders import (
+    ORDER_FLIGHT_MS,
+    ObservedTarget,
+    Order,
+    OrderClient,
+    OrderError,
+    OrderPlanner,
+)
+from .permission import waiting_time_ms
+from .platform import (
+    LogService,
+    OffsetExpiredError,
+    PlatformError,
+    WeightStore,
+)
+from .targets import TargetDirectory, TargetState
+
+TICK_MS = 250
+
+
+class LeaseFollower:
+    """Reads the lease stream and appends when the keeper says so."""
+
+    def __init__(
+        self,
+        keeper: LeaseKeeper,
+        log: LogService,
+        clock: Clock,
+    ) -> None:
+        """Wraps a keeper.
+
+        Args:
+            keeper: Decides.
+            log: Where lease records are.
+            clock: Source of steady time.
+        """
+        self.keeper = keeper
+        self._log = log
+        self._clock = clock
+
+    async def step(self) -> None:
+        """Reads what there is and appends what is due."""
+        with contextlib.suppress(PlatformError):
+            await self._read()
+            proposal = self.keeper.propose(self._clock.steady_ms())
+            if proposal is not None:
+                record = proposal.model_dump(mode='json')
+                await self._log.append(LEASE_STREAM, record)
+                await self._read()
+
+    async def _read(self) -> None:
+        try:
+            page = await self._log.read(LEASE_STREAM, self.keeper.next_offset)
+        except OffsetExpiredError as error:
+            self.keeper.skip_to(error.start)
+            return
+        self.keeper.take(page, self._clock.steady_ms())
+
+
+class Reconciler:
+    """Observes, compares and orders, again and again."""
+
+    def __init__(
+        self,
+        configuration: ConfigurationService,
+        directory: TargetDirectory,
+        follower: LeaseFollower,
+        orders: OrderClient,
+        weights: WeightStore,
+        clock: Clock,
+    ) -> None:
+        """Wraps what it observes and what it commands.
+
+        Args:
+            configuration: Desired state and what is accepted.
+            directory: Observed state.
+            follower: Keeps the control lease.
+            orders: The way of orders to targets.
+            weights: Tells the rate of loads.
+            clock: Source of steady time.
+        """
+        self._configuration = configuration
+        self._directory = directory
+        self._follower = follower
+        self._orders = orders
+        self._weights = weights
+        self._clock = clock
+        self._planner = OrderPlanner()
+        self._accepted_position = 0
+        self._accepted_at_ms: float = 0
+
+    async def run(self) -> None:
+        """Works for ever."""
+        while True:
+            await self._follower.step()
+            with contextlib.suppress(PlatformError):
+                await self._reconcile()
+            await asyncio.sleep(TICK_MS / MS_PER_S)
+
+    def holds(self) -> bool:
+        """Tells whether this entry may give orders now."""
+        return self._number() is not None
+
+    async def _reconcile(self) -> None:
+        configuration = self._configuration.fold.current()
+        self._note_accepted()
+        if configuration is None or not self.holds():
+            return
+        rate_bytes_per_s = await self._weights.rate_bytes_per_s()
+        chosen = self._planner.plan(
+            configuration,
+            self._observe(),
+            rate_bytes_per_s,
+            self._clock.steady_ms(),
+            may_unload=self._may_unload(configuration),
+        )
+        for order in chosen:
+            await self._send(order)
+
+    def _number(self) -> int | None:
+        """Returns the fencing number once old orders have ended."""
+        keeper = self._follower.keeper
+        now_ms = self._clock.steady_ms()
+        if now_ms < self._settled_at_ms():
+            return None
+        return keeper.number(now_ms)
+
+    def _settled_at_ms(self) -> float:
+        """Returns when no order of an earlier holder is on its way."""
+        held_since_ms = self._follower.keeper.held_since_ms()
+        return held_since_ms + waiting_time_ms(ORDER_FLIGHT_MS)
+
+    def _observe(self) -> list[ObservedTarget]:
+        """Returns the targets heard of since orders may be given."""
+        return [
+            _observed(state)
+            for state in self._directory.all_targets()
+            if state.report is not None
+            and not state.leaving
+            and state.report_received_at_ms >= self._settled_at_ms()
+        ]
+
+    def _note_accepted(self) -> None:
+        history = self._configuration.fold.state.history
+        position = history[-1].position if history else 0
+        if self._accepted_position == position:
+            return
+        if position <= self._configuration.tracker.accepted:
+            self._accepted_position = position
+            self._accepted_at_ms = self._clock.steady_ms()
+
+    def _may_unload(self, configuration: Configuration) -> bool:
+        """Tells whether no request is pinned to an earlier version."""
+        history = self._configuration.fold.state.history
+        if history[-1].position != self._accepted_position:
+            return False
+        longest_ms = max(row.deadline_ms for row in history)
+        ends_at_ms = self._accepted_at_ms + waiting_time_ms(longest_ms)
+        return self._clock.steady_ms() >= ends_at_ms
+
+    async def _send(self, order: Order) -> None:
+        number = self._number()
+        state = self._directory.find(order.target_id)
+        if number is None or state is None:
+            self._planner.forget(order)
+            return
+        try:
+            await self._orders.send(state.instance.address, order, number)
+        except OrderError as error:
+            self._planner.forget(order)
+            log_event(
+                Event.ORDER_FAILED,
+                target_id=order.target_id,
+                action=order.action,
+                reason=str(error),
+            )
+            return
+        log_event(
+            Event.ORDER_SENT,
+            target_id=order.target_id,
+            action=order.action,
+            model=order.model,
+            version=order.version,
+            number=number,
+        )
+
+
+def _observed(state: TargetState) -> ObservedTarget:
+    report = state.report
+    if report is None:
+        return ObservedTarget(state.target_id, '', {}, 0, 0)
+    return ObservedTarget(
+        target_id=state.target_id,
+        service=state.instance.service,
+        loaded=report.models,
+        busy_slots=report.running + report.queued,
+        slots=report.slots,
+    )
--- a/borageyard/standins/target.py
+++ b/borageyard/standins/target.py
@@ -215,6 +215,7 @@
         self.executions: list[Execution] = []
         self.alive = True
         self.models: dict[str, tuple[str, ...]] = {}
+        self.loading = 0
         self.cache = PrefixCache(profile.cache_tokens)
         self._clock = clock
         self._random = random.Random(seed)
@@ -257,6 +258,11 @@
             raise TargetCrashError('dead')
         if self.faults.take('refuse_next'):
             raise TargetRefusedError('told to refuse')
+        if self.loading:
+            raise TargetRefusedError('loading')
+        versions = self.models.get(call.model)
+        if versions and call.model_version not in versions:
+            raise TargetRefusedError('version is not loaded')
         async with self._slot(call.priority):
             async for event in self._generate(call):
                 yield event
--- a/borageyard/standins/target_http.py
+++ b/borageyard/standins/target_http.py
@@ -10,6 +10,7 @@
 
 from ..border import DocumentError, check_document, parse_json
 from ..generated.http_bodies import TargetCallBody
+from ..generated.log_leases import OrderBody
 from ..http_messages import (
     EVENT_STREAM_TYPE,
     HttpRequest,
@@ -20,6 +21,7 @@
 from ..http_server import ConnectionAbortError, HttpServer
 from ..target import TargetCall
 from .faults import set_faults
+from .orders import StaleOrderError, StandinOrders
 from .target import StandinTarget, TargetCrashError, TargetRefusedError
 
 # Pause between the bytes of an answer that is told to trickle.
@@ -31,13 +33,20 @@
 class TargetServer:
     """Serves a stand-in target; a crash ends the server."""
 
-    def __init__(self, target: StandinTarget) -> None:
+    def __init__(
+        self,
+        target: StandinTarget,
+        *,
+        fencing: bool = False,
+    ) -> None:
         """Wraps a target.
 
         Args:
             target: What runs the calls.
+            fencing: Whether it refuses orders with old numbers.
         """
         self.target = target
+        self.orders = StandinOrders(target, fencing=fencing)
         self._server = HttpServer(self._handle)
 
     @property
@@ -84,6 +93,7 @@
             '/v1/cache-events': self._cache_events,
             '/v1/executions': self._executions,
             '/v1/faults': self._set_faults,
+            '/v1/orders': self._take_order,
         }
         route = routes.get(request.path)
         if route is None:
@@ -102,6 +112,23 @@
         rows = map(dataclasses.asdict, self.target.executions)
         return json_response(list(rows))
 
+    def _take_order(self, request: HttpRequest) -> HttpResponse:
+        try:
+            order = check_document(
+                OrderBody,
+                parse_json(request.body, 'order'),
+                'order',
+            )
+        except DocumentError as error:
+            reply = {'taken': False, 'reason': str(error)}
+            return json_response(reply, HTTPStatus.BAD_REQUEST)
+        try:
+            self.orders.take(order)
+        except StaleOrderError as error:
+            reply = {'taken': False, 'reason': str(error)}
+            return json_response(reply, HTTPStatus.CONFLICT)
+        return json_response({'taken': True})
+
     def _set_faults(self, request: HttpRequest) -> HttpResponse:
         return set_faults(self.target.faults, request)
 
--- /dev/null
+++ b/tests/test_reconciler.py
@@ -0,0 +1,247 @@
+"""Tests of orders to targets in virtual time."""
+
+import asyncio
+import contextlib
+import copy
+import dataclasses
+import pathlib
+
+import pytest
+
+from borageyard.configuration import parse_configuration
+from borageyard.demo import load_plan
+from borageyard.generated.http_configuration import ProposalBody
+from borageyard.generated.log_leases import OrderBody
+from borageyard.identifiers import new_identifier
+from borageyard.memory_deployment import MemoryDeployment
+from borageyard.orders import ObservedTarget, OrderPlanner
+from borageyard.requests import Answer, PipelineRequest
+from borageyard.standins.orders import StaleOrderError
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
+SIZE_BYTES = 1_000_000_000
+RATE = 1e9
+
+
+def next_document(plan, version='4', also_load=()):
+    """Returns a document with another version of the model."""
+    document = copy.deepcopy(dict(plan.document))
+    document['models']['ganga']['version'] = version
+    document['models']['ganga']['also_load'] = list(also_load)
+    document['models']['ganga']['size_bytes'] = SIZE_BYTES
+    return document
+
+
+@contextlib.asynccontextmanager
+async def running():
+    """Runs entries until one of them gives orders."""
+    plan = load_plan('hundaganga', EXAMPLES)
+    plan = dataclasses.replace(plan, document=next_document(plan, '3'))
+    async with MemoryDeployment(plan) as deployment:
+        await asyncio.sleep(8)
+        yield deployment
+
+
+def holders(deployment):
+    """Returns the entries that may give orders."""
+    return [
+        name
+        for name, entry in deployment.entries.items()
+        if entry.core.reconciler.holds()
+    ]
+
+
+async def apply_version(deployment, version='4', also_load=()):
+    """Applies another version of the model."""
+    core = next(iter(deployment.entries.values())).core
+    return await core.configuration.changes.apply(
+        ProposalBody(
+            change_id=f'version-{version}-{also_load}',
+            base_version=core.fold.version,
+            author='ada',
+            document=next_document(deployment.plan, version, also_load),
+        ),
+    )
+
+
+def engines(deployment):
+    """Returns the stand-ins of the model engines."""
+    return [
+        target
+        for target in deployment.targets.values()
+        if target.profile.service == 'ganga-llm'
+    ]
+
+
+def request_for(core, deadline_ms=9000):
+    """Returns a request that needs an engine."""
+    return PipelineRequest(
+        request_id=new_identifier(),
+        pipeline='owner-assistant',
+        organisation='dispatch',
+        body={'dog': 'Snati'},
+        expires_at_ms=core.ports.clock.steady_ms() + deadline_ms,
+    )
+
+
+@pytest.mark.looptime
+class TestReconciler:
+    """A version change from its apply to its end."""
+
+    async def test_one_entry_gives_orders(self):
+        """Only the holder of the lease gives orders."""
+        async with running() as deployment:
+            assert len(holders(deployment)) == 1
+
+    async def test_version_change_reaches_all_and_drops_the_old(self):
+        """All engines load the new version, and later unload the old."""
+        async with running() as deployment:
+            await apply_version(deployment)
+            await asyncio.sleep(60)
+            loaded = {target.models['ganga'] for target in engines(deployment)}
+        assert loaded == {('4',)}
+
+    async def test_version_change_leaves_capacity(self):
+        """Never more than one engine loads, and requests are answered."""
+        async with running() as deployment:
+            core = deployment.entries['entry-1'].core
+            most = 0
+            outcomes = []
+            for step in range(500):
+                if step == 0:
+                    await apply_version(deployment, '3', ('4',))
+                if step == 200:
+                    await apply_version(deployment, '4')
+                await asyncio.sleep(0.1)
+                loading = [bool(item.loading) for item in engines(deployment)]
+                most = max(most, sum(loading))
+                outcomes.append(
+                    asyncio.ensure_future(core.run(request_for(core)))
+                )
+            outcomes = await asyncio.gather(*outcomes)
+            loaded = {target.models['ganga'] for target in engines(deployment)}
+        assert loaded == {('4',)}
+        assert most == 1
+        refused = [row for row in outcomes if not isinstance(row, Answer)]
+        assert not refused
+
+    async def test_old_version_stays_for_pinned_requests(self):
+        """The old version stays until the longest deadline has passed."""
+        async with running() as deployment:
+            report = await apply_version(deployment)
+            await asyncio.sleep(8)
+            kept = {target.models['ganga'] for target in engines(deployment)}
+        assert report.version == 2
+        assert all('3' in versions for versions in kept)
+
+    async def test_dead_holder_is_followed(self):
+        """Another entry goes on where a dead holder stopped."""
+        async with running() as deployment:
+            await apply_version(deployment)
+            await deployment.kill_entry(holders(deployment)[0])
+            await asyncio.sleep(60)
+            loaded = {target.models['ganga'] for target in engines(deployment)}
+        assert loaded == {('4',)}
+
+    async def test_late_order_is_refused_with_fencing(self):
+        """An engine with fencing refuses a woken holder's order."""
+        async with running() as deployment:
+            await apply_version(deployment)
+            await deployment.kill_entry(holders(deployment)[0])
+            await asyncio.sleep(60)
+            book = deployment.orders['ganga-llm-0']
+            old = OrderBody(
+                number=0,
+                action='unload',
+                model='ganga',
+                version='4',
+            )
+            assert book.newest_number > 0
+            with pytest.raises(StaleOrderError):
+                book.take(old)
+
+    async def test_late_order_is_repaired_without_fencing(self):
+        """What a woken holder's order spoilt is put right."""
+        async with running() as deployment:
+            await apply_version(deployment)
+            await asyncio.sleep(60)
+            book = deployment.orders['ganga-llm-0']
+            book.fencing = False
+            book.take(
+                OrderBody(
+                    number=0,
+                    action='load',
+                    model='ganga',
+                    version='2',
+                    size_bytes=SIZE_BYTES,
+                ),
+            )
+            book.take(
+                OrderBody(
+                    number=0,
+                    action='unload',
+                    model='ganga',
+                    version='4',
+                ),
+            )
+            await asyncio.sleep(30)
+            loaded = book.target.models['ganga']
+        assert loaded == ('4',)
+
+
+def observed(index, busy_slots, version='3'):
+    """Returns an engine with eight slots."""
+    loaded = {'ganga': (version,), 'ganga/dispatch-notes': (version,)}
+    return ObservedTarget(
+        target_id=f'ganga-llm-{index}',
+        service='ganga-llm',
+        loaded=loaded if version else {},
+        busy_slots=busy_slots,
+        slots=8,
+    )
+
+
+class TestPlanner:
+    """What is ordered and what has to wait."""
+
+    def plan(self, targets, now_ms=0, planner=None):
+        """Returns the orders for a configuration with version 4."""
+        plan = load_plan('hundaganga', EXAMPLES)
+        configuration = parse_configuration(next_document(plan), 2)
+        planner = planner or OrderPlanner()
+        return planner.plan(
+            configuration,
+            targets,
+            RATE,
+            now_ms,
+            may_unload=False,
+        )
+
+    def test_busy_engines_are_not_taken(self):
+        """No engine is taken when the rest can't carry the load."""
+        assert not self.plan([observed(0, 7), observed(1, 7)])
+
+    def test_idle_engines_are_taken_one_by_one(self):
+        """One engine is taken when the rest can carry the load."""
+        orders = self.plan([observed(0, 1), observed(1, 1)])
+        assert {order.target_id for order in orders} == {'ganga-llm-0'}
+
+    def test_last_engine_is_never_taken(self):
+        """The only engine of a service goes on serving."""
+        assert not self.plan([observed(0, 0)])
+
+    def test_empty_engine_loads_at_once(self):
+        """An engine without the model has nothing to lose."""
+        orders = self.plan([observed(0, 7), observed(1, 0, version='')])
+        assert {order.target_id for order in orders} == {'ganga-llm-1'}
+
+    def test_order_is_not_repeated_while_it_may_run(self):
+        """An order is repeated only after twice its expected time."""
+        planner = OrderPlanner()
+        targets = [observed(0, 1), observed(1, 1)]
+        first = self.plan(targets, planner=planner)
+        soon = self.plan(targets, now_ms=1000, planner=planner)
+        later = self.plan(targets, now_ms=5000, planner=planner)
+        assert first
+        assert not soon
+        assert later
