--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -4,8 +4,7 @@
 import contextlib
 import dataclasses
 import random
-from collections.abc import Coroutine, Sequence
-from typing import Any
+from collections.abc import Sequence
 
 from opentelemetry import trace
 
@@ -19,19 +18,21 @@
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .gate import PolicyAdmission
-from .generated.settings import EntrySettings
-from .leases import LeaseKeeper
-from .local_gates import NoStageStore
+from .gates import Outcome, PipelineGates
+from .generated.settings import EntrySettings, PeerSettings
+from .handover import HandoverStore
+from .handover_keepers import HandoverKeepers, HandoverPlace
+from .handover_memory import HandoverMemory
 from .membership import Membership
 from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
 from .orders import OrderClient
 from .peers import PeerLink
-from .pipeline import Outcome, PipelineGates, PipelineRunner
+from .pipeline import PipelineRunner
 from .platform import InstanceList, LogService, WeightStore
 from .policy import EntryPolicy, PolicyOptions, PolicyPlace
 from .policy_news import PolicyNews
-from .reconciler import LeaseFollower, Reconciler
+from .reconciler import build_reconciler
 from .requests import PipelineRequest, TokenSink
 from .suspects import SuspectRuns
 from .target import TargetClient
@@ -49,11 +50,11 @@
     targets: TargetClient
     peers: PeerLink
     clock: Clock
+    orders: OrderClient
+    weights: WeightStore
     seed: int = 0
     incarnation: int = 0
     tracer: trace.Tracer | None = None
-    orders: OrderClient | None = None
-    weights: WeightStore | None = None
     policy: PolicyOptions = dataclasses.field(default_factory=PolicyOptions)
 
 
@@ -121,11 +122,32 @@
             ports.clock,
             lambda: self.watcher.listed,
         )
-        self.reconciler: Reconciler | None = None
+        self._reconciler = build_reconciler(
+            self.configuration,
+            self.directory,
+            ports.log,
+            ports.orders,
+            ports.weights,
+            ports.clock,
+        )
+        peers = settings.peers or PeerSettings()
+        self.keepers = HandoverKeepers(
+            HandoverPlace(
+                settings.instance_id,
+                settings.failure_domain,
+                self._live_domains,
+            ),
+            ports.peers,
+            ports.clock,
+            HandoverMemory(peers.handover_bytes),
+        )
+        self._handover = HandoverStore(
+            self.keepers,
+            ports.peers,
+            ports.clock,
+        )
         self._random = random.Random(ports.seed)
         self._runner = self._build_runner()
-        self._idle = asyncio.Event()
-        self._idle.set()
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Reads what it needs and starts what runs in the background.
@@ -133,6 +155,7 @@
         Args:
             stack: Owns the background work.
         """
+        stack.push_async_callback(self.keepers.close)
         await self.watcher.poll_instances()
         await self.configuration.start(stack, lambda: self.watcher.listed)
         await self.claims.open()
@@ -141,7 +164,7 @@
         await stack.enter_async_context(
             running_tasks(
                 *self.claims.background(),
-                *self._reconciling(),
+                self._reconciler.run(),
                 self._members.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
@@ -181,7 +204,7 @@
         wait_ms = self.drain_plan.wait_ms(clock.steady_ms())
         await asyncio.sleep(wait_ms / MS_PER_S)
         await self.configuration.close()
-        await self._idle.wait()
+        await self.own.activity.wait_idle()
 
     @property
     def draining(self) -> bool:
@@ -225,9 +248,13 @@
         request: PipelineRequest,
         sink: TokenSink | None,
     ) -> Outcome:
-        with self._counted():
+        with self.own.activity.counted():
             try:
-                outcome = await self._runner.run(request, sink)
+                outcome = await self._handover.run(
+                    request,
+                    sink,
+                    self._runner.run,
+                )
             except Exception as error:
                 outcome = Refusal(ErrorKind.INTERNAL, ran=Ran.UNKNOWN)
                 log_event(
@@ -238,21 +265,16 @@
         self.metrics.note_outcome(request, outcome)
         return outcome
 
-    def _reconciling(self) -> list[Coroutine[Any, Any, None]]:
-        """Returns the work that gives orders, if there is a way to."""
-        ports = self.ports
-        if ports.orders is None or ports.weights is None:
-            return []
-        keeper = LeaseKeeper(self.permission.member)
-        self.reconciler = Reconciler(
-            self.configuration,
-            self.directory,
-            LeaseFollower(keeper, ports.log, ports.clock),
-            ports.orders,
-            ports.weights,
-            ports.clock,
-        )
-        return [self.reconciler.run()]
+    def _live_domains(self) -> dict[str, str]:
+        now_ms = self.ports.clock.steady_ms()
+        domains = {
+            member.instance_id: member.failure_domain
+            for member in self.membership.alive(now_ms)
+        }
+        if not self.draining:
+            own_id = self.settings.instance_id
+            domains[own_id] = self.settings.failure_domain
+        return domains
 
     def _build_runner(self) -> RequestRunner:
         gates = self._build_gates()
@@ -268,7 +290,7 @@
             permission=self.permission,
             admission=PolicyAdmission(self.policy),
             claims=self.claims.gate,
-            store=NoStageStore(),
+            store=self._handover,
             dispatcher=StageDispatcher(
                 self.policy,
                 self.ports.targets,
@@ -279,14 +301,3 @@
                 ),
             ),
         )
-
-    @contextlib.contextmanager
-    def _counted(self) -> Any:
-        self.own.running += 1
-        self._idle.clear()
-        try:
-            yield
-        finally:
-            self.own.running -= 1
-            if not self.own.running:
-                self._idle.set()
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -8,6 +8,7 @@
 from .configuration_handler import CONFIGURATION_PATH, ConfigurationHandler
 from .core import EntryCore
 from .errors import ErrorKind, Refusal, RefusalError
+from .gates import Outcome
 from .http_messages import (
     EVENT_STREAM_TYPE,
     HttpRequest,
@@ -15,11 +16,10 @@
     encode_event,
     json_response,
 )
-from .pipeline import Outcome
 from .policy_status import policy_status
 from .requests import PipelineRequest
 from .target import TokenEvent
-from .tokens import check_organisation
+from .tokens import check_organisation, is_operator
 from .wire import (
     ORGANISATION_HEADER,
     decode_request,
@@ -30,6 +30,7 @@
     token_payload,
 )
 
+DRAIN_PATH = '/v1/targets/drain'
 PIPELINE_PREFIX = '/v1/pipelines/'
 TOKEN_QUEUE_SIZE = 64
 
@@ -65,6 +66,7 @@
         )
         self._routes = {
             ('GET', '/v1/entries'): self._entries,
+            ('POST', DRAIN_PATH): self._drain_target,
             ('GET', '/v1/status'): self._status,
             ('GET', '/metrics'): self._exposition,
             ('GET', '/healthz'): self._liveness,
@@ -151,6 +153,17 @@
         keep_ms = core.settings.address_ttl_ms
         return json_response({'entries': rows, 'keep_ms': keep_ms})
 
+    def _drain_target(self, request: HttpRequest) -> HttpResponse:
+        """Marks a target as leaving by an operator's order."""
+        if not is_operator(self._core.settings.operator_token, request):
+            return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
+        target_id = request.query.get('target_id', '')
+        if not self._core.directory.mark_leaving(target_id):
+            refusal = Refusal(ErrorKind.NOT_FOUND, detail=target_id)
+            return encode_refusal('', refusal)
+        self._core.ports.peers.send_news()
+        return json_response({'target_id': target_id, 'leaving': True})
+
     def _status(self, request: HttpRequest) -> HttpResponse:
         core = self._core
         targets = [
--- a/borageyard/membership_service.py
+++ b/borageyard/membership_service.py
@@ -4,6 +4,7 @@
 import dataclasses
 from collections.abc import Callable, Sequence
 
+from .activity import Activity
 from .clock import MS_PER_S, Clock
 from .events import Event, log_event
 from .generated.peer_membership import (
@@ -32,7 +33,12 @@
     failure_domain: str
     address: str = ''
     leaving: bool = False
-    running: int = 0
+    activity: Activity = dataclasses.field(default_factory=Activity)
+
+    @property
+    def running(self) -> int:
+        """Returns how many requests run."""
+        return self.activity.count
 
 
 class MembershipService:
@@ -104,6 +110,7 @@
 
     def _provide(self) -> PeerMembershipBody:
         now_ms = self._clock.steady_ms()
+        self._share_target_marks(now_ms)
         own = self._own
         marks = self._membership.entry_marks.take(MARKS_PER_NEWS, now_ms)
         suspicions = self._membership.suspicions(now_ms)[:MARKS_PER_NEWS]
--- a/borageyard/pipeline.py
+++ b/borageyard/pipeline.py
@@ -1,151 +1,26 @@
 """Runs a request through the stages of its pipeline."""
 
-import contextlib
 import dataclasses
-from typing import Any, Protocol
+from typing import Any
 
 from .clock import Clock
-from .configuration import REQUEST_INPUT, Configuration, Pipeline, Stage
+from .configuration import REQUEST_INPUT, Stage
 from .errors import ErrorKind, Ran, Refusal, RefusalError
 from .events import Event, log_event
+from .gates import Outcome, PipelineGates
 from .requests import (
     AdmittedRequest,
-    Answer,
     PipelineRequest,
     StageRequest,
-    StageResult,
     TokenSink,
 )
-
-Outcome = Answer | Refusal
-
-
-class ConfigurationSource(Protocol):
-    """Tells the configuration in force."""
-
-    def current(self) -> Configuration | None:
-        """Returns the configuration, or none before one is known."""
-
-
-class ServingPermission(Protocol):
-    """Tells whether the entry may admit new work."""
-
-    def check(self) -> Refusal | None:
-        """Returns why work may not be admitted, or none if it may."""
-
-
-class Admission(Protocol):
-    """Decides which requests start and when."""
-
-    def admit(
-        self,
-        admitted: AdmittedRequest,
-    ) -> contextlib.AbstractAsyncContextManager[None]:
-        """Holds the request's place from its start to its end.
-
-        Args:
-            admitted: The request.
-
-        Raises:
-            RefusalError: If it may not start.
-        """
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimGrant:
-    """Leave to run a non-idempotent request, or its known outcome."""
-
-    key: str
-    attempt_id: str
-    outcome: Outcome | None = None
-
-
-class ClaimGate(Protocol):
-    """Lets a non-idempotent request run at most once."""
-
-    async def recall(self, admitted: AdmittedRequest) -> Outcome | None:
-        """Returns how another attempt of the request's key ends.
-
-        Args:
-            admitted: A request that needs a claim.
-
-        Returns:
-            The outcome, or none if no other attempt is known.
-
-        Raises:
-            RefusalError: If the key can't be claimed.
-        """
-
-    async def acquire(self, admitted: AdmittedRequest) -> ClaimGrant:
-        """Claims the request's key before its first unrepeatable call.
-
-        Args:
-            admitted: The request.
-
-        Returns:
-            A grant; if it carries an outcome, nothing may be run.
-
-        Raises:
-            RefusalError: If the key can't be claimed.
-        """
-
-    async def complete(self, grant: ClaimGrant, outcome: Outcome) -> None:
-        """Records how a granted request ended."""
-
-    async def abandon(self, grant: ClaimGrant, refusal: Refusal) -> None:
-        """Gives a grant up under which nothing was run."""
-
-
-class StageStore(Protocol):
-    """Keeps finished stage results until their request ends."""
-
-    async def load(self, admitted: AdmittedRequest) -> dict[str, StageResult]:
-        """Returns the finished stages of a request by name."""
-
-    async def save(
-        self,
-        admitted: AdmittedRequest,
-        result: StageResult,
-    ) -> None:
-        """Keeps a finished stage."""
-
-    async def forget(self, admitted: AdmittedRequest) -> None:
-        """Drops what was kept for a request that has ended."""
-
-
-class StageRunner(Protocol):
-    """Runs one stage to its whole result."""
-
-    async def run(self, stage_request: StageRequest) -> StageResult:
-        """Runs a stage.
-
-        Args:
-            stage_request: The stage and its inputs.
-
-        Raises:
-            RefusalError: If there is no whole result.
-        """
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PipelineGates:
-    """Everything that a request passes on its way."""
-
-    configurations: ConfigurationSource
-    permission: ServingPermission
-    admission: Admission
-    claims: ClaimGate
-    store: StageStore
-    dispatcher: StageRunner
-
-
-@dataclasses.dataclass(slots=True)
-class RunState:
-    """How far a request has come."""
-
-    results: dict[str, StageResult] = dataclasses.field(default_factory=dict)
-    grant: ClaimGrant | None = None
-    ran: Ran = Ran.NOT_RUN
+from .run_state import (
+    RunState,
+    build_answer,
+    has_no_claim_left,
+    ran_before,
+    with_progress,
+)
 
 
 class PipelineRunner:
@@ -217,25 +92,48 @@
         sink: TokenSink | None,
     ) -> Outcome:
         """Runs a request, unless another attempt of its key is known."""
-        if admitted.configuration.needs_claim(admitted.pipeline):
-            outcome = await self._gates.claims.recall(admitted)
-            if isinstance(outcome, Refusal):
-                raise RefusalError(outcome)
-            if outcome is not None:
-                return outcome
+        results = await self._gates.store.load(admitted)
+        state = RunState(
+            results=results,
+            ran=ran_before(admitted, results),
+            tokens=self._gates.store.tokens(admitted),
+        )
+        outcome = await self._recall(admitted, state)
+        if outcome is not None:
+            return outcome
         async with self._gates.admission.admit(admitted):
-            return await self._run_admitted(admitted, sink)
+            return await self._run_admitted(admitted, state, sink)
+
+    async def _recall(
+        self,
+        admitted: AdmittedRequest,
+        state: RunState,
+    ) -> Outcome | None:
+        """Returns the outcome of another attempt of the key, if known.
+
+        An attempt whose outcome is unknown is gone on with, if all that may
+        not be repeated is known to have finished.
+        """
+        if not admitted.configuration.needs_claim(admitted.pipeline):
+            return None
+        outcome = await self._gates.claims.recall(admitted)
+        if not isinstance(outcome, Refusal):
+            return outcome
+        unknown = outcome.ran is Ran.UNKNOWN
+        if unknown and has_no_claim_left(admitted, state):
+            return None
+        raise RefusalError(with_progress(outcome, state))
 
     async def _run_admitted(
         self,
         admitted: AdmittedRequest,
+        state: RunState,
         sink: TokenSink | None,
     ) -> Outcome:
-        state = RunState(results=await self._gates.store.load(admitted))
         try:
             outcome: Outcome = await self._run_stages(admitted, state, sink)
         except RefusalError as error:
-            outcome = _with_progress(error.refusal, state)
+            outcome = with_progress(error.refusal, state)
         except Exception as error:
             log_event(
                 Event.REQUEST_FAILED,
@@ -263,12 +161,13 @@
                 state.grant = await self._gates.claims.acquire(admitted)
                 if state.grant.outcome is not None:
                     return state.grant.outcome
+            await stage_request.replay_tokens()
             result = await self._gates.dispatcher.run(stage_request)
             state.results[stage.name] = result
             if not stage_request.idempotent:
                 state.ran = Ran.RAN
             await self._gates.store.save(admitted, result)
-        return _build_answer(admitted, state)
+        return build_answer(admitted, state)
 
     async def _settle(self, state: RunState, outcome: Outcome) -> None:
         """Records the outcome of a claimed request."""
@@ -290,8 +189,9 @@
     inputs = {
         source: _input_of(source, admitted, state) for source in stage.inputs
     }
-    streamed = sink is not None and _may_stream(admitted, stage)
-    return StageRequest(admitted, stage, inputs, sink if streamed else None)
+    if sink is None or not _may_stream(admitted, stage):
+        return StageRequest(admitted, stage, inputs)
+    return StageRequest(admitted, stage, inputs, sink, state.tokens)
 
 
 def _may_stream(admitted: AdmittedRequest, stage: Stage) -> bool:
@@ -307,25 +207,3 @@
     if source == REQUEST_INPUT:
         return admitted.request.body
     return state.results[source].output
-
-
-def _with_progress(refusal: Refusal, state: RunState) -> Refusal:
-    ran = refusal.ran if state.ran is Ran.NOT_RUN else state.ran
-    if refusal.ran is Ran.UNKNOWN:
-        ran = Ran.UNKNOWN
-    return dataclasses.replace(
-        refusal,
-        ran=ran,
-        stages_ran=tuple(state.results),
-    )
-
-
-def _build_answer(admitted: AdmittedRequest, state: RunState) -> Answer:
-    pipeline: Pipeline = admitted.pipeline
-    return Answer(
-        request_id=admitted.request.request_id,
-        pipeline=pipeline.name,
-        configuration_version=admitted.configuration.version,
-        output=state.results[pipeline.output].output,
-        stages=tuple(state.results.values()),
-    )
--- a/borageyard/reconciler.py
+++ b/borageyard/reconciler.py
@@ -195,6 +195,35 @@
         )
 
 
+def build_reconciler(
+    configuration: ConfigurationService,
+    directory: TargetDirectory,
+    log: LogService,
+    orders: OrderClient,
+    weights: WeightStore,
+    clock: Clock,
+) -> Reconciler:
+    """Composes a reconciler with its lease.
+
+    Args:
+        configuration: Desired state and what is accepted.
+        directory: Observed state.
+        log: Where lease records are.
+        orders: The way of orders to targets.
+        weights: Tells the rate of loads.
+        clock: Source of steady time.
+    """
+    keeper = LeaseKeeper(configuration.permission.member)
+    return Reconciler(
+        configuration,
+        directory,
+        LeaseFollower(keeper, log, clock),
+        orders,
+        weights,
+        clock,
+    )
+
+
 def _observed(state: TargetState) -> ObservedTarget:
     report = state.report
     if report is None:
--- a/borageyard/standins/target.py
+++ b/borageyard/standins/target.py
@@ -291,7 +291,7 @@
             reported_at_ms=now_ms,
             running=self._running,
             queued=self._slots.queued,
-            slots=self.profile.slots,
+            slots=0 if self.loading else self.profile.slots,
             leaving=self.faults.leaving,
             models=dict(self.models),
         )
