--- a/borageyard/memory_deployment.py
+++ b/borageyard/memory_deployment.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import time
+from collections.abc import Callable
 from types import TracebackType
 from typing import Self
 
@@ -24,6 +25,7 @@
     MemoryInstances,
     MemoryLog,
 )
+from .policy import PolicyOptions
 from .standins.orders import (
     DEFAULT_RATE_BYTES_PER_S,
     StandinOrders,
@@ -37,6 +39,10 @@
 NEWS_MS = 200
 NO_ADDRESS = '127.0.0.1:1'
 
+TargetBuilder = Callable[[TargetProfile, Clock, int], StandinTarget]
+# Returns what the policy of the entry with a number is made of.
+PolicyBuilder = Callable[[int], PolicyOptions]
+
 
 @dataclasses.dataclass(slots=True)
 class RunningEntry:
@@ -74,6 +80,9 @@
         self.client = MemoryTargetClient(self.targets)
         self.orders: dict[str, StandinOrders] = {}
         self.weights = MemoryWeights(DEFAULT_RATE_BYTES_PER_S)
+        # May be replaced before the start.
+        self.build_target: TargetBuilder = StandinTarget
+        self.build_policy: PolicyBuilder = _default_policy
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> Self:
@@ -124,6 +133,7 @@
             orders=MemoryOrderClient(self.orders),
             weights=self.weights,
             seed=self.seed + index,
+            policy=self.build_policy(index),
         )
         core = EntryCore(_settings(name, domain), ports)
         core.own.address = name
@@ -173,7 +183,11 @@
                 kind=configuration.services[service].kind,
                 slots=configuration.services[service].max_in_flight,
             )
-            target = StandinTarget(profile, self.clock, self.seed + index)
+            target = self.build_target(
+                profile,
+                self.clock,
+                self.seed + index,
+            )
             preload(target, configuration)
             self.orders[profile.target_id] = StandinOrders(
                 target,
@@ -191,6 +205,10 @@
             )
 
 
+def _default_policy(index: int) -> PolicyOptions:
+    return PolicyOptions()
+
+
 def _settings(name: str, domain: str) -> EntrySettings:
     return EntrySettings.model_validate(
         {
--- a/borageyard/routing.py
+++ b/borageyard/routing.py
@@ -132,7 +132,7 @@
         state: The target.
         query: Time and number of entries.
     """
-    if not state.slots or state.reserved_until_ms > query.now_ms:
+    if not state.slots:
         return False
     if state.in_flight < max(state.slots // query.entries, 1):
         return True
