--- a/borageyard/permission.py
+++ b/borageyard/permission.py
@@ -232,7 +232,8 @@
             guest_ms: How long others may still rely on its earlier replies.
         """
         now_ms = self._clock.steady_ms()
-        guest_until_ms = now_ms + waiting_time_ms(guest_ms)
+        wait_ms = waiting_time_ms(guest_ms) if guest_ms else 0
+        guest_until_ms = now_ms + wait_ms
         for pending in self.pending.values():
             if pending.position <= position:
                 pending.acks.setdefault(member, now_ms)
--- a/tests/test_configuration_sync.py
+++ b/tests/test_configuration_sync.py
@@ -12,8 +12,10 @@
 from borageyard.demo import load_plan
 from borageyard.errors import ErrorKind
 from borageyard.generated.http_configuration import ProposalBody
+from borageyard.identifiers import new_identifier
 from borageyard.memory_deployment import MemoryDeployment
 from borageyard.platform import MemoryLog
+from borageyard.requests import PipelineRequest
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 PERMISSION_MS = 2000
@@ -126,6 +128,29 @@
         assert report.outcome is ChangeOutcome.UNKNOWN
         assert later.outcome is ChangeOutcome.ACCEPTED
 
+    async def test_request_keeps_its_version(self):
+        """A request that runs across an apply ends under its version."""
+        async with running() as deployment:
+            core = core_of(deployment, 0)
+            for target in deployment.targets.values():
+                target.faults.slow_factor = 20
+            request = PipelineRequest(
+                request_id=new_identifier(),
+                pipeline='route-summary',
+                organisation='dispatch',
+                body={'dog': 'Snati'},
+                expires_at_ms=core.ports.clock.steady_ms() + 9000,
+            )
+            running_request = asyncio.ensure_future(core.run(request))
+            await asyncio.sleep(0.1)
+            change = proposal(deployment, 'one')
+            report = await core.configuration.changes.apply(change)
+            still_running = not running_request.done()
+            outcome = await running_request
+        assert still_running
+        assert report.version == 2
+        assert outcome.configuration_version == 1
+
     async def test_same_id_is_applied_once(self):
         """A repeated change does not make a second version."""
         async with running() as deployment:
