--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -54,8 +54,8 @@
     orders: OrderClient
     weights: WeightStore
     seed: int = 0
-    incarnation: int = 0
     tracer: trace.Tracer | None = None
+    incarnation: int = 0
     policy: PolicyOptions = dataclasses.field(default_factory=PolicyOptions)
 
 
--- a/borageyard/events.py
+++ b/borageyard/events.py
@@ -1,11 +1,26 @@
 """Numbered events of the structured log; docs/EVENTS.md is the catalogue."""
 
+import contextlib
 import enum
-from typing import Any
+import itertools
+import pathlib
+import sys
+import time
+from collections.abc import Iterator
+from typing import IO, Any
 
 import eliot
 
+from .border import DocumentError, Problem, shown
+from .identifiers import new_identifier
 
+STANDARD_ERROR = '-'
+PROCESS_TASK = new_identifier()
+_LEVELS = itertools.count(1)
+_LOGGER = eliot.Logger()
+
+
+@enum.unique
 class Event(enum.IntEnum):
     """Every event that an entry logs."""
 
@@ -54,8 +69,43 @@
         event: Its number and name.
         **fields: What the catalogue says that it carries.
     """
-    eliot.log_message(
-        message_type=event.name.lower(),
-        event_number=event.value,
-        **fields,
+    # A task of eliot is a request here, else the whole process.
+    _LOGGER.write(
+        {
+            'message_type': event.name.lower(),
+            'event_number': event.value,
+            'timestamp': time.time(),
+            'task_uuid': fields.get('request_id', PROCESS_TASK),
+            'task_level': [next(_LEVELS)],
+            **fields,
+        },
     )
+
+
+@contextlib.contextmanager
+def open_log(path: str) -> Iterator[None]:
+    """Writes all events to a file while the scope lasts.
+
+    Args:
+        path: Path of the file; ``-`` is standard error.
+
+    Raises:
+        DocumentError: If the file can't be written.
+    """
+    with contextlib.ExitStack() as stack:
+        output: IO[str] = sys.stderr
+        if path != STANDARD_ERROR:
+            output = stack.enter_context(_open(path))
+        destination = eliot.FileDestination(file=output)
+        eliot.add_destinations(destination)
+        stack.callback(eliot.remove_destination, destination)
+        yield
+
+
+def _open(path: str) -> IO[str]:
+    try:
+        return pathlib.Path(path).open('a', encoding='utf-8')
+    except OSError as error:
+        expected = f'a file that can be written ({error})'
+        problem = Problem('$.telemetry.log_path', shown(path), expected)
+        raise DocumentError('settings', (problem,)) from error
