--- a/borageyard/fault_world.py
+++ b/borageyard/fault_world.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any
 
+from .clock import LoopClock
 from .core import EntryPorts
 from .deployment import DeploymentPlan
 from .fault_actions import FaultActions
@@ -20,6 +21,8 @@
 from .memory_deployment import MemoryDeployment
 from .requests import PipelineRequest
 
+# Wall time at which every world starts.
+EPOCH_MS = 1_790_000_000_000
 DEADLINE_MS = 4000
 KEY_RANDOM_BITS = 74
 EXCHANGE_FAULTS = ANSWER_FAULTS | {
@@ -50,6 +53,7 @@
         self.book_begun = asyncio.Event()
         self.deployment = MemoryDeployment(
             plan,
+            clock=LoopClock(EPOCH_MS),
             seed=seed,
             wrap_ports=self.wrap_ports,
         )
--- a/borageyard/memory_deployment.py
+++ b/borageyard/memory_deployment.py
@@ -15,6 +15,7 @@
 from .deployment import DeploymentPlan
 from .generated.settings import EntrySettings
 from .memory_log import MemoryLogService
+from .memory_orders import MemoryOrderClient, MemoryWeights
 from .memory_target import MemoryTargetClient
 from .peers import MemoryPeerNetwork
 from .platform import (
@@ -25,6 +26,11 @@
     MemoryLog,
 )
 from .policy import PolicyOptions
+from .standins.orders import (
+    DEFAULT_RATE_BYTES_PER_S,
+    StandinOrders,
+    preload,
+)
 from .standins.target import StandinTarget, TargetProfile
 
 # How far virtual time starts ahead of the machine's, so that identifiers that
@@ -79,6 +85,8 @@
         self.targets: dict[str, StandinTarget] = {}
         self.entries: dict[str, RunningEntry] = {}
         self.client = MemoryTargetClient(self.targets)
+        self.orders: dict[str, StandinOrders] = {}
+        self.weights = MemoryWeights(DEFAULT_RATE_BYTES_PER_S)
         # May be replaced before the start.
         self.build_target: TargetBuilder = StandinTarget
         self.build_policy: PolicyBuilder = _default_policy
@@ -129,6 +137,8 @@
             targets=self.client,
             peers=self.network.join(name),
             clock=self.clock,
+            orders=MemoryOrderClient(self.orders),
+            weights=self.weights,
             seed=self.seed + index,
             policy=self.build_policy(index),
         )
@@ -188,6 +198,11 @@
                 self.clock,
                 self.seed + index,
             )
+            preload(target, configuration)
+            self.orders[profile.target_id] = StandinOrders(
+                target,
+                fencing=configuration.services[service].fencing,
+            )
             self.targets[profile.target_id] = target
             self.instances.rows.append(
                 Instance(
--- a/borageyard/standins/target.py
+++ b/borageyard/standins/target.py
@@ -216,6 +216,7 @@
         self.executions: list[Execution] = []
         self.alive = True
         self.models: dict[str, tuple[str, ...]] = {}
+        self.loading = 0
         self.cache = PrefixCache(profile.cache_tokens)
         self._clock = clock
         self._random = random.Random(seed)
@@ -259,6 +260,11 @@
             raise TargetCrashError('dead')
         if self.faults.take('refuse_next'):
             raise TargetRefusedError('told to refuse')
+        if self.loading:
+            raise TargetRefusedError('loading')
+        versions = self.models.get(call.model)
+        if versions and call.model_version not in versions:
+            raise TargetRefusedError('version is not loaded')
         async with (
             self._slot(call.priority),
             contextlib.aclosing(self._generate(call)) as events,
@@ -290,7 +296,7 @@
             reported_at_ms=now_ms,
             running=self._running,
             queued=self._slots.queued,
-            slots=self.profile.slots,
+            slots=0 if self.loading else self.profile.slots,
             leaving=self.faults.leaving,
             models=dict(self.models),
         )
