--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -10,6 +10,7 @@
 
 from rich import console, table
 
+from .bench_capacity import run_capacity
 from .bench_config import run_config
 from .bench_entry_loss import run_entry_loss
 from .bench_overhead import run_overhead
@@ -22,6 +23,7 @@
 # Experiments by name; each one lives in its own module.
 EXPERIMENTS: Mapping[str, Experiment] = types.MappingProxyType(
     {
+        'capacity': run_capacity,
         'config': run_config,
         'overhead': run_overhead,
         'entry-loss': run_entry_loss,
--- /dev/null
+++ b/borageyard/bench_capacity.py
@@ -0,0 +1,247 @@
+"""Experiment: slopes of memory and processor time, and the size ahead."""
+
+import functools
+import gc
+import random
+import time
+import tracemalloc
+import types
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from .bench_report import BenchReport, Bound
+from .claims import Claim, ClaimFold
+from .clock import MS_PER_S
+from .configuration_log import CONFIGURATION_STREAM, ConfigurationFold
+from .http_messages import encode_json
+from .identifiers import key_at
+from .membership import Membership
+from .platform import (
+    ROLE_ENTRY,
+    ROLE_TARGET,
+    Instance,
+    LogPage,
+    LogRecord,
+)
+from .target import LoadReport
+from .targets import TargetDirectory
+
+# The sizes of letter 1.
+NODES = 600
+TARGETS = 5100
+ORGANISATIONS = 12_000
+CHANGES_PER_DAY = 5200
+REQUESTS_PER_S = 22_000
+MEMORY_LIMIT_BYTES = 128_000_000
+CORE_SHARE_LIMIT = 0.014
+TRAFFIC_LIMIT_BYTES_PER_S = 3000
+
+SECONDS_PER_DAY = 86_400
+US_PER_S = 1_000_000
+CLAIMED_SHARE = 0.05
+CLAIM_WINDOW_S = 600
+FAILURE_DOMAINS = 16
+SMALL_SHARE = 0.25
+CLAIMS_MEASURED = 20_000
+START_MS = 1_790_000_000_000
+KEY_RANDOM_BITS = 74
+DIGEST_CHARS = 64
+DIGEST = 'd' * DIGEST_CHARS
+REPEATS = 3
+
+# Builds a state of a size; what it returns is kept while it is measured.
+Builder = Callable[[int], object]
+
+SERVICES: Mapping[str, Any] = types.MappingProxyType(
+    {
+        'llm': {'kind': 'engine'},
+    }
+)
+PIPELINES: Mapping[str, Any] = types.MappingProxyType(
+    {
+        'answer': {'stages': [{'name': 'generate', 'service': 'llm'}]},
+    }
+)
+
+
+def run_capacity(seed: int) -> BenchReport:
+    """Measures slopes and works out a node's state at the size ahead.
+
+    A slope is the difference of two sizes divided by the difference in
+    items, so that constant costs fall out.
+
+    Args:
+        seed: Seed of the keys of claims.
+
+    Returns:
+        Slopes, and projections with their bounds from letter 1.
+    """
+    build_claims = functools.partial(_build_claims, seed)
+    figures: dict[str, Any] = {
+        'organisation_bytes': memory_slope(_build_configuration, ORGANISATIONS),
+        'target_bytes': memory_slope(_build_directory, TARGETS),
+        'member_bytes': memory_slope(_build_membership, NODES),
+        'claim_bytes': memory_slope(build_claims, CLAIMS_MEASURED),
+        'claim_fold_us': time_slope(build_claims, CLAIMS_MEASURED),
+        'load_report_us': time_slope(_build_directory, TARGETS),
+    }
+    document = _document(ORGANISATIONS)
+    figures['configuration_bytes'] = len(encode_json(document))
+    figures['configuration_fold_ms'] = (
+        _best_s(
+            _build_configuration,
+            ORGANISATIONS,
+        )
+        * MS_PER_S
+    )
+    figures.update(_project(figures))
+    return BenchReport(
+        name='capacity',
+        seed=seed,
+        figures=figures,
+        bounds=(
+            Bound('state_bytes', MEMORY_LIMIT_BYTES),
+            Bound('configuration_core_share', CORE_SHARE_LIMIT),
+            Bound('configuration_bytes_per_s', TRAFFIC_LIMIT_BYTES_PER_S),
+            Bound('sharded_claims_core_share', CORE_SHARE_LIMIT),
+            Bound('sharded_total_bytes', MEMORY_LIMIT_BYTES),
+        ),
+    )
+
+
+def memory_slope(build: Builder, size: int) -> float:
+    """Returns the bytes that one more item takes.
+
+    Args:
+        build: Builds a state of a size.
+        size: The larger of the two sizes measured.
+    """
+    small = int(size * SMALL_SHARE)
+    return (_held_bytes(build, size) - _held_bytes(build, small)) / (
+        size - small
+    )
+
+
+def time_slope(build: Builder, size: int) -> float:
+    """Returns the microseconds of processor time for one more item.
+
+    Args:
+        build: Builds a state of a size.
+        size: The larger of the two sizes measured.
+    """
+    small = int(size * SMALL_SHARE)
+    spent_s = _best_s(build, size) - _best_s(build, small)
+    return spent_s * US_PER_S / (size - small)
+
+
+def _project(figures: Mapping[str, Any]) -> dict[str, float]:
+    state_bytes = (
+        figures['organisation_bytes'] * ORGANISATIONS
+        + figures['target_bytes'] * TARGETS
+        + figures['member_bytes'] * NODES
+    )
+    claims_per_s = REQUESTS_PER_S * CLAIMED_SHARE
+    claims_bytes = figures['claim_bytes'] * claims_per_s * CLAIM_WINDOW_S
+    claims_share = figures['claim_fold_us'] * claims_per_s / US_PER_S
+    changes_per_s = CHANGES_PER_DAY / SECONDS_PER_DAY
+    return {
+        'state_bytes': state_bytes,
+        'all_claims_bytes': claims_bytes,
+        'sharded_claims_bytes': claims_bytes / FAILURE_DOMAINS,
+        'sharded_total_bytes': state_bytes + claims_bytes / FAILURE_DOMAINS,
+        'all_claims_core_share': claims_share,
+        'sharded_claims_core_share': claims_share / FAILURE_DOMAINS,
+        'configuration_core_share': (
+            figures['configuration_fold_ms'] / MS_PER_S * changes_per_s
+        ),
+        'configuration_bytes_per_s': (
+            figures['configuration_bytes'] * changes_per_s
+        ),
+    }
+
+
+def _held_bytes(build: Builder, size: int) -> int:
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    kept = build(size)
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return 0 if kept is None else after - before
+
+
+def _best_s(build: Builder, size: int) -> float:
+    times_s = []
+    for _ in range(REPEATS):
+        started_s = time.process_time()
+        build(size)
+        times_s.append(time.process_time() - started_s)
+    return min(times_s)
+
+
+def _document(organisations: int) -> dict[str, Any]:
+    names = (f'organisation-{number}' for number in range(organisations))
+    return {
+        'format': 1,
+        'organisations': {name: {'weight': 1.0} for name in names},
+        'services': dict(SERVICES),
+        'pipelines': dict(PIPELINES),
+    }
+
+
+def _build_configuration(organisations: int) -> object:
+    document = _document(organisations)
+    fold = ConfigurationFold()
+    body = {
+        'type': 'apply',
+        'base_version': 0,
+        'author': CONFIGURATION_STREAM,
+        'document': document,
+    }
+    fold.take(LogPage(0, 1, (LogRecord(0, START_MS, body),)))
+    return fold
+
+
+def _build_directory(targets: int) -> object:
+    rows = [
+        Instance(
+            instance_id=f'target-{number}',
+            role=ROLE_TARGET,
+            address=f'127.0.0.1:{number}',
+            failure_domain='a',
+            service='llm',
+        )
+        for number in range(targets)
+    ]
+    directory = TargetDirectory()
+    directory.update(rows)
+    for row in rows:
+        report = LoadReport(row.instance_id, START_MS, 1, 0, 8)
+        directory.note_report(report, 0)
+    return directory
+
+
+def _build_membership(nodes: int) -> object:
+    membership = Membership('entry-0', 1)
+    rows = [
+        Instance(
+            instance_id=f'entry-{number}',
+            role=ROLE_ENTRY,
+            address=f'127.0.0.1:{number}',
+            failure_domain='a',
+            incarnation=1,
+        )
+        for number in range(nodes)
+    ]
+    membership.note_list(rows, 0)
+    return membership
+
+
+def _build_claims(seed: int, claims: int) -> object:
+    source = random.Random(seed)
+    fold = ClaimFold()
+    for number in range(claims):
+        key = key_at(START_MS, source.getrandbits(KEY_RANDOM_BITS))
+        fold.take_claim(Claim(key, key, DIGEST, 'entry-0', (number, 0)))
+    return fold
