Replay traces against stated outcomes

Change: a format of JSON lines with its schema, a world in virtual time, borageyard replay, and eight traces of the two deployments.

--- a/borageyard/cli.py
+++ b/borageyard/cli.py
@@ -12,6 +12,7 @@
 from .cli_call import add_call_command
 from .cli_config import add_config_commands
 from .cli_faults import add_faults_command
+from .cli_replay import add_replay_command
 from .cli_settings import add_settings_command
 from .cli_status import add_status_command
 from .demo import print_demo, run_demo
@@ -82,6 +83,7 @@
     add_settings_command(commands)
     add_bench_command(commands)
     add_faults_command(commands)
+    add_replay_command(commands)
     add_config_commands(commands)
     return parser
 
--- /dev/null
+++ b/borageyard/cli_replay.py
@@ -0,0 +1,41 @@
+"""Command that replays traces."""
+
+import argparse
+import dataclasses
+import json
+import pathlib
+import sys
+from typing import Any
+
+from .replay import replay
+from .trace import read_trace
+
+
+def add_replay_command(commands: Any) -> None:
+    """Adds ``borageyard replay`` to the command line.
+
+    Args:
+        commands: The subparsers of the command line.
+    """
+    parser = commands.add_parser(
+        'replay',
+        help='replay a trace against its stated outcomes',
+        description=(
+            'Replays a trace in virtual time. Exit code 1 if a stated outcome'
+            ' is not met; the first one is told.'
+        ),
+    )
+    parser.add_argument('trace', metavar='TRACE', help='file of JSON lines')
+    parser.add_argument('--examples', default='examples', metavar='DIR')
+    parser.add_argument('--json', action='store_true', help='print JSON only')
+    parser.set_defaults(run=_run_replay)
+
+
+def _run_replay(arguments: argparse.Namespace) -> int:
+    trace = read_trace(arguments.trace)
+    report = replay(trace, pathlib.Path(arguments.examples))
+    if report.differing and not arguments.json:
+        sys.stdout.write(f'first difference: {report.differing[0]}\n')
+    summary = json.dumps(dataclasses.asdict(report))
+    sys.stdout.write(f'{summary}\n')
+    return int(bool(report.differing))
--- a/borageyard/fault_caller.py
+++ b/borageyard/fault_caller.py
@@ -2,20 +2,21 @@
 
 import asyncio
 import dataclasses
-from typing import Any
+from typing import Any, Protocol
 
 from .clock import MS_PER_S
 from .errors import Ran
+from .fault_actions import FaultActions
 from .fault_table import Ending, Fault, Step
-from .fault_world import DEADLINE_MS, FaultWorld
 from .gates import Outcome
+from .memory_deployment import MemoryDeployment
 from .requests import Answer, PipelineRequest
 from .target import TokenEvent
 
 RETRY_AFTER_MS = 300
 # Faults under which a request does not reach its entry.
 UNDELIVERED = frozenset((Fault.REFUSED, Fault.RESET, Fault.HALF_OPEN))
-RESPONSE_TIMEOUT_MS = DEADLINE_MS + RETRY_AFTER_MS
+RESPONSE_TIMEOUT_MS = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,10 +40,25 @@
         self.offsets.append(event.offset)
 
 
+class CalledWorld(Protocol):
+    """What a caller needs of the world that it calls."""
+
+    deployment: MemoryDeployment
+    actions: FaultActions
+
+    async def reach(
+        self,
+        step: Step | None,
+        entry: str,
+        address: str = '',
+    ) -> Fault | None:
+        """Tells that a step is reached; returns a fault of the exchange."""
+
+
 class FaultCaller:
     """Sends requests to the entries of a world."""
 
-    def __init__(self, world: FaultWorld) -> None:
+    def __init__(self, world: CalledWorld) -> None:
         """Wraps a world.
 
         Args:
--- a/borageyard/fault_ports.py
+++ b/borageyard/fault_ports.py
@@ -133,6 +133,39 @@
         await self._resumed.wait()
 
 
+class LivingLog:
+    """Log service of one entry, which stops with it."""
+
+    def __init__(self, inner: LogService, life: Life) -> None:
+        """Wraps a log service.
+
+        Args:
+            inner: What is wrapped.
+            life: Whether the entry lives.
+        """
+        self._inner = inner
+        self._life = life
+
+    async def append(self, stream: str, body: Record) -> int:
+        """Appends a record."""
+        await self._life.live()
+        offset = await self._inner.append(stream, body)
+        await self._life.live()
+        return offset
+
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        wait_ms: float = 0,
+    ) -> LogPage:
+        """Reads records in order."""
+        await self._life.live()
+        page = await self._inner.read(stream, offset, wait_ms)
+        await self._life.live()
+        return page
+
+
 class FaultyLog:
     """Log service of one entry, with faults at appends and reads."""
 
--- /dev/null
+++ b/borageyard/replay.py
@@ -0,0 +1,151 @@
+"""Replays a trace in virtual time and compares it with its outcomes."""
+
+import asyncio
+import dataclasses
+import pathlib
+from typing import Any
+
+from .clock import MS_PER_S
+from .configuration_changes import ChangeOutcome
+from .demo import load_plan
+from .generated.trace import (
+    TraceApplyRecord,
+    TraceCrashesRecord,
+    TraceEndingRecord,
+    TraceRequestRecord,
+    TraceRunsRecord,
+    TraceShareRecord,
+    TraceVersionRecord,
+)
+from .replay_world import WARM_UP_MS, ReplayWorld
+from .trace import Trace
+from .virtual_time import run_virtual
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplayReport:
+    """What a replay showed."""
+
+    name: str
+    requests: int
+    endings: dict[str, int]
+    differing: tuple[str, ...]
+
+
+def replay(trace: Trace, examples: pathlib.Path) -> ReplayReport:
+    """Replays a trace.
+
+    Args:
+        trace: A checked trace.
+        examples: Directory of the example configurations.
+
+    Returns:
+        The stated outcomes that were not met, in the order of the trace.
+    """
+    return run_virtual(_replay(trace, examples))
+
+
+async def _replay(trace: Trace, examples: pathlib.Path) -> ReplayReport:
+    plan = load_plan(trace.header.example, examples)
+    world = ReplayWorld(trace.header, plan)
+    async with world.deployment:
+        await asyncio.sleep(WARM_UP_MS / MS_PER_S)
+        work = [
+            asyncio.ensure_future(_run_event(world, event))
+            for event in trace.events
+        ]
+        await asyncio.sleep(trace.header.lasts_ms / MS_PER_S)
+        for task in work:
+            task.cancel()
+        failed = await asyncio.gather(*work, return_exceptions=True)
+        differing = [
+            f'event failed: {error!r}'
+            for error in failed
+            if isinstance(error, Exception)
+        ]
+        for outcome in trace.outcomes:
+            differing.extend(_compare(world, outcome))
+    counts = [ending.value for ending in world.endings('')]
+    return ReplayReport(
+        name=trace.header.name,
+        requests=sum(
+            isinstance(event, TraceRequestRecord) for event in trace.events
+        ),
+        endings={name: counts.count(name) for name in sorted(set(counts))},
+        differing=tuple(differing),
+    )
+
+
+async def _run_event(world: ReplayWorld, event: Any) -> None:
+    await asyncio.sleep(event.at_ms / MS_PER_S)
+    if isinstance(event, TraceRequestRecord):
+        await world.request(event)
+    elif isinstance(event, TraceApplyRecord):
+        await world.apply(event)
+    else:
+        await world.start_fault(event)
+
+
+def _compare(world: ReplayWorld, outcome: Any) -> list[str]:
+    match outcome:
+        case TraceEndingRecord():
+            return _compare_ending(world, outcome)
+        case TraceRunsRecord():
+            return _compare_runs(world, outcome)
+        case TraceShareRecord():
+            return _compare_share(world, outcome)
+        case TraceVersionRecord():
+            return _compare_version(world, outcome)
+    return _compare_crashes(world, outcome)
+
+
+def _compare_ending(
+    world: ReplayWorld,
+    outcome: TraceEndingRecord,
+) -> list[str]:
+    view = world.views.get(outcome.request)
+    ending = 'none' if view is None else view.ending.value
+    if ending in outcome.endings:
+        return []
+    return [f'request {outcome.request} ended with {ending}']
+
+
+def _compare_runs(world: ReplayWorld, outcome: TraceRunsRecord) -> list[str]:
+    runs = world.count_runs(outcome.key, outcome.stage)
+    if outcome.at_least <= runs <= outcome.at_most:
+        return []
+    return [f'key {outcome.key} ran {runs} times']
+
+
+def _compare_share(world: ReplayWorld, outcome: TraceShareRecord) -> list[str]:
+    endings = world.endings(outcome.prefix)
+    matching = sum(ending.value == outcome.ending for ending in endings)
+    share = matching / max(len(endings), 1)
+    if endings and outcome.at_least <= share <= outcome.at_most:
+        return []
+    return [f'share of {outcome.ending} is {share} of {len(endings)}']
+
+
+def _compare_version(
+    world: ReplayWorld,
+    outcome: TraceVersionRecord,
+) -> list[str]:
+    differing = [
+        ' '.join((name, 'has version', str(entry.core.fold.version)))
+        for name, entry in world.deployment.entries.items()
+        if entry.core.fold.version != outcome.version
+    ]
+    accepted = list(world.changes.values()).count(ChangeOutcome.ACCEPTED)
+    if accepted != outcome.accepted:
+        differing.append(f'{accepted} changes were accepted')
+    return differing
+
+
+def _compare_crashes(
+    world: ReplayWorld,
+    outcome: TraceCrashesRecord,
+) -> list[str]:
+    dead = sum(not target.alive for target in world.deployment.targets.values())
+    if dead <= outcome.at_most:
+        return []
+    return [f'{dead} targets are dead']
--- /dev/null
+++ b/borageyard/trace.py
@@ -0,0 +1,108 @@
+"""Traces: arrivals, faults, operator actions and stated outcomes."""
+
+import dataclasses
+import pathlib
+import types
+from collections.abc import Mapping
+from typing import Any
+
+import pydantic
+
+from .border import DocumentError, Problem, check_document, parse_json, shown
+from .generated.trace import (
+    TraceApplyRecord,
+    TraceCrashesRecord,
+    TraceEndingRecord,
+    TraceFaultRecord,
+    TraceHeaderRecord,
+    TraceRequestRecord,
+    TraceRunsRecord,
+    TraceShareRecord,
+    TraceVersionRecord,
+)
+
+TraceEvent = TraceRequestRecord | TraceFaultRecord | TraceApplyRecord
+TraceOutcome = (
+    TraceEndingRecord
+    | TraceRunsRecord
+    | TraceShareRecord
+    | TraceVersionRecord
+    | TraceCrashesRecord
+)
+
+EVENT_MODELS: Mapping[str, type[pydantic.BaseModel]] = types.MappingProxyType(
+    {
+        'request': TraceRequestRecord,
+        'fault': TraceFaultRecord,
+        'apply': TraceApplyRecord,
+    }
+)
+OUTCOME_MODELS: Mapping[str, type[pydantic.BaseModel]] = types.MappingProxyType(
+    {
+        'ending': TraceEndingRecord,
+        'runs': TraceRunsRecord,
+        'share': TraceShareRecord,
+        'version': TraceVersionRecord,
+        'crashes': TraceCrashesRecord,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trace:
+    """A checked trace."""
+
+    header: TraceHeaderRecord
+    events: tuple[Any, ...]
+    outcomes: tuple[Any, ...]
+
+
+def read_trace(path: str) -> Trace:
+    """Reads a trace from a file of JSON lines.
+
+    Args:
+        path: Path of the file.
+
+    Returns:
+        The trace, its events in the order of time.
+
+    Raises:
+        DocumentError: If a line is wrong; its number is told.
+    """
+    try:
+        lines = pathlib.Path(path).read_text(encoding='utf-8').splitlines()
+    except (OSError, UnicodeDecodeError) as error:
+        problem = Problem('$', 'a file that cannot be read', str(error))
+        raise DocumentError(path, (problem,)) from error
+    if not lines:
+        raise DocumentError(path, (Problem('$', 'no line', 'a header'),))
+    header = check_document(
+        TraceHeaderRecord,
+        parse_json(lines[0], path),
+        f'{path}:1',
+    )
+    events = []
+    outcomes = []
+    for number, line in enumerate(lines[1:], start=2):
+        record = _read_line(line, f'{path}:{number}')
+        if isinstance(record, TraceEvent):
+            events.append(record)
+        else:
+            outcomes.append(record)
+    events.sort(key=_time_of)
+    return Trace(header, tuple(events), tuple(outcomes))
+
+
+def _read_line(line: str, place: str) -> Any:
+    document = parse_json(line, place)
+    models = {**EVENT_MODELS, **OUTCOME_MODELS}
+    kind = document.get('kind') if isinstance(document, dict) else None
+    model = models.get(str(kind))
+    if model is None:
+        problem = Problem('$.kind', shown(kind), f'one of {sorted(models)}')
+        raise DocumentError(place, (problem,))
+    return check_document(model, document, place)
+
+
+def _time_of(event: Any) -> float:
+    return float(event.at_ms)
