Let operators name entries that are gone and show the permission

Cause: when half of the entries are gone for good, no change could ever be reported as accepted; the status did not show the permission. Change: config forget, and a configuration part of the status.

--- a/borageyard/cli_config.py
+++ b/borageyard/cli_config.py
@@ -5,91 +5,21 @@
 import getpass
 import json
 import sys
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 from typing import Any
 
-from .border import DocumentError, Problem, load_json, shown
+from .border import load_json
 from .configuration import parse_configuration
 from .configuration_diff import differences
-from .http_client import HttpCall, HttpCallError, HttpClient, HttpReply
-from .http_messages import encode_json
+from .http_client import HttpClient
 from .identifiers import new_identifier
-from .tokens import TOKEN_HEADER
+from .operator_client import NoEntryError, OperatorClient
 
 EXIT_GOOD = 0
 EXIT_NOT_MET = 1
-PATH = '/v1/configuration'
-CALL_TIMEOUT_MS = 10_000
 POLL_S = 0.1
 DEFAULT_WAIT_S = 30.0
 PENDING = frozenset(('decided', 'unknown'))
-STATUS_OK = 200
-REFUSED_FROM = 400
-
-
-class NoEntryError(Exception):
-    """No entry answered."""
-
-
-class OperatorClient:
-    """Asks entries one after the other until one answers."""
-
-    def __init__(
-        self,
-        client: HttpClient,
-        addresses: list[str],
-        token: str,
-    ) -> None:
-        """Names the entries.
-
-        Args:
-            client: Sends the calls.
-            addresses: Addresses of entries, the first preferred.
-            token: Token of operators; empty for none.
-        """
-        self._client = client
-        self._addresses = addresses
-        self._token = token
-
-    async def get(self, path: str) -> dict[str, Any]:
-        """Returns the JSON body of an endpoint.
-
-        Args:
-            path: Path under the configuration's path.
-
-        Raises:
-            NoEntryError: If no entry answered.
-        """
-        reply = await self._call('GET', f'{PATH}{path}', b'')
-        return _decode(reply)
-
-    async def post(self, body: Mapping[str, Any]) -> dict[str, Any]:
-        """Proposes a change; its id makes asking twice harmless.
-
-        Args:
-            body: The proposal.
-
-        Raises:
-            NoEntryError: If no entry answered.
-        """
-        return _decode(await self._call('POST', PATH, encode_json(body)))
-
-    async def _call(self, method: str, path: str, body: bytes) -> HttpReply:
-        reasons = []
-        for address in self._addresses:
-            call = HttpCall(
-                address=address,
-                method=method,
-                path=path,
-                body=body,
-                headers={TOKEN_HEADER: self._token},
-                timeout_ms=CALL_TIMEOUT_MS,
-            )
-            try:
-                return await self._client.request(call)
-            except HttpCallError as error:
-                reasons.append(f'{address}: {error.reason}')
-        raise NoEntryError('; '.join(reasons))
 
 
 Command = Callable[[argparse.Namespace, OperatorClient], Awaitable[int]]
@@ -124,6 +54,11 @@
         default=DEFAULT_WAIT_S,
         metavar='SECONDS',
     )
+    forget = _add_remote(actions, 'forget', _forget)
+    forget.add_argument(
+        'member',
+        help='known entry that certainly does not run any more',
+    )
     _add_remote(actions, 'show', _show)
     _add_remote(actions, 'history', _history)
 
@@ -184,6 +119,15 @@
     return EXIT_GOOD
 
 
+async def _forget(
+    arguments: argparse.Namespace,
+    operator: OperatorClient,
+) -> int:
+    body = await operator.post({'member': arguments.member}, '/forget')
+    _print(f'forgotten: {body["member"]}')
+    return EXIT_GOOD
+
+
 async def _diff(
     arguments: argparse.Namespace,
     operator: OperatorClient,
@@ -262,18 +206,5 @@
     return document
 
 
-def _decode(reply: HttpReply) -> dict[str, Any]:
-    try:
-        body = json.loads(reply.body)
-    except ValueError as error:
-        raise NoEntryError(f'status {reply.status}, no JSON') from error
-    if not isinstance(body, dict):
-        problem = Problem('$', shown(body), 'an object')
-        raise DocumentError('answer of the entry', (problem,))
-    if reply.status != STATUS_OK and 'outcome' not in body:
-        raise NoEntryError(f'{body.get("kind")}: {body.get("detail", "")}')
-    return body
-
-
 def _print(line: str) -> None:
     sys.stdout.write(f'{line}\n')
--- a/borageyard/configuration_changes.py
+++ b/borageyard/configuration_changes.py
@@ -115,6 +115,18 @@
         )
         return self.report(change_id, proposal)
 
+    async def forget(self, member: str) -> None:
+        """Takes an entry out of all known sets on an operator's word.
+
+        Args:
+            member: An entry that certainly does not run any more.
+
+        Raises:
+            PlatformError: If the log is not known to have the record.
+        """
+        record = {'type': 'leave', 'member': member, 'final': True}
+        await self._log.append(CONFIGURATION_STREAM, record)
+
     async def progress(self, change_id: str) -> ChangeReport:
         """Asks all entries how far a change is.
 
--- a/borageyard/configuration_handler.py
+++ b/borageyard/configuration_handler.py
@@ -19,12 +19,14 @@
     CurrentConfigurationBody,
     DifferenceBody,
     EntryProgressBody,
+    ForgetBody,
     HistoryBody,
     ProposalBody,
     VersionBody,
 )
 from .http_messages import HttpRequest, HttpResponse, json_response
 from .identifiers import new_identifier
+from .platform import PlatformError
 from .tokens import is_operator
 from .wire import encode_refusal
 
@@ -62,23 +64,27 @@
         self._fold = fold
         self._changes = changes
         self._operator_token = operator_token
+        self._routes = {
+            ('POST', CONFIGURATION_PATH): self._apply,
+            ('GET', CONFIGURATION_PATH): self._show,
+            ('GET', f'{CONFIGURATION_PATH}/history'): self._history,
+            ('GET', f'{CONFIGURATION_PATH}/progress'): self._progress,
+            ('POST', f'{CONFIGURATION_PATH}/forget'): self._forget,
+        }
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answers one request under the path of the configuration."""
         if not is_operator(self._operator_token, request):
             return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
-        match (request.method, request.path):
-            case ('POST', '/v1/configuration'):
-                return await self._apply(request)
-            case ('GET', '/v1/configuration'):
-                return self._show()
-            case ('GET', '/v1/configuration/history'):
-                return self._history()
-            case ('GET', '/v1/configuration/progress'):
-                change_id = request.query.get('change_id', '')
-                report = await self._changes.progress(change_id)
-                return json_response(_change_body(report).model_dump())
-        return encode_refusal('', Refusal(ErrorKind.NOT_FOUND))
+        route = self._routes.get((request.method, request.path))
+        if route is None:
+            return encode_refusal('', Refusal(ErrorKind.NOT_FOUND))
+        return await route(request)
+
+    async def _progress(self, request: HttpRequest) -> HttpResponse:
+        change_id = request.query.get('change_id', '')
+        report = await self._changes.progress(change_id)
+        return json_response(_change_body(report).model_dump())
 
     async def _apply(self, request: HttpRequest) -> HttpResponse:
         try:
@@ -92,7 +98,24 @@
             STATUSES[report.outcome],
         )
 
-    def _show(self) -> HttpResponse:
+    async def _forget(self, request: HttpRequest) -> HttpResponse:
+        try:
+            body = check_document(
+                ForgetBody,
+                parse_json(request.body, 'forget'),
+                'forget',
+            )
+        except DocumentError as error:
+            kind = ErrorKind.BAD_REQUEST
+            return encode_refusal('', Refusal(kind, detail=str(error)))
+        try:
+            await self._changes.forget(body.member)
+        except PlatformError as error:
+            kind = ErrorKind.LOG_UNAVAILABLE
+            return encode_refusal('', Refusal(kind, detail=str(error)))
+        return json_response(body.model_dump())
+
+    async def _show(self, request: HttpRequest) -> HttpResponse:
         state = self._fold.state
         row = state.history[-1] if state.history else None
         accepted = row is not None and self._changes.is_accepted(row.position)
@@ -105,7 +128,7 @@
         )
         return json_response(body.model_dump())
 
-    def _history(self) -> HttpResponse:
+    async def _history(self, request: HttpRequest) -> HttpResponse:
         versions = [
             VersionBody(
                 version=row.version,
--- a/borageyard/configuration_service.py
+++ b/borageyard/configuration_service.py
@@ -2,6 +2,7 @@
 
 import contextlib
 from collections.abc import Callable, Sequence
+from typing import Any
 
 from .clock import Clock
 from .configuration_changes import ConfigurationChanges
@@ -90,6 +91,18 @@
             ),
         )
 
+    def status(self) -> dict[str, Any]:
+        """Returns what operators are shown."""
+        state = self.fold.state
+        remaining_ms = max(self.permission.remaining_ms(), 0)
+        return {
+            'version': state.version,
+            'position': state.changed_at,
+            'accepted_position': self.tracker.accepted,
+            'permission_ms': round(remaining_ms),
+            'known_entries': sorted(state.members),
+        }
+
     async def close(self) -> None:
         """Admits nothing any more and leaves the known set."""
         self.permission.closed = True
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -189,6 +189,7 @@
                 'draining': core.draining,
                 'running': core.running,
                 'claims': core.claims.status(),
+                'configuration': core.configuration.status(),
                 'targets': targets,
                 'policy': policy_status(core.policy),
             }
--- a/tests/test_configuration_sync.py
+++ b/tests/test_configuration_sync.py
@@ -313,6 +313,25 @@
         assert len(state.members) == 3
         assert floor_is_up
 
+    async def test_forgotten_majority_does_not_block(self):
+        """Dead entries block acceptance until an operator names them."""
+        async with running() as deployment:
+            core = core_of(deployment, 0)
+            dead = [
+                core_of(deployment, index).permission.member
+                for index in (1, 2, 3)
+            ]
+            for index in (1, 2, 3):
+                await deployment.kill_entry(f'entry-{index}')
+            change = proposal(deployment, 'one')
+            before = await core.configuration.changes.apply(change)
+            for member in dead:
+                await core.configuration.changes.forget(member)
+            await asyncio.sleep(1)
+            after = await core.configuration.changes.progress('one')
+        assert before.outcome is ChangeOutcome.DECIDED
+        assert after.outcome is ChangeOutcome.ACCEPTED
+
     async def test_graceful_stop_leaves_at_once(self):
         """An entry that stops takes itself out of the known set."""
         async with running() as deployment:
