--- a/borageyard/memory_deployment.py
+++ b/borageyard/memory_deployment.py
@@ -44,6 +44,10 @@
 PolicyBuilder = Callable[[int], PolicyOptions]
 
 
+# Given the instance id and the ports of an entry.
+PortsWrapper = Callable[[str, EntryPorts], EntryPorts]
+
+
 @dataclasses.dataclass(slots=True)
 class RunningEntry:
     """An entry in memory and what can be done to it."""
@@ -61,6 +65,7 @@
         plan: DeploymentPlan,
         clock: Clock | None = None,
         seed: int = 0,
+        wrap_ports: PortsWrapper | None = None,
     ) -> None:
         """Composes a deployment that does not run yet.
 
@@ -68,9 +73,11 @@
             plan: What it is made of.
             clock: Source of time; that of the loop by default.
             seed: Seed of all random sources.
+            wrap_ports: Puts something between entries and their ports.
         """
         self.plan = plan
         self.seed = seed
+        self._wrap_ports = wrap_ports or _keep_ports
         self.clock = clock or LoopClock(time.time() * MS_PER_S + EPOCH_LEAD_MS)
         self.log = MemoryLog(self.clock)
         self.instances = MemoryInstances()
@@ -135,7 +142,10 @@
             seed=self.seed + index,
             policy=self.build_policy(index),
         )
-        core = EntryCore(_settings(name, domain), ports)
+        core = EntryCore(
+            _settings(name, domain),
+            self._wrap_ports(name, ports),
+        )
         core.own.address = name
         stack = contextlib.AsyncExitStack()
         await core.start(stack)
@@ -205,6 +215,10 @@
             )
 
 
+def _keep_ports(name: str, ports: EntryPorts) -> EntryPorts:
+    return ports
+
+
 def _default_policy(index: int) -> PolicyOptions:
     return PolicyOptions()
 
