Draft the model and race tests of claims

Cause: the claim fold had directed tests only. Change: a stateful model with faults, tests of races and of the fold.

--- a/tests/claim_cluster.py
+++ b/tests/claim_cluster.py
@@ -13,6 +13,8 @@
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 STREAM = 'claims-0'
+WAIT_STEPS = 500
+WAIT_S = 0.01
 
 
 class ClaimCluster:
@@ -51,6 +53,14 @@
         """Sends a booking and does not wait for it."""
         return asyncio.ensure_future(self.book(index, key, **asked))
 
+    async def until_claiming(self, index):
+        """Waits until an entry has queued a claim."""
+        for _ in range(WAIT_STEPS):
+            if len(self.core(index).claims.attempts):
+                return
+            await asyncio.sleep(WAIT_S)
+        raise TimeoutError
+
     def runs(self, key):
         """Returns how often targets ran the call that books."""
         return sum(
--- a/tests/test_claim_gate.py
+++ b/tests/test_claim_gate.py
@@ -144,9 +144,10 @@
         key = new_identifier()
         async with claim_cluster(delay_ms=100) as cluster:
             first = cluster.start_booking(0, key)
-            await asyncio.sleep(0.1)
+            await cluster.until_claiming(0)
             first.cancel()
             await asyncio.sleep(1)
+            assert cluster.core(0).claims.attempts.abandoned == 1
             assert cluster.runs(key) == 0
             second = await cluster.book(1, key)
             assert cluster.runs(key) == 1
@@ -247,9 +248,10 @@
     async def test_deadline_before_confirmation(self):
         """A claim that comes too late runs nothing and frees its key."""
         key = new_identifier()
-        async with claim_cluster(delay_ms=400) as cluster:
-            first = await cluster.book(0, key, deadline_ms=300)
+        async with claim_cluster(delay_ms=1200) as cluster:
+            first = await cluster.book(0, key, deadline_ms=1000)
             await asyncio.sleep(3)
+            assert cluster.core(0).claims.attempts.abandoned == 1
             assert cluster.runs(key) == 0
             second = await cluster.book(1, key)
             assert cluster.runs(key) == 1
--- /dev/null
+++ b/tests/test_claim_model.py
@@ -0,0 +1,152 @@
+"""Model test of the claims: faults drawn at every step."""
+
+import os
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from .claim_model import ClaimModel, Submission
+from .test_claims import key_made
+
+ENTRIES = st.integers(0, 2)
+APPEND_FAULTS = st.sampled_from(
+    ('drop', 'lose', 'duplicate', 'late0.1', 'late0.6', 'late5'),
+)
+STEPS_MS = st.sampled_from((1, 3, 10, 50, 300, 2000, 9000))
+DEADLINES_MS = st.sampled_from((20, 200, 3000))
+RUNS_MS = st.sampled_from((0, 40, 1000))
+ENDINGS = st.sampled_from(('answer', 'answer', 'large', 'not_run', 'unknown'))
+HEAL_MS = 20_000
+STREAM = 'claims-0'
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Entries, callers, a log and links that all fail."""
+
+    def __init__(self):
+        """Starts with three entries and no faults."""
+        super().__init__()
+        self.model = ClaimModel()
+        self.keys = []
+
+    @rule(
+        entry=ENTRIES,
+        deadline_ms=DEADLINES_MS,
+        run_ms=RUNS_MS,
+        ending=ENDINGS,
+        retry=st.integers(0, 3),
+        other_body=st.sampled_from((False, False, False, True)),
+    )
+    def submit(self, entry, deadline_ms, run_ms, ending, retry, other_body):
+        """Sends a new request, or an earlier one again."""
+        if not retry or not self.keys:
+            made_ms = self.model.wall_ms()
+            self.keys.append(key_made(made_ms, len(self.keys)))
+        submission = Submission(
+            key=self.keys[-min(max(retry, 1), len(self.keys))],
+            body='other' if other_body else 'walk',
+            run_ms=run_ms,
+            ending=ending,
+            deadline_ms=deadline_ms,
+        )
+        self.model.submit(entry, submission)
+
+    @rule(by_ms=STEPS_MS)
+    def advance(self, by_ms):
+        """Lets time pass."""
+        self.model.advance(by_ms)
+
+    @rule(entry=ENTRIES, fault=APPEND_FAULTS)
+    def spoil_append(self, entry, fault):
+        """Makes the next append of an entry go wrong."""
+        self.model.entries[entry].log.faults.append(fault)
+
+    @rule(entry=ENTRIES)
+    def pause(self, entry):
+        """Keeps an entry from hearing of the log and from calling."""
+        self.model.entries[entry].log.awake.clear()
+
+    @rule(entry=ENTRIES)
+    def wake(self, entry):
+        """Ends a pause."""
+        self.model.entries[entry].log.awake.set()
+
+    @rule(entry=ENTRIES)
+    def replace(self, entry):
+        """Lets an entry die; a new one of that name starts."""
+        loop = self.model.loop
+        loop.run_until_complete(self.model.kill_entry(entry))
+        loop.run_until_complete(self.model.start_entry(entry))
+
+    @rule(outage=st.booleans())
+    def set_outage(self, outage):
+        """Starts or ends an outage of the log."""
+        self.model.log.faults.outage = outage
+
+    @rule(sender=ENTRIES, receiver=ENTRIES)
+    def cut(self, sender, receiver):
+        """Cuts a link between two entries."""
+        self.model.network.cut(f'entry-{sender}', f'entry-{receiver}')
+
+    @rule()
+    def heal(self):
+        """Mends the links."""
+        self.model.network.heal()
+
+    @precondition(lambda self: self.model.submissions)
+    @rule(place=st.integers(0, 5))
+    def disconnect(self, place):
+        """Lets a caller go away."""
+        submissions = self.model.submissions
+        submissions[-1 - place % len(submissions)].task.cancel()
+
+    @rule(kept=st.integers(0, 4))
+    def expire(self, kept):
+        """Lets the log drop all but the newest records."""
+        log = self.model.log
+        head = log._starts.get(STREAM, 0) + len(log._streams.get(STREAM, ()))
+        log.expire_before(STREAM, head - kept)
+
+    @rule(entry=ENTRIES)
+    def checkpoint(self, entry):
+        """Has an entry look whether a checkpoint is due."""
+        shard = self.model.entries[entry].claims.log.shards[0]
+        self.model.loop.run_until_complete(shard.carry_forward_once())
+
+    @invariant()
+    def promises_hold(self):
+        """No key ran twice and every refusal was true."""
+        self.model.check()
+
+    def teardown(self):
+        """Ends all faults; everything that was sent then ends."""
+        self.model.log.faults.outage = False
+        self.model.network.heal()
+        for entry in self.model.entries:
+            entry.log.faults.clear()
+            entry.log.awake.set()
+        self.model.advance(HEAL_MS)
+        self.model.check()
+        open_tasks = [
+            submission
+            for submission in self.model.submissions
+            if not submission.task.done()
+        ]
+        self.model.close()
+        assert not open_tasks
+
+
+TestClaimMachine = ClaimMachine.TestCase
+TestClaimMachine.settings = settings(
+    derandomize=True,
+    max_examples=int(os.environ.get('CLAIM_EXAMPLES', '40')),
+    stateful_step_count=40,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
--- /dev/null
+++ b/tests/test_claim_races.py
@@ -0,0 +1,159 @@
+"""Directed races of claims on the model of entries."""
+
+import pytest
+
+from borageyard.errors import ErrorKind, Ran
+from borageyard.requests import Answer
+
+from .claim_model import ClaimModel, Submission
+from .test_claims import key_made
+
+STREAM = 'claims-0'
+SETTLE_MS = 8000
+
+
+@pytest.fixture
+def model():
+    """Runs three entries on one log."""
+    running = ClaimModel()
+    running.advance(100)
+    yield running
+    running.check()
+    running.close()
+
+
+def submission_of(model, key='', deadline_ms=3000, run_ms=40, ending='answer'):
+    """Returns a submission, of a new key by default."""
+    key = key or key_made(model.wall_ms(), len(model.submissions))
+    return Submission(key, 'walk', run_ms, ending, deadline_ms)
+
+
+def submit(model, index, **asked):
+    """Sends a submission."""
+    submission = submission_of(model, **asked)
+    model.submit(index, submission)
+    return submission
+
+
+def shard_of(model, index):
+    """Returns the claim stream as an entry sees it."""
+    return model.entries[index].claims.log.shards[0]
+
+
+class TestRaces:
+    """Two entries, one key, every order of events."""
+
+    def test_at_the_same_instant(self, model):
+        """Two claims stand in the log; the first one runs."""
+        first = submit(model, 0)
+        second = submit(model, 1, key=first.key)
+        model.advance(1000)
+        assert model.runs[first.key] == 1
+        assert isinstance(first.outcome, Answer)
+        assert isinstance(second.outcome, Answer)
+        claims = [
+            entry.claims.attempts.granted + entry.claims.attempts.abandoned
+            for entry in model.entries
+        ]
+        assert claims == [1, 1, 0]
+
+    def test_paused_holder_is_not_overtaken(self, model):
+        """A holder paused before its call is the only one to run it."""
+        model.entries[0].log.faults.append('duplicate')
+        first = submit(model, 0)
+        model.advance(3)
+        model.entries[0].log.awake.clear()
+        second = submit(model, 1, key=first.key, deadline_ms=500)
+        model.advance(2000)
+        assert second.outcome.ran is Ran.UNKNOWN
+        model.entries[0].log.awake.set()
+        model.advance(1000)
+        assert isinstance(first.outcome, Answer)
+        assert model.runs[first.key] == 1
+
+    def test_claim_that_lands_after_its_void(self, model):
+        """A claim that was abandoned does not come back to life."""
+        model.entries[0].log.faults.append('late5')
+        first = submit(model, 0, deadline_ms=200)
+        model.advance(1000)
+        assert first.outcome.kind is ErrorKind.DEADLINE_EXCEEDED
+        assert first.outcome.ran is Ran.NOT_RUN
+        second = submit(model, 1, key=first.key)
+        model.advance(SETTLE_MS)
+        third = submit(model, 2, key=first.key)
+        model.advance(1000)
+        assert isinstance(second.outcome, Answer)
+        assert isinstance(third.outcome, Answer)
+        assert model.runs[first.key] == 1
+
+    def test_disconnect_before_the_grant(self, model):
+        """A caller that goes before the grant runs nothing."""
+        first = submit(model, 0)
+        model.advance(2)
+        first.task.cancel()
+        model.advance(1000)
+        assert model.entries[0].claims.attempts.abandoned == 1
+        assert not model.runs[first.key]
+        second = submit(model, 1, key=first.key)
+        model.advance(1000)
+        assert isinstance(second.outcome, Answer)
+
+    def test_refused_run_frees_the_key(self, model):
+        """A run that was refused as not run can be tried again."""
+        first = submit(model, 0, ending='not_run')
+        model.advance(500)
+        second = submit(model, 1, key=first.key)
+        model.advance(500)
+        assert first.outcome.ran is Ran.NOT_RUN
+        assert isinstance(second.outcome, Answer)
+
+    def test_unknown_outcome_is_final(self, model):
+        """A retry after an unknown outcome hears the same."""
+        first = submit(model, 0, ending='unknown')
+        model.advance(500)
+        second = submit(model, 1, key=first.key)
+        model.advance(500)
+        assert second.outcome.ran is Ran.UNKNOWN
+        assert model.runs[first.key] == 1
+
+
+class TestCheckpointRaces:
+    """Checkpoints written while other records land."""
+
+    def test_record_between_the_fold_and_the_checkpoint(self, model):
+        """A checkpoint does not vouch for what its writer had not read."""
+        submit(model, 0)
+        model.advance(100)
+        model.entries[0].log.faults.append('drop')
+        carrying = shard_of(model, 0).carry_forward_once()
+        assert model.loop.run_until_complete(carrying)
+        racing = submit(model, 1)
+        model.advance(100)
+        assert isinstance(racing.outcome, Answer)
+        model.advance(1000)
+        _keep_checkpoints_only(model)
+        model.loop.run_until_complete(model.kill_entry(2))
+        model.loop.run_until_complete(model.start_entry(2))
+        model.advance(500)
+        retry = submit(model, 2, key=racing.key)
+        model.advance(5000)
+        assert model.runs[racing.key] == 1
+        assert retry.outcome.ran is Ran.UNKNOWN
+
+    def test_quiet_stream_serves_new_keys_at_once(self, model):
+        """A new entry finds the checkpoint when all else has expired."""
+        submit(model, 0)
+        model.advance(60_000)
+        _keep_checkpoints_only(model)
+        model.loop.run_until_complete(model.kill_entry(2))
+        model.loop.run_until_complete(model.start_entry(2))
+        fresh = submit(model, 2)
+        model.advance(1000)
+        assert isinstance(fresh.outcome, Answer)
+
+
+def _keep_checkpoints_only(model):
+    """Expires everything before the last checkpoint."""
+    records = model.log._streams[STREAM]
+    offsets = [row.offset for row in records if 'checkpoints' in row.body]
+    model.log.expire_before(STREAM, offsets[-1])
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,141 @@
+"""Tests of the fold of claim records."""
+
+import random
+import uuid
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from borageyard.claims import Claim, ClaimFold, KeyWindow, RecordedOutcome
+from borageyard.errors import ErrorKind
+
+NOW_MS = 1_790_000_000_000
+WINDOW = KeyWindow(window_ms=600_000, skew_ms=2000)
+TIME_SHIFT_BITS = 80
+VERSION_BITS = 7 << 76
+VARIANT_BITS = 2 << 62
+
+
+def key_made(at_ms, serial=0):
+    """Returns a UUID of version 7 made at a time."""
+    shifted = int(at_ms) << TIME_SHIFT_BITS
+    number = shifted | VERSION_BITS | VARIANT_BITS | serial
+    return str(uuid.UUID(int=number))
+
+
+KEY = key_made(NOW_MS)
+KINDS = st.sampled_from(('claim', 'void'))
+RECORDS = st.lists(
+    st.tuples(KINDS, st.sampled_from('abcd'), st.integers(0, 6)),
+)
+
+
+def claim_of(attempt_id, offset, digest='d', index=0):
+    """Returns a claim to the one key."""
+    return Claim(KEY, attempt_id, digest, 'entry-0', (offset, index))
+
+
+def fold_of(*claims):
+    """Returns a fold of claims."""
+    fold = ClaimFold()
+    for claim in claims:
+        fold.take_claim(claim)
+    return fold
+
+
+class TestWinner:
+    """Which claim has a key."""
+
+    def test_first_in_log_order_wins(self):
+        """The order in which records are read does not matter."""
+        fold = fold_of(claim_of('b', 7), claim_of('a', 3))
+        assert fold.winner(KEY).attempt_id == 'a'
+
+    def test_order_within_a_record(self):
+        """Claims of one record are ordered by their place."""
+        fold = fold_of(claim_of('b', 3, index=1), claim_of('a', 3, index=0))
+        assert fold.winner(KEY).attempt_id == 'a'
+
+    @pytest.mark.parametrize('void_first', [True, False])
+    def test_void_kills_wherever_it_stands(self, void_first):
+        """A void before or after its claim frees the key."""
+        fold = ClaimFold()
+        if void_first:
+            fold.take_void(KEY, 'a')
+        fold.take_claim(claim_of('a', 3))
+        fold.take_void(KEY, 'a')
+        assert fold.winner(KEY) is None
+        fold.take_claim(claim_of('b', 5))
+        assert fold.winner(KEY).attempt_id == 'b'
+
+    def test_void_kills_a_late_duplicate(self):
+        """The same claim landing again after its void stays dead."""
+        fold = fold_of(claim_of('a', 3))
+        fold.take_void(KEY, 'a')
+        fold.take_claim(claim_of('a', 9))
+        assert fold.winner(KEY) is None
+
+    def test_duplicate_counts_once(self):
+        """A second record of an attempt does not move it back."""
+        fold = fold_of(claim_of('a', 3), claim_of('b', 5), claim_of('a', 9))
+        assert fold.winner(KEY).order == (3, 0)
+
+    def test_first_outcome_counts(self):
+        """An attempt has one outcome."""
+        fold = fold_of(claim_of('a', 3))
+        fold.take_outcome(RecordedOutcome(KEY, 'a', 'one'))
+        fold.take_outcome(RecordedOutcome(KEY, 'a', 'two'))
+        assert fold.outcome_of(KEY, 'a').document == 'one'
+
+    @settings(derandomize=True, max_examples=100)
+    @given(RECORDS, st.integers(0, 1000))
+    def test_any_order_and_repetition(self, records, seed):
+        """Any order of the records, some twice, gives the same winner."""
+        shuffled = records + records[: len(records) // 2]
+        random.Random(seed).shuffle(shuffled)
+        assert winner_of(records) == winner_of(shuffled)
+
+
+class TestWindow:
+    """Keys by the time when they were made."""
+
+    @pytest.mark.parametrize(
+        ('age_ms', 'kind'),
+        [
+            (0, None),
+            (600_000, None),
+            (600_001, ErrorKind.KEY_EXPIRED),
+            (-2000, None),
+            (-2001, ErrorKind.KEY_IN_FUTURE),
+        ],
+    )
+    def test_bounds(self, age_ms, kind):
+        """The bounds themselves are accepted."""
+        assert WINDOW.check(key_made(NOW_MS - age_ms), NOW_MS) is kind
+
+    @pytest.mark.parametrize('key', ['', 'walk-1', str(uuid.UUID(int=4 << 76))])
+    def test_other_keys(self, key):
+        """Only UUIDs of version 7 are keys."""
+        assert WINDOW.check(key, NOW_MS) is ErrorKind.KEY_REQUIRED
+
+    def test_expired_keys_are_dropped_for_good(self):
+        """A key that was dropped is not taken in again."""
+        fold = fold_of(claim_of('a', 3))
+        fold.expire(NOW_MS + 1)
+        fold.take_claim(claim_of('a', 3))
+        assert not len(fold)
+        assert fold.winner(KEY) is None
+
+
+def winner_of(records):
+    """Folds records and returns the attempt that has the key."""
+    fold = ClaimFold()
+    for kind, attempt_id, offset in records:
+        if kind == 'void':
+            fold.take_void(KEY, attempt_id)
+        else:
+            place = 'abcd'.index(attempt_id)
+            fold.take_claim(claim_of(attempt_id, offset, index=place))
+    winner = fold.winner(KEY)
+    return winner and (winner.attempt_id, winner.order)
