--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -5,31 +5,29 @@
 import dataclasses
 import random
 from collections.abc import Sequence
-from typing import Any
 
 from opentelemetry import trace
 
 from .addresses import EntryAddress, order_entries
 from .claim_service import ClaimService, ClaimServicePorts
 from .clock import MS_PER_S, Clock
-from .configuration_log import ConfigurationFold, ConfigurationReader
+from .configuration_service import ConfigurationService
 from .detached import DetachedRuns
 from .dispatch import StageDispatcher
 from .draining import DrainPlan
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .gate import PolicyAdmission
-from .generated.settings import EntrySettings
-from .local_gates import (
-    NoStageStore,
-    OpenPermission,
-)
+from .generated.settings import EntrySettings, PeerSettings
+from .handover import HandoverStore
+from .handover_keepers import HandoverKeepers, HandoverPlace
+from .handover_memory import HandoverMemory
 from .membership import Membership
 from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
 from .peers import PeerLink
 from .pipeline import Outcome, PipelineGates, PipelineRunner
-from .platform import InstanceList, LogService, PlatformError
+from .platform import InstanceList, LogService
 from .policy import EntryPolicy, PolicyOptions, PolicyPlace
 from .policy_news import PolicyNews
 from .requests import PipelineRequest, TokenSink
@@ -75,8 +73,15 @@
             ports.policy,
         )
         PolicyNews(self.policy).register(ports.peers)
-        self.fold = ConfigurationFold()
-        self.permission = OpenPermission()
+        self.configuration = ConfigurationService(
+            settings.instance_id,
+            ports.log,
+            ports.peers,
+            ports.clock,
+            settings.platform.log_retention_ms,
+        )
+        self.fold = self.configuration.fold
+        self.permission = self.configuration.permission
         self.drain_plan = DrainPlan(settings.drain_ms, settings.address_ttl_ms)
         self.watcher = TargetWatcher(
             self.directory,
@@ -112,11 +117,24 @@
             ports.clock,
             lambda: self.watcher.listed,
         )
+        peers = settings.peers or PeerSettings()
+        self.keepers = HandoverKeepers(
+            HandoverPlace(
+                settings.instance_id,
+                settings.failure_domain,
+                self._live_domains,
+            ),
+            ports.peers,
+            ports.clock,
+            HandoverMemory(peers.handover_bytes),
+        )
+        self._handover = HandoverStore(
+            self.keepers,
+            ports.peers,
+            ports.clock,
+        )
         self._random = random.Random(ports.seed)
-        self._reader = ConfigurationReader(self.fold, ports.log)
         self._runner = self._build_runner()
-        self._idle = asyncio.Event()
-        self._idle.set()
 
     async def start(self, stack: contextlib.AsyncExitStack) -> None:
         """Reads what it needs and starts what runs in the background.
@@ -124,15 +142,14 @@
         Args:
             stack: Owns the background work.
         """
+        stack.push_async_callback(self.keepers.close)
         await self.watcher.poll_instances()
-        with contextlib.suppress(PlatformError):
-            await self._reader.catch_up()
+        await self.configuration.start(stack, lambda: self.watcher.listed)
         await self.claims.open()
         stack.push_async_callback(self._detached.close)
         platform = self.settings.platform
         await stack.enter_async_context(
             running_tasks(
-                self._reader.follow(),
                 *self.claims.background(),
                 self._members.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
@@ -172,8 +189,8 @@
         )
         wait_ms = self.drain_plan.wait_ms(clock.steady_ms())
         await asyncio.sleep(wait_ms / MS_PER_S)
-        self.permission.closed = True
-        await self._idle.wait()
+        await self.configuration.close()
+        await self.own.activity.wait_idle()
 
     @property
     def draining(self) -> bool:
@@ -217,9 +234,13 @@
         request: PipelineRequest,
         sink: TokenSink | None,
     ) -> Outcome:
-        with self._counted():
+        with self.own.activity.counted():
             try:
-                outcome = await self._runner.run(request, sink)
+                outcome = await self._handover.run(
+                    request,
+                    sink,
+                    self._runner.run,
+                )
             except Exception as error:
                 outcome = Refusal(ErrorKind.INTERNAL, ran=Ran.UNKNOWN)
                 log_event(
@@ -230,6 +251,17 @@
         self.metrics.note_outcome(request, outcome)
         return outcome
 
+    def _live_domains(self) -> dict[str, str]:
+        now_ms = self.ports.clock.steady_ms()
+        domains = {
+            member.instance_id: member.failure_domain
+            for member in self.membership.alive(now_ms)
+        }
+        if not self.draining:
+            own_id = self.settings.instance_id
+            domains[own_id] = self.settings.failure_domain
+        return domains
+
     def _build_runner(self) -> RequestRunner:
         gates = self._build_gates()
         tracer = self.ports.tracer
@@ -244,7 +276,7 @@
             permission=self.permission,
             admission=PolicyAdmission(self.policy),
             claims=self.claims.gate,
-            store=NoStageStore(),
+            store=self._handover,
             dispatcher=StageDispatcher(
                 self.policy,
                 self.ports.targets,
@@ -255,14 +287,3 @@
                 ),
             ),
         )
-
-    @contextlib.contextmanager
-    def _counted(self) -> Any:
-        self.own.running += 1
-        self._idle.clear()
-        try:
-            yield
-        finally:
-            self.own.running -= 1
-            if not self.own.running:
-                self._idle.set()
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -4,11 +4,8 @@
 import contextlib
 from collections.abc import AsyncIterator
 from http import HTTPStatus
-from typing import Any
 
-from .border import DocumentError, Problem, parse_json, shown
-from .configuration import parse_configuration
-from .configuration_log import CONFIGURATION_STREAM
+from .configuration_handler import CONFIGURATION_PATH, ConfigurationHandler
 from .core import EntryCore
 from .errors import ErrorKind, Refusal, RefusalError
 from .http_messages import (
@@ -19,7 +16,6 @@
     json_response,
 )
 from .pipeline import Outcome
-from .platform import PlatformError
 from .policy_status import policy_status
 from .requests import PipelineRequest
 from .target import TokenEvent
@@ -34,6 +30,7 @@
     token_payload,
 )
 
+DRAIN_PATH = '/v1/targets/drain'
 PIPELINE_PREFIX = '/v1/pipelines/'
 TOKEN_QUEUE_SIZE = 64
 
@@ -62,8 +59,14 @@
             core: What runs the requests.
         """
         self._core = core
+        self._configuration = ConfigurationHandler(
+            core.fold,
+            core.configuration.changes,
+            core.settings.operator_token,
+        )
         self._routes = {
             ('GET', '/v1/entries'): self._entries,
+            ('POST', DRAIN_PATH): self._drain_target,
             ('GET', '/v1/status'): self._status,
             ('GET', '/metrics'): self._exposition,
             ('GET', '/healthz'): self._liveness,
@@ -74,10 +77,9 @@
         """Answers one request."""
         if request.path.startswith(PIPELINE_PREFIX):
             return await self._run_pipeline(request)
-        where = (request.method, request.path)
-        if where == ('POST', '/v1/configuration'):
-            return await self._apply(request)
-        route = self._routes.get(where)
+        if request.path.startswith(CONFIGURATION_PATH):
+            return await self._configuration.handle(request)
+        route = self._routes.get((request.method, request.path))
         if route is None:
             return self._refuse_route(request)
         return route(request)
@@ -151,6 +153,17 @@
         keep_ms = core.settings.address_ttl_ms
         return json_response({'entries': rows, 'keep_ms': keep_ms})
 
+    def _drain_target(self, request: HttpRequest) -> HttpResponse:
+        """Marks a target as leaving by an operator's order."""
+        if not is_operator(self._core.settings.operator_token, request):
+            return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
+        target_id = request.query.get('target_id', '')
+        if not self._core.directory.mark_leaving(target_id):
+            refusal = Refusal(ErrorKind.NOT_FOUND, detail=target_id)
+            return encode_refusal('', refusal)
+        self._core.ports.peers.send_news()
+        return json_response({'target_id': target_id, 'leaving': True})
+
     def _status(self, request: HttpRequest) -> HttpResponse:
         core = self._core
         targets = [
@@ -184,42 +197,14 @@
         return json_response({'alive': True})
 
     def _readiness(self, request: HttpRequest) -> HttpResponse:
-        known = self._core.fold.current() is not None
-        if known and not self._core.draining:
+        permitted = self._core.permission.check() is None
+        if permitted and not self._core.draining:
             return json_response({'ready': True})
         return json_response(
             {'ready': False},
             HTTPStatus.SERVICE_UNAVAILABLE,
         )
 
-    async def _apply(self, request: HttpRequest) -> HttpResponse:
-        if not self._is_operator(request):
-            return encode_refusal('', Refusal(ErrorKind.UNAUTHORISED))
-        try:
-            proposal = _parse_proposal(request)
-        except DocumentError as error:
-            kind = ErrorKind.CONFIGURATION_INVALID
-            return encode_refusal('', Refusal(kind, detail=str(error)))
-        log = self._core.ports.log
-        try:
-            offset = await log.append(CONFIGURATION_STREAM, proposal)
-        except PlatformError as error:
-            kind = ErrorKind.LOG_UNAVAILABLE
-            return encode_refusal('', Refusal(kind, detail=str(error)))
-        return json_response({'offset': offset})
-
-    def _is_operator(self, request: HttpRequest) -> bool:
-        return is_operator(self._core.settings.operator_token, request)
-
-
-def _parse_proposal(request: HttpRequest) -> dict[str, Any]:
-    proposal = parse_json(request.body, 'proposal')
-    if not isinstance(proposal, dict):
-        problem = Problem('$', shown(proposal), 'an object')
-        raise DocumentError('proposal', (problem,))
-    parse_configuration(proposal.get('document'), 0)
-    return proposal
-
 
 async def _relay(
     request: PipelineRequest,
--- a/borageyard/local_gates.py
+++ b/borageyard/local_gates.py
@@ -3,24 +3,9 @@
 import contextlib
 from collections.abc import AsyncIterator
 
-from .errors import ErrorKind, Refusal
 from .requests import AdmittedRequest, StageResult
 
 
-class OpenPermission:
-    """Serving permission that always holds, until draining ends."""
-
-    def __init__(self) -> None:
-        """Starts open."""
-        self.closed = False
-
-    def check(self) -> Refusal | None:
-        """Returns a refusal once closed."""
-        if self.closed:
-            return Refusal(ErrorKind.DRAINING)
-        return None
-
-
 class OpenAdmission:
     """Admission of everything."""
 
@@ -37,6 +22,10 @@
         """Returns no finished stages."""
         return {}
 
+    def tokens(self, admitted: AdmittedRequest) -> tuple[str, ...]:
+        """Returns no tokens."""
+        return ()
+
     async def save(
         self,
         admitted: AdmittedRequest,
--- a/borageyard/pipeline.py
+++ b/borageyard/pipeline.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+from collections.abc import Mapping
 from typing import Any, Protocol
 
 from .clock import Clock
@@ -102,6 +103,9 @@
     async def load(self, admitted: AdmittedRequest) -> dict[str, StageResult]:
         """Returns the finished stages of a request by name."""
 
+    def tokens(self, admitted: AdmittedRequest) -> tuple[str, ...]:
+        """Returns the tokens of the output stage that are known already."""
+
     async def save(
         self,
         admitted: AdmittedRequest,
@@ -146,6 +150,7 @@
     results: dict[str, StageResult] = dataclasses.field(default_factory=dict)
     grant: ClaimGrant | None = None
     ran: Ran = Ran.NOT_RUN
+    tokens: tuple[str, ...] = ()
 
 
 class PipelineRunner:
@@ -217,21 +222,44 @@
         sink: TokenSink | None,
     ) -> Outcome:
         """Runs a request, unless another attempt of its key is known."""
-        if admitted.configuration.needs_claim(admitted.pipeline):
-            outcome = await self._gates.claims.recall(admitted)
-            if isinstance(outcome, Refusal):
-                raise RefusalError(outcome)
-            if outcome is not None:
-                return outcome
+        results = await self._gates.store.load(admitted)
+        state = RunState(
+            results=results,
+            ran=_ran_before(admitted, results),
+            tokens=self._gates.store.tokens(admitted),
+        )
+        outcome = await self._recall(admitted, state)
+        if outcome is not None:
+            return outcome
         async with self._gates.admission.admit(admitted):
-            return await self._run_admitted(admitted, sink)
+            return await self._run_admitted(admitted, state, sink)
+
+    async def _recall(
+        self,
+        admitted: AdmittedRequest,
+        state: RunState,
+    ) -> Outcome | None:
+        """Returns the outcome of another attempt of the key, if known.
+
+        An attempt whose outcome is unknown is gone on with, if all that may
+        not be repeated is known to have finished.
+        """
+        if not admitted.configuration.needs_claim(admitted.pipeline):
+            return None
+        outcome = await self._gates.claims.recall(admitted)
+        if not isinstance(outcome, Refusal):
+            return outcome
+        unknown = outcome.ran is Ran.UNKNOWN
+        if unknown and _has_no_claim_left(admitted, state):
+            return None
+        raise RefusalError(_with_progress(outcome, state))
 
     async def _run_admitted(
         self,
         admitted: AdmittedRequest,
+        state: RunState,
         sink: TokenSink | None,
     ) -> Outcome:
-        state = RunState(results=await self._gates.store.load(admitted))
         try:
             outcome: Outcome = await self._run_stages(admitted, state, sink)
         except RefusalError as error:
@@ -263,6 +291,7 @@
                 state.grant = await self._gates.claims.acquire(admitted)
                 if state.grant.outcome is not None:
                     return state.grant.outcome
+            await stage_request.replay_tokens()
             result = await self._gates.dispatcher.run(stage_request)
             state.results[stage.name] = result
             if not stage_request.idempotent:
@@ -290,8 +319,31 @@
     inputs = {
         source: _input_of(source, admitted, state) for source in stage.inputs
     }
-    streamed = sink is not None and _may_stream(admitted, stage)
-    return StageRequest(admitted, stage, inputs, sink if streamed else None)
+    if sink is None or not _may_stream(admitted, stage):
+        return StageRequest(admitted, stage, inputs)
+    return StageRequest(admitted, stage, inputs, sink, state.tokens)
+
+
+def _ran_before(
+    admitted: AdmittedRequest,
+    results: Mapping[str, StageResult],
+) -> Ran:
+    """Tells whether an earlier run did what may not be repeated."""
+    services = admitted.configuration.services
+    ran = any(
+        stage.name in results and not services[stage.service].idempotent
+        for stage in admitted.pipeline.stages
+    )
+    return Ran.RAN if ran else Ran.NOT_RUN
+
+
+def _has_no_claim_left(admitted: AdmittedRequest, state: RunState) -> bool:
+    """Tells whether every stage that may not be repeated has finished."""
+    services = admitted.configuration.services
+    return all(
+        stage.name in state.results or services[stage.service].idempotent
+        for stage in admitted.pipeline.stages
+    )
 
 
 def _may_stream(admitted: AdmittedRequest, stage: Stage) -> bool:
--- a/borageyard/platform.py
+++ b/borageyard/platform.py
@@ -147,6 +147,7 @@
 
     outage: bool = False
     lose_next_answers: int = 0
+    outage_after_loss: bool = False
     delay_ms: float = 0
 
 
@@ -196,6 +197,7 @@
         self.appended = asyncio.Event()
         if self.faults.lose_next_answers:
             self.faults.lose_next_answers -= 1
+            self.faults.outage |= self.faults.outage_after_loss
             raise AppendUnknownError('answer lost')
         return offset
 
