Measure claims and let a new entry serve new keys before the window is read

Cause: a new entry read a page of 1000 records before it knew any of them, and a wait for the append budget could become too short for the clock to pass, which span for ever in virtual time. Change: read-back starts with 16 records and doubles; waits for the budget have a lower bound; bench claims; gauges and status of claims; pages.

--- a/borageyard/append_budget.py
+++ b/borageyard/append_budget.py
@@ -5,6 +5,8 @@
 from .clock import MS_PER_S
 
 BURST_MS = 100
+# Shorter waits are lost in the resolution of the clock.
+MIN_WAIT_MS = 0.1
 
 
 class AppendBudget:
@@ -43,7 +45,7 @@
         if self._tokens >= 1:
             self._tokens -= 1
             return 0
-        return (1 - self._tokens) / rate_per_ms
+        return max((1 - self._tokens) / rate_per_ms, MIN_WAIT_MS)
 
     def _rate_per_s(self) -> float:
         return self._appends_per_s / max(self._count_entries(), 1)
--- a/borageyard/append_queue.py
+++ b/borageyard/append_queue.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
-MAX_BATCH_ITEMS = 256
 MAX_BACKLOG_ITEMS = 50_000
 BACKOFF_MS = 20
 MAX_BACKOFF_MS = 2000
@@ -63,11 +62,15 @@
         self._items.append(item)
         self.filled.set()
 
-    def take_batch(self) -> list[QueuedItem]:
-        """Takes the items of the next append out, leaving unwanted ones."""
+    def take_batch(self, max_items: int) -> list[QueuedItem]:
+        """Takes the items of the next append out, leaving unwanted ones.
+
+        Args:
+            max_items: Number of records at which the append is full.
+        """
         batch: list[QueuedItem] = []
         size = 0
-        while self._items and size < MAX_BATCH_ITEMS:
+        while self._items and size < max_items:
             item = self._items.popleft()
             if item.wanted:
                 batch.append(item)
--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -10,6 +10,7 @@
 
 from rich import console, table
 
+from .bench_claims import run_claims
 from .bench_config import run_config
 from .bench_report import BenchReport, Bound
 
@@ -17,7 +18,10 @@
 
 # Experiments by name; each one lives in its own module.
 EXPERIMENTS: Mapping[str, Experiment] = types.MappingProxyType(
-    {'config': run_config},
+    {
+        'claims': run_claims,
+        'config': run_config,
+    },
 )
 
 
--- /dev/null
+++ b/borageyard/bench_claims.py
@@ -0,0 +1,314 @@
+"""Experiment: what claims cost and how fast a new entry can make them."""
+
+import asyncio
+import contextlib
+import dataclasses
+import itertools
+import random
+import statistics
+import time
+import types
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from .bench_report import BenchReport, Bound
+from .claim_service import ClaimService, ClaimServicePorts
+from .clock import MS_PER_S, LoopClock
+from .configuration import Configuration, parse_configuration
+from .generated.settings import ClaimsSettings, EntrySettings
+from .identifiers import identifier_at
+from .memory_log import MemoryLogService
+from .peers import MemoryPeerNetwork
+from .platform import MemoryLog
+from .requests import AdmittedRequest, Answer, PipelineRequest
+from .tasks import running_tasks
+from .virtual_time import run_virtual
+
+ENTRIES = 5
+EPOCH_MS = 1_790_000_000_000
+ROUND_TRIP_MS = 5
+APPENDS_PER_S = 300
+BUDGET_PER_S = 250
+DEADLINE_MS = 60_000
+WARM_UP_S = 6
+RUN_S = 4
+WINDOWS_MS = (0, 1, 5, 20)
+RATES_PER_S = (10, 100, 1000)
+BURST_CLAIMS = 30_000
+BASELINE_BURST_CLAIMS = 1000
+HELD_CLAIMS = (0, 10_000, 100_000)
+HELD_BATCH = 100
+HELD_SPAN_S = 590
+MAX_ROUND_TRIPS = 2
+# Place of the median among the 99 cuts into hundredths.
+MEDIAN = 49
+NO_ADDRESS = '127.0.0.1:1'
+DOCUMENT: Mapping[str, Any] = types.MappingProxyType(
+    {
+        'format': 1,
+        'organisations': {'bench': {}},
+        'services': {'desk': {'kind': 'plain', 'idempotent': False}},
+        'pipelines': {
+            'book': {'stages': [{'name': 'desk', 'service': 'desk'}]}
+        },
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FixedConfiguration:
+    """A configuration that never changes."""
+
+    configuration: Configuration
+
+    def current(self) -> Configuration | None:
+        """Returns the configuration."""
+        return self.configuration
+
+
+class ClaimBench:
+    """Entries that only claim keys, on one log in virtual time."""
+
+    def __init__(self, seed: int, claims: ClaimsSettings) -> None:
+        """Composes a log without entries.
+
+        Args:
+            seed: Seed of the arrivals.
+            claims: Settings of all entries.
+        """
+        self.clock = LoopClock(EPOCH_MS)
+        self.log = MemoryLog(self.clock, appends_per_s=APPENDS_PER_S)
+        self.log.faults.delay_ms = ROUND_TRIP_MS
+        self.services: list[ClaimService] = []
+        self._claims = claims
+        self._network = MemoryPeerNetwork()
+        self._random = random.Random(seed)
+        self._configurations = FixedConfiguration(
+            parse_configuration(dict(DOCUMENT), 1),
+        )
+
+    async def start_entry(self, stack: contextlib.AsyncExitStack) -> None:
+        """Starts an entry that does not know the stream yet.
+
+        Args:
+            stack: Owns its background work.
+        """
+        name = f'entry-{len(self.services)}'
+        service = ClaimService(
+            _settings(name, self._claims),
+            ClaimServicePorts(
+                log=MemoryLogService(self.log),
+                peers=self._network.join(name),
+                clock=self.clock,
+                configurations=self._configurations,
+                list_instances=tuple,
+            ),
+        )
+        self.services.append(service)
+        await service.open()
+        await stack.enter_async_context(running_tasks(*service.background()))
+
+    async def claim(self, index: int) -> float:
+        """Claims a new key at an entry and ends the attempt.
+
+        Args:
+            index: Number of the entry.
+
+        Returns:
+            How long the caller's request waited, in milliseconds.
+        """
+        started_ms = self.clock.steady_ms()
+        admitted = self._request()
+        gate = self.services[index].gate
+        grant = await gate.acquire(admitted)
+        waited_ms = self.clock.steady_ms() - started_ms
+        answer = Answer(admitted.request.request_id, 'book', 1, {}, ())
+        await gate.complete(grant, answer)
+        return waited_ms
+
+    async def offer(self, rate_per_s: float, run_s: float) -> list[float]:
+        """Offers claims at random times and returns their waits."""
+        tasks = []
+        ends_ms = self.clock.steady_ms() + run_s * MS_PER_S
+        while self.clock.steady_ms() < ends_ms:
+            await asyncio.sleep(self._random.expovariate(rate_per_s))
+            index = self._random.randrange(len(self.services))
+            tasks.append(asyncio.ensure_future(self.claim(index)))
+        return list(await asyncio.gather(*tasks))
+
+    async def hold(self, claims: int) -> None:
+        """Fills the claim window with claims of earlier requests."""
+        batches = claims // HELD_BATCH
+        for _ in range(batches):
+            await asyncio.sleep(HELD_SPAN_S / batches)
+            self.log.append_now('claims-0', self._batch())
+
+    def _batch(self) -> dict[str, Any]:
+        keys = [self._key() for _ in range(HELD_BATCH)]
+        claims = [
+            {
+                'key': key,
+                'attempt_id': f'{key}-1',
+                'digest': key,
+                'holder': 'entry-9',
+            }
+            for key in keys
+        ]
+        return {'batch_id': self._key(), 'claims': claims}
+
+    def _request(self) -> AdmittedRequest:
+        configuration = self._configurations.configuration
+        request = PipelineRequest(
+            request_id=self._key(),
+            pipeline='book',
+            organisation='bench',
+            body={},
+            expires_at_ms=self.clock.steady_ms() + DEADLINE_MS,
+            idempotency_key=self._key(),
+        )
+        pipeline = configuration.pipelines['book']
+        return AdmittedRequest(request, pipeline, configuration)
+
+    def _key(self) -> str:
+        return identifier_at(self.clock.wall_ms(), self._random)
+
+
+def run_claims(seed: int) -> BenchReport:
+    """Measures latency, throughput and start of claims.
+
+    Args:
+        seed: Seed of the arrivals.
+    """
+    figures = {
+        'round_trip_ms': ROUND_TRIP_MS,
+        **_latency_figures(seed),
+        **_throughput_figures(seed),
+        **_start_figures(seed),
+    }
+    return BenchReport('claims', seed, figures, _bounds())
+
+
+def _bounds() -> tuple[Bound, ...]:
+    window_ms = int(ClaimsSettings().commit_window_ms)
+    prefix = f'window_{window_ms}ms_rate'
+    waits = (
+        Bound(f'{prefix}_{rate}_p50_round_trips', MAX_ROUND_TRIPS)
+        for rate in RATES_PER_S
+    )
+    starts = (Bound(f'start_ms_{held}_held', MS_PER_S) for held in HELD_CLAIMS)
+    return (*waits, *starts)
+
+
+def _latency_figures(seed: int) -> dict[str, Any]:
+    figures: dict[str, Any] = {}
+    for window_ms, rate in itertools.product(WINDOWS_MS, RATES_PER_S):
+        settings = _claims_settings(commit_window_ms=window_ms)
+        waits = run_virtual(_measure_waits(seed, settings, rate))
+        name = f'window_{window_ms}ms_rate_{rate}'
+        figures |= _waits_figures(name, waits)
+    return figures
+
+
+def _throughput_figures(seed: int) -> dict[str, Any]:
+    grouped = _claims_settings()
+    single = _claims_settings(batch_items=1)
+    return {
+        'claims_per_s': run_virtual(
+            _measure_burst(seed, grouped, BURST_CLAIMS),
+        ),
+        'claims_per_s_one_per_append': run_virtual(
+            _measure_burst(seed, single, BASELINE_BURST_CLAIMS),
+        ),
+    }
+
+
+def _start_figures(seed: int) -> dict[str, Any]:
+    figures: dict[str, Any] = {}
+    for held in HELD_CLAIMS:
+        ready_ms, whole_ms = run_virtual(_measure_start(seed, held))
+        figures[f'start_ms_{held}_held'] = ready_ms
+        figures[f'start_ms_{held}_held_whole_window'] = whole_ms
+    return figures
+
+
+async def _measure_waits(
+    seed: int,
+    settings: ClaimsSettings,
+    rate_per_s: float,
+) -> list[float]:
+    bench = ClaimBench(seed, settings)
+    async with contextlib.AsyncExitStack() as stack:
+        for _ in range(ENTRIES):
+            await bench.start_entry(stack)
+        await asyncio.sleep(WARM_UP_S)
+        return await bench.offer(rate_per_s, RUN_S)
+
+
+async def _measure_burst(
+    seed: int,
+    settings: ClaimsSettings,
+    claims: int,
+) -> float:
+    """Returns claims a second when many come at once."""
+    bench = ClaimBench(seed, settings)
+    async with contextlib.AsyncExitStack() as stack:
+        for _ in range(ENTRIES):
+            await bench.start_entry(stack)
+        await asyncio.sleep(WARM_UP_S)
+        started_ms = bench.clock.steady_ms()
+        work = [bench.claim(number % ENTRIES) for number in range(claims)]
+        await asyncio.gather(*work)
+        return claims * MS_PER_S / (bench.clock.steady_ms() - started_ms)
+
+
+async def _measure_start(seed: int, held: int) -> tuple[float, float]:
+    """Returns the times to the first claim and to the whole window.
+
+    Both add the processor time to the virtual time of the log.
+    """
+    bench = ClaimBench(seed, _claims_settings())
+    await bench.hold(held)
+    async with contextlib.AsyncExitStack() as stack:
+        started_ms = bench.clock.steady_ms()
+        cpu_s = time.process_time()
+        await bench.start_entry(stack)
+        await bench.claim(0)
+        ready_ms = _passed_ms(bench, started_ms, cpu_s)
+        shard = bench.services[0].log.shards[0]
+        while not shard.covers(bench.clock.wall_ms() - HELD_SPAN_S * MS_PER_S):
+            await shard.waiters.wait('')
+        return ready_ms, _passed_ms(bench, started_ms, cpu_s)
+
+
+def _passed_ms(bench: ClaimBench, started_ms: float, cpu_s: float) -> float:
+    used_ms = (time.process_time() - cpu_s) * MS_PER_S
+    return used_ms + bench.clock.steady_ms() - started_ms
+
+
+def _waits_figures(name: str, waits: Sequence[float]) -> dict[str, float]:
+    hundredths = statistics.quantiles(waits, n=100)
+    return {
+        f'{name}_p50_round_trips': hundredths[MEDIAN] / ROUND_TRIP_MS,
+        f'{name}_p99_ms': hundredths[-1],
+    }
+
+
+def _claims_settings(**fields: Any) -> ClaimsSettings:
+    return ClaimsSettings(appends_per_s=BUDGET_PER_S, **fields)
+
+
+def _settings(name: str, claims: ClaimsSettings) -> EntrySettings:
+    return EntrySettings.model_validate(
+        {
+            'instance_id': name,
+            'failure_domain': name,
+            'listen_address': NO_ADDRESS,
+            'peer_address': NO_ADDRESS,
+            'claims': claims.model_dump(),
+            'platform': {
+                'log_address': NO_ADDRESS,
+                'instances_address': NO_ADDRESS,
+                'weights_address': NO_ADDRESS,
+            },
+        }
+    )
--- a/borageyard/claim_log.py
+++ b/borageyard/claim_log.py
@@ -80,7 +80,11 @@
             encode_batch,
             budget,
             ports.clock,
-            WriterSettings(stream, ports.settings.commit_window_ms),
+            WriterSettings(
+                stream,
+                ports.settings.commit_window_ms,
+                ports.settings.batch_items,
+            ),
         )
         self._ports = ports
 
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -190,6 +190,7 @@
 
     def _exposition(self, request: HttpRequest) -> HttpResponse:
         self._core.metrics.note_policy(self._core.policy)
+        self._core.metrics.note_claims(self._core.claims.status())
         body = self._core.metrics.exposition()
         return HttpResponse(HTTPStatus.OK, body, 'text/plain')
 
--- a/borageyard/log_reader.py
+++ b/borageyard/log_reader.py
@@ -16,9 +16,13 @@
 
 READ_WAIT_MS = 500
 RETRY_MS = 50
-BACK_PAGE_RECORDS = 1000
+# Records read back at a time: few at first, so that new keys are soon known.
+FIRST_BACK_RECORDS = 16
+MAX_BACK_RECORDS = 1000
 # Records taken in before other work gets a turn.
-SLICE_RECORDS = 20
+SLICE_RECORDS = 5
+# Streams up to this size are taken in whole when they are opened.
+OPEN_RECORDS = 20
 
 RecordConsumer = Callable[[LogRecord], None]
 CoverageListener = Callable[[], None]
@@ -32,6 +36,7 @@
     next_offset: int
     low_time_ms: float
     start: int = 0
+    back_records: int = FIRST_BACK_RECORDS
 
     @property
     def whole(self) -> bool:
@@ -95,7 +100,7 @@
             low_time_ms=self._clock.wall_ms(),
             start=page.start,
         )
-        if len(page.records) == page.head:
+        if page.head <= OPEN_RECORDS and len(page.records) == page.head:
             await self._take(page.records)
             coverage.low = 0
         self.coverage = coverage
@@ -148,7 +153,7 @@
         coverage = self.coverage
         if coverage is None or coverage.exhausted:
             return
-        first = max(coverage.start, coverage.low - BACK_PAGE_RECORDS)
+        first = max(coverage.start, coverage.low - coverage.back_records)
         try:
             records = await self._read_range(first, coverage.low)
         except OffsetExpiredError as error:
@@ -158,6 +163,10 @@
             raise PlatformError('empty page')
         await self._take(records)
         coverage.low = first
+        coverage.back_records = min(
+            coverage.back_records * 2,
+            MAX_BACK_RECORDS,
+        )
         coverage.low_time_ms = records[0].appended_at_ms
         self._notify()
 
--- a/borageyard/log_writer.py
+++ b/borageyard/log_writer.py
@@ -32,6 +32,7 @@
 
     stream: str
     commit_window_ms: float
+    batch_items: int
 
 
 class GroupWriter:
@@ -100,7 +101,7 @@
         while wait_ms:
             await _sleep(wait_ms)
             wait_ms = self._budget.take(self._clock.steady_ms())
-        batch = self.queue.take_batch()
+        batch = self.queue.take_batch(self._settings.batch_items)
         task = asyncio.ensure_future(self._append(batch))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/borageyard/metrics.py
+++ b/borageyard/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of an entry, in the format of Prometheus."""
 
 import dataclasses
+from collections.abc import Mapping
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
@@ -54,6 +55,11 @@
             'borageyard_stage_cost_ms',
             'Time spent by organisation, pipeline, stage and use.',
         )
+        self.claims = Gauge(
+            'borageyard_claims',
+            'Claims of non-idempotent requests, by figure.',
+            registry=self.registry,
+        )
 
     def note_outcome(
         self,
@@ -102,6 +108,15 @@
                 self.attempts.set(labels, getattr(account, name))
         self._note_costs(policy.costs)
 
+    def note_claims(self, counts: Mapping[str, float]) -> None:
+        """Shows what the status says of claims.
+
+        Args:
+            counts: Figures of the claims by name.
+        """
+        for name, count in counts.items():
+            self.claims.set({'figure': name}, float(count))
+
     def exposition(self) -> bytes:
         """Returns all metrics as text."""
         body, _ = render(self.registry, list(ACCEPT_TEXT))
--- a/tests/claim_model.py
+++ b/tests/claim_model.py
@@ -113,6 +113,7 @@
 
     async def start(self):
         """Starts its background work."""
+        await self.claims.open()
         work = running_tasks(*self.claims.background())
         await self._stack.enter_async_context(work)
 
--- /dev/null
+++ b/tests/test_append_budget.py
@@ -0,0 +1,28 @@
+"""Tests of an entry's share in the append rate."""
+
+import pytest
+
+from borageyard.append_budget import AppendBudget
+
+
+def appends_within(budget, span_ms):
+    """Counts the appends that a budget allows in a time."""
+    now_ms, count, steps = 1e6, 0, 0
+    while now_ms < 1e6 + span_ms:
+        wait_ms = budget.take(now_ms)
+        count += not wait_ms
+        now_ms += wait_ms
+        steps += 1
+        assert steps < 10 * span_ms
+    return count
+
+
+class TestShare:
+    """Division of the rate among entries."""
+
+    @pytest.mark.parametrize(('entries', 'share'), [(1, 250), (5, 50)])
+    def test_is_equal(self, entries, share):
+        """Every entry gets an equal part, and waits always end."""
+        budget = AppendBudget(250, lambda: entries)
+        used = appends_within(budget, 10_000)
+        assert used == pytest.approx(10 * share, rel=0.1)
