--- a/borageyard/admission.py
+++ b/borageyard/admission.py
@@ -3,20 +3,20 @@
 import collections
 import dataclasses
 from collections.abc import Mapping, Sequence
+from typing import NamedTuple
 
 from .configuration import Configuration, Organisation, Stage
-from .latency import ServiceTimes
+from .latency import ServiceTimes, UsualTimes
 
-# Quantiles of a stage's time that are planned with and that are hoped for.
-PLANNED_SHARE = 0.5
-BEST_SHARE = 0.1
+# A queue shrinks at a part of the rate at which it is served.
+RETRY_FACTOR = 2
+MIN_RETRY_AFTER_MS = 250
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StageNeed:
-    """What a stage is expected to take."""
+class StageNeed(NamedTuple):
+    """What a stage takes at best, and its wait for a target."""
 
-    service_ms: float
+    best_ms: float
     wait_ms: float = 0
 
 
@@ -33,21 +33,49 @@
     slack_ms: float,
     needs: Sequence[StageNeed],
 ) -> AdmissionDecision:
-    """Admits a request if it is expected to finish in time.
+    """Admits a request unless it can hardly finish in time.
 
     Args:
         slack_ms: Time to its deadline.
         needs: Its stages.
     """
-    expected_ms = sum(need.service_ms + need.wait_ms for need in needs)
+    expected_ms = sum(need.best_ms + need.wait_ms for need in needs)
     missing_ms = expected_ms - slack_ms
     if missing_ms <= 0:
         return AdmissionDecision(admitted=True, expected_ms=expected_ms)
     return AdmissionDecision(
         admitted=False,
         expected_ms=expected_ms,
-        retry_after_ms=missing_ms,
+        retry_after_ms=max(missing_ms * RETRY_FACTOR, MIN_RETRY_AFTER_MS),
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class PendingStages:
+    """Stages that wait for one service."""
+
+    counts: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter,
     )
+    weights: dict[str, float] = dataclasses.field(default_factory=dict)
+    whole: int = 0
+    weight: float = 0
+
+    def add(self, organisation: Organisation, count: int) -> None:
+        """Changes the stages of an organisation."""
+        name = organisation.name
+        if name not in self.weights:
+            self.weights[name] = organisation.weight
+            self.weight += organisation.weight
+        self.whole += count
+        self.counts[name] += count
+        if not self.counts[name]:
+            self.counts.pop(name)
+            self.weight -= self.weights.pop(name)
+
+    def others_weight(self, name: str) -> float:
+        """Returns the weight of all that wait but one organisation."""
+        return self.weight - self.weights.get(name, 0)
 
 
 class Backlog:
@@ -55,9 +83,14 @@
 
     def __init__(self) -> None:
         """Starts empty."""
-        self._pending: dict[str, collections.Counter[str]] = {}
+        self._pending: dict[str, PendingStages] = {}
 
-    def add(self, service: str, organisation: str, count: int) -> None:
+    def add(
+        self,
+        service: str,
+        organisation: Organisation,
+        count: int,
+    ) -> None:
         """Changes the number of stages that have yet to start.
 
         Args:
@@ -65,10 +98,8 @@
             organisation: Whose they are.
             count: How many come or, if negative, go.
         """
-        pending = self._pending.setdefault(service, collections.Counter())
-        pending[organisation] += count
-        if pending[organisation] <= 0:
-            pending.pop(organisation)
+        pending = self._pending.setdefault(service, PendingStages())
+        pending.add(organisation, count)
 
     def ahead(
         self,
@@ -84,15 +115,13 @@
             organisations: All organisations with their weights.
         """
         pending = self._pending.get(service)
-        if not pending:
+        if pending is None:
             return 0
-        own = pending[organisation]
-        scale = (own + 1) / organisations[organisation].weight
-        return own + sum(
-            min(count, scale * organisations[name].weight)
-            for name, count in pending.items()
-            if name != organisation and name in organisations
-        )
+        own = pending.counts[organisation]
+        weight = organisations[organisation].weight
+        others = pending.whole - own
+        fair = (own + 1) * pending.others_weight(organisation) / weight
+        return own + min(others, fair)
 
 
 class StagePlanner:
@@ -106,35 +135,49 @@
         """
         self._times = times
 
-    def service_ms(
+    def usual_times(
         self,
         configuration: Configuration,
         service: str,
-        share: float = PLANNED_SHARE,
-    ) -> float:
-        """Returns a quantile of a service's time.
+    ) -> UsualTimes:
+        """Returns what a service takes.
 
         Args:
             configuration: Tells what is typical before any was measured.
             service: Name of the service.
-            share: Which quantile.
         """
         typical_ms = configuration.services[service].typical_ms
-        return self._times.quantile_ms(service, share, typical_ms)
+        return self._times.usual_times(service, typical_ms)
+
+    def best_ms(
+        self,
+        configuration: Configuration,
+        stages: Sequence[Stage],
+    ) -> float:
+        """Returns the least time that stages take, without waits.
+
+        Args:
+            configuration: What the request is pinned to.
+            stages: The stages that are left.
+        """
+        return sum(
+            self.usual_times(configuration, stage.service).best_ms
+            for stage in stages
+        )
 
-    def least_ms(
+    def cautious_ms(
         self,
         configuration: Configuration,
         stages: Sequence[Stage],
     ) -> float:
-        """Returns the time below which stages can hardly be run.
+        """Returns the time to plan stages with under contention.
 
         Args:
             configuration: What the request is pinned to.
             stages: The stages that are left.
         """
         return sum(
-            self.service_ms(configuration, stage.service, BEST_SHARE)
+            self.usual_times(configuration, stage.service).cautious_ms
             for stage in stages
         )
 
--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -12,7 +12,11 @@
 
 from .bench_claims import run_claims
 from .bench_config import run_config
+from .bench_entry_loss import run_entry_loss
+from .bench_overhead import run_overhead
+from .bench_policy import run_policy
 from .bench_report import BenchReport, Bound
+from .bench_rolling import run_rolling
 
 Experiment = Callable[[int], BenchReport]
 
@@ -21,6 +25,10 @@
     {
         'claims': run_claims,
         'config': run_config,
+        'overhead': run_overhead,
+        'entry-loss': run_entry_loss,
+        'rolling': run_rolling,
+        'policy': run_policy,
     },
 )
 
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -1,8 +1,6 @@
 """HTTP endpoints of an entry."""
 
 import asyncio
-import contextlib
-from collections.abc import AsyncIterator
 from http import HTTPStatus
 
 from .configuration_handler import CONFIGURATION_PATH, ConfigurationHandler
@@ -13,40 +11,45 @@
     EVENT_STREAM_TYPE,
     HttpRequest,
     HttpResponse,
-    encode_event,
     json_response,
 )
 from .policy_status import policy_status
 from .requests import PipelineRequest
-from .target import TokenEvent
+from .token_relay import QueueSink, TokenRelay
 from .tokens import check_organisation, is_operator
 from .wire import (
     ORGANISATION_HEADER,
     decode_request,
     encode_outcome,
     encode_refusal,
-    outcome_payload,
     request_id_of,
-    token_payload,
 )
 
 DRAIN_PATH = '/v1/targets/drain'
 PIPELINE_PREFIX = '/v1/pipelines/'
-TOKEN_QUEUE_SIZE = 64
+LARGE_BODY_BYTES = 65_536
 
 
-class QueueSink:
-    """Token sink that hands tokens over through a bounded queue."""
+class LargeBodyTurns:
+    """Lets one large body be decoded in each turn of the loop.
+
+    Decoding blocks the loop; many large bodies that arrive together would
+    otherwise be decoded in one turn.
+    """
 
     def __init__(self) -> None:
-        """Starts empty."""
-        self.queue: asyncio.Queue[TokenEvent | None] = asyncio.Queue(
-            TOKEN_QUEUE_SIZE,
-        )
+        """Starts with nobody waiting."""
+        self._lock = asyncio.Lock()
 
-    async def send(self, event: TokenEvent) -> None:
-        """Queues a token, waiting while the queue is full."""
-        await self.queue.put(event)
+    async def turn(self, size_bytes: int) -> None:
+        """Waits for a turn, if the body is large.
+
+        Args:
+            size_bytes: Size of the body.
+        """
+        if size_bytes >= LARGE_BODY_BYTES:
+            async with self._lock:
+                await asyncio.sleep(0)
 
 
 class EntryHandler:
@@ -59,6 +62,7 @@
             core: What runs the requests.
         """
         self._core = core
+        self._large_bodies = LargeBodyTurns()
         self._configuration = ConfigurationHandler(
             core.fold,
             core.configuration.changes,
@@ -93,9 +97,11 @@
 
     async def _run_pipeline(self, request: HttpRequest) -> HttpResponse:
         pipeline = request.path.removeprefix(PIPELINE_PREFIX)
+        await self._large_bodies.turn(len(request.body))
         try:
             decoded = self._check(request, pipeline)
         except RefusalError as error:
+            self._core.metrics.note_refusal(error.refusal)
             request_id = request_id_of(request.headers)
             return encode_refusal(request_id, error.refusal)
         if decoded.stream:
@@ -127,7 +133,7 @@
         return HttpResponse(
             status=HTTPStatus.OK,
             content_type=EVENT_STREAM_TYPE,
-            chunks=_relay(request, first, sink, work),
+            chunks=TokenRelay(request.request_id, first, sink, work),
         )
 
     async def _run_streamed(
@@ -205,18 +211,3 @@
             {'ready': False},
             HTTPStatus.SERVICE_UNAVAILABLE,
         )
-
-
-async def _relay(
-    request: PipelineRequest,
-    first: TokenEvent,
-    sink: QueueSink,
-    work: asyncio.Future[Outcome],
-) -> AsyncIterator[bytes]:
-    with contextlib.ExitStack() as stack:
-        stack.callback(work.cancel)
-        event: TokenEvent | None = first
-        while event is not None:
-            yield encode_event(token_payload(event.token, event.offset))
-            event = await sink.queue.get()
-        yield encode_event(outcome_payload(request.request_id, await work))
--- a/borageyard/pipeline.py
+++ b/borageyard/pipeline.py
@@ -17,7 +17,6 @@
 from .run_state import (
     RunState,
     build_answer,
-    has_no_claim_left,
     ran_before,
     with_progress,
 )
@@ -120,7 +119,7 @@
         if not isinstance(outcome, Refusal):
             return outcome
         unknown = outcome.ran is Ran.UNKNOWN
-        if unknown and has_no_claim_left(admitted, state):
+        if unknown and admitted.unrepeatable <= state.results.keys():
             return None
         raise RefusalError(with_progress(outcome, state))
 
