--- a/borageyard/attempts.py
+++ b/borageyard/attempts.py
@@ -1,6 +1,7 @@
 """Runs one attempt of a stage on a chosen target."""
 
 import asyncio
+import contextlib
 import dataclasses
 
 from .costs import Waste
@@ -145,16 +146,18 @@
         address: str,
     ) -> TargetAnswer:
         sink = stage_request.sink
-        async for event in self._client.stream(address, call):
-            if event.done:
-                return TargetAnswer(
-                    output={'text': ''.join(progress.tokens)},
-                    tokens=event.tokens,
-                    cached_tokens=event.cached_tokens,
-                )
-            progress.tokens.append(event.token)
-            if sink is not None:
-                await sink.send(event)
+        stream = self._client.stream(address, call)
+        async with contextlib.aclosing(stream) as events:
+            async for event in events:
+                if event.done:
+                    return TargetAnswer(
+                        output={'text': ''.join(progress.tokens)},
+                        tokens=event.tokens,
+                        cached_tokens=event.cached_tokens,
+                    )
+                progress.tokens.append(event.token)
+                if sink is not None:
+                    await sink.send(event)
         raise TargetError(FailureKind.CRASH, 'stream ended early')
 
     def _note_failure(
--- a/borageyard/bench_claims.py
+++ b/borageyard/bench_claims.py
@@ -16,7 +16,7 @@
 from .clock import MS_PER_S, LoopClock
 from .configuration import Configuration, parse_configuration
 from .generated.settings import ClaimsSettings, EntrySettings
-from .identifiers import identifier_at
+from .identifiers import key_at
 from .memory_log import MemoryLogService
 from .peers import MemoryPeerNetwork
 from .platform import MemoryLog
@@ -42,6 +42,7 @@
 MAX_ROUND_TRIPS = 2
 # Place of the median among the 99 cuts into hundredths.
 MEDIAN = 49
+KEY_RANDOM_BITS = 74
 NO_ADDRESS = '127.0.0.1:1'
 DOCUMENT: Mapping[str, Any] = types.MappingProxyType(
     {
@@ -170,7 +171,8 @@
         return AdmittedRequest(request, pipeline, configuration)
 
     def _key(self) -> str:
-        return identifier_at(self.clock.wall_ms(), self._random)
+        random_bits = self._random.getrandbits(KEY_RANDOM_BITS)
+        return key_at(int(self.clock.wall_ms()), random_bits)
 
 
 def run_claims(seed: int) -> BenchReport:
--- a/borageyard/identifiers.py
+++ b/borageyard/identifiers.py
@@ -1,6 +1,5 @@
 """Identifiers that tell when they were made (UUID version 7, RFC 9562)."""
 
-import random
 import uuid
 
 import uuid_utils
@@ -9,10 +8,9 @@
 UUID_VARIANT = 2
 TIMESTAMP_SHIFT_BITS = 80
 VERSION_SHIFT_BITS = 76
-HEX_DIGIT_MASK = 15
-VERSION_MASK = HEX_DIGIT_MASK << VERSION_SHIFT_BITS
-VARIANT_SHIFT_BITS = 62
-VARIANT_MASK = 3 << VARIANT_SHIFT_BITS
+HIGH_SHIFT_BITS = 64
+RANDOM_LOW_BITS = 62
+RANDOM_LOW_MASK = (1 << RANDOM_LOW_BITS) - 1
 
 
 def new_identifier() -> str:
@@ -20,20 +18,6 @@
     return str(uuid_utils.uuid7())
 
 
-def identifier_at(time_ms: float, source: random.Random) -> str:
-    """Returns a UUID of version 7 made at a given time.
-
-    Args:
-        time_ms: Unix time in milliseconds.
-        source: Source of its random bits.
-    """
-    number = source.getrandbits(TIMESTAMP_SHIFT_BITS)
-    number |= int(time_ms) << TIMESTAMP_SHIFT_BITS
-    number = number & ~VERSION_MASK | UUID_VERSION << VERSION_SHIFT_BITS
-    number = number & ~VARIANT_MASK | UUID_VARIANT << VARIANT_SHIFT_BITS
-    return str(uuid.UUID(int=number))
-
-
 def identifier_time_ms(identifier: str) -> int | None:
     """Returns when an identifier was made.
 
@@ -52,3 +36,21 @@
     if parsed.version != UUID_VERSION:
         return None
     return parsed.int >> TIMESTAMP_SHIFT_BITS
+
+
+def key_at(time_ms: int, random_bits: int) -> str:
+    """Returns the UUID of version 7 of a time, for reproducible runs.
+
+    The layout is that of RFC 9562, 5.7.
+
+    Args:
+        time_ms: Unix time in milliseconds.
+        random_bits: The 74 random bits.
+    """
+    high = random_bits >> RANDOM_LOW_BITS
+    low = random_bits & RANDOM_LOW_MASK
+    number = time_ms << TIMESTAMP_SHIFT_BITS
+    number |= UUID_VERSION << VERSION_SHIFT_BITS
+    number |= high << HIGH_SHIFT_BITS
+    number |= UUID_VARIANT << RANDOM_LOW_BITS
+    return str(uuid.UUID(int=number | low))
--- a/borageyard/standins/target.py
+++ b/borageyard/standins/target.py
@@ -216,6 +216,7 @@
         self.executions: list[Execution] = []
         self.alive = True
         self.models: dict[str, tuple[str, ...]] = {}
+        self.loading = 0
         self.cache = PrefixCache(profile.cache_tokens)
         self._clock = clock
         self._random = random.Random(seed)
@@ -235,8 +236,9 @@
             TargetCrashError: If the target died or the answer was lost.
         """
         last = None
-        async for event in self.run_stream(call):
-            last = event
+        async with contextlib.aclosing(self.run_stream(call)) as events:
+            async for event in events:
+                last = event
         if last is None:
             raise TargetCrashError('no event')
         attempt_id = call.attempt_id
@@ -258,8 +260,16 @@
             raise TargetCrashError('dead')
         if self.faults.take('refuse_next'):
             raise TargetRefusedError('told to refuse')
-        async with self._slot(call.priority):
-            async for event in self._generate(call):
+        if self.loading:
+            raise TargetRefusedError('loading')
+        versions = self.models.get(call.model)
+        if versions and call.model_version not in versions:
+            raise TargetRefusedError('version is not loaded')
+        async with (
+            self._slot(call.priority),
+            contextlib.aclosing(self._generate(call)) as events,
+        ):
+            async for event in events:
                 yield event
 
     def expected_output(self, call: TargetCall) -> dict[str, Any]:
@@ -286,7 +296,7 @@
             reported_at_ms=now_ms,
             running=self._running,
             queued=self._slots.queued,
-            slots=self.profile.slots,
+            slots=0 if self.loading else self.profile.slots,
             leaving=self.faults.leaving,
             models=dict(self.models),
         )
@@ -309,7 +319,10 @@
             self._running -= 1
             self._slots.release()
 
-    async def _generate(self, call: TargetCall) -> AsyncIterator[TokenEvent]:
+    async def _generate(
+        self,
+        call: TargetCall,
+    ) -> AsyncGenerator[TokenEvent, None]:
         if self.faults.take('hang_next'):
             await self._sleep(float('inf'))
         self.executions.append(
