Bound the news and measure what peers cost

Nothing showed what entries spend on each other. The news keeps to a budget of bytes whatever it carries; the experiment varies entries, targets and organisations one at a time, with JSON told by everybody to everybody as its baseline.

--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -11,6 +11,7 @@
 from rich import console, table
 
 from .bench_entry_loss import run_entry_loss
+from .bench_peers import run_peers
 from .bench_report import BenchReport, Bound
 from .bench_rolling import run_rolling
 
@@ -20,6 +21,7 @@
 EXPERIMENTS: Mapping[str, Experiment] = types.MappingProxyType(
     {
         'entry-loss': run_entry_loss,
+        'peers': run_peers,
         'rolling': run_rolling,
     },
 )
--- a/borageyard/entry.py
+++ b/borageyard/entry.py
@@ -72,7 +72,7 @@
     @property
     def peer_address(self) -> str:
         """Returns where peers reach it."""
-        return self.link.address
+        return self.link.server.address
 
     async def __aenter__(self) -> Self:
         """Starts to serve."""
--- a/borageyard/news_plan.py
+++ b/borageyard/news_plan.py
@@ -7,6 +7,8 @@
 from .peers import PeerAddress
 
 RING_PEERS = 2
+# Part of a second's budget that may be saved up.
+BURST_S = 0.5
 HASH_BYTES = 8
 
 
@@ -29,7 +31,7 @@
         self._instance_id = instance_id
         self._max_peers = max_peers
         self._bytes_per_s = bytes_per_s
-        self._budget_bytes = bytes_per_s
+        self._budget_bytes = bytes_per_s * BURST_S
         self._refilled_at_ms: float | None = None
         self._known: Collection[str] = ()
         self._neighbours: tuple[str, ...] = ()
@@ -83,7 +85,7 @@
             return
         gained = (now_ms - since_ms) * self._bytes_per_s / MS_PER_S
         self._budget_bytes = min(
-            self._bytes_per_s,
+            self._bytes_per_s * BURST_S,
             self._budget_bytes + gained,
         )
 
--- a/borageyard/peer_link.py
+++ b/borageyard/peer_link.py
@@ -35,22 +35,17 @@
         self.context = context
         self._clock = clock
         self._inbox = PeerInbox()
-        self._server = PeerServer(self._inbox, context)
+        self.server = PeerServer(self._inbox, context)
         self._known: dict[str, PeerAddress] = {}
         self._used_at_ms: dict[str, float] = {}
         self._connections: dict[str, PeerConnection] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._plan = NewsPlan(
+        self.plan = NewsPlan(
             context.identity.instance_id,
             context.settings.news_peers,
             context.settings.news_bytes_per_s,
         )
 
-    @property
-    def address(self) -> str:
-        """Returns where peers reach it."""
-        return self._server.address
-
     async def start(
         self,
         address: str,
@@ -63,7 +58,7 @@
             stack: Owns the streams.
         """
         stack.push_async_callback(self._close)
-        await self._server.start(address)
+        await self.server.start(address)
         news = asyncio.ensure_future(self._spread_news())
         stack.callback(news.cancel)
 
@@ -79,8 +74,8 @@
             for peer in peers
             if peer.instance_id != own_id and peer.address
         }
-        self._plan.update(self._known.values())
-        neighbours = frozenset(self._plan.neighbours)
+        self.plan.update(self._known.values())
+        neighbours = frozenset(self.plan.neighbours)
         now_ms = self._clock.steady_ms()
         for name, connection in tuple(self._connections.items()):
             moved = self._known.get(name) != connection.peer
@@ -134,17 +129,21 @@
         if encoded is None:
             return
         now_ms = self._clock.steady_ms()
-        for name in self._plan.choose(len(encoded), now_ms):
+        for name in self.plan.choose(len(encoded), now_ms):
             connection = self._connections.get(name)
             if connection is not None:
                 connection.send_news(encoded)
 
+    def news_messages(self) -> Sequence[pydantic.BaseModel]:
+        """Returns the sections that have something to say now."""
+        told = [section.provide() for section in self._inbox.sections.values()]
+        return [message for message in told if message is not None]
+
     def _encode_news(self) -> bytes | None:
-        sections: dict[str, object] = {}
-        for kind, section in self._inbox.sections.items():
-            message = section.provide()
-            if message is not None:
-                sections[kind] = message.model_dump(exclude_defaults=True)
+        sections = {
+            type(message).__name__: message.model_dump(exclude_defaults=True)
+            for message in self.news_messages()
+        }
         if not sections:
             return None
         frame = PeerFrameBody(type=FRAME_NEWS, body=sections)
@@ -176,4 +175,4 @@
         for peer_id in tuple(self._connections):
             self._drop(peer_id)
         await asyncio.gather(*tasks, return_exceptions=True)
-        await self._server.close()
+        await self.server.close()
--- a/borageyard/peer_stream.py
+++ b/borageyard/peer_stream.py
@@ -39,6 +39,7 @@
     sent_bytes: int = 0
     received_bytes: int = 0
     news_bytes: int = 0
+    news_sent: int = 0
     news_dropped: int = 0
     news_unknown: int = 0
     requests_refused: int = 0
@@ -130,6 +131,7 @@
         self._news = None
         if news is not None:
             self._context.counters.news_bytes += len(news)
+            self._context.counters.news_sent += 1
         return news
 
 
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -95,7 +95,7 @@
     def knows(self, *others, via=None):
         """Tells the link of other sides."""
         self.link.update_peers(
-            PeerAddress(other.name, via or other.link.address)
+            PeerAddress(other.name, via or other.link.server.address)
             for other in others
         )
 
@@ -138,7 +138,7 @@
 
 async def raw_stream(side, name='raw', incarnation=1):
     """Opens a stream by hand and greets."""
-    host, _, port = side.link.address.rpartition(':')
+    host, _, port = side.link.server.address.rpartition(':')
     reader, writer = await asyncio.open_connection(host, int(port))
     send_raw(
         writer,
@@ -257,7 +257,7 @@
         one, two = Side('a'), Side('b')
         async with started(one):
             async with started(two):
-                address = two.link.address
+                address = two.link.server.address
                 one.knows(two)
                 assert await one.probe(two) == 7
             newer = Side('b', incarnation=2)
@@ -289,7 +289,7 @@
     async def test_one_way_link_is_noticed(self, direction):
         """A stream on which one direction is dead is closed."""
         async with started(Side('a'), Side('b')) as (one, two):
-            async with Relay(two.link.address).running() as relay:
+            async with Relay(two.link.server.address).running() as relay:
                 one.knows(two, via=relay.address)
                 assert await one.probe(two) == 7
                 getattr(relay, direction).clear()
