--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -10,7 +10,9 @@
 
 from rich import console, table
 
+from .bench_config import run_config
 from .bench_entry_loss import run_entry_loss
+from .bench_overhead import run_overhead
 from .bench_peers import run_peers
 from .bench_report import BenchReport, Bound
 from .bench_rolling import run_rolling
@@ -20,7 +22,9 @@
 # Experiments by name; each one lives in its own module.
 EXPERIMENTS: Mapping[str, Experiment] = types.MappingProxyType(
     {
+        'config': run_config,
         'entry-loss': run_entry_loss,
+        'overhead': run_overhead,
         'peers': run_peers,
         'rolling': run_rolling,
     },
--- a/borageyard/cli.py
+++ b/borageyard/cli.py
@@ -6,12 +6,13 @@
 import sys
 from collections.abc import Sequence
 
-import eliot
-
 from .bench import add_bench_command
 from .border import DocumentError
+from .cli_config import add_config_commands
 from .demo import print_demo, run_demo
 from .entry import serve_entry
+from .events import open_log
+from .generated.settings import TelemetrySettings
 from .settings import load_entry_settings, load_standin_settings
 from .standins.command import STANDIN_KINDS, serve_standin
 
@@ -55,14 +56,15 @@
     demo.add_argument('--examples', default='examples', metavar='DIR')
     demo.set_defaults(run=_run_demo)
     add_bench_command(commands)
+    add_config_commands(commands)
     return parser
 
 
 def _run_entry(arguments: argparse.Namespace) -> int:
     settings = load_entry_settings(arguments.settings)
-    eliot.to_file(sys.stderr)
-
-    asyncio.run(serve_entry(settings))
+    telemetry = settings.telemetry or TelemetrySettings()
+    with open_log(telemetry.log_path):
+        asyncio.run(serve_entry(settings))
     return EXIT_GOOD
 
 
--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -9,6 +9,7 @@
 from opentelemetry import trace
 
 from .addresses import EntryAddress, order_entries
+from .cache_watcher import CacheWatcher
 from .claim_service import ClaimService, ClaimServicePorts
 from .clock import MS_PER_S, Clock
 from .configuration_service import ConfigurationService
@@ -18,6 +19,7 @@
 from .errors import ErrorKind, Ran, Refusal
 from .events import Event, log_event
 from .gate import PolicyAdmission
+from .gates import Outcome, PipelineGates
 from .generated.settings import EntrySettings, PeerSettings
 from .handover import HandoverStore
 from .handover_keepers import HandoverKeepers, HandoverPlace
@@ -25,8 +27,9 @@
 from .membership import Membership
 from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
+from .peer_stream import PeerCounters
 from .peers import PeerLink
-from .pipeline import Outcome, PipelineGates, PipelineRunner
+from .pipeline import PipelineRunner
 from .platform import InstanceList, LogService
 from .policy import EntryPolicy, PolicyOptions, PolicyPlace
 from .policy_news import PolicyNews
@@ -48,8 +51,11 @@
     peers: PeerLink
     clock: Clock
     seed: int = 0
-    incarnation: int = 0
     tracer: trace.Tracer | None = None
+    incarnation: int = 0
+    peer_counters: PeerCounters = dataclasses.field(
+        default_factory=PeerCounters,
+    )
     policy: PolicyOptions = dataclasses.field(default_factory=PolicyOptions)
 
 
@@ -82,6 +88,13 @@
         )
         self.fold = self.configuration.fold
         self.permission = self.configuration.permission
+        self._cache_watcher = CacheWatcher(
+            self.directory,
+            self.policy.affinity,
+            ports.targets,
+            ports.clock,
+            self.fold,
+        )
         self.drain_plan = DrainPlan(settings.drain_ms, settings.address_ttl_ms)
         self.watcher = TargetWatcher(
             self.directory,
@@ -155,6 +168,7 @@
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
                 self.policy.queues.watch(),
+                self._cache_watcher.watch(),
             ),
         )
 
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -8,6 +8,7 @@
 from .configuration_handler import CONFIGURATION_PATH, ConfigurationHandler
 from .core import EntryCore
 from .errors import ErrorKind, Refusal, RefusalError
+from .gates import Outcome
 from .http_messages import (
     EVENT_STREAM_TYPE,
     HttpRequest,
@@ -15,7 +16,7 @@
     encode_event,
     json_response,
 )
-from .pipeline import Outcome
+from .peer_metrics import PeerMetrics
 from .policy_status import policy_status
 from .requests import PipelineRequest
 from .target import TokenEvent
@@ -33,6 +34,7 @@
 DRAIN_PATH = '/v1/targets/drain'
 PIPELINE_PREFIX = '/v1/pipelines/'
 TOKEN_QUEUE_SIZE = 64
+LARGE_BODY_BYTES = 65_536
 
 
 class QueueSink:
@@ -49,6 +51,28 @@
         await self.queue.put(event)
 
 
+class LargeBodyTurns:
+    """Lets one large body be decoded in each turn of the loop.
+
+    Decoding blocks the loop; many large bodies that arrive together would
+    otherwise be decoded in one turn.
+    """
+
+    def __init__(self) -> None:
+        """Starts with nobody waiting."""
+        self._lock = asyncio.Lock()
+
+    async def turn(self, size_bytes: int) -> None:
+        """Waits for a turn, if the body is large.
+
+        Args:
+            size_bytes: Size of the body.
+        """
+        if size_bytes >= LARGE_BODY_BYTES:
+            async with self._lock:
+                await asyncio.sleep(0)
+
+
 class EntryHandler:
     """Answers the HTTP requests of callers and operators."""
 
@@ -59,6 +83,8 @@
             core: What runs the requests.
         """
         self._core = core
+        self._peer_metrics = PeerMetrics(core.metrics.registry)
+        self._large_bodies = LargeBodyTurns()
         self._configuration = ConfigurationHandler(
             core.fold,
             core.configuration.changes,
@@ -93,9 +119,11 @@
 
     async def _run_pipeline(self, request: HttpRequest) -> HttpResponse:
         pipeline = request.path.removeprefix(PIPELINE_PREFIX)
+        await self._large_bodies.turn(len(request.body))
         try:
             decoded = self._check(request, pipeline)
         except RefusalError as error:
+            self._core.metrics.note_refusal(error.refusal)
             request_id = request_id_of(request.headers)
             return encode_refusal(request_id, error.refusal)
         if decoded.stream:
@@ -190,9 +218,17 @@
 
     def _exposition(self, request: HttpRequest) -> HttpResponse:
         self._core.metrics.note_policy(self._core.policy)
+        self._note_peers()
         body = self._core.metrics.exposition()
         return HttpResponse(HTTPStatus.OK, body, 'text/plain')
 
+    def _note_peers(self) -> None:
+        core = self._core
+        now_ms = core.ports.clock.steady_ms()
+        self._peer_metrics.note_streams(core.ports.peer_counters)
+        self._peer_metrics.note_handover(core.keepers)
+        self._peer_metrics.note_members(core.membership, now_ms)
+
     def _liveness(self, request: HttpRequest) -> HttpResponse:
         return json_response({'alive': True})
 
