--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -14,6 +14,7 @@
 from .bench_entry_loss import run_entry_loss
 from .bench_overhead import run_overhead
 from .bench_peers import run_peers
+from .bench_policy import run_policy
 from .bench_report import BenchReport, Bound
 from .bench_rolling import run_rolling
 
@@ -27,6 +28,7 @@
         'overhead': run_overhead,
         'peers': run_peers,
         'rolling': run_rolling,
+        'policy': run_policy,
     },
 )
 
--- a/borageyard/run_state.py
+++ b/borageyard/run_state.py
@@ -28,11 +28,6 @@
     return Ran.RAN if ran else Ran.NOT_RUN
 
 
-def has_no_claim_left(admitted: AdmittedRequest, state: RunState) -> bool:
-    """Tells whether every stage that may not be repeated has finished."""
-    return admitted.unrepeatable <= state.results.keys()
-
-
 def with_progress(refusal: Refusal, state: RunState) -> Refusal:
     """Returns a refusal that tells which stages ran."""
     ran = refusal.ran if state.ran is Ran.NOT_RUN else state.ran
