--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -14,6 +14,7 @@
 from .bench_config import run_config
 from .bench_entry_loss import run_entry_loss
 from .bench_overhead import run_overhead
+from .bench_peers import run_peers
 from .bench_policy import run_policy
 from .bench_report import BenchReport, Bound
 from .bench_rolling import run_rolling
@@ -25,8 +26,9 @@
     {
         'claims': run_claims,
         'config': run_config,
-        'overhead': run_overhead,
         'entry-loss': run_entry_loss,
+        'overhead': run_overhead,
+        'peers': run_peers,
         'rolling': run_rolling,
         'policy': run_policy,
     },
--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -28,6 +28,7 @@
 from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
 from .orders import OrderClient
+from .peer_stream import PeerCounters
 from .peers import PeerLink
 from .pipeline import PipelineRunner
 from .platform import InstanceList, LogService, WeightStore
@@ -56,6 +57,9 @@
     seed: int = 0
     tracer: trace.Tracer | None = None
     incarnation: int = 0
+    peer_counters: PeerCounters = dataclasses.field(
+        default_factory=PeerCounters,
+    )
     policy: PolicyOptions = dataclasses.field(default_factory=PolicyOptions)
 
 
--- /dev/null
+++ b/borageyard/peer_metrics.py
@@ -0,0 +1,60 @@
+"""Metrics of the streams between entries and of hand-over."""
+
+import dataclasses
+
+from aioprometheus import Gauge, Registry
+
+from .handover_keepers import HandoverKeepers
+from .membership import Membership, MemberState
+from .peer_stream import PeerCounters
+
+
+class PeerMetrics:
+    """Shows what peers cost, what was lost and who is thought alive."""
+
+    def __init__(self, registry: Registry) -> None:
+        """Registers the metrics.
+
+        Args:
+            registry: The entry's.
+        """
+        self._streams = Gauge(
+            'borageyard_peer_streams',
+            'Totals of the streams between entries by kind of count.',
+            registry=registry,
+        )
+        self._handover = Gauge(
+            'borageyard_handover',
+            'Totals and memory of hand-over by kind of count.',
+            registry=registry,
+        )
+        self._members = Gauge(
+            'borageyard_members',
+            'Other entries by what is thought of them.',
+            registry=registry,
+        )
+
+    def note_streams(self, counters: PeerCounters) -> None:
+        """Sets the totals of the streams."""
+        for name, count in dataclasses.asdict(counters).items():
+            self._streams.set({'count': name}, count)
+
+    def note_handover(self, keepers: HandoverKeepers) -> None:
+        """Sets the totals of hand-over."""
+        counts = {
+            **dataclasses.asdict(keepers.counters),
+            'kept_requests': len(keepers.memory),
+            'kept_bytes': keepers.memory.size_bytes,
+            'overflows': keepers.memory.overflows,
+        }
+        for name, count in counts.items():
+            self._handover.set({'count': name}, count)
+
+    def note_members(self, membership: Membership, now_ms: float) -> None:
+        """Sets how many entries there are by state."""
+        states = [
+            membership.state(member.instance_id, now_ms)
+            for member in membership.members()
+        ]
+        for state in MemberState:
+            self._members.set({'state': state.value}, states.count(state))
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -1,6 +1,8 @@
 """Tests of the client that callers use."""
 
+import asyncio
 import contextlib
+import math
 import pathlib
 
 import pytest
@@ -83,6 +85,15 @@
         yield await stack.enter_async_context(EntryClient(seeds))
 
 
+class Paused(Script):
+    """An entry that takes requests and never answers."""
+
+    async def handle(self, request):
+        """Waits for ever."""
+        self.requests.append(request)
+        await asyncio.Event().wait()
+
+
 class TestCalls:
     """Requests over real sockets."""
 
@@ -110,6 +121,16 @@
         assert len(headers) == 2
         assert len(set(headers)) == 1
 
+    async def test_paused_entry_is_left(self):
+        """An entry that stops answering costs seconds, not the deadline."""
+        paused, live = Paused(), Script(ANSWER)
+        async with scripted(paused, live) as client:
+            client.book.note_entries(client.book.ordered(0), math.inf, 0)
+            outcome = await client.call(request_for())
+        assert isinstance(outcome, Answer)
+        assert paused.requests
+        assert len(live.requests) == 1
+
     async def test_unknown_outcome_is_final(self):
         """A request that may have run is not sent again."""
         unknown = Refusal(ErrorKind.OUTCOME_UNKNOWN, ran=Ran.UNKNOWN)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,5 +1,6 @@
 """Tests of an entry over real sockets."""
 
+import asyncio
 import contextlib
 import json
 import pathlib
@@ -99,3 +100,42 @@
         body = json.loads(reply.body)
         assert reply.status == 502
         assert body['kind'] == 'target_failed'
+
+
+class TestOperators:
+    """What operators see and order."""
+
+    async def test_metrics_show_peers_and_handover(self):
+        """Bytes, members and the memory of hand-over can be read."""
+        async with running() as (deployment, client):
+            address = deployment.all_entries()[0].address
+            reply = await client.request(HttpCall(address, 'GET', '/metrics'))
+        text = reply.body.decode()
+        assert 'borageyard_peer_streams{count="sent_bytes"}' in text
+        assert 'borageyard_handover{count="overflows"} 0' in text
+        assert 'borageyard_members{state="alive"}' in text
+
+    async def test_ordered_target_gets_no_new_work(self):
+        """An operator's order to drain holds at every entry."""
+        async with running() as (deployment, client):
+            entries = deployment.all_entries()
+            path = '/v1/targets/drain?target_id=ganga-llm-0'
+            call = HttpCall(entries[0].address, 'POST', path)
+            reply = await client.request(call)
+            unknown = await client.request(
+                HttpCall(entries[0].address, 'POST', '/v1/targets/drain'),
+            )
+            await asyncio.sleep(3)
+            leaving = [_is_leaving(entry) for entry in entries]
+        assert all(leaving)
+        assert reply.status == 200
+        assert unknown.status == 404
+
+
+def _is_leaving(entry):
+    """Tells whether an entry has heard of the order."""
+    return any(
+        state.leaving
+        for state in entry.core.directory.all_targets()
+        if state.target_id == 'ganga-llm-0'
+    )
