--- a/borageyard/admission.py
+++ b/borageyard/admission.py
@@ -2,7 +2,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from .configuration import Configuration, Organisation, Stage
@@ -101,26 +101,25 @@
         pending = self._pending.setdefault(service, PendingStages())
         pending.add(organisation, count)
 
-    def ahead(
-        self,
-        service: str,
-        organisation: str,
-        organisations: Mapping[str, Organisation],
-    ) -> float:
+    def is_empty(self, service: str) -> bool:
+        """Tells whether no stage has yet to start on a service."""
+        pending = self._pending.get(service)
+        return pending is None or not pending.whole
+
+    def ahead(self, service: str, organisation: Organisation) -> float:
         """Returns how many stages go before a new one in fair shares.
 
         Args:
             service: Service that will run it.
             organisation: Whose it is.
-            organisations: All organisations with their weights.
         """
         pending = self._pending.get(service)
         if pending is None:
             return 0
-        own = pending.counts[organisation]
-        weight = organisations[organisation].weight
+        name = organisation.name
+        own = pending.counts[name]
         others = pending.whole - own
-        fair = (own + 1) * pending.others_weight(organisation) / weight
+        fair = (own + 1) * pending.others_weight(name) / organisation.weight
         return own + min(others, fair)
 
 
--- a/borageyard/capacity.py
+++ b/borageyard/capacity.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 
-from .clock import Clock
 from .targets import TargetDirectory
 
 # Time for which a sum over all targets is used again.
@@ -13,7 +12,7 @@
 class ServiceUsage:
     """Own running calls and the slots that this entry may use."""
 
-    running: int
+    running: float
     slots: float
     summed_at_ms: float
 
@@ -21,25 +20,28 @@
 class ServiceCapacity:
     """Sums what is known of a service's targets."""
 
-    def __init__(self, directory: TargetDirectory, clock: Clock) -> None:
+    def __init__(self, directory: TargetDirectory) -> None:
         """Wraps what is known.
 
         Args:
             directory: Known targets.
-            clock: Source of time.
         """
         self._directory = directory
-        self._clock = clock
         self._usage: dict[str, ServiceUsage] = {}
 
-    def usage(self, service: str, entries: int) -> ServiceUsage:
+    def usage(
+        self,
+        service: str,
+        entries: int,
+        now_ms: float,
+    ) -> ServiceUsage:
         """Returns the sums, which may be some milliseconds old.
 
         Args:
             service: Name of the service.
             entries: Entries that share its targets.
+            now_ms: Steady time.
         """
-        now_ms = self._clock.steady_ms()
         known = self._usage.get(service)
         if known is not None and now_ms - known.summed_at_ms < KEEP_MS:
             return known
@@ -48,7 +50,7 @@
         return summed
 
     def _sum(self, service: str, entries: int, now_ms: float) -> ServiceUsage:
-        running = 0
+        running: float = 0
         slots: float = 0
         for state in self._directory.candidates(service):
             running += state.in_flight
--- a/borageyard/limits.py
+++ b/borageyard/limits.py
@@ -103,10 +103,13 @@
             Whether it may start and after which wait; if it may not, when
             to come back.
         """
-        bucket = self._refilled(organisation, now_ms)
+        share = self.share(organisation.name, now_ms)
+        rate_per_ms = organisation.limit_requests_per_s * share / MS_PER_S
+        burst = max(organisation.burst_requests * share, 1)
+        bucket = self._find(organisation.name, burst, now_ms)
+        _refill(bucket, rate_per_ms, burst, now_ms)
         bucket.arrivals += 1
-        missing = max(1 - bucket.tokens, 0)
-        wait_ms = missing / self._rate_per_ms(organisation, now_ms)
+        wait_ms = max(1 - bucket.tokens, 0) / rate_per_ms
         if wait_ms > min(max_wait_ms, MAX_WAIT_MS):
             return LimitDecision(allowed=False, wait_ms=wait_ms)
         bucket.tokens -= 1
@@ -134,21 +137,11 @@
             return equal
         return EQUAL_SHARE * equal + (1 - EQUAL_SHARE) * own / whole
 
-    def _rate_per_ms(self, organisation: Organisation, now_ms: float) -> float:
-        share = self.share(organisation.name, now_ms)
-        return organisation.limit_requests_per_s * share / MS_PER_S
-
-    def _refilled(self, organisation: Organisation, now_ms: float) -> Bucket:
-        share = self.share(organisation.name, now_ms)
-        burst = organisation.burst_requests * share
-        bucket = self._buckets.get(organisation.name)
+    def _find(self, name: str, burst: float, now_ms: float) -> Bucket:
+        bucket = self._buckets.get(name)
         if bucket is None:
             bucket = Bucket(burst, now_ms)
-            self._buckets[organisation.name] = bucket
-        passed_ms = now_ms - bucket.filled_at_ms
-        added = passed_ms * self._rate_per_ms(organisation, now_ms)
-        bucket.tokens = min(bucket.tokens + added, max(burst, 1))
-        bucket.filled_at_ms = now_ms
+            self._buckets[name] = bucket
         return bucket
 
     def _measure_demand(self, now_ms: float) -> None:
@@ -161,3 +154,14 @@
             rate = bucket.arrivals * MS_PER_S / passed_ms
             bucket.demand_per_s += weight * (rate - bucket.demand_per_s)
             bucket.arrivals = 0
+
+
+def _refill(
+    bucket: Bucket,
+    rate_per_ms: float,
+    burst: float,
+    now_ms: float,
+) -> None:
+    added = (now_ms - bucket.filled_at_ms) * rate_per_ms
+    bucket.tokens = min(bucket.tokens + added, burst)
+    bucket.filled_at_ms = now_ms
--- a/borageyard/policy.py
+++ b/borageyard/policy.py
@@ -72,7 +72,7 @@
         self.times = ServiceTimes()
         self.planner = StagePlanner(self.times)
         self.backlog = Backlog()
-        self.capacity = ServiceCapacity(directory, place.clock)
+        self.capacity = ServiceCapacity(directory)
         self.affinity = PrefixAffinity()
         self.limits = OrganisationLimits()
         self.retries = RetryBudgets()
@@ -168,8 +168,9 @@
         Args:
             admitted: The request.
         """
+        now_ms = self.clock.steady_ms()
         return [
-            self._need(admitted, stage.service)
+            self._need(admitted, stage.service, now_ms)
             for stage in admitted.pipeline.stages
         ]
 
@@ -340,18 +341,22 @@
             retry_after_ms=math.ceil(left_ms),
         )
 
-    def _need(self, admitted: AdmittedRequest, service: str) -> StageNeed:
-        configuration = admitted.configuration
-        usual = self.planner.usual_times(configuration, service)
-        usage = self.capacity.usage(service, self.limits.entries)
-        ahead = self.backlog.ahead(
-            service,
-            admitted.request.organisation,
-            configuration.organisations,
-        )
+    def _need(
+        self,
+        admitted: AdmittedRequest,
+        service: str,
+        now_ms: float,
+    ) -> StageNeed:
+        usual = self.planner.usual_times(admitted.configuration, service)
+        usage = self.capacity.usage(service, self.limits.entries, now_ms)
+        ahead = usage.running
+        if not self.backlog.is_empty(service):
+            ahead += self.backlog.ahead(service, admitted.organisation)
+        if ahead < usage.slots:
+            return StageNeed(usual.best_ms)
         return StageNeed(
             usual.best_ms,
-            wait_ms(usage.running + ahead, usage.slots, usual.planned_ms),
+            wait_ms(ahead, usage.slots, usual.planned_ms),
         )
 
 
