--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -1,7 +1,6 @@
 """Experiments with their baselines and the bounds that they must meet."""
 
 import argparse
-import dataclasses
 import json
 import sys
 import types
@@ -11,6 +10,7 @@
 from rich import console, table
 
 from .bench_config import run_config
+from .bench_overhead import run_overhead
 from .bench_policy import run_policy
 from .bench_report import BenchReport, Bound
 
@@ -20,6 +20,7 @@
 EXPERIMENTS: Mapping[str, Experiment] = types.MappingProxyType(
     {
         'config': run_config,
+        'overhead': run_overhead,
         'policy': run_policy,
     },
 )
@@ -50,14 +51,7 @@
     """
     if not json_only:
         console.Console().print(_tabulate(report))
-    summary = {
-        'name': report.name,
-        'seed': report.seed,
-        'figures': dict(report.figures),
-        'bounds': [dataclasses.asdict(bound) for bound in report.bounds],
-        'missed': list(report.missed),
-    }
-    sys.stdout.write(f'{json.dumps(summary)}\n')
+    sys.stdout.write(f'{json.dumps(report.summary())}\n')
     return int(bool(report.missed))
 
 
--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -50,8 +50,8 @@
     peers: PeerLink
     clock: Clock
     seed: int = 0
-    incarnation: int = 0
     tracer: trace.Tracer | None = None
+    incarnation: int = 0
     policy: PolicyOptions = dataclasses.field(default_factory=PolicyOptions)
 
 
