--- a/borageyard/measurements_page.py
+++ b/borageyard/measurements_page.py
@@ -5,8 +5,9 @@
 
 PERCENT = 100
 HEADINGS = (
-    ('attainment', 'Attainment in percent'),
-    ('wasted_share', 'Wasted work in percent'),
+    ('attainment', 'Attainment in percent', PERCENT),
+    ('wasted_share', 'Wasted work in percent', PERCENT),
+    ('work_ms', 'Time of targets for each answer in milliseconds', 1),
 )
 
 
@@ -25,8 +26,8 @@
         '',
         *_bounds(summary),
     ]
-    for part, heading in HEADINGS:
-        lines.extend(('', f'## {heading}', '', *_runs(summary, part)))
+    for part, heading, factor in HEADINGS:
+        lines.extend(('', f'## {heading}', '', *_runs(summary, part, factor)))
     lines.extend(('', '## Decision time in microseconds', ''))
     lines.extend(_times(summary['figures']))
     page = '\n'.join(lines)
@@ -45,14 +46,18 @@
         yield f'| {figure} | {measured} | {sign} {limit} | {met} |'
 
 
-def _runs(summary: Mapping[str, Any], part: str) -> Iterator[str]:
+def _runs(
+    summary: Mapping[str, Any],
+    part: str,
+    factor: int,
+) -> Iterator[str]:
     """Yields a table of scenarios and policies."""
     table = _by_scenario(summary['figures'], part)
     policies = list(next(iter(table.values())))
     yield _row(('scenario', *policies))
     yield _row(('---', *('---:' for _ in policies)))
     for name, runs in table.items():
-        shown = [_percent(runs[policy]) for policy in policies]
+        shown = [format(runs[policy] * factor, '.2f') for policy in policies]
         yield _row((name, *shown))
 
 
@@ -82,9 +87,5 @@
     return f'| {joined} |'
 
 
-def _percent(share: float) -> str:
-    return format(share * PERCENT, '.2f')
-
-
 def _shown(measured: Any) -> str:
     return format(measured, '.4g' if isinstance(measured, float) else '')
--- /dev/null
+++ b/borageyard/peer_calls.py
@@ -0,0 +1,55 @@
+"""Calls that peers say they have at targets."""
+
+import collections
+import math
+from collections.abc import Mapping
+
+# Time after which the word of a silent peer is dropped.
+SILENT_MS = 2000
+
+
+class PeerCalls:
+    """Sums by target; what is kept grows with the calls, not with pairs."""
+
+    def __init__(self) -> None:
+        """Starts without peers."""
+        self._told: dict[str, Mapping[str, int]] = {}
+        self._heard_at_ms: dict[str, float] = {}
+        self._sums: collections.Counter[str] = collections.Counter()
+        self.oldest_ms = math.inf
+
+    def note(
+        self,
+        peer_id: str,
+        in_flight: Mapping[str, int],
+        now_ms: float,
+    ) -> None:
+        """Takes in the calls of a peer.
+
+        Args:
+            peer_id: Who said it.
+            in_flight: Calls by target id; targets without any are left out.
+            now_ms: Steady time.
+        """
+        self._sums.subtract(self._told.get(peer_id, {}))
+        self._sums.update(in_flight)
+        self._told[peer_id] = dict(in_flight)
+        self._heard_at_ms[peer_id] = now_ms
+        self.oldest_ms = min(self._heard_at_ms.values())
+
+    def forget_silent(self, now_ms: float) -> None:
+        """Drops what peers said that have been silent for long.
+
+        Args:
+            now_ms: Steady time.
+        """
+        for peer_id, heard_at_ms in tuple(self._heard_at_ms.items()):
+            if now_ms - heard_at_ms >= SILENT_MS:
+                self._sums.subtract(self._told.pop(peer_id))
+                self._heard_at_ms.pop(peer_id)
+        self._sums = +self._sums
+        self.oldest_ms = min(self._heard_at_ms.values(), default=math.inf)
+
+    def at(self, target_id: str) -> int:
+        """Returns the calls of all peers at a target."""
+        return self._sums[target_id]
--- a/borageyard/targets.py
+++ b/borageyard/targets.py
@@ -8,6 +8,7 @@
 
 from .clock import MS_PER_S, Clock
 from .events import Event, log_event
+from .peer_calls import PeerCalls
 from .platform import (
     ROLE_TARGET,
     STATE_LEAVING,
@@ -24,7 +25,6 @@
 MAX_OWN_CHANGES = 256
 DURATION_WEIGHT = 0.2
 DEFAULT_SLOTS = 8
-SILENT_MS = 2000
 # Time for which the weighed load of other entries is used again.
 REWEIGH_MS = 20
 
@@ -44,9 +44,7 @@
     reported_at_ms: float = -math.inf
     weighed_others: float = 0
     weighed_at_ms: float = -math.inf
-    told_others: dict[str, tuple[float, int]] = dataclasses.field(
-        default_factory=dict,
-    )
+    peer_calls: PeerCalls = dataclasses.field(default_factory=PeerCalls)
     own_changes: collections.deque[tuple[float, int]] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAX_OWN_CHANGES),
     )
@@ -108,14 +106,10 @@
 
     def _weigh_others(self, now_ms: float) -> float:
         report_weight = _freshness(now_ms - self.reported_at_ms)
-        told = 0
-        told_at_ms = now_ms
-        for heard_at_ms, count in self.told_others.values():
-            told += count
-            told_at_ms = min(told_at_ms, heard_at_ms)
         told_weight: float = 0
-        if self.told_others:
-            told_weight = _freshness(now_ms - told_at_ms)
+        if self.peer_calls.oldest_ms <= now_ms:
+            told_weight = _freshness(now_ms - self.peer_calls.oldest_ms)
+        told = self.peer_calls.at(self.target_id)
         weighed = report_weight * self.reported_others + told_weight * told
         return weighed / (report_weight + told_weight + PRIOR_WEIGHT)
 
@@ -127,6 +121,7 @@
         """Starts empty."""
         self._targets: dict[str, TargetState] = {}
         self._by_service: dict[str, list[TargetState]] = {}
+        self._peer_calls = PeerCalls()
 
     def update(self, instances: Iterable[Instance]) -> None:
         """Takes in a new instance list; an empty one changes nothing.
@@ -175,19 +170,11 @@
             in_flight: Calls by target id; targets without any are left out.
             now_ms: Steady time.
         """
-        for state in self._targets.values():
-            count = in_flight.get(state.target_id, 0)
-            state.told_others[peer_id] = (now_ms, count)
-            state.weighed_at_ms = -math.inf
+        self._peer_calls.note(peer_id, in_flight, now_ms)
 
     def forget_silent(self, now_ms: float) -> None:
         """Drops what peers said that have been silent for long."""
-        for state in self._targets.values():
-            state.told_others = {
-                peer_id: told
-                for peer_id, told in state.told_others.items()
-                if now_ms - told[0] < SILENT_MS
-            }
+        self._peer_calls.forget_silent(now_ms)
 
     def mark_leaving(self, target_id: str) -> bool:
         """Marks a target as leaving for the rest of its incarnation.
@@ -218,7 +205,11 @@
         known = self._targets.get(row.instance_id)
         leaving = row.state == STATE_LEAVING
         if known is None or known.instance.incarnation != row.incarnation:
-            return TargetState(row, leaving=leaving)
+            return TargetState(
+                row,
+                leaving=leaving,
+                peer_calls=self._peer_calls,
+            )
         known.instance = row
         known.leaving = known.leaving or leaving
         return known
--- a/tests/test_measurements_page.py
+++ b/tests/test_measurements_page.py
@@ -16,6 +16,8 @@
             'site/steady/random.attainment': 0.75,
             'site/steady/policy.wasted_share': 0,
             'site/steady/random.wasted_share': 0,
+            'site/steady/policy.work_ms': 1500,
+            'site/steady/random.work_ms': 1600,
         },
         'bounds': [{'figure': 'margin', 'limit': 0, 'at_most': False}],
         'missed': ['margin'],
@@ -37,3 +39,4 @@
         text = page.read_text(encoding='utf-8')
         assert '| margin | -0.5 | >= 0 | no |' in text
         assert '| site/steady | 25.00 | 75.00 |' in text
+        assert '| site/steady | 1500.00 | 1600.00 |' in text
