--- a/borageyard/requests.py
+++ b/borageyard/requests.py
@@ -53,6 +53,16 @@
         """Returns the organisation whose request it is."""
         return self.configuration.organisations[self.request.organisation]
 
+    @property
+    def unrepeatable(self) -> frozenset[str]:
+        """Returns the stages that may not be repeated."""
+        services = self.configuration.services
+        return frozenset(
+            stage.name
+            for stage in self.pipeline.stages
+            if not services[stage.service].idempotent
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StageResult:
--- a/borageyard/run_state.py
+++ b/borageyard/run_state.py
@@ -24,23 +24,10 @@
     results: Mapping[str, StageResult],
 ) -> Ran:
     """Tells whether an earlier run did what may not be repeated."""
-    services = admitted.configuration.services
-    ran = any(
-        stage.name in results and not services[stage.service].idempotent
-        for stage in admitted.pipeline.stages
-    )
+    ran = admitted.unrepeatable & results.keys()
     return Ran.RAN if ran else Ran.NOT_RUN
 
 
-def has_no_claim_left(admitted: AdmittedRequest, state: RunState) -> bool:
-    """Tells whether every stage that may not be repeated has finished."""
-    services = admitted.configuration.services
-    return all(
-        stage.name in state.results or services[stage.service].idempotent
-        for stage in admitted.pipeline.stages
-    )
-
-
 def with_progress(refusal: Refusal, state: RunState) -> Refusal:
     """Returns a refusal that tells which stages ran."""
     ran = refusal.ran if state.ran is Ran.NOT_RUN else state.ran
