--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -1,7 +1,6 @@
 """Experiments with their baselines and the bounds that they must meet."""
 
 import argparse
-import dataclasses
 import json
 import sys
 import types
@@ -60,14 +59,7 @@
     """
     if not json_only:
         console.Console().print(_tabulate(report))
-    summary = {
-        'name': report.name,
-        'seed': report.seed,
-        'figures': dict(report.figures),
-        'bounds': [dataclasses.asdict(bound) for bound in report.bounds],
-        'missed': list(report.missed),
-    }
-    sys.stdout.write(f'{json.dumps(summary)}\n')
+    sys.stdout.write(f'{json.dumps(report.summary())}\n')
     return int(bool(report.missed))
 
 
--- a/borageyard/peer_fleet.py
+++ b/borageyard/peer_fleet.py
@@ -12,6 +12,7 @@
 from .deployment import DeploymentPlan
 from .generated.settings import EntrySettings, PeerSettings
 from .memory_log import MemoryLogService
+from .memory_orders import MemoryOrderClient, MemoryWeights
 from .memory_target import MemoryTargetClient
 from .peer_link import TcpPeerLink
 from .peer_stream import PeerContext, PeerCounters, PeerIdentity
@@ -63,6 +64,8 @@
             log=MemoryLogService(log),
             instances=instances,
             targets=MemoryTargetClient({}),
+            orders=MemoryOrderClient({}),
+            weights=MemoryWeights(DEFAULT_RATE_BYTES_PER_S),
             peers=self.link,
             clock=self.clock,
             incarnation=INCARNATION,
