--- a/borageyard/cli.py
+++ b/borageyard/cli.py
@@ -11,6 +11,7 @@
 from .border import DocumentError
 from .cli_call import add_call_command
 from .cli_config import add_config_commands
+from .cli_faults import add_faults_command
 from .cli_report import add_report_commands
 from .cli_settings import add_settings_command
 from .cli_status import add_status_command
@@ -81,6 +82,7 @@
     add_status_command(commands)
     add_settings_command(commands)
     add_bench_command(commands)
+    add_faults_command(commands)
     add_config_commands(commands)
     add_report_commands(commands)
     return parser
--- a/borageyard/http_target.py
+++ b/borageyard/http_target.py
@@ -1,6 +1,7 @@
 """Targets met over HTTP."""
 
-from collections.abc import AsyncIterator, Sequence
+import contextlib
+from collections.abc import AsyncGenerator, AsyncIterator, Sequence
 from typing import TypeVar
 
 import pydantic
@@ -65,12 +66,14 @@
         self,
         address: str,
         call: TargetCall,
-    ) -> AsyncIterator[TokenEvent]:
+    ) -> AsyncGenerator[TokenEvent, None]:
         """Runs a stage and yields its tokens, the last event being done."""
         with self._attempts.span(call) as trace_parent:
             http_call = _encode(address, call, trace_parent)
-            async for event in _stream_events(self._client, http_call, call):
-                yield event
+            stream = _stream_events(self._client, http_call, call)
+            async with contextlib.aclosing(stream) as events:
+                async for event in events:
+                    yield event
 
     async def load(self, address: str) -> LoadReport:
         """Returns the load report of a target."""
@@ -134,7 +137,7 @@
     client: HttpClient,
     http_call: HttpCall,
     call: TargetCall,
-) -> AsyncIterator[TokenEvent]:
+) -> AsyncGenerator[TokenEvent, None]:
     try:
         async with client.stream(http_call) as (status, _, chunks):
             await _require_ok(status, chunks)
--- a/borageyard/memory_deployment.py
+++ b/borageyard/memory_deployment.py
@@ -15,6 +15,7 @@
 from .deployment import DeploymentPlan
 from .generated.settings import EntrySettings
 from .memory_log import MemoryLogService
+from .memory_orders import MemoryOrderClient, MemoryWeights
 from .memory_target import MemoryTargetClient
 from .peers import MemoryPeerNetwork
 from .platform import (
@@ -25,6 +26,11 @@
     MemoryLog,
 )
 from .policy import PolicyOptions
+from .standins.orders import (
+    DEFAULT_RATE_BYTES_PER_S,
+    StandinOrders,
+    preload,
+)
 from .standins.target import StandinTarget, TargetProfile
 
 # How far virtual time starts ahead of the machine's, so that identifiers that
@@ -38,6 +44,10 @@
 PolicyBuilder = Callable[[int], PolicyOptions]
 
 
+# Given the instance id and the ports of an entry.
+PortsWrapper = Callable[[str, EntryPorts], EntryPorts]
+
+
 @dataclasses.dataclass(slots=True)
 class RunningEntry:
     """An entry in memory and what can be done to it."""
@@ -55,6 +65,7 @@
         plan: DeploymentPlan,
         clock: Clock | None = None,
         seed: int = 0,
+        wrap_ports: PortsWrapper | None = None,
     ) -> None:
         """Composes a deployment that does not run yet.
 
@@ -62,9 +73,11 @@
             plan: What it is made of.
             clock: Source of time; that of the loop by default.
             seed: Seed of all random sources.
+            wrap_ports: Puts something between entries and their ports.
         """
         self.plan = plan
         self.seed = seed
+        self._wrap_ports = wrap_ports or _keep_ports
         self.clock = clock or LoopClock(time.time() * MS_PER_S + EPOCH_LEAD_MS)
         self.log = MemoryLog(self.clock)
         self.instances = MemoryInstances()
@@ -72,6 +85,8 @@
         self.targets: dict[str, StandinTarget] = {}
         self.entries: dict[str, RunningEntry] = {}
         self.client = MemoryTargetClient(self.targets)
+        self.orders: dict[str, StandinOrders] = {}
+        self.weights = MemoryWeights(DEFAULT_RATE_BYTES_PER_S)
         # May be replaced before the start.
         self.build_target: TargetBuilder = StandinTarget
         self.build_policy: PolicyBuilder = _default_policy
@@ -122,10 +137,15 @@
             targets=self.client,
             peers=self.network.join(name),
             clock=self.clock,
+            orders=MemoryOrderClient(self.orders),
+            weights=self.weights,
             seed=self.seed + index,
             policy=self.build_policy(index),
         )
-        core = EntryCore(_settings(name, domain), ports)
+        core = EntryCore(
+            _settings(name, domain),
+            self._wrap_ports(name, ports),
+        )
         core.own.address = name
         stack = contextlib.AsyncExitStack()
         await core.start(stack)
@@ -178,6 +198,11 @@
                 self.clock,
                 self.seed + index,
             )
+            preload(target, configuration)
+            self.orders[profile.target_id] = StandinOrders(
+                target,
+                fencing=configuration.services[service].fencing,
+            )
             self.targets[profile.target_id] = target
             self.instances.rows.append(
                 Instance(
@@ -190,6 +215,10 @@
             )
 
 
+def _keep_ports(name: str, ports: EntryPorts) -> EntryPorts:
+    return ports
+
+
 def _default_policy(index: int) -> PolicyOptions:
     return PolicyOptions()
 
--- a/borageyard/sized_target.py
+++ b/borageyard/sized_target.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import dataclasses
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncGenerator, Mapping
 from typing import Any
 
 from .clock import Clock
@@ -61,7 +61,10 @@
         """Returns how many calls it truly has now."""
         return self._running + self._slots.queued
 
-    async def _generate(self, call: TargetCall) -> AsyncIterator[TokenEvent]:
+    async def _generate(
+        self,
+        call: TargetCall,
+    ) -> AsyncGenerator[TokenEvent, None]:
         work = Work(
             request_id=call.request_id,
             stage=call.stage,
