Wait for the stand-ins in the test with processes

Change: the test waits until log, list and target answer. Conclusion: the start order no longer decides the test.

--- a/borageyard/peer_fleet.py
+++ b/borageyard/peer_fleet.py
@@ -23,6 +23,7 @@
     MemoryInstances,
     MemoryLog,
 )
+from .standins.orders import DEFAULT_RATE_BYTES_PER_S
 
 ANY_PORT = '127.0.0.1:0'
 NO_ADDRESS = '127.0.0.1:1'
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -117,6 +117,9 @@
         }
         known = 'encoder-0' if name == 'target' else name
         processes.start(known, place, 'standin', name)
+    until_answered(addresses['log'], '/v1/streams/configuration/records')
+    until_answered(addresses['instances'], '/v1/instances')
+    until_answered(addresses['target'], '/v1/load')
     platform = {
         'log_address': addresses['log'],
         'instances_address': addresses['instances'],
