Tell leaving marks and suspicions before larger news

News of 200 organisations took 9 s to come round, and a leaving mark with it, where three seconds are promised. Urgent sections now go out at each interval while they have something new, on the same budget; the rest waits.

--- a/borageyard/bench_peers.py
+++ b/borageyard/bench_peers.py
@@ -133,7 +133,8 @@
     """Returns the size of the same news as JSON with all its fields."""
     document = {
         type(message).__name__: message.model_dump()
-        for message in entry.link.news_messages()
+        for urgent in (True, False)
+        for message in entry.link.news_messages(urgent=urgent)
     }
     return len(json.dumps(document))
 
@@ -143,5 +144,5 @@
     return (
         sum(counter.sent_bytes for counter in counters),
         sum(counter.received_bytes for counter in counters),
-        sum(counter.news_sent for counter in counters),
+        sum(counter.bulk_sent for counter in counters),
     )
--- a/borageyard/leaving_marks.py
+++ b/borageyard/leaving_marks.py
@@ -5,6 +5,8 @@
 
 MARK_KEEP_MS = 600_000
 MAX_MARKS = 4096
+# Time in which a new mark is told as often as possible.
+FRESH_MS = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,6 +24,7 @@
         """Starts without marks."""
         self._noted_at_ms: dict[LeavingMark, float] = {}
         self._next = 0
+        self._added_at_ms: float | None = None
 
     def add(self, mark: LeavingMark, now_ms: float) -> bool:
         """Keeps a mark.
@@ -34,12 +37,18 @@
         if len(self._noted_at_ms) >= MAX_MARKS:
             self._noted_at_ms.pop(next(iter(self._noted_at_ms)))
         self._noted_at_ms[mark] = now_ms
+        self._added_at_ms = now_ms
         return True
 
     def __contains__(self, mark: object) -> bool:
         """Tells whether an incarnation is leaving."""
         return mark in self._noted_at_ms
 
+    def is_fresh(self, now_ms: float) -> bool:
+        """Tells whether a mark came lately."""
+        added_at_ms = self._added_at_ms
+        return added_at_ms is not None and now_ms - added_at_ms < FRESH_MS
+
     def take(self, count: int, now_ms: float) -> tuple[LeavingMark, ...]:
         """Returns marks to tell: the new ones first, the old ones in turn.
 
--- a/borageyard/membership_service.py
+++ b/borageyard/membership_service.py
@@ -23,6 +23,8 @@
 TICK_MS = 200
 PROBE_TIMEOUT_MS = 800
 MARKS_PER_NEWS = 8
+# Turns of the news of which one is used when nothing is urgent.
+QUIET_TURNS = 4
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,10 +72,16 @@
         self._clock = clock
         self._listed = listed
         self._target_marks = LeavingMarks()
+        self._turn = -1
         self._states: dict[str, MemberState] = {}
         link.register(PeerProbeBody, self._answer_probe)
         link.add_news(
-            NewsSection(PeerMembershipBody, self._provide, self._consume),
+            NewsSection(
+                PeerMembershipBody,
+                self._provide,
+                self._consume,
+                urgent=True,
+            ),
         )
 
     async def run(self) -> None:
@@ -108,9 +116,21 @@
             elif mark in self._target_marks:
                 self._directory.mark_leaving(state.target_id)
 
-    def _provide(self) -> PeerMembershipBody:
+    def _is_quiet(self, now_ms: float) -> bool:
+        """Tells whether peers lose nothing if they are told later."""
+        return not (
+            self._own.leaving
+            or self._membership.suspicions(now_ms)
+            or self._membership.entry_marks.is_fresh(now_ms)
+            or self._target_marks.is_fresh(now_ms)
+        )
+
+    def _provide(self) -> PeerMembershipBody | None:
         now_ms = self._clock.steady_ms()
         self._share_target_marks(now_ms)
+        self._turn += 1
+        if self._is_quiet(now_ms) and self._turn % QUIET_TURNS:
+            return None
         own = self._own
         marks = self._membership.entry_marks.take(MARKS_PER_NEWS, now_ms)
         suspicions = self._membership.suspicions(now_ms)[:MARKS_PER_NEWS]
--- a/borageyard/news_plan.py
+++ b/borageyard/news_plan.py
@@ -78,6 +78,10 @@
             self._budget_bytes -= size_bytes
         return tuple(chosen)
 
+    def spend(self, size_bytes: int) -> None:
+        """Takes news that goes out in any case from the budget."""
+        self._budget_bytes -= size_bytes
+
     def _refill(self, now_ms: float) -> None:
         since_ms = self._refilled_at_ms
         self._refilled_at_ms = now_ms
--- a/borageyard/peer_connection.py
+++ b/borageyard/peer_connection.py
@@ -89,15 +89,19 @@
                 self._note_end(error)
             await asyncio.sleep(self._backoff.next_ms() / MS_PER_S)
 
-    def send_news(self, encoded: bytes) -> bool:
+    def send_news(self, encoded: bytes, *, urgent: bool) -> bool:
         """Queues news if the stream is open.
 
+        Args:
+            encoded: The whole frame.
+            urgent: Whether it goes before other news.
+
         Returns:
             Whether it was queued.
         """
         if self._outbox is None:
             return False
-        self._outbox.put_news(encoded)
+        self._outbox.put_news(encoded, urgent=urgent)
         return True
 
     async def request(
--- a/borageyard/peer_link.py
+++ b/borageyard/peer_link.py
@@ -124,25 +124,41 @@
         return await connection.request(message, reply_model, timeout_ms)
 
     def send_news(self) -> None:
-        """Tells the news to as many peers as the budget allows."""
-        encoded = self._encode_news()
-        if encoded is None:
+        """Tells urgent news to all, the rest as the budget allows."""
+        urgent = self._encode_news(urgent=True)
+        if urgent is not None:
+            for neighbour in self.plan.neighbours:
+                self._send_to(neighbour, urgent, urgent=True)
+                self.plan.spend(len(urgent))
+        bulk = self._encode_news(urgent=False)
+        if bulk is None:
             return
         now_ms = self._clock.steady_ms()
-        for name in self.plan.choose(len(encoded), now_ms):
-            connection = self._connections.get(name)
-            if connection is not None:
-                connection.send_news(encoded)
-
-    def news_messages(self) -> Sequence[pydantic.BaseModel]:
-        """Returns the sections that have something to say now."""
-        told = [section.provide() for section in self._inbox.sections.values()]
+        for chosen in self.plan.choose(len(bulk), now_ms):
+            self._send_to(chosen, bulk, urgent=False)
+
+    def news_messages(self, *, urgent: bool) -> Sequence[pydantic.BaseModel]:
+        """Returns the sections that have something to say now.
+
+        Args:
+            urgent: Whether urgent ones are wanted, or the others.
+        """
+        told = [
+            section.provide()
+            for section in self._inbox.sections.values()
+            if section.urgent is urgent
+        ]
         return [message for message in told if message is not None]
 
-    def _encode_news(self) -> bytes | None:
+    def _send_to(self, peer_id: str, encoded: bytes, *, urgent: bool) -> None:
+        connection = self._connections.get(peer_id)
+        if connection is not None:
+            connection.send_news(encoded, urgent=urgent)
+
+    def _encode_news(self, *, urgent: bool) -> bytes | None:
         sections = {
             type(message).__name__: message.model_dump(exclude_defaults=True)
-            for message in self.news_messages()
+            for message in self.news_messages(urgent=urgent)
         }
         if not sections:
             return None
--- a/borageyard/peer_stream.py
+++ b/borageyard/peer_stream.py
@@ -39,7 +39,7 @@
     sent_bytes: int = 0
     received_bytes: int = 0
     news_bytes: int = 0
-    news_sent: int = 0
+    bulk_sent: int = 0
     news_dropped: int = 0
     news_unknown: int = 0
     requests_refused: int = 0
@@ -82,7 +82,7 @@
         """
         self._context = context
         self._frames: collections.deque[bytes] = collections.deque()
-        self._news: bytes | None = None
+        self._news: dict[bool, bytes] = {}
         self._wake = asyncio.Event()
 
     def put(self, frame: PeerFrameBody) -> bool:
@@ -101,11 +101,16 @@
         self._wake.set()
         return True
 
-    def put_news(self, encoded: bytes) -> None:
-        """Queues news in place of any that was not sent yet."""
-        if self._news is not None:
+    def put_news(self, encoded: bytes, *, urgent: bool) -> None:
+        """Queues news in place of news of its kind that was not sent yet.
+
+        Args:
+            encoded: The whole frame.
+            urgent: Whether it goes before other news.
+        """
+        if urgent in self._news:
             self._context.counters.news_dropped += 1
-        self._news = encoded
+        self._news[urgent] = encoded
         self._wake.set()
 
     async def drain_to(self, writer: asyncio.StreamWriter) -> None:
@@ -127,11 +132,12 @@
     def _take(self) -> bytes | None:
         if self._frames:
             return self._frames.popleft()
-        news = self._news
-        self._news = None
-        if news is not None:
-            self._context.counters.news_bytes += len(news)
-            self._context.counters.news_sent += 1
+        if not self._news:
+            return None
+        urgent = max(self._news)
+        news = self._news.pop(urgent)
+        self._context.counters.news_bytes += len(news)
+        self._context.counters.bulk_sent += int(not urgent)
         return news
 
 
--- a/borageyard/peers.py
+++ b/borageyard/peers.py
@@ -26,11 +26,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NewsSection:
-    """One kind of news that entries tell each other regularly."""
+    """One kind of news that entries tell each other regularly.
+
+    Urgent sections are small and go out each time; the others have to wait
+    while the budget of bytes is spent.
+    """
 
     model: type[pydantic.BaseModel]
     provide: NewsProvider
     consume: NewsConsumer
+    urgent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -85,6 +85,7 @@
                 PeerMembershipBody,
                 lambda: PeerMembershipBody(incarnation=incarnation),
                 lambda *told: self.news.put_nowait(told),
+                urgent=True,
             )
         )
 
@@ -352,3 +353,21 @@
             one.link.send_news()
             one.link.send_news()
         assert one.counters.news_dropped >= 1
+
+    async def test_urgent_news_does_not_wait_for_the_budget(self):
+        """Large news uses up the budget; marks still go out each time."""
+        sides = Side('a', news_bytes_per_s=100), Side('b')
+        async with started(*sides) as (one, two):
+            bulk = PeerProbeReplyBody(incarnation=1)
+            told = asyncio.Queue()
+            section = NewsSection(
+                PeerProbeReplyBody,
+                lambda: bulk,
+                lambda *_: told.put_nowait(1),
+            )
+            one.link.add_news(section)
+            two.link.add_news(section)
+            one.knows(two)
+            for _ in range(30):
+                await asyncio.wait_for(two.news.get(), 5)
+        assert told.qsize() <= 3
