--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -27,12 +27,14 @@
 from .membership import Membership
 from .membership_service import MembershipService, OwnState
 from .metrics import EntryMetrics
+from .orders import OrderClient
 from .peer_stream import PeerCounters
 from .peers import PeerLink
 from .pipeline import PipelineRunner
-from .platform import InstanceList, LogService
+from .platform import InstanceList, LogService, WeightStore
 from .policy import EntryPolicy, PolicyOptions, PolicyPlace
 from .policy_news import PolicyNews
+from .reconciler import build_reconciler
 from .requests import PipelineRequest, TokenSink
 from .suspects import SuspectRuns
 from .target import TargetClient
@@ -50,6 +52,8 @@
     targets: TargetClient
     peers: PeerLink
     clock: Clock
+    orders: OrderClient
+    weights: WeightStore
     seed: int = 0
     tracer: trace.Tracer | None = None
     incarnation: int = 0
@@ -130,6 +134,14 @@
             ports.clock,
             lambda: self.watcher.listed,
         )
+        self._reconciler = build_reconciler(
+            self.configuration,
+            self.directory,
+            ports.log,
+            ports.orders,
+            ports.weights,
+            ports.clock,
+        )
         peers = settings.peers or PeerSettings()
         self.keepers = HandoverKeepers(
             HandoverPlace(
@@ -164,6 +176,7 @@
         await stack.enter_async_context(
             running_tasks(
                 *self.claims.background(),
+                self._reconciler.run(),
                 self._members.run(),
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
--- a/borageyard/peer_fleet.py
+++ b/borageyard/peer_fleet.py
@@ -12,6 +12,7 @@
 from .deployment import DeploymentPlan
 from .generated.settings import EntrySettings, PeerSettings
 from .memory_log import MemoryLogService
+from .memory_orders import MemoryOrderClient, MemoryWeights
 from .memory_target import MemoryTargetClient
 from .peer_link import TcpPeerLink
 from .peer_stream import PeerContext, PeerCounters, PeerIdentity
@@ -26,6 +27,7 @@
 ANY_PORT = '127.0.0.1:0'
 NO_ADDRESS = '127.0.0.1:1'
 INCARNATION = 1
+WEIGHT_RATE_BYTES_PER_S = 1e9
 # The list is read now and then, load reports are not.
 INSTANCES_POLL_MS = 500
 LOAD_POLL_MS = 3_600_000
@@ -65,6 +67,8 @@
             targets=MemoryTargetClient({}),
             peers=self.link,
             clock=self.clock,
+            orders=MemoryOrderClient({}),
+            weights=MemoryWeights(WEIGHT_RATE_BYTES_PER_S),
             incarnation=INCARNATION,
         )
         self.core = EntryCore(settings, ports)
--- a/borageyard/routing.py
+++ b/borageyard/routing.py
@@ -149,6 +149,8 @@
         state: The target.
         query: Time and number of entries.
     """
+    if not state.slots:
+        return False
     if state.in_flight < max(state.slots // query.entries, 1):
         return True
     return state.load(query.now_ms) < state.slots
