--- a/borageyard/peer_fleet.py
+++ b/borageyard/peer_fleet.py
@@ -28,6 +28,7 @@
 ANY_PORT = '127.0.0.1:0'
 NO_ADDRESS = '127.0.0.1:1'
 INCARNATION = 1
+WEIGHT_RATE_BYTES_PER_S = 1e9
 # The list is read now and then, load reports are not.
 INSTANCES_POLL_MS = 500
 LOAD_POLL_MS = 3_600_000
@@ -69,6 +70,8 @@
             weights=MemoryWeights(DEFAULT_RATE_BYTES_PER_S),
             peers=self.link,
             clock=self.clock,
+            orders=MemoryOrderClient({}),
+            weights=MemoryWeights(WEIGHT_RATE_BYTES_PER_S),
             incarnation=INCARNATION,
         )
         self.core = EntryCore(settings, ports)
