--- a/borageyard/http_server.py
+++ b/borageyard/http_server.py
@@ -32,6 +32,8 @@
 # Connections above the limit that are told so; more are just dropped.
 MAX_REFUSALS_AT_ONCE = 64
 STATUS_HEADER_TOO_LARGE = 431
+# Part of a malformed head that its refusal shows.
+MAX_DETAIL_CHARS = 200
 
 
 class ConnectionAbortError(Exception):
@@ -250,7 +252,8 @@
             kind = ErrorKind.BAD_REQUEST
             if too_large:
                 kind = ErrorKind.HEADER_TOO_LARGE
-            refusal = Refusal(kind, detail=str(error))
+            detail = str(error)[:MAX_DETAIL_CHARS]
+            refusal = Refusal(kind, detail=detail)
             raise RefusedRequestError(refusal) from error
 
     async def _await_first_bytes(self) -> bool:
