--- a/borageyard/http_messages.py
+++ b/borageyard/http_messages.py
@@ -8,6 +8,7 @@
 
 JSON_TYPE = 'application/json'
 EVENT_STREAM_TYPE = 'text/event-stream'
+_ENCODER = json.JSONEncoder(separators=(',', ':'))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,7 +64,7 @@
 
 def encode_json(document: object) -> bytes:
     """Returns compact JSON."""
-    return json.dumps(document, separators=(',', ':')).encode()
+    return _ENCODER.encode(document).encode()
 
 
 def encode_event(document: object) -> bytes:
