--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -11,14 +11,23 @@
 from rich import console, table
 
 from .bench_config import run_config
+from .bench_entry_loss import run_entry_loss
 from .bench_overhead import run_overhead
+from .bench_policy import run_policy
 from .bench_report import BenchReport, Bound
+from .bench_rolling import run_rolling
 
 Experiment = Callable[[int], BenchReport]
 
 # Experiments by name; each one lives in its own module.
 EXPERIMENTS: Mapping[str, Experiment] = types.MappingProxyType(
-    {'config': run_config, 'overhead': run_overhead},
+    {
+        'config': run_config,
+        'overhead': run_overhead,
+        'entry-loss': run_entry_loss,
+        'rolling': run_rolling,
+        'policy': run_policy,
+    },
 )
 
 
--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -9,6 +9,7 @@
 from opentelemetry import trace
 
 from .addresses import EntryAddress, order_entries
+from .cache_watcher import CacheWatcher
 from .claim_service import ClaimService, ClaimServicePorts
 from .clock import MS_PER_S, Clock
 from .configuration_service import ConfigurationService
@@ -83,6 +84,13 @@
         )
         self.fold = self.configuration.fold
         self.permission = self.configuration.permission
+        self._cache_watcher = CacheWatcher(
+            self.directory,
+            self.policy.affinity,
+            ports.targets,
+            ports.clock,
+            self.fold,
+        )
         self.drain_plan = DrainPlan(settings.drain_ms, settings.address_ttl_ms)
         self.watcher = TargetWatcher(
             self.directory,
@@ -156,6 +164,7 @@
                 self.watcher.watch_instances(platform.instances_poll_ms),
                 self.watcher.watch_loads(platform.load_poll_ms),
                 self.policy.queues.watch(),
+                self._cache_watcher.watch(),
             ),
         )
 
--- a/borageyard/handover.py
+++ b/borageyard/handover.py
@@ -168,7 +168,7 @@
         run = self._runs.get(admitted.request.handover_key)
         if run is None:
             return
-        idempotent = _is_idempotent(admitted, result.stage)
+        idempotent = result.stage not in admitted.unrepeatable
         last = admitted.pipeline.stages[-1].name
         if idempotent and result.stage == last:
             return
@@ -356,14 +356,5 @@
     return reply.version, len(reply.stages), len(reply.tokens)
 
 
-def _is_idempotent(admitted: AdmittedRequest, name: str) -> bool:
-    services = admitted.configuration.services
-    return all(
-        services[stage.service].idempotent
-        for stage in admitted.pipeline.stages
-        if stage.name == name
-    )
-
-
 def _stage_result(kept: KeptStageBody) -> StageResult:
     return StageResult(**kept.model_dump())
--- a/borageyard/http_target.py
+++ b/borageyard/http_target.py
@@ -1,11 +1,12 @@
 """Targets met over HTTP."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from typing import TypeVar
 
 import pydantic
 
 from .border import DocumentError, check_document, parse_json
+from .generated.cache_events import CacheEventsBody
 from .generated.http_bodies import (
     LoadReportBody,
     TargetCallBody,
@@ -18,6 +19,7 @@
     encode_json,
 )
 from .target import (
+    CacheEvent,
     FailureKind,
     LoadReport,
     TargetAnswer,
@@ -89,6 +91,28 @@
         }
         return LoadReport(**fields, models=models)
 
+    async def cache_events(
+        self,
+        address: str,
+        after: int,
+    ) -> Sequence[CacheEvent]:
+        """Returns changes of a target's prompt cache."""
+        call = HttpCall(
+            address=address,
+            method='GET',
+            path=f'/v1/cache-events?after={after}',
+            timeout_ms=LOAD_TIMEOUT_MS,
+        )
+        try:
+            reply = await self._client.request(call)
+        except HttpCallError as error:
+            raise _call_failure(error) from error
+        changes = _decode(CacheEventsBody, reply.body)
+        return [
+            CacheEvent(event.sequence, event.action, event.prefix)
+            for event in changes.events
+        ]
+
 
 async def _request_answer(
     client: HttpClient,
