--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,9 +1,12 @@
 """Tests of an entry over real sockets."""
 
 import contextlib
+import dataclasses
 import json
 import pathlib
 
+import pytest
+
 from borageyard.demo import load_plan
 from borageyard.deployment import Deployment
 from borageyard.http_client import HttpCall, HttpClient, read_events
@@ -99,3 +102,44 @@
         body = json.loads(reply.body)
         assert reply.status == 502
         assert body['kind'] == 'target_failed'
+
+
+class TestRefusals:
+    """Refusals of the endpoints are whole and say that nothing ran."""
+
+    @pytest.mark.parametrize(
+        ('method', 'path', 'status'),
+        [
+            ('POST', '/v1/entries', 405),
+            ('GET', '/v1/pipelines/booking', 405),
+            ('GET', '/v1/nowhere', 404),
+            ('POST', '/v1/pipelines/booking', 401),
+        ],
+    )
+    async def test_refusal_is_whole(self, method, path, status):
+        """It names its kind, the caller's id and the stages."""
+        async with running() as (deployment, client):
+            entry = deployment.all_entries()[0]
+            configuration = entry.core.fold.current()
+            dispatch = configuration.organisations['dispatch']
+            guarded = dataclasses.replace(dispatch, token_sha256='0' * 64)
+            organisations = {'dispatch': guarded}
+            entry.core.fold.current = lambda: dataclasses.replace(
+                configuration,
+                organisations=organisations,
+            )
+            call = pipeline_call(entry.address, 'booking')
+            headers = {**call.headers, 'x-borage-request-id': 'r-1'}
+            reply = await client.request(
+                dataclasses.replace(
+                    call,
+                    method=method,
+                    path=path,
+                    headers=headers,
+                ),
+            )
+        body = json.loads(reply.body)
+        assert reply.status == status
+        assert body['not_run'] is True
+        assert not body['stages_ran']
+        assert body['request_id'] == 'r-1'
