--- a/borageyard/bench.py
+++ b/borageyard/bench.py
@@ -1,7 +1,6 @@
 """Experiments with their baselines and the bounds that they must meet."""
 
 import argparse
-import dataclasses
 import json
 import sys
 import types
@@ -11,9 +10,11 @@
 from rich import console, table
 
 from .bench_capacity import run_capacity
+from .bench_claims import run_claims
 from .bench_config import run_config
 from .bench_entry_loss import run_entry_loss
 from .bench_overhead import run_overhead
+from .bench_peers import run_peers
 from .bench_policy import run_policy
 from .bench_report import BenchReport, Bound
 from .bench_rolling import run_rolling
@@ -24,9 +25,11 @@
 EXPERIMENTS: Mapping[str, Experiment] = types.MappingProxyType(
     {
         'capacity': run_capacity,
+        'claims': run_claims,
         'config': run_config,
-        'overhead': run_overhead,
         'entry-loss': run_entry_loss,
+        'overhead': run_overhead,
+        'peers': run_peers,
         'rolling': run_rolling,
         'policy': run_policy,
     },
@@ -58,14 +61,7 @@
     """
     if not json_only:
         console.Console().print(_tabulate(report))
-    summary = {
-        'name': report.name,
-        'seed': report.seed,
-        'figures': dict(report.figures),
-        'bounds': [dataclasses.asdict(bound) for bound in report.bounds],
-        'missed': list(report.missed),
-    }
-    sys.stdout.write(f'{json.dumps(summary)}\n')
+    sys.stdout.write(f'{json.dumps(report.summary())}\n')
     return int(bool(report.missed))
 
 
--- a/borageyard/bench_report.py
+++ b/borageyard/bench_report.py
@@ -40,3 +40,13 @@
             for bound in self.bounds
             if not bound.is_met(self.figures)
         )
+
+    def summary(self) -> dict[str, Any]:
+        """Returns the report as JSON."""
+        return {
+            'name': self.name,
+            'seed': self.seed,
+            'figures': dict(self.figures),
+            'bounds': [dataclasses.asdict(bound) for bound in self.bounds],
+            'missed': list(self.missed),
+        }
--- a/borageyard/cli.py
+++ b/borageyard/cli.py
@@ -13,6 +13,7 @@
 from .cli_config import add_config_commands
 from .cli_faults import add_faults_command
 from .cli_replay import add_replay_command
+from .cli_report import add_report_commands
 from .cli_settings import add_settings_command
 from .cli_status import add_status_command
 from .demo import print_demo, run_demo
@@ -85,6 +86,7 @@
     add_faults_command(commands)
     add_replay_command(commands)
     add_config_commands(commands)
+    add_report_commands(commands)
     return parser
 
 
--- a/borageyard/entry.py
+++ b/borageyard/entry.py
@@ -58,6 +58,7 @@
             peers=self.link,
             clock=clock,
             incarnation=incarnation,
+            peer_counters=self.link.context.counters,
             tracer=tracer,
             orders=HttpOrderClient(self._client),
             weights=HttpWeightStore(
@@ -80,7 +81,7 @@
     @property
     def peer_address(self) -> str:
         """Returns where peers reach it."""
-        return self.link.address
+        return self.link.server.address
 
     async def __aenter__(self) -> Self:
         """Starts to serve."""
--- a/borageyard/entry_handler.py
+++ b/borageyard/entry_handler.py
@@ -13,6 +13,7 @@
     HttpResponse,
     json_response,
 )
+from .peer_metrics import PeerMetrics
 from .policy_status import policy_status
 from .requests import PipelineRequest
 from .token_relay import QueueSink, TokenRelay
@@ -62,6 +63,7 @@
             core: What runs the requests.
         """
         self._core = core
+        self._peer_metrics = PeerMetrics(core.metrics.registry)
         self._large_bodies = LargeBodyTurns()
         self._configuration = ConfigurationHandler(
             core.fold,
@@ -189,6 +191,7 @@
                 'draining': core.draining,
                 'running': core.running,
                 'claims': core.claims.status(),
+                'configuration': core.configuration.status(),
                 'targets': targets,
                 'policy': policy_status(core.policy),
             }
@@ -196,9 +199,18 @@
 
     def _exposition(self, request: HttpRequest) -> HttpResponse:
         self._core.metrics.note_policy(self._core.policy)
+        self._core.metrics.note_claims(self._core.claims.status())
+        self._note_peers()
         body = self._core.metrics.exposition()
         return HttpResponse(HTTPStatus.OK, body, 'text/plain')
 
+    def _note_peers(self) -> None:
+        core = self._core
+        now_ms = core.ports.clock.steady_ms()
+        self._peer_metrics.note_streams(core.ports.peer_counters)
+        self._peer_metrics.note_handover(core.keepers)
+        self._peer_metrics.note_members(core.membership, now_ms)
+
     def _liveness(self, request: HttpRequest) -> HttpResponse:
         return json_response({'alive': True})
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,9 +1,13 @@
 """Tests of an entry over real sockets."""
 
+import asyncio
 import contextlib
+import dataclasses
 import json
 import pathlib
 
+import pytest
+
 from borageyard.demo import load_plan
 from borageyard.deployment import Deployment
 from borageyard.http_client import HttpCall, HttpClient, read_events
@@ -99,3 +103,83 @@
         body = json.loads(reply.body)
         assert reply.status == 502
         assert body['kind'] == 'target_failed'
+
+
+class TestOperators:
+    """What operators see and order."""
+
+    async def test_metrics_show_peers_and_handover(self):
+        """Bytes, members and the memory of hand-over can be read."""
+        async with running() as (deployment, client):
+            address = deployment.all_entries()[0].address
+            reply = await client.request(HttpCall(address, 'GET', '/metrics'))
+        text = reply.body.decode()
+        assert 'borageyard_peer_streams{count="sent_bytes"}' in text
+        assert 'borageyard_handover{count="overflows"} 0' in text
+        assert 'borageyard_members{state="alive"}' in text
+
+    async def test_ordered_target_gets_no_new_work(self):
+        """An operator's order to drain holds at every entry."""
+        async with running() as (deployment, client):
+            entries = deployment.all_entries()
+            path = '/v1/targets/drain?target_id=ganga-llm-0'
+            call = HttpCall(entries[0].address, 'POST', path)
+            reply = await client.request(call)
+            unknown = await client.request(
+                HttpCall(entries[0].address, 'POST', '/v1/targets/drain'),
+            )
+            await asyncio.sleep(3)
+            leaving = [_is_leaving(entry) for entry in entries]
+        assert all(leaving)
+        assert reply.status == 200
+        assert unknown.status == 404
+
+
+def _is_leaving(entry):
+    """Tells whether an entry has heard of the order."""
+    return any(
+        state.leaving
+        for state in entry.core.directory.all_targets()
+        if state.target_id == 'ganga-llm-0'
+    )
+
+
+class TestRefusals:
+    """Refusals of the endpoints are whole and say that nothing ran."""
+
+    @pytest.mark.parametrize(
+        ('method', 'path', 'status'),
+        [
+            ('POST', '/v1/entries', 405),
+            ('GET', '/v1/pipelines/booking', 405),
+            ('GET', '/v1/nowhere', 404),
+            ('POST', '/v1/pipelines/booking', 401),
+        ],
+    )
+    async def test_refusal_is_whole(self, method, path, status):
+        """It names its kind, the caller's id and the stages."""
+        async with running() as (deployment, client):
+            entry = deployment.all_entries()[0]
+            configuration = entry.core.fold.current()
+            dispatch = configuration.organisations['dispatch']
+            guarded = dataclasses.replace(dispatch, token_sha256='0' * 64)
+            organisations = {'dispatch': guarded}
+            entry.core.fold.current = lambda: dataclasses.replace(
+                configuration,
+                organisations=organisations,
+            )
+            call = pipeline_call(entry.address, 'booking')
+            headers = {**call.headers, 'x-borage-request-id': 'r-1'}
+            reply = await client.request(
+                dataclasses.replace(
+                    call,
+                    method=method,
+                    path=path,
+                    headers=headers,
+                ),
+            )
+        body = json.loads(reply.body)
+        assert reply.status == status
+        assert body['not_run'] is True
+        assert not body['stages_ran']
+        assert body['request_id'] == 'r-1'
