--- a/borageyard/measurements_page.py
+++ b/borageyard/measurements_page.py
@@ -22,7 +22,7 @@
     lines = [
         f'# Measurements of bench {name}, seed {seed}',
         '',
-        f'Made by `borageyard report {name} --seed {seed}`.',
+        f'Made by `borageyard report {name} --seed {seed} --output FILE`.',
         '',
         *_bounds(summary),
     ]
--- a/borageyard/routing.py
+++ b/borageyard/routing.py
@@ -161,7 +161,11 @@
     pool: Sequence[TargetState],
     query: RouteQuery,
 ) -> list[TargetState]:
-    """Prefers targets that have the needed version loaded, if any has."""
+    """Prefers targets that have the needed version loaded, if any has.
+
+    A target that tells of other versions only is never used: it would run
+    what is not declared. One that tells of none is used as a last resort.
+    """
     loaded = [state for state in drawn if _has_version(state, query)]
     if loaded:
         return loaded
@@ -170,7 +174,9 @@
         for state in pool
         if _has_version(state, query) and has_room(state, query)
     ]
-    return elsewhere or drawn
+    if elsewhere:
+        return elsewhere
+    return [state for state in drawn if not _lacks_version(state, query)]
 
 
 def _has_version(state: TargetState, query: RouteQuery) -> bool:
@@ -180,5 +186,12 @@
     return query.model_version in versions
 
 
+def _lacks_version(state: TargetState, query: RouteQuery) -> bool:
+    if state.report is None:
+        return False
+    versions = state.report.models.get(query.model, ())
+    return bool(versions) and query.model_version not in versions
+
+
 def _predicted_ms(route: Route) -> float:
     return route.predicted_ms
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -81,6 +81,35 @@
         assert choose(directory, model='m', model_version='7') == 't2'
         assert choose(directory, model='m', model_version='8') is not None
 
+    def test_leaving_target_is_no_candidate(self):
+        """A mark takes a target out until its next incarnation."""
+        directory = build_directory(2)
+        directory.mark_leaving('t0')
+        names = [state.target_id for state in directory.candidates('llm')]
+        assert names == ['t1']
+        directory.update(
+            [
+                Instance('t0', ROLE_TARGET, '', 'a', 'llm', incarnation=1),
+                Instance('t1', ROLE_TARGET, '', 'a', 'llm'),
+            ]
+        )
+        assert len(directory.candidates('llm')) == 2
+
+    def test_empty_list_keeps_all_targets(self):
+        """A list that lost its rows does not empty the fleet."""
+        directory = build_directory(2)
+        directory.update(())
+        assert len(directory.candidates('llm')) == 2
+
+    def test_never_another_version(self):
+        """Targets that tell of other versions only are not used."""
+        directory = build_directory()
+        for state in directory.all_targets():
+            told = report(state.target_id, versions=('7',))
+            directory.note_report(told, NOW_MS)
+        assert choose(directory, model='m', model_version='8') is None
+        assert choose(directory, model='m', model_version='7') is not None
+
     def test_full_targets_have_no_room(self):
         """When all windows are full there is no route."""
         directory = build_directory(1)
