--- a/borageyard/fault_actions.py
+++ b/borageyard/fault_actions.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 from .clock import MS_PER_S
-from .fault_ports import Life
 from .fault_table import Fault
 from .gates import Outcome
+from .life import Life
 from .memory_deployment import MemoryDeployment
 
 FAULT_LASTS_MS = 2000
--- a/borageyard/fault_world.py
+++ b/borageyard/fault_world.py
@@ -9,15 +9,10 @@
 from .core import EntryPorts
 from .deployment import DeploymentPlan
 from .fault_actions import FaultActions
-from .fault_ports import (
-    FaultyInstances,
-    FaultyLog,
-    FaultyPeers,
-    FaultyTargets,
-    Life,
-)
+from .fault_ports import FaultyLog, FaultyTargets
 from .fault_table import ANSWER_FAULTS, GENERATE_STEPS, Cell, Fault, Step
 from .identifiers import key_at
+from .life import Life, LivingInstances, LivingPeers
 from .memory_deployment import MemoryDeployment
 from .requests import PipelineRequest
 
@@ -78,9 +73,9 @@
         return dataclasses.replace(
             ports,
             log=FaultyLog(ports.log, self, life, name),
-            instances=FaultyInstances(ports.instances, life),
+            instances=LivingInstances(ports.instances, life),
             targets=FaultyTargets(ports.targets, self, life, name),
-            peers=FaultyPeers(ports.peers, life),
+            peers=LivingPeers(ports.peers, life),
         )
 
     async def reach(
--- a/borageyard/replay_world.py
+++ b/borageyard/replay_world.py
@@ -12,8 +12,9 @@
 from .deployment import DeploymentPlan
 from .fault_actions import FaultActions
 from .fault_caller import CallerView, FaultCaller
-from .fault_ports import FaultyPeers, FaultyTargets, Life, LivingLog
+from .fault_ports import FaultyTargets
 from .fault_table import Ending, Fault, Step
+from .fault_world import EPOCH_MS, KEY_RANDOM_BITS
 from .generated.http_configuration import ProposalBody
 from .generated.trace import (
     TraceApplyRecord,
@@ -22,13 +23,11 @@
     TraceRequestRecord,
 )
 from .identifiers import key_at
+from .life import Life, LivingLog, LivingPeers
 from .memory_deployment import MemoryDeployment
 from .requests import PipelineRequest
 from .standins.target import StandinTarget
 
-# Wall time at which every replay starts.
-EPOCH_MS = 1_790_000_000_000
-KEY_RANDOM_BITS = 74
 WARM_UP_MS = 2000
 
 
@@ -82,7 +81,7 @@
             ports,
             log=LivingLog(ports.log, life),
             targets=FaultyTargets(ports.targets, self, life, name),
-            peers=FaultyPeers(ports.peers, life),
+            peers=LivingPeers(ports.peers, life),
         )
 
     async def request(self, record: TraceRequestRecord) -> None:
--- a/tests/mutations.py
+++ b/tests/mutations.py
@@ -130,9 +130,8 @@
         if mutation.old not in text:
             raise LookupError(mutation.name)
         module.write_text(text.replace(mutation.old, mutation.new, 1))
-        tests = [name for name in mutation.tests if (copy / name).exists()]
         ended = subprocess.run(
-            [sys.executable, '-m', 'pytest', '-x', '-q', *tests],
+            [sys.executable, '-m', 'pytest', '-x', '-q', *mutation.tests],
             cwd=copy,
             env={**os.environ, 'PYTHONPATH': folder},
             capture_output=True,
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -25,6 +25,15 @@
             yield pytest.param(line, id=f'{page.stem}: {line}')
 
 
+def exit_code(arguments):
+    """Returns how the parser ends; 0 if it takes the arguments."""
+    try:
+        build_parser().parse_args(arguments)
+    except SystemExit as ended:
+        return ended.code
+    return 0
+
+
 class TestCommands:
     """What a page tells to type is accepted by the command line."""
 
@@ -35,7 +44,4 @@
         arguments = shlex.split(typed, comments=True)
         if len(arguments) == 1:
             arguments.append('--help')
-        try:
-            build_parser().parse_args(arguments)
-        except SystemExit as ended:
-            assert ended.code == 0, line
+        assert exit_code(arguments) == 0
