--- a/borageyard/memory_target.py
+++ b/borageyard/memory_target.py
@@ -79,11 +79,10 @@
         address: str,
         after: int,
     ) -> Sequence[CacheEvent]:
-        """Returns changes of a target's prompt cache, unless lost."""
+        """Returns changes of a target's prompt cache, late and with gaps."""
         target = self._find(address)
-        if target.faults.lose_cache_events:
-            return ()
-        return [CacheEvent(**event) for event in target.cache.events[after:]]
+        events = target.cache.tell(after, target.faults)
+        return [CacheEvent(**event) for event in events]
 
     def _find(self, address: str) -> StandinTarget:
         target = self._targets.get(address)
--- a/borageyard/standins/target.py
+++ b/borageyard/standins/target.py
@@ -67,6 +67,9 @@
     report_lag_ms: float = 0
     leaving: bool = False
     lose_cache_events: bool = False
+    cache_event_lag_ms: float = 0
+    # One cache event in so many is never told; 0 for no gaps.
+    cache_event_gap: int = 0
 
     def take(self, name: str) -> bool:
         """Uses up one of a counted fault.
@@ -153,17 +156,20 @@
 class PrefixCache:
     """Least recently used prompt prefixes, bounded by tokens."""
 
-    def __init__(self, capacity_tokens: int) -> None:
+    def __init__(self, capacity_tokens: int, clock: Clock) -> None:
         """Starts empty.
 
         Args:
             capacity_tokens: Bound on the tokens of all prefixes.
+            clock: Source of time for events.
         """
+        self._clock = clock
         self._capacity_tokens = capacity_tokens
         self._prefixes: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
         self.events: list[dict[str, Any]] = []
+        self._times_ms: list[float] = []
 
     def use(self, prefix: str, tokens: int) -> int:
         """Looks a prefix up and keeps it.
@@ -186,6 +192,25 @@
             self._note('evicted', evicted)
         return min(cached, tokens)
 
+    def tell(self, after: int, faults: TargetFaults) -> list[dict[str, Any]]:
+        """Returns events, late and with gaps as the faults say.
+
+        Args:
+            after: First sequence number wanted.
+            faults: Faults of the target.
+        """
+        if faults.lose_cache_events:
+            return []
+        newest_ms = self._clock.wall_ms() - faults.cache_event_lag_ms
+        gap = faults.cache_event_gap
+        return [
+            event
+            for event, noted_ms in zip(self.events, self._times_ms, strict=True)
+            if event['sequence'] >= after
+            and noted_ms <= newest_ms
+            and not (gap and event['sequence'] % gap == gap - 1)
+        ]
+
     def _note(self, action: str, prefix: str) -> None:
         event = {
             'sequence': len(self.events),
@@ -193,6 +218,7 @@
             'prefix': prefix,
         }
         self.events.append(event)
+        self._times_ms.append(self._clock.wall_ms())
 
 
 class StandinTarget:
@@ -217,7 +243,7 @@
         self.alive = True
         self.models: dict[str, tuple[str, ...]] = {}
         self.loading = 0
-        self.cache = PrefixCache(profile.cache_tokens)
+        self.cache = PrefixCache(profile.cache_tokens, clock)
         self._clock = clock
         self._random = random.Random(seed)
         self._slots = PrioritySlots(profile.slots)
@@ -286,7 +312,10 @@
         """Comes back with an empty cache."""
         self.alive = True
         self._dead = asyncio.Event()
-        self.cache = PrefixCache(self.profile.cache_tokens)
+        self.cache = PrefixCache(
+            self.profile.cache_tokens,
+            self._clock,
+        )
 
     def load(self) -> LoadReport:
         """Returns the newest report that is old enough to be seen."""
--- a/borageyard/standins/target_http.py
+++ b/borageyard/standins/target_http.py
@@ -106,8 +106,7 @@
 
     def _cache_events(self, request: HttpRequest) -> HttpResponse:
         after = int(request.query.get('after', '0'))
-        lost = self.target.faults.lose_cache_events
-        events = [] if lost else self.target.cache.events[after:]
+        events = self.target.cache.tell(after, self.target.faults)
         return json_response({'events': events})
 
     def _executions(self, request: HttpRequest) -> HttpResponse:
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import ssl
 import types
 
 import msgpack
 import pytest
+import trustme
 
 from borageyard.clock import SystemClock
 from borageyard.generated.peer_membership import (
@@ -63,7 +65,14 @@
 class Side:
     """One entry's link with what its peers did."""
 
-    def __init__(self, name, token='', incarnation=1, **settings):
+    def __init__(
+        self,
+        name,
+        token='',
+        incarnation=1,
+        tls=(None, None),
+        **settings,
+    ):
         """Composes a link that answers probes."""
         self.contacts = []
         self.contacted = asyncio.Event()
@@ -75,6 +84,8 @@
             counters=PeerCounters(),
             on_contact=self.note_contact,
             on_replaced=self.replaced.append,
+            client_tls=tls[0],
+            server_tls=tls[1],
         )
         self.name = name
         self.counters = context.counters
@@ -164,6 +175,45 @@
     return msgpack.unpackb(await reader.readexactly(size))
 
 
+def contexts_of(authority):
+    """Returns the contexts of a client and of a listener."""
+    client = ssl.create_default_context()
+    authority.configure_trust(client)
+    server = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    authority.issue_cert('127.0.0.1').configure_cert(server)
+    return client, server
+
+
+class TestTls:
+    """Streams whose settings name certificates."""
+
+    async def test_same_authority(self):
+        """Entries that trust one authority talk."""
+        tls = contexts_of(trustme.CA())
+        one, two = Side('a', tls=tls), Side('b', tls=tls)
+        async with started(one, two):
+            one.knows(two)
+            assert await one.probe(two) == 7
+
+    async def test_other_authority(self):
+        """A certificate of another authority is refused."""
+        one = Side('a', tls=contexts_of(trustme.CA()))
+        two = Side('b', tls=contexts_of(trustme.CA()))
+        async with started(one, two):
+            one.knows(two)
+            with pytest.raises(PeerError):
+                await one.probe(two, timeout_ms=500)
+
+    async def test_plain_stream(self):
+        """A stream without TLS is refused by a listener with it."""
+        one = Side('a')
+        two = Side('b', tls=contexts_of(trustme.CA()))
+        async with started(one, two):
+            one.knows(two)
+            with pytest.raises(PeerError):
+                await one.probe(two, timeout_ms=500)
+
+
 class TestRequests:
     """Requests and their replies."""
 
--- /dev/null
+++ b/tests/test_standin_target.py
@@ -0,0 +1,46 @@
+"""Tests of the stand-in target's cache events."""
+
+from borageyard.clock import ManualClock
+from borageyard.standins.target import StandinTarget, TargetProfile
+
+
+def build_target():
+    """Returns an engine and its clock."""
+    clock = ManualClock()
+    profile = TargetProfile('t0', 'llm', 'engine', cache_tokens=100)
+    return StandinTarget(profile, clock), clock
+
+
+def told(target, after=0):
+    """Returns the sequence numbers that are told."""
+    events = target.cache.tell(after, target.faults)
+    return [event['sequence'] for event in events]
+
+
+class TestCacheEvents:
+    """Events come late, with gaps, or not at all."""
+
+    def test_late(self):
+        """An event is told after its lag."""
+        target, clock = build_target()
+        target.faults.cache_event_lag_ms = 500
+        target.cache.use('walk', 60)
+        assert told(target) == []
+        clock.advance(500)
+        assert told(target) == [0]
+
+    def test_gaps(self):
+        """Every second event is never told; an eviction is an event."""
+        target, _ = build_target()
+        target.faults.cache_event_gap = 2
+        for prefix in ('walk', 'feed', 'sleep'):
+            target.cache.use(prefix, 60)
+        assert told(target) == [0, 2, 4]
+        assert told(target, 3) == [4]
+
+    def test_lost(self):
+        """Nothing is told while events are lost."""
+        target, _ = build_target()
+        target.cache.use('walk', 60)
+        target.faults.lose_cache_events = True
+        assert told(target) == []
