Bring faults about at changes of configuration and at drains

Change: five steps beside a running booking, and a judge of versions: all entries agree, an accepted change is in force, a refused one is not.

--- a/borageyard/fault_ports.py
+++ b/borageyard/fault_ports.py
@@ -132,6 +132,8 @@
             raise AppendRefusedError('refused')
         offset = await self._inner.append(stream, body)
         self._claim_appended |= step is Step.CLAIM_APPEND
+        if step is Step.PROPOSE:
+            await self._injector.reach(Step.DECIDE, self._entry)
         return offset
 
     async def read(
@@ -282,6 +284,8 @@
 def _append_step(body: Record) -> Step | None:
     if body.get('claims'):
         return Step.CLAIM_APPEND
+    if body.get('type') == 'apply':
+        return Step.PROPOSE
     return Step.OUTCOME_APPEND if body.get('outcomes') else None
 
 
--- a/borageyard/fault_table.py
+++ b/borageyard/fault_table.py
@@ -30,6 +30,11 @@
     REPLY = 'reply'
     RETRY_SAME = 'retry at the same entry'
     RETRY_OTHER = 'retry at another entry'
+    PROPOSE = 'configuration: propose'
+    DECIDE = 'configuration: decide'
+    IN_FORCE = 'configuration: in force'
+    DRAIN_BEGIN = 'drain: begin'
+    DRAIN_END = 'drain: end'
 
 
 class Fault(enum.StrEnum):
@@ -85,7 +90,8 @@
 
 CALLER_STEPS = frozenset((Step.ADDRESSES, Step.CONNECT, Step.SEND_BODY))
 RETRY_STEPS = frozenset((Step.RETRY_SAME, Step.RETRY_OTHER))
-LOG_STEPS = frozenset((Step.CLAIM_APPEND, Step.CLAIM_READ, Step.OUTCOME_APPEND))
+CHANGE_STEPS = frozenset((Step.PROPOSE, Step.DECIDE, Step.IN_FORCE))
+DRAIN_STEPS = frozenset((Step.DRAIN_BEGIN, Step.DRAIN_END))
 GENERATE_STEPS = frozenset(
     (
         Step.GENERATE_CONNECT,
@@ -123,9 +129,16 @@
     Step.REPLY,
     Step.RETRY_SAME,
     Step.RETRY_OTHER,
+    Step.PROPOSE,
+    Step.DECIDE,
+    Step.IN_FORCE,
+    Step.DRAIN_BEGIN,
 }
 
 TARGET_STEPS = GENERATE_STEPS | BOOK_STEPS
+APPEND_STEPS = frozenset(
+    (Step.CLAIM_APPEND, Step.OUTCOME_APPEND, Step.PROPOSE),
+)
 ANSWER_FAULTS = frozenset(
     (
         Fault.CROSSED,
@@ -152,6 +165,8 @@
         Step.BOOK_CONNECT,
     )
 )
+# Steps that come while a booking runs beside them.
+BESIDE_REQUEST = CHANGE_STEPS | {Step.DRAIN_BEGIN}
 # Faults that cut the exchange with a target after the call was sent.
 LOSING_FAULTS = frozenset(
     (
@@ -216,11 +231,9 @@
     if fault in ANSWER_FAULTS:
         return '' if step in ANSWER_STEPS else 'answer'
     if fault is Fault.REFUSED:
-        may_refuse = CONNECT_STEPS | {Step.CLAIM_APPEND, Step.OUTCOME_APPEND}
-        return '' if step in may_refuse else 'refused'
+        return '' if step in CONNECT_STEPS | APPEND_STEPS else 'refused'
     if fault is Fault.APPEND_LOST:
-        appends = {Step.CLAIM_APPEND, Step.OUTCOME_APPEND}
-        return '' if step in appends else 'append'
+        return '' if step in APPEND_STEPS else 'append'
     if fault is Fault.RESET and step in CONNECT_STEPS:
         return 'reset'
     if fault in {Fault.RESET, Fault.HALF_OPEN, Fault.SLOW}:
@@ -233,7 +246,8 @@
     arrived = step is Step.BOOK_END and fault is Fault.TARGET_CRASH
     if step in AFTER_SEND and fault in LOSING_FAULTS and not arrived:
         return frozenset((Ending.UNKNOWN,))
-    if fault is Fault.ENTRY_CRASH and step in CLAIMED:
+    beside = fault is Fault.TARGET_CRASH and step in BESIDE_REQUEST
+    if beside or (fault is Fault.ENTRY_CRASH and step in CLAIMED):
         return frozenset((Ending.UNKNOWN, Ending.ANSWER))
     if fault is Fault.ENTRY_PAUSE and step in CLAIMED:
         return frozenset((Ending.UNKNOWN, Ending.ANSWER, Ending.NOT_RUN))
--- a/borageyard/faults.py
+++ b/borageyard/faults.py
@@ -8,12 +8,14 @@
 
 from .clock import MS_PER_S
 from .deployment import DeploymentPlan
+from .fault_beside import FaultBeside
 from .fault_caller import (
     RETRY_AFTER_MS,
     CallerView,
     FaultCaller,
 )
 from .fault_table import (
+    DRAIN_STEPS,
     RETRY_STEPS,
     Cell,
     Ending,
@@ -25,6 +27,7 @@
 
 WARM_UP_MS = 1500
 SETTLE_MS = 8000
+DRAIN_SETTLE_MS = 16_000
 RETRY_DEADLINE_MS = 3000
 MAX_TRIES = 4
 BYSTANDERS = 2
@@ -143,6 +146,7 @@
     )
     world = FaultWorld(cell, plan, seed)
     caller = FaultCaller(world)
+    beside = FaultBeside(world)
     async with world.deployment:
         await asyncio.sleep(WARM_UP_MS / MS_PER_S)
         bystanders = asyncio.gather(
@@ -152,10 +156,15 @@
             ),
         )
         request = world.new_request({'dog': 'Snati'})
+        beside.start()
         views = await _call_until_settled(world, caller, request)
         crossed = await bystanders
-        await asyncio.sleep(SETTLE_MS / MS_PER_S)
-        broken = (*_judge(world, request, views), *_judge_crossing(crossed))
+        await asyncio.sleep(_settle_ms(cell) / MS_PER_S)
+        broken = (
+            *_judge(world, request, views),
+            *_judge_crossing(crossed),
+            *await beside.judge(),
+        )
     return CellReport(cell, world.fired, tuple(views), broken)
 
 
@@ -203,6 +212,10 @@
     return len(views) > 1 and last is Ending.UNKNOWN
 
 
+def _settle_ms(cell: Cell) -> float:
+    return DRAIN_SETTLE_MS if cell.step in DRAIN_STEPS else SETTLE_MS
+
+
 def _is_retried(cell: Cell) -> bool:
     return cell.step in RETRY_STEPS
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -1,10 +1,13 @@
 """Tests of the fault matrix: every fault at every step."""
 
 import pathlib
+from types import SimpleNamespace
 
 import pytest
 
 from borageyard.cli_faults import render_table
+from borageyard.configuration_changes import ChangeOutcome, ChangeReport
+from borageyard.fault_beside import FaultBeside
 from borageyard.fault_table import (
     Cell,
     Ending,
@@ -79,3 +82,16 @@
         assert report.fired
         unreached = Cell(Step.RETRY_SAME, Fault.SLOW, cell.endings)
         assert run_cell(unreached, SEED).broken == ()
+
+    @pytest.mark.parametrize('versions', [(1, 2), (1, 1)])
+    def test_change_that_is_not_in_force_is_told(self, versions):
+        """Entries that differ, or all keep the old version, are reported."""
+        entries = {
+            name: SimpleNamespace(
+                core=SimpleNamespace(fold=SimpleNamespace(version=version)),
+            )
+            for name, version in enumerate(versions)
+        }
+        world = SimpleNamespace(deployment=SimpleNamespace(entries=entries))
+        report = ChangeReport('change', ChangeOutcome.ACCEPTED)
+        assert FaultBeside(world)._judge_change(report)
