Carry the trace context to peers and show attainment

Change: a field of the request frame, a span below that of the asker, and a gauge of attainment by declared pipeline.

--- a/borageyard/entry.py
+++ b/borageyard/entry.py
@@ -6,6 +6,8 @@
 from types import TracebackType
 from typing import Self
 
+from opentelemetry import trace
+
 from .clock import Clock, SystemClock
 from .core import EntryCore, EntryPorts
 from .entry_handler import EntryHandler
@@ -46,7 +48,7 @@
         clock = clock or SystemClock()
         self._clock = clock
         incarnation = int(clock.wall_ms())
-        self.link = TcpPeerLink(self._peer_context(incarnation), clock)
+        self.link = TcpPeerLink(self._peer_context(incarnation, tracer), clock)
         platform = settings.platform
         ports = EntryPorts(
             log=HttpLogService(self._client, platform.log_address),
@@ -121,7 +123,11 @@
         await self.core.drain()
         await self._server.finish()
 
-    def _peer_context(self, incarnation: int) -> PeerContext:
+    def _peer_context(
+        self,
+        incarnation: int,
+        tracer: trace.Tracer | None,
+    ) -> PeerContext:
         settings = self.settings
         return PeerContext(
             identity=PeerIdentity(
@@ -135,6 +141,7 @@
             on_replaced=self._note_replaced,
             client_tls=client_tls(settings.tls),
             server_tls=server_tls(settings.tls),
+            tracer=tracer,
         )
 
     def _note_contact(self, peer_id: str, incarnation: int) -> None:
--- a/borageyard/metrics.py
+++ b/borageyard/metrics.py
@@ -14,6 +14,14 @@
 RETRY_COUNTS = ('first_attempts', 'retries', 'hedges', 'denied')
 
 
+@dataclasses.dataclass(slots=True)
+class PipelineEnds:
+    """How the requests of a pipeline ended since the entry started."""
+
+    answered: int = 0
+    refused: int = 0
+
+
 class EntryMetrics:
     """Counts what an entry does."""
 
@@ -33,6 +41,11 @@
             'Time of a stage by pipeline and stage.',
             registry=self.registry,
         )
+        self.attainment = self._gauge(
+            'borageyard_attainment',
+            'Share of requests with a whole answer in time, by pipeline.',
+        )
+        self._ends: dict[str, PipelineEnds] = {}
         self.in_flight = Gauge(
             'borageyard_requests_in_flight',
             'Requests that are being run.',
@@ -160,6 +173,16 @@
             'outcome': 'answer' if refused is None else refused.value,
         }
         self.requests.inc(labels)
+        self._note_end(labels['pipeline'], answered=refused is None)
+
+    def _note_end(self, pipeline: str, *, answered: bool) -> None:
+        if not pipeline:
+            return
+        ends = self._ends.setdefault(pipeline, PipelineEnds())
+        ends.answered += answered
+        ends.refused += not answered
+        share = ends.answered / (ends.answered + ends.refused)
+        self.attainment.set({'pipeline': pipeline}, share)
 
     def _gauge(self, name: str, text: str) -> Gauge:
         return Gauge(name, text, registry=self.registry)
--- a/borageyard/peer_connection.py
+++ b/borageyard/peer_connection.py
@@ -25,6 +25,7 @@
 )
 from .peers import PeerAddress, PeerError
 from .tasks import running_tasks
+from .trace_context import current_trace_parent
 
 ReplyT = TypeVar('ReplyT', bound=pydantic.BaseModel)
 
@@ -145,6 +146,7 @@
             id=self._last_id,
             kind=type(message).__name__,
             body=message.model_dump(exclude_defaults=True),
+            trace_parent=current_trace_parent(),
         )
         self._enqueue(frame)
         loop = asyncio.get_running_loop()
--- a/borageyard/peer_link.py
+++ b/borageyard/peer_link.py
@@ -34,7 +34,7 @@
         """
         self.context = context
         self._clock = clock
-        self._inbox = PeerInbox()
+        self._inbox = PeerInbox(context.tracer)
         self.server = PeerServer(self._inbox, context)
         self._known: dict[str, PeerAddress] = {}
         self._used_at_ms: dict[str, float] = {}
--- a/borageyard/peer_server.py
+++ b/borageyard/peer_server.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping
 
 import pydantic
+from opentelemetry import trace
 
 from .events import Event, log_event
 from .generated.peer_frames import PeerFrameBody, PeerGreetingBody
@@ -26,13 +27,19 @@
 )
 from .peers import NewsSection, PeerError, PeerHandler
 from .tasks import running_tasks
+from .trace_context import peer_span
 
 
 class PeerInbox:
     """Handlers of requests and consumers of news by kind."""
 
-    def __init__(self) -> None:
-        """Starts without handlers."""
+    def __init__(self, tracer: trace.Tracer | None = None) -> None:
+        """Starts without handlers.
+
+        Args:
+            tracer: Builds the spans of peers' requests; none builds none.
+        """
+        self._tracer = tracer
         self.handlers: dict[
             str,
             tuple[type[pydantic.BaseModel], PeerHandler],
@@ -55,7 +62,8 @@
         except pydantic.ValidationError:
             return _failure(frame, 'malformed request')
         try:
-            reply = await handler(peer_id, message)
+            with peer_span(self._tracer, frame.kind, frame.trace_parent):
+                reply = await handler(peer_id, message)
         except Exception as error:
             log_event(
                 Event.PEER_HANDLER_FAILED,
--- a/borageyard/peer_stream.py
+++ b/borageyard/peer_stream.py
@@ -7,6 +7,8 @@
 import ssl
 from collections.abc import Callable
 
+from opentelemetry import trace
+
 from .clock import MS_PER_S
 from .generated.peer_frames import PeerFrameBody, PeerGreetingBody
 from .generated.settings import PeerSettings
@@ -69,6 +71,7 @@
     on_replaced: ReplacementListener
     client_tls: ssl.SSLContext | None = None
     server_tls: ssl.SSLContext | None = None
+    tracer: trace.Tracer | None = None
 
 
 class FrameOutbox:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -118,6 +118,17 @@
         assert 'borageyard_handover{count="overflows"} 0' in text
         assert 'borageyard_members{state="alive"}' in text
 
+    async def test_metrics_show_attainment(self):
+        """The share of whole answers is told by pipeline."""
+        async with running() as (deployment, client):
+            address = deployment.all_entries()[0].address
+            await client.request(pipeline_call(address, 'owner-assistant'))
+            await client.request(pipeline_call(address, 'nowhere'))
+            reply = await client.request(HttpCall(address, 'GET', '/metrics'))
+        text = reply.body.decode()
+        assert 'borageyard_attainment{pipeline="owner-assistant"} 1' in text
+        assert 'borageyard_attainment{pipeline="nowhere"}' not in text
+
     async def test_ordered_target_gets_no_new_work(self):
         """An operator's order to drain holds at every entry."""
         async with running() as (deployment, client):
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -8,6 +8,11 @@
 import msgpack
 import pytest
 import trustme
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+from opentelemetry.sdk.trace.export.in_memory_span_exporter import (
+    InMemorySpanExporter,
+)
 
 from borageyard.clock import SystemClock
 from borageyard.generated.peer_membership import (
@@ -71,6 +76,7 @@
         token='',
         incarnation=1,
         tls=(None, None),
+        tracer=None,
         **settings,
     ):
         """Composes a link that answers probes."""
@@ -86,6 +92,7 @@
             on_replaced=self.replaced.append,
             client_tls=tls[0],
             server_tls=tls[1],
+            tracer=tracer,
         )
         self.name = name
         self.counters = context.counters
@@ -214,6 +221,25 @@
                 await one.probe(two, timeout_ms=500)
 
 
+class TestTrace:
+    """The trace context of a request travels with it."""
+
+    async def test_span_of_the_peer_is_below(self):
+        """The peer's span belongs to the trace of the one who asks."""
+        exporter = InMemorySpanExporter()
+        provider = TracerProvider()
+        provider.add_span_processor(SimpleSpanProcessor(exporter))
+        tracer = provider.get_tracer('test')
+        one, two = Side('a', tracer=tracer), Side('b', tracer=tracer)
+        async with started(one, two):
+            one.knows(two)
+            with tracer.start_as_current_span('asks') as asks:
+                assert await one.probe(two) == 7
+        spans = {span.name: span for span in exporter.get_finished_spans()}
+        told = spans['PeerProbeBody'].parent
+        assert told.span_id == asks.get_span_context().span_id
+
+
 class TestRequests:
     """Requests and their replies."""
 
