--- /dev/null
+++ b/borageyard/batch_targets.py
@@ -0,0 +1,198 @@
+"""Accounts of batching targets: calls under way and memory for results."""
+
+import dataclasses
+from collections.abc import Mapping, Sequence
+
+from .chains import PieceId, PieceResult
+from .roster import RosterRow
+from .serving import BatchLimits
+
+# Time for which a target that failed a call gets none.
+FAILURE_PAUSE_MS = 1000
+# Pause after a target said that it is full: others hold its slots.
+FULL_PAUSE_MS = 60
+
+
+@dataclasses.dataclass(slots=True)
+class BatchCall:
+    """A call with pieces of any requests."""
+
+    target: RosterRow
+    limits: BatchLimits
+    pieces: tuple[PieceId, ...]
+    works: tuple[str, ...]
+    sizes_bytes: tuple[float, ...]
+    sent_at_ms: float
+    expected_ms: float
+
+    @property
+    def needed_bytes(self) -> float:
+        """Returns the memory that its results take."""
+        return sum(self.sizes_bytes)
+
+
+@dataclasses.dataclass(slots=True)
+class _HeldResult:
+    size_bytes: float
+    expires_at_ms: float
+
+
+class BatchTarget:
+    """What is known of one target that runs pieces."""
+
+    def __init__(self, row: RosterRow, limits: BatchLimits) -> None:
+        """Starts idle and empty.
+
+        Args:
+            row: The target as it announced itself.
+            limits: What is declared of its service.
+        """
+        self.row = row
+        self.limits = limits
+        self.paused_until_ms: float = 0
+        self.foreign_bytes: float = 0
+        self._foreign_until_ms: float = 0
+        self._calls: list[BatchCall] = []
+        self._held: dict[str, _HeldResult] = {}
+
+    def is_idle(self, now_ms: float) -> bool:
+        """Tells whether a call would be run at once.
+
+        Args:
+            now_ms: Steady time.
+        """
+        return (
+            len(self._calls) < self.limits.slots
+            and self.paused_until_ms <= now_ms
+        )
+
+    def busy_ms(self, now_ms: float) -> float:
+        """Returns the expected time until a call would be run.
+
+        Args:
+            now_ms: Steady time.
+        """
+        pause_ms = max(self.paused_until_ms - now_ms, 0)
+        if len(self._calls) < self.limits.slots:
+            return pause_ms
+        ends = [call.sent_at_ms + call.expected_ms for call in self._calls]
+        return max(min(ends) - now_ms, pause_ms)
+
+    def free_bytes(self, now_ms: float) -> float:
+        """Returns the memory that is left for results.
+
+        Args:
+            now_ms: Steady time.
+        """
+        expired = [
+            handle
+            for handle, held in self._held.items()
+            if held.expires_at_ms <= now_ms
+        ]
+        for handle in expired:
+            self._held.pop(handle)
+        if self._foreign_until_ms <= now_ms:
+            self.foreign_bytes = 0
+        held_bytes = sum(held.size_bytes for held in self._held.values())
+        running_bytes = sum(call.needed_bytes for call in self._calls)
+        room_bytes = self.limits.room_bytes - self.foreign_bytes
+        return room_bytes - held_bytes - running_bytes
+
+    def note_report(self, free_bytes: float, now_ms: float) -> None:
+        """Takes in the memory that the target itself states as free.
+
+        What is taken beyond the own accounts belongs to calls of others and
+        expires like all results.
+
+        Args:
+            free_bytes: Free memory at the target.
+            now_ms: Steady time.
+        """
+        self.foreign_bytes = max(self.free_bytes(now_ms) - free_bytes, 0)
+        self._foreign_until_ms = now_ms + self.limits.keep_ms
+
+    def note_sent(self, call: BatchCall) -> None:
+        """Takes in that a call was sent."""
+        self._calls.append(call)
+
+    def note_ended(
+        self,
+        call: BatchCall,
+        results: Sequence[PieceResult],
+        now_ms: float,
+    ) -> None:
+        """Takes in the end of a call.
+
+        Args:
+            call: The call.
+            results: What it made.
+            now_ms: Steady time.
+        """
+        if call in self._calls:
+            self._calls.remove(call)
+        expires_at_ms = now_ms + self.limits.keep_ms
+        for made in results:
+            held = _HeldResult(made.size_bytes, expires_at_ms)
+            self._held[made.handle] = held
+
+    def note_failed(self, now_ms: float) -> None:
+        """Pauses a target that failed; its results may be lost."""
+        self.paused_until_ms = now_ms + FAILURE_PAUSE_MS
+
+    def note_full(self, now_ms: float) -> None:
+        """Pauses a target whose slots others hold."""
+        self.paused_until_ms = now_ms + FULL_PAUSE_MS
+
+    def release(self, handle: str) -> None:
+        """Takes in that a result was freed."""
+        self._held.pop(handle, None)
+
+
+class BatchTargets:
+    """Accounts of all targets that run pieces."""
+
+    def __init__(self) -> None:
+        """Starts without targets."""
+        self._targets: dict[str, BatchTarget] = {}
+
+    def update(
+        self,
+        services: Mapping[str, tuple[BatchLimits, Sequence[RosterRow]]],
+    ) -> Sequence[RosterRow]:
+        """Takes in which targets there are.
+
+        Args:
+            services: Limits and targets of each service with pieces.
+
+        Returns:
+            The targets that are new or have started anew.
+        """
+        fresh: list[RosterRow] = []
+        kept: dict[str, BatchTarget] = {}
+        for limits, rows in services.values():
+            for row in rows:
+                target = self._targets.get(row.target_id)
+                if target is None or _is_restart(target.row, row):
+                    target = BatchTarget(row, limits)
+                    fresh.append(row)
+                target.row = row
+                target.limits = limits
+                kept[row.target_id] = target
+        self._targets = kept
+        return fresh
+
+    def find(self, target_id: str) -> BatchTarget | None:
+        """Returns the account of a target."""
+        return self._targets.get(target_id)
+
+    def of_service(self, service: str) -> Sequence[BatchTarget]:
+        """Returns the targets of a service."""
+        return tuple(
+            target
+            for target in self._targets.values()
+            if target.row.service == service
+        )
+
+
+def _is_restart(known: RosterRow, row: RosterRow) -> bool:
+    return (known.incarnation, known.address) != (row.incarnation, row.address)
--- a/borageyard/bench_capacity.py
+++ b/borageyard/bench_capacity.py
@@ -16,7 +16,7 @@
 from .http_messages import encode_json
 from .identifiers import key_at
 from .membership import Membership
-from .platform import (
+from .backing_services import (
     ROLE_ENTRY,
     ROLE_TARGET,
     Instance,
--- a/borageyard/bench_chain.py
+++ b/borageyard/bench_chain.py
@@ -13,7 +13,7 @@
 from .generated.settings import EntrySettings
 from .http_messages import encode_event, encode_json
 from .http_server import HttpServer
-from .platform import ROLE_TARGET, Instance, MemoryInstances, MemoryLog
+from .backing_services import ROLE_TARGET, Instance, MemoryInstances, MemoryLog
 from .standins.platform_http import (
     InstancesHandler,
     LogHandler,
--- a/borageyard/bench_claims.py
+++ b/borageyard/bench_claims.py
@@ -19,7 +19,7 @@
 from .identifiers import key_at
 from .memory_log import MemoryLogService
 from .peers import MemoryPeerNetwork
-from .platform import MemoryLog
+from .backing_services import MemoryLog
 from .requests import AdmittedRequest, Answer, PipelineRequest
 from .tasks import running_tasks
 from .virtual_time import run_virtual
--- /dev/null
+++ b/borageyard/chain_scheduler.py
@@ -0,0 +1,599 @@
+"""Schedules the stages of requests on batching targets and engines."""
+
+import dataclasses
+import enum
+from collections.abc import Iterable, Mapping, Sequence
+
+from .batch_targets import BatchCall, BatchTarget, BatchTargets
+from .chains import (
+    ENGINE_START_MS,
+    Chain,
+    ChainOrder,
+    PieceId,
+    PieceResult,
+)
+from .engine_board import (
+    PREFILL_TOKENS_PER_MS,
+    EngineBoard,
+    Placement,
+    PlacementQuery,
+)
+from .roster import RosterRow
+from .serving import BatchLimits
+from .work_times import WorkTimes
+
+# Each step of priority goes before the next like this much less slack.
+PRIORITY_MS = 120
+# Requests that can't be in time go after those that can, a begun one less so:
+# its results hold memory.
+LATE_MS = 2000
+BEGUN_LATE_MS = 600
+# Estimates are rough: a request counts as late only beyond this.
+LATE_MARGIN_MS = 250
+# Longest wait of a call that is far from full for further pieces, at the last
+# idle target; nearly half of the fixed time of a call (200 ms on the sheets).
+FILL_WAIT_MS = 120
+# Part of the slack of its most urgent piece that a call may wait.
+FILL_WAIT_SLACK = 0.15
+# Fill from which a call does not wait for more.
+FULL_ENOUGH = 0.6
+# Fill of a call that is assumed when time is predicted.
+TYPICAL_FILL = 0.6
+# Results from this size on are made when they are needed and near to it.
+LARGE_RESULT_BYTES = 500_000
+REMOTE_MAKER_MS = 90
+# Large results are begun this long before their reader is expected.
+EARLY_MS = 250
+# Part of the time left that the predicted time may take.
+ADMIT_SHARE = 0.85
+# Calls that a request may fail before it is refused.
+MAX_FAILURES = 6
+# Time after its deadline at which a request is forgotten in any case.
+FORGET_MS = 3000
+MIN_RETRY_AFTER_MS = 200
+
+
+class ChainRefusal(enum.Enum):
+    """Why a request gets no engine."""
+
+    NO_TIME = 'no_time'
+    NO_TARGET = 'no_target'
+    FAILING = 'failing'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """An engine for a request, and the inputs that it is to fetch."""
+
+    chain_id: str
+    placement: Placement
+    handles: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Denial:
+    """A request that can't be served."""
+
+    chain_id: str
+    reason: ChainRefusal
+    retry_after_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class Plan:
+    """What is to be done now."""
+
+    calls: list[BatchCall] = dataclasses.field(default_factory=list)
+    grants: list[Grant] = dataclasses.field(default_factory=list)
+    denials: list[Denial] = dataclasses.field(default_factory=list)
+    # Results that are no longer needed.
+    freed: list[PieceResult] = dataclasses.field(default_factory=list)
+    # When to plan again at the latest.
+    wake_at_ms: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetView:
+    """Targets that take new work, and what is declared of them."""
+
+    engines: Mapping[str, Sequence[RosterRow]]
+    batching: Mapping[str, tuple[BatchLimits, Sequence[RosterRow]]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Candidate:
+    piece: PieceId
+    chain: Chain
+    key_ms: float
+    slack_ms: float
+    size_bytes: float
+    work: str
+    # Where the engine is that will read the result, if it is large.
+    domain: str
+
+
+class ChainScheduler:
+    """Decides which pieces share a call, where, and in which order.
+
+    Answers the load pattern of many small requests whose stages have a high
+    fixed cost for each call: only full calls of all requests together keep
+    up with a burst. What can still be in time goes first, weighted with its
+    priority; what can't be served at all is refused before it costs anything.
+    """
+
+    def __init__(self, board: EngineBoard | None = None) -> None:
+        """Starts without requests and targets.
+
+        Args:
+            board: Knows the engines.
+        """
+        self.board = board or EngineBoard()
+        self.times = WorkTimes()
+        self.targets = BatchTargets()
+        self.chains: dict[str, Chain] = {}
+        self._view = FleetView({}, {})
+        self._freed: list[PieceResult] = []
+
+    def update_fleet(self, view: FleetView) -> Sequence[RosterRow]:
+        """Takes in which targets there are.
+
+        Args:
+            view: Targets that take new work.
+
+        Returns:
+            Batching targets that are new or have started anew.
+        """
+        self._view = view
+        return self.targets.update(view.batching)
+
+    def submit(self, order: ChainOrder, now_ms: float) -> Denial | None:
+        """Takes in a request, or refuses it at once.
+
+        Args:
+            order: What it needs.
+            now_ms: Steady time.
+
+        Returns:
+            Why it is refused, or none if it was accepted.
+        """
+        known = self.chains.get(order.chain_id)
+        if known is not None:
+            known.order = order
+            known.granted = False
+            return None
+        chain = Chain(order)
+        denial = self._admit(chain, now_ms)
+        if denial is None:
+            self.chains[order.chain_id] = chain
+        return denial
+
+    def remove(self, chain_id: str) -> None:
+        """Ends a request: its results are freed, its pieces not begun."""
+        chain = self.chains.pop(chain_id, None)
+        self.board.note_ended(chain_id)
+        if chain is not None:
+            self._freed.extend(chain.results)
+
+    def note_started(self, chain_id: str) -> None:
+        """Takes in that the engine has read the inputs of a request."""
+        self.board.note_started(chain_id)
+        chain = self.chains.pop(chain_id, None)
+        if chain is not None:
+            self._freed.extend(chain.results)
+
+    def note_made(
+        self,
+        call: BatchCall,
+        results: Mapping[PieceId, PieceResult],
+        now_ms: float,
+    ) -> None:
+        """Takes in a call that was answered.
+
+        Args:
+            call: The call.
+            results: Results of the pieces that were made.
+            now_ms: Steady time.
+        """
+        target = self.targets.find(call.target.target_id)
+        if target is not None:
+            target.note_ended(call, tuple(results.values()), now_ms)
+        if len(results) == len(call.pieces):
+            took_ms = now_ms - call.sent_at_ms
+            self.times.note_call(call.works, took_ms, call.limits)
+        for piece in call.pieces:
+            self._settle(piece, results.get(piece))
+
+    def note_lost_inputs(self, piece: PieceId) -> None:
+        """Takes in that inputs of a piece are gone; they are made again."""
+        chain = self.chains.get(piece.chain_id)
+        if chain is not None:
+            chain.drop_inputs_of(piece.stage)
+
+    def note_call_failed(
+        self,
+        call: BatchCall,
+        now_ms: float,
+        *,
+        full: bool,
+    ) -> None:
+        """Takes in a call without results.
+
+        Args:
+            call: The call.
+            now_ms: Steady time.
+            full: Whether the target only had no slot for it.
+        """
+        target = self.targets.find(call.target.target_id)
+        if target is not None:
+            target.note_ended(call, (), now_ms)
+            if full:
+                target.note_full(now_ms)
+            else:
+                target.note_failed(now_ms)
+        for piece in call.pieces:
+            chain = self.chains.get(piece.chain_id)
+            if chain is None:
+                continue
+            chain.running.discard(piece)
+            chain.failures += int(not full)
+            if not full:
+                chain.drop_results_at(call.target.target_id)
+
+    def plan(self, now_ms: float) -> Plan:
+        """Decides what is to be done now.
+
+        Args:
+            now_ms: Steady time.
+        """
+        plan = Plan()
+        self._expire(plan, now_ms)
+        for chain in tuple(self.chains.values()):
+            if chain.complete and not chain.granted:
+                self._grant(chain, plan, now_ms)
+        for service in self._view.batching:
+            self._plan_service(service, plan, now_ms)
+        plan.freed, self._freed = self._freed, []
+        for freed in plan.freed:
+            maker = self.targets.find(freed.target_id)
+            if maker is not None:
+                maker.release(freed.handle)
+        return plan
+
+    def path_ms(self, chain: Chain, number: int) -> float:
+        """Returns the expected time from a stage to the first token.
+
+        Args:
+            chain: The request.
+            number: The stage.
+        """
+        stage = chain.stage(number)
+        after_ms = max(
+            (self.path_ms(chain, other) for other in chain.followers(number)),
+            default=self._engine_ms(chain),
+        )
+        return self._stage_ms(stage.service, stage.work) + after_ms
+
+    def _settle(self, piece: PieceId, made: PieceResult | None) -> None:
+        chain = self.chains.get(piece.chain_id)
+        if chain is None:
+            if made is not None:
+                self._freed.append(made)
+            return
+        if made is None:
+            chain.running.discard(piece)
+            return
+        chain.note_result(piece, made)
+        self._freed.extend(chain.drop_unneeded())
+
+    def _admit(self, chain: Chain, now_ms: float) -> Denial | None:
+        order = chain.order
+        services = {stage.service for stage in order.stages if stage.pieces}
+        missing = [
+            service
+            for service in services
+            if not self.targets.of_service(service)
+        ]
+        engines = self._view.engines.get(order.engine_service)
+        if missing or not engines:
+            return Denial(order.chain_id, ChainRefusal.NO_TARGET, 1000)
+        left_ms = order.deadline_at_ms - now_ms
+        wait_ms = max(
+            (self._backlog_ms(service, now_ms) for service in services),
+            default=0,
+        )
+        needed_ms = wait_ms + self._chain_ms(chain)
+        if needed_ms <= left_ms * ADMIT_SHARE:
+            return None
+        retry_after_ms = max(needed_ms - left_ms / 2, MIN_RETRY_AFTER_MS)
+        return Denial(order.chain_id, ChainRefusal.NO_TIME, retry_after_ms)
+
+    def _backlog_ms(self, service: str, now_ms: float) -> float:
+        """Returns how long the work that waits keeps a service busy."""
+        targets = self.targets.of_service(service)
+        limits = self._view.batching[service][0]
+        pieces_ms = sum(
+            count * self.times.piece_ms(chain.stage(number).work, limits)
+            + count * limits.call_ms / (limits.size * TYPICAL_FILL)
+            for chain in self.chains.values()
+            if not chain.granted
+            for number, count in chain.pending_pieces().items()
+            if chain.stage(number).service == service
+        )
+        busy_ms = sum(target.busy_ms(now_ms) for target in targets)
+        return (pieces_ms + busy_ms) / len(targets)
+
+    def _chain_ms(self, chain: Chain) -> float:
+        return max(
+            (self.path_ms(chain, number) for number in chain.unfinished()),
+            default=self._engine_ms(chain),
+        )
+
+    def _engine_ms(self, chain: Chain) -> float:
+        tokens = chain.order.prompt.prompt_tokens
+        return ENGINE_START_MS + tokens / PREFILL_TOKENS_PER_MS
+
+    def _stage_ms(self, service: str, work: str) -> float:
+        known = self._view.batching.get(service)
+        if known is None:
+            return 0
+        limits = known[0]
+        pieces_ms = self.times.piece_ms(work, limits) * limits.size
+        return limits.call_ms + pieces_ms * TYPICAL_FILL
+
+    def _expire(self, plan: Plan, now_ms: float) -> None:
+        for chain_id, chain in tuple(self.chains.items()):
+            order = chain.order
+            if chain.granted:
+                if order.deadline_at_ms + FORGET_MS < now_ms:
+                    self.remove(chain_id)
+                continue
+            least_ms = self._least_ms(chain)
+            if order.deadline_at_ms - now_ms < least_ms:
+                reason = ChainRefusal.NO_TIME
+            elif chain.failures > MAX_FAILURES:
+                reason = ChainRefusal.FAILING
+            else:
+                continue
+            plan.denials.append(Denial(chain_id, reason, MIN_RETRY_AFTER_MS))
+            self.remove(chain_id)
+
+    def _least_ms(self, chain: Chain) -> float:
+        """Returns a lower bound of the time that is still needed."""
+        if chain.running or chain.complete:
+            return ENGINE_START_MS
+        return ENGINE_START_MS + max(
+            (
+                self._view.batching[chain.stage(number).service][0].call_ms
+                for number in chain.unfinished()
+                if chain.stage(number).service in self._view.batching
+            ),
+            default=0,
+        )
+
+    def _grant(self, chain: Chain, plan: Plan, now_ms: float) -> None:
+        order = chain.order
+        results = chain.final_results()
+        inputs_bytes: dict[str, float] = {}
+        for made in results:
+            before = inputs_bytes.get(made.failure_domain, 0)
+            inputs_bytes[made.failure_domain] = before + made.size_bytes
+        query = PlacementQuery(
+            order.prompt,
+            self._view.engines.get(order.engine_service, ()),
+            inputs_bytes,
+        )
+        placement = self.board.place(query, now_ms)
+        if placement is None:
+            denial = Denial(order.chain_id, ChainRefusal.NO_TARGET, 1000)
+            plan.denials.append(denial)
+            self.remove(order.chain_id)
+            return
+        chain.granted = True
+        self.board.note_sent(order.chain_id, order.prompt, placement, now_ms)
+        handles = tuple(made.handle for made in results)
+        plan.grants.append(Grant(order.chain_id, placement, handles))
+
+    def _plan_service(self, service: str, plan: Plan, now_ms: float) -> None:
+        candidates = self._candidates(service, plan, now_ms)
+        while candidates:
+            idle = [
+                target
+                for target in self.targets.of_service(service)
+                if target.is_idle(now_ms)
+            ]
+            call = self._form_call(candidates, idle, plan, now_ms)
+            if call is None:
+                return
+            self._start(call, plan)
+            taken = set(call.pieces)
+            candidates = [
+                candidate
+                for candidate in candidates
+                if candidate.piece not in taken
+            ]
+
+    def _start(self, call: BatchCall, plan: Plan) -> None:
+        plan.calls.append(call)
+        target = self.targets.find(call.target.target_id)
+        if target is not None:
+            target.note_sent(call)
+        for piece in call.pieces:
+            self.chains[piece.chain_id].running.add(piece)
+
+    def _candidates(
+        self,
+        service: str,
+        plan: Plan,
+        now_ms: float,
+    ) -> list[_Candidate]:
+        found = [
+            self._candidate(chain, piece, now_ms)
+            for chain in self.chains.values()
+            if not chain.granted
+            for piece in chain.startable()
+            if chain.stage(piece.stage).service == service
+            and self._is_due(chain, piece, plan, now_ms)
+        ]
+        found.sort(key=lambda candidate: candidate.key_ms)
+        return found
+
+    def _is_due(
+        self,
+        chain: Chain,
+        piece: PieceId,
+        plan: Plan,
+        now_ms: float,
+    ) -> bool:
+        """Tells whether a result may be begun: large ones not too early."""
+        stage = chain.stage(piece.stage)
+        if stage.result_bytes < LARGE_RESULT_BYTES:
+            return True
+        others_ms = max(
+            (
+                self.path_ms(chain, number)
+                for number in chain.unfinished()
+                if number != piece.stage
+            ),
+            default=0,
+        )
+        early_ms = others_ms - self.path_ms(chain, piece.stage) - EARLY_MS
+        if early_ms <= 0:
+            return True
+        _wake(plan, now_ms + early_ms)
+        return False
+
+    def _candidate(
+        self,
+        chain: Chain,
+        piece: PieceId,
+        now_ms: float,
+    ) -> _Candidate:
+        order = chain.order
+        stage = chain.stage(piece.stage)
+        path_ms = self.path_ms(chain, piece.stage)
+        slack_ms = order.aim_at_ms - now_ms - path_ms
+        key_ms = slack_ms + order.priority * PRIORITY_MS
+        if slack_ms < -LATE_MARGIN_MS:
+            late_ms = BEGUN_LATE_MS if chain.begun else LATE_MS
+            key_ms = late_ms + order.deadline_at_ms - now_ms - path_ms
+        domain = ''
+        if stage.result_bytes >= LARGE_RESULT_BYTES:
+            domain = self._reader_domain(chain, now_ms)
+        return _Candidate(
+            piece,
+            chain,
+            key_ms,
+            slack_ms,
+            stage.result_bytes,
+            stage.work,
+            domain,
+        )
+
+    def _reader_domain(self, chain: Chain, now_ms: float) -> str:
+        """Returns where the engine is that a request will likely get."""
+        order = chain.order
+        engines = self._view.engines.get(order.engine_service, ())
+        query = PlacementQuery(order.prompt, engines)
+        placement = self.board.place(query, now_ms)
+        return placement.engine.failure_domain if placement else ''
+
+    def _form_call(
+        self,
+        candidates: Sequence[_Candidate],
+        idle: Sequence[BatchTarget],
+        plan: Plan,
+        now_ms: float,
+    ) -> BatchCall | None:
+        """Returns the next call of a service, or none for now."""
+        options = [
+            (target, self._fill(target, candidates, now_ms)) for target in idle
+        ]
+        options = [option for option in options if option[1]]
+        if not options:
+            return None
+        target, chosen = min(
+            options,
+            key=lambda option: _option_key(option[0], option[1]),
+        )
+        if self._should_wait(target, chosen, len(idle), plan, now_ms):
+            return None
+        works = tuple(candidate.work for candidate in chosen)
+        return BatchCall(
+            target=target.row,
+            limits=target.limits,
+            pieces=tuple(candidate.piece for candidate in chosen),
+            works=works,
+            sizes_bytes=tuple(candidate.size_bytes for candidate in chosen),
+            sent_at_ms=now_ms,
+            expected_ms=self.times.call_ms(works, target.limits),
+        )
+
+    def _fill(
+        self,
+        target: BatchTarget,
+        candidates: Iterable[_Candidate],
+        now_ms: float,
+    ) -> Sequence[_Candidate]:
+        """Returns the pieces that a call to a target would hold."""
+        room_bytes = target.free_bytes(now_ms)
+        chosen: list[_Candidate] = []
+        ordered = sorted(
+            candidates,
+            key=lambda candidate: candidate.key_ms
+            + _remote_ms(candidate, target),
+        )
+        for candidate in ordered:
+            if len(chosen) >= target.limits.size:
+                break
+            if candidate.size_bytes <= room_bytes:
+                chosen.append(candidate)
+                room_bytes -= candidate.size_bytes
+        return chosen
+
+    def _should_wait(
+        self,
+        target: BatchTarget,
+        chosen: Sequence[_Candidate],
+        idle_count: int,
+        plan: Plan,
+        now_ms: float,
+    ) -> bool:
+        """Tells whether a call waits for more pieces."""
+        if len(chosen) >= FULL_ENOUGH * target.limits.size:
+            return False
+        count = len(self.targets.of_service(target.row.service))
+        scarcity = 1 - (idle_count - 1) / max(count, 1)
+        slack_ms = min(candidate.slack_ms for candidate in chosen)
+        allowed_ms = min(
+            FILL_WAIT_MS * scarcity,
+            max(slack_ms, 0) * FILL_WAIT_SLACK,
+        )
+        ready_at_ms = min(
+            candidate.chain.ready_at_ms(candidate.piece.stage, now_ms)
+            for candidate in chosen
+        )
+        until_ms = ready_at_ms + allowed_ms
+        if until_ms <= now_ms:
+            return False
+        _wake(plan, until_ms)
+        return True
+
+
+def _remote_ms(candidate: _Candidate, target: BatchTarget) -> float:
+    if candidate.domain in {'', target.row.failure_domain}:
+        return 0
+    return REMOTE_MAKER_MS
+
+
+def _option_key(
+    target: BatchTarget,
+    chosen: Sequence[_Candidate],
+) -> tuple[float, float]:
+    """Orders idle targets: near to the readers first, then full calls."""
+    remote_ms = sum(_remote_ms(candidate, target) for candidate in chosen)
+    return remote_ms / len(chosen), -len(chosen)
+
+
+def _wake(plan: Plan, at_ms: float) -> None:
+    if plan.wake_at_ms is None or at_ms < plan.wake_at_ms:
+        plan.wake_at_ms = at_ms
--- a/borageyard/claim_log.py
+++ b/borageyard/claim_log.py
@@ -24,7 +24,7 @@
 from .key_waiters import KeyWaiters
 from .log_reader import RETRY_MS, StreamReader
 from .log_writer import GroupWriter, WriterSettings
-from .platform import LogRecord, LogService, PlatformError
+from .backing_services import LogRecord, LogService, PlatformError
 
 STREAM_PREFIX = 'claims'
 # Parts of the retention: age at which records are carried forward, and how
--- a/borageyard/claim_records.py
+++ b/borageyard/claim_records.py
@@ -13,7 +13,7 @@
     OutcomeRecord,
     VoidRecord,
 )
-from .platform import LogRecord, Record
+from .backing_services import LogRecord, Record
 
 BatchItem = ClaimRecord | VoidRecord | OutcomeRecord | CheckpointRecord
 NEW_CLAIM_OFFSET = -1
--- a/borageyard/claim_service.py
+++ b/borageyard/claim_service.py
@@ -17,7 +17,7 @@
 from .outcome_recorder import OutcomeRecorder
 from .outcomes import OutcomeHolder
 from .peers import PeerLink
-from .platform import ROLE_ENTRY, Instance, LogService, PlatformError
+from .backing_services import ROLE_ENTRY, Instance, LogService, PlatformError
 
 DEFAULT_WINDOW_MS = 600_000
 DEFAULT_SKEW_MS = 2000
--- a/borageyard/configuration_changes.py
+++ b/borageyard/configuration_changes.py
@@ -18,7 +18,7 @@
 from .generated.log_configuration import DecisionRecord
 from .permission import AcceptanceTracker, PermissionHolder
 from .permission_probes import PermissionProber
-from .platform import AppendRefusedError, LogService, PlatformError
+from .backing_services import AppendRefusedError, LogService, PlatformError
 
 # How long a lost append is looked for.
 LOOK_MS = 3000
--- a/borageyard/configuration_handler.py
+++ b/borageyard/configuration_handler.py
@@ -26,7 +26,7 @@
 )
 from .http_messages import HttpRequest, HttpResponse, json_response
 from .identifiers import new_identifier
-from .platform import PlatformError
+from .backing_services import PlatformError
 from .tokens import is_operator
 from .wire import encode_refusal
 
--- a/borageyard/configuration_log.py
+++ b/borageyard/configuration_log.py
@@ -25,7 +25,7 @@
     JoinRecord,
     LeaveRecord,
 )
-from .platform import LogPage, LogRecord
+from .backing_services import LogPage, LogRecord
 
 CONFIGURATION_STREAM = 'configuration'
 RECORD = 'record'
--- a/borageyard/configuration_service.py
+++ b/borageyard/configuration_service.py
@@ -12,7 +12,7 @@
 from .peers import PeerLink
 from .permission import AcceptanceTracker, PermissionHolder
 from .permission_probes import PermissionProber
-from .platform import Instance, LogService
+from .backing_services import Instance, LogService
 from .tasks import running_tasks
 
 
--- a/borageyard/configuration_sync.py
+++ b/borageyard/configuration_sync.py
@@ -13,7 +13,7 @@
 from .configuration_state import instance_of
 from .events import Event, log_event
 from .permission import AcceptanceTracker, PermissionHolder
-from .platform import (
+from .backing_services import (
     ROLE_ENTRY,
     Instance,
     LogService,
--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -31,7 +31,7 @@
 from .peer_stream import PeerCounters
 from .peers import PeerLink
 from .pipeline import PipelineRunner
-from .platform import InstanceList, LogService, WeightStore
+from .backing_services import InstanceList, LogService, WeightStore
 from .policy import EntryPolicy, PolicyOptions, PolicyPlace
 from .policy_news import PolicyNews
 from .reconciler import build_reconciler
--- a/borageyard/deployment.py
+++ b/borageyard/deployment.py
@@ -12,7 +12,7 @@
 from .entry import Entry
 from .generated.settings import EntrySettings
 from .http_server import Handler, HttpServer
-from .platform import (
+from .backing_services import (
     ROLE_ENTRY,
     ROLE_TARGET,
     Instance,
--- /dev/null
+++ b/borageyard/engine_board.py
@@ -0,0 +1,256 @@
+"""Placement of prompts on model engines by cache, load and inputs."""
+
+import collections
+import dataclasses
+import itertools
+import math
+from collections.abc import Mapping, Sequence
+
+from .rendezvous import choose
+from .roster import RosterRow
+
+# Prompt tokens that an engine reads in a millisecond (sheets of both users).
+PREFILL_TOKENS_PER_MS = 32.4
+# Time of one step that each running request adds (sheets of both users).
+STEP_MS_PER_RUN = 0.0234
+# Steps that a new request shares with the running ones before its first
+# token: the prompt is read in chunks between them.
+FIRST_TOKEN_STEPS = 10
+# A shared part that is read again soon costs others its time as well as its
+# own; the users price it at about its whole worth.
+REREAD_WEIGHT = 3
+# Cost of fetching a megabyte of inputs from another failure domain, from the
+# users' price of such bytes against the worth of a second of latency.
+REMOTE_INPUT_MS_PER_MB = 60
+BYTES_PER_MB = 1_000_000
+# Advantage of the engine that a part is assigned to before any has read it.
+HOME_MS = 30
+# Age after which a part counts as evicted: seconds of the users' priced
+# re-reads, several times over.
+CACHE_KEEP_MS = 40_000
+MAX_CACHED_PARTS = 4096
+NEVER_MS = -math.inf
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that other requests may share."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prompt:
+    """What a request asks a model to read and to generate."""
+
+    model: str
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    output_tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementQuery:
+    """What a placement depends on besides the engines' state."""
+
+    prompt: Prompt
+    engines: Sequence[RosterRow]
+    # Bytes of inputs by failure domain of their maker.
+    inputs_bytes: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """The engine chosen, and what was expected of it."""
+
+    engine: RosterRow
+    cost_ms: float
+    cached_tokens: int
+
+
+@dataclasses.dataclass(slots=True)
+class _Run:
+    target_id: str
+    unread_tokens: int
+    held_tokens: int
+    reading: bool = True
+
+
+@dataclasses.dataclass(slots=True)
+class _Engine:
+    cached: collections.OrderedDict[str, float]
+    unread_tokens: int = 0
+    held_tokens: int = 0
+    running: int = 0
+    suspect_until_ms: float = 0
+
+
+class EngineBoard:
+    """Chooses engines from what was sent to them.
+
+    Answers the load pattern of prompts that share long parts in a burst:
+    each part is read by few engines, and a second engine reads it only when
+    waiting for the first would take longer.
+    """
+
+    def __init__(self) -> None:
+        """Starts without engines."""
+        self._engines: dict[str, _Engine] = {}
+        self._runs: dict[str, _Run] = {}
+
+    def place(self, query: PlacementQuery, now_ms: float) -> Placement | None:
+        """Returns the best engine, or none if there is none to take it.
+
+        Args:
+            query: What is to be placed.
+            now_ms: Steady time.
+        """
+        fitting = [
+            row
+            for row in query.engines
+            if row.target_id not in query.excluded
+        ]
+        sound = [
+            row
+            for row in fitting
+            if self._engine(row).suspect_until_ms <= now_ms
+        ]
+        placements = [
+            self._weigh(query, row, now_ms) for row in sound or fitting
+        ]
+        return min(
+            placements,
+            key=lambda placement: placement.cost_ms,
+            default=None,
+        )
+
+    def note_sent(
+        self,
+        request_id: str,
+        prompt: Prompt,
+        placement: Placement,
+        now_ms: float,
+    ) -> None:
+        """Takes in that a request goes to an engine.
+
+        Args:
+            request_id: Id of the request.
+            prompt: Its prompt.
+            placement: Where it goes.
+            now_ms: Steady time.
+        """
+        self.note_ended(request_id)
+        unread = max(prompt.prompt_tokens - placement.cached_tokens, 0)
+        held = prompt.prompt_tokens + prompt.output_tokens
+        run = _Run(placement.engine.target_id, unread, held)
+        self._runs[request_id] = run
+        engine = self._engine(placement.engine)
+        engine.unread_tokens += unread
+        engine.held_tokens += held
+        engine.running += 1
+        for part in prompt.parts:
+            self.note_cached(placement.engine, part.part_id, now_ms)
+
+    def note_started(self, request_id: str) -> None:
+        """Takes in that a request has produced its first token."""
+        run = self._runs.get(request_id)
+        if run is None or not run.reading:
+            return
+        run.reading = False
+        self._engines[run.target_id].unread_tokens -= run.unread_tokens
+
+    def note_ended(self, request_id: str) -> None:
+        """Takes in that a request is no longer at its engine."""
+        run = self._runs.pop(request_id, None)
+        if run is None:
+            return
+        engine = self._engines[run.target_id]
+        engine.running -= 1
+        engine.held_tokens -= run.held_tokens
+        if run.reading:
+            engine.unread_tokens -= run.unread_tokens
+
+    def note_failure(self, target_id: str, until_ms: float) -> None:
+        """Avoids an engine for a while; what it had cached is gone.
+
+        Args:
+            target_id: The engine.
+            until_ms: Steady time up to which others go first.
+        """
+        engine = self._engines.get(target_id)
+        if engine is not None:
+            engine.suspect_until_ms = until_ms
+            engine.cached.clear()
+
+    def note_cached(
+        self,
+        row: RosterRow,
+        part_id: str,
+        now_ms: float,
+    ) -> None:
+        """Takes in that an engine holds a part of prompts.
+
+        Args:
+            row: The engine.
+            part_id: Id of the part.
+            now_ms: Steady time.
+        """
+        cached = self._engine(row).cached
+        cached[part_id] = now_ms
+        cached.move_to_end(part_id)
+        if len(cached) > MAX_CACHED_PARTS:
+            cached.popitem(last=False)
+
+    def _engine(self, row: RosterRow) -> _Engine:
+        return self._engines.setdefault(
+            row.target_id,
+            _Engine(collections.OrderedDict()),
+        )
+
+    def _weigh(
+        self,
+        query: PlacementQuery,
+        row: RosterRow,
+        now_ms: float,
+    ) -> Placement:
+        engine = self._engine(row)
+        prompt = query.prompt
+        cached = self._cached_tokens(engine, prompt, now_ms)
+        shared = sum(part.tokens for part in prompt.parts[:-1])
+        reread = max(shared - cached, 0)
+        unread = max(prompt.prompt_tokens - cached, 0)
+        read_ms = (engine.unread_tokens + unread) / PREFILL_TOKENS_PER_MS
+        reread_ms = REREAD_WEIGHT * reread / PREFILL_TOKENS_PER_MS
+        step_ms = engine.running * STEP_MS_PER_RUN * FIRST_TOKEN_STEPS
+        remote_bytes = sum(
+            size_bytes
+            for domain, size_bytes in query.inputs_bytes.items()
+            if domain != row.failure_domain
+        )
+        remote_ms = REMOTE_INPUT_MS_PER_MB * remote_bytes / BYTES_PER_MB
+        home_ms = 0 if self._is_home(query, row) else HOME_MS
+        cost_ms = read_ms + reread_ms + step_ms + remote_ms + home_ms
+        return Placement(row, cost_ms, cached)
+
+    def _cached_tokens(
+        self,
+        engine: _Engine,
+        prompt: Prompt,
+        now_ms: float,
+    ) -> int:
+        """Returns the tokens of the leading parts that an engine holds."""
+        oldest_ms = now_ms - CACHE_KEEP_MS
+        held = itertools.takewhile(
+            lambda part: engine.cached.get(part.part_id, NEVER_MS) > oldest_ms,
+            prompt.parts,
+        )
+        return sum(part.tokens for part in held)
+
+    def _is_home(self, query: PlacementQuery, row: RosterRow) -> bool:
+        if not query.prompt.parts:
+            return False
+        root = query.prompt.parts[0].part_id
+        names = [engine.target_id for engine in query.engines]
+        return choose(root, names) == row.target_id
--- a/borageyard/fault_ports.py
+++ b/borageyard/fault_ports.py
@@ -10,7 +10,7 @@
 from .clock import MS_PER_S
 from .fault_table import Fault, Step
 from .life import Life, LivingLog
-from .platform import (
+from .backing_services import (
     AppendRefusedError,
     LogPage,
     LogService,
--- /dev/null
+++ b/borageyard/gateway.py
@@ -0,0 +1,314 @@
+"""The gateway daemon: one entry in front of targets that others run."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+from .clock import MS_PER_S, Clock
+from .errors import ErrorKind, Refusal, RefusalError
+from .events import Event, log_event
+from .fleet_state import FleetState, RecordDecoder
+from .fleet_sync import FleetSync
+from .gateway_metrics import GatewayMetrics
+from .gateway_settings import GatewaySettings
+from .generated.peer_fleet import EntryPresenceBody
+from .generated.settings import PeerSettings
+from .http_messages import HttpLimits, HttpRequest, HttpResponse
+from .http_server import HttpServer
+from .inbound import InboundRequest, TargetSender
+from .membership import Membership
+from .peer_link import TcpPeerLink
+from .peer_stream import PeerContext, PeerCounters, PeerIdentity
+from .piece_runner import PieceRunner
+from .plain_relay import PlainRelay
+from .prompt_relay import PromptRelay
+from .request_relay import RequestRelay
+from .retry_window import RetryWindow
+from .scheduler_client import SchedulerClient
+from .scheduler_service import SchedulerService
+from .shared_table import SharedTables, Table
+
+# Bounds of streams between entries: a silent peer is passed over before most
+# requests that it schedules are late.
+PEER_SETTINGS = PeerSettings(
+    news_interval_ms=300,
+    heartbeat_ms=300,
+    silence_ms=1000,
+    connect_timeout_ms=300,
+    news_bytes_per_s=3000,
+    max_requests=2048,
+    max_queued_frames=2048,
+)
+MAX_CONNECTIONS = 2000
+# Time for which an entry that stops takes new requests: callers keep its
+# address for a while, and what they send later could not be finished.
+ACCEPT_AFTER_STOP_MS = 2800
+# Time before the kill at which an entry that stops ends in any case.
+STOP_MARGIN_MS = 400
+STOP_POLL_MS = 50
+NO_READY_RETRY_MS = 300
+
+
+class CallerBorder(Protocol):
+    """Formats that callers and the platform use towards an entry."""
+
+    def decode_request(
+        self,
+        request: HttpRequest,
+        received_at_ms: float,
+    ) -> InboundRequest:
+        """Returns a caller's request; raises RefusalError."""
+
+    def encode_refusal(
+        self,
+        request_id: str,
+        refusal: Refusal,
+    ) -> HttpResponse:
+        """Returns the answer to a request that is not served."""
+
+    def encode_addresses(
+        self,
+        addresses: tuple[str, ...],
+        ttl_s: float,
+    ) -> bytes:
+        """Returns the body that names the addresses for callers."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewayPorts:
+    """What a gateway needs from the outside."""
+
+    tables: SharedTables
+    decoder: RecordDecoder
+    sender: TargetSender
+    runner: PieceRunner
+    border: CallerBorder
+    clock: Clock
+
+
+class Gateway:
+    """Composition of one gateway process."""
+
+    def __init__(self, settings: GatewaySettings, ports: GatewayPorts) -> None:
+        """Composes a gateway that is not serving yet.
+
+        Args:
+            settings: Addresses and bounds.
+            ports: The outside.
+        """
+        self.settings = settings
+        self.metrics = GatewayMetrics()
+        self.state = FleetState(ports.decoder)
+        self._ports = ports
+        clock = ports.clock
+        incarnation = round(clock.wall_ms())
+        membership = Membership(settings.instance_id, incarnation)
+        self.link = TcpPeerLink(self._peer_context(incarnation), clock)
+        presence = EntryPresenceBody(
+            instance_id=settings.instance_id,
+            incarnation=incarnation,
+            peer_address=settings.peer_address,
+            failure_domain=settings.failure_domain,
+        )
+        self.sync = FleetSync(
+            presence,
+            self.state,
+            ports.tables,
+            self.link,
+            membership,
+            clock,
+        )
+        self.service = SchedulerService(self.state, ports.runner, clock)
+        self.scheduler = SchedulerClient(
+            settings.instance_id,
+            self.state,
+            membership,
+            self.link,
+            self.service,
+            clock,
+        )
+        retries = RetryWindow(settings.retry_terms)
+        self._plain = PlainRelay(
+            self.state,
+            ports.sender,
+            retries,
+            settings.failure_domain,
+            clock,
+        )
+        self._prompts = PromptRelay(
+            self.state,
+            ports.sender,
+            self.scheduler,
+            retries,
+            clock,
+        )
+        self.relay = RequestRelay(
+            self.state,
+            self._plain,
+            self._prompts,
+            retries,
+            clock,
+            settings.instance_id,
+        )
+        limits = HttpLimits(max_connections=MAX_CONNECTIONS)
+        self._callers = HttpServer(self._handle_caller, limits)
+        self.state.add_listener(self._note_table)
+
+    @property
+    def ready(self) -> bool:
+        """Tells whether this entry can serve requests."""
+        has_targets = bool(self.state.roster.services)
+        configured = self.state.configuration is not None
+        return configured and has_targets and not self.sync.leaving
+
+    async def serve(self, stop: asyncio.Event) -> None:
+        """Serves until asked to stop, then stops as planned.
+
+        Args:
+            stop: Set when the process is to stop.
+        """
+        settings = self.settings
+        async with contextlib.AsyncExitStack() as stack:
+            await self._listen(
+                settings.directory_address,
+                self._handle_directory,
+                stack,
+            )
+            await self._listen(
+                settings.ready_address,
+                self._handle_ready,
+                stack,
+            )
+            await stack.enter_async_context(self._callers)
+            await self._callers.start(settings.caller_address)
+            await self.link.start(settings.peer_address, stack)
+            await stack.enter_async_context(self.service.running())
+            await stack.enter_async_context(self.sync.running())
+            log_event(
+                Event.ENTRY_STARTED,
+                instance_id=settings.instance_id,
+                address=settings.caller_address,
+            )
+            await stop.wait()
+            await self._stop()
+        log_event(Event.ENTRY_STOPPED, instance_id=settings.instance_id)
+
+    async def _stop(self) -> None:
+        """Takes new requests for a while, then waits for the running ones."""
+        clock = self._ports.clock
+        began_ms = clock.steady_ms()
+        self.sync.leaving = True
+        self.scheduler.leaving = True
+        self.link.send_news()
+        self._callers.begin_closing()
+        log_event(
+            Event.ENTRY_DRAINING,
+            instance_id=self.settings.instance_id,
+            running=self._callers.active,
+        )
+        await asyncio.sleep(ACCEPT_AFTER_STOP_MS / MS_PER_S)
+        self.relay.refusing = True
+        end_ms = began_ms + self.settings.grace_ms - STOP_MARGIN_MS
+        while self._callers.active or self.service.scheduler.chains:
+            if clock.steady_ms() >= end_ms:
+                break
+            await asyncio.sleep(STOP_POLL_MS / MS_PER_S)
+
+    async def _listen(
+        self,
+        address: str,
+        handler: Callable[[HttpRequest], Awaitable[HttpResponse]],
+        stack: contextlib.AsyncExitStack,
+    ) -> None:
+        server = HttpServer(handler, HttpLimits(max_connections=MAX_CONNECTIONS))
+        await stack.enter_async_context(server)
+        await server.start(address)
+
+    async def _handle_caller(self, request: HttpRequest) -> HttpResponse:
+        clock = self._ports.clock
+        border = self._ports.border
+        began_ms = clock.steady_ms()
+        request_id = ''
+        try:
+            inbound = border.decode_request(request, began_ms)
+            request_id = inbound.request_id
+            response = await self.relay.answer(inbound)
+        except RefusalError as error:
+            refusal = error.refusal
+            self.metrics.note_refusal(refusal)
+            log_event(
+                Event.REQUEST_REFUSED,
+                request_id=request_id,
+                kind=refusal.kind.value,
+                ran=refusal.ran.value,
+                detail=refusal.detail,
+                retry_after_ms=refusal.retry_after_ms,
+                took_ms=round(clock.steady_ms() - began_ms),
+            )
+            response = border.encode_refusal(request_id, refusal)
+        took_ms = clock.steady_ms() - began_ms
+        self.metrics.note_answer(response.status, took_ms)
+        return response
+
+    async def _handle_ready(self, request: HttpRequest) -> HttpResponse:
+        if self.ready:
+            return HttpResponse(200, b'{}')
+        return self._ports.border.encode_refusal(
+            '',
+            Refusal(ErrorKind.NOT_READY, retry_after_ms=NO_READY_RETRY_MS),
+        )
+
+    async def _handle_directory(self, request: HttpRequest) -> HttpResponse:
+        """Names the entries that are ready, as fresh news tells."""
+        now_ms = self._ports.clock.steady_ms()
+        addresses = [
+            member.address
+            for member in self.sync.membership.alive(now_ms)
+            if member.address
+        ]
+        if self.ready:
+            addresses.append(self.settings.caller_address)
+        if not addresses:
+            return await self._handle_ready(request)
+        body = self._ports.border.encode_addresses(
+            tuple(sorted(addresses)),
+            self.settings.address_ttl_s,
+        )
+        return HttpResponse(200, body)
+
+    def _note_table(self, table: Table) -> None:
+        if self.ready:
+            self.sync.address = self.settings.caller_address
+        known = self.sync.entries_known()
+        self._plain.entries_known = known
+        self._prompts.entries_known = known
+        configuration = self.state.configuration
+        if configuration is None:
+            return
+        limits = configuration.limits
+        self.metrics.version.set({}, configuration.version)
+        self._callers.update_limits(
+            HttpLimits(
+                max_body_bytes=limits.max_body_bytes,
+                max_connections=MAX_CONNECTIONS,
+                idle_timeout_ms=limits.idle_timeout_ms,
+            ),
+        )
+
+    def _peer_context(self, incarnation: int) -> PeerContext:
+        return PeerContext(
+            identity=PeerIdentity(self.settings.instance_id, incarnation),
+            settings=PEER_SETTINGS,
+            counters=PeerCounters(),
+            on_contact=self._note_contact,
+            on_replaced=self._note_replaced,
+        )
+
+    def _note_contact(self, peer_id: str, incarnation: int) -> None:
+        now_ms = self._ports.clock.steady_ms()
+        self.sync.membership.note_contact(peer_id, incarnation, now_ms)
+
+    def _note_replaced(self, peer_id: str) -> None:
+        self.sync.membership.note_replaced(peer_id)
--- /dev/null
+++ b/borageyard/gateway_metrics.py
@@ -0,0 +1,75 @@
+"""Metrics of a gateway, in the format of Prometheus."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from .errors import Refusal
+
+ACCEPT_TEXT = ('text/plain',)
+LATENCY_BUCKETS_MS = (
+    10.0,
+    30.0,
+    100.0,
+    300.0,
+    1000.0,
+    3000.0,
+    10_000.0,
+    30_000.0,
+)
+
+
+class GatewayMetrics:
+    """Counts what a gateway answers."""
+
+    def __init__(self) -> None:
+        """Registers all metrics."""
+        self.registry = Registry()
+        self.answers = Counter(
+            'borageyard_answers_total',
+            'Answers by status.',
+            registry=self.registry,
+        )
+        self.refusals = Counter(
+            'borageyard_refusals_total',
+            'Refusals by kind and by what is known of their having run.',
+            registry=self.registry,
+        )
+        self.latency = Histogram(
+            'borageyard_answer_head_ms',
+            'Time from a request to the head of its answer.',
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_MS,
+        )
+        self.entries = Gauge(
+            'borageyard_entries',
+            'Other entries that are alive.',
+            registry=self.registry,
+        )
+        self.version = Gauge(
+            'borageyard_configuration_version',
+            'Version of the configuration in force.',
+            registry=self.registry,
+        )
+
+    def note_answer(self, status: int, took_ms: float) -> None:
+        """Counts an answer.
+
+        Args:
+            status: Its HTTP status.
+            took_ms: Time to its head.
+        """
+        self.answers.inc({'status': str(int(status))})
+        self.latency.observe({}, took_ms)
+
+    def note_refusal(self, refusal: Refusal) -> None:
+        """Counts a refusal.
+
+        Args:
+            refusal: Why there was no answer.
+        """
+        not_run = str(refusal.not_run).lower()
+        self.refusals.inc({'kind': refusal.kind.value, 'not_run': not_run})
+
+    def exposition(self) -> bytes:
+        """Returns all metrics as text."""
+        body, _ = render(self.registry, list(ACCEPT_TEXT))
+        return bytes(body)
--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -5,13 +5,14 @@
 import contextlib
 import dataclasses
 import ssl
-from collections.abc import AsyncIterator, Iterator, Mapping
+from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 from types import TracebackType
 from typing import Self
 
 import h11
 
 from .clock import MS_PER_S
+from .events import Event, log_event
 from .http_messages import HttpLimits, split_address
 from .http_streams import (
     CountingReader,
@@ -24,6 +25,8 @@
 MAX_IDLE_CONNECTIONS = 32
 # Shorter than the time after which servers close idle connections.
 MAX_IDLE_S = 15
+# Part of the time that a server states for idle connections.
+KEEP_SHARE = 0.6
 MAX_EVENT_BYTES = 1024 * 1024
 SEPARATOR = b'\n\n'
 FIELD_NAME = b'data: '
@@ -54,7 +57,12 @@
     body: bytes = b''
     headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
     timeout_ms: float = 10_000
+    # Whether a kept connection may be used.
     reuse: bool = True
+    # Whether it may be sent again if a kept connection broke.
+    repeatable: bool = True
+    # Tells whether the headers of a response belong to this call.
+    is_answer: Callable[[Mapping[str, str]], bool] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,6 +99,7 @@
         self._answer_from_bytes = 0
         self.calls = 0
         self.idle_since_s: float = 0
+        self.keep_s: float = MAX_IDLE_S
 
     @property
     def reusable(self) -> bool:
@@ -101,6 +110,7 @@
         """
         surplus = self._reader.received_bytes - self._read_bytes
         clean = not surplus and not self._codec.trailing_data[0]
+        clean = clean and not self._writer.has_unsent
         closed = self._reader.at_eof() or self._raw_writer.is_closing()
         return self._codec.our_state is h11.IDLE and clean and not closed
 
@@ -109,15 +119,50 @@
         """Tells whether a kept connection ended before its newest answer."""
         return self.calls > 1 and self._read_bytes == self._answer_from_bytes
 
-    async def send(self, call: HttpCall) -> None:
-        """Writes a whole request."""
+    def send(self, call: HttpCall) -> None:
+        """Writes a whole request.
+
+        It does not wait: a server may answer before it has read the body.
+
+        Args:
+            call: The request.
+
+        Raises:
+            OSError: If the connection is closed.
+        """
         self.calls += 1
         self._answer_from_bytes = self._read_bytes
+        if self._raw_writer.is_closing():
+            raise ConnectionResetError('connection closed')
+        self._writer.write(self._encode(call))
+
+    def expect_again(self, call: HttpCall) -> bool:
+        """Prepares to read another response in place of a foreign one.
+
+        Args:
+            call: The request that was sent.
+
+        Returns:
+            Whether another response can follow on this connection.
+        """
+        trailing, closed = self._codec.trailing_data
+        if closed or self._codec.their_state is not h11.IDLE:
+            return False
+        self._codec = h11.Connection(h11.CLIENT)
+        self._encode(call)
+        self._codec.receive_data(trailing)
+        return True
+
+    def _encode(self, call: HttpCall) -> bytes:
         headers = [
-            ('host', call.address),
+            ('host', call.headers.get('host', call.address)),
             ('content-length', str(len(call.body))),
-            *call.headers.items(),
         ]
+        headers.extend(
+            (name, text)
+            for name, text in call.headers.items()
+            if name != 'host'
+        )
         head = h11.Request(
             method=call.method,
             target=call.path,
@@ -126,8 +171,15 @@
         encoded = self._codec.send(head) or b''
         if call.body:
             encoded += self._codec.send(h11.Data(data=call.body)) or b''
-        encoded += self._codec.send(h11.EndOfMessage()) or b''
-        await self._writer.send(encoded)
+        return encoded + (self._codec.send(h11.EndOfMessage()) or b'')
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Tells whether the server surely keeps the connection still.
+
+        Args:
+            now_s: Time of the loop.
+        """
+        return now_s - self.idle_since_s <= self.keep_s
 
     async def receive_head(self) -> tuple[int, dict[str, str]]:
         """Reads the status and the headers of a response."""
@@ -136,7 +188,9 @@
             event = await self._next_event()
         if not isinstance(event, h11.Response):
             raise HttpCallError('connection closed before a response', True)
-        return event.status_code, decode_headers(event.headers)
+        headers = decode_headers(event.headers)
+        self.keep_s = min(self.keep_s, _keep_s(headers))
+        return event.status_code, headers
 
     async def receive_body(self) -> bytes:
         """Reads the whole body, up to the limit."""
@@ -149,7 +203,7 @@
     async def receive_chunks(self) -> AsyncIterator[bytes]:
         """Reads the body, up to the limit."""
         size_bytes = 0
-        while chunk := await self._next_chunk():
+        while chunk := await self._receive_chunk():
             size_bytes += len(chunk)
             self._require_size(size_bytes)
             yield bytes(chunk)
@@ -158,6 +212,12 @@
         """Drops the connection."""
         self._raw_writer.transport.abort()
 
+    async def _receive_chunk(self) -> bytes | bytearray:
+        try:
+            return await self._next_chunk()
+        except (OSError, h11.ProtocolError) as error:
+            raise HttpCallError(str(error) or 'reset', sent=True) from error
+
     async def _next_chunk(self) -> bytes | bytearray:
         """Returns the next part of the body; nothing at its end."""
         event = await self._next_event()
@@ -304,19 +364,35 @@
             exchange.connection = connection
             exchange.sent = True
             try:
-                await connection.send(call)
-                return await connection.receive_head()
+                connection.send(call)
+                return await self._receive_own_head(call, connection)
             except (OSError, h11.ProtocolError, HttpCallError) as error:
-                if isinstance(error, TimeoutError) or not connection.stale:
+                repeatable = call.repeatable and connection.stale
+                if isinstance(error, TimeoutError) or not repeatable:
                     raise
             connection.close()
 
+    async def _receive_own_head(
+        self,
+        call: HttpCall,
+        connection: ClientConnection,
+    ) -> tuple[int, dict[str, str]]:
+        """Reads responses until one belongs to the call."""
+        while True:
+            status, headers = await connection.receive_head()
+            if call.is_answer is None or call.is_answer(headers):
+                return status, headers
+            await connection.receive_body()
+            log_event(Event.ANSWER_CROSSED, target_id=call.address)
+            if not connection.expect_again(call):
+                raise HttpCallError('only a foreign response', sent=True)
+
     async def _connect(self, call: HttpCall) -> ClientConnection:
         idle = self._idle.get(call.address)
-        oldest_s = asyncio.get_running_loop().time() - MAX_IDLE_S
+        now_s = asyncio.get_running_loop().time()
         while call.reuse and idle:
             connection = idle.pop()
-            if connection.reusable and connection.idle_since_s >= oldest_s:
+            if connection.reusable and connection.is_fresh(now_s):
                 return connection
             connection.close()
         host, port = split_address(call.address)
@@ -334,6 +410,15 @@
         connection.close()
 
 
+def _keep_s(headers: Mapping[str, str]) -> float:
+    """Returns how long a connection may be idle by its headers."""
+    for field in headers.get('keep-alive', '').split(','):
+        name, _, figure = field.strip().partition('=')
+        if name == 'timeout' and figure.isdigit():
+            return int(figure) * KEEP_SHARE
+    return MAX_IDLE_S
+
+
 async def read_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
     """Splits chunks into the payloads of server-sent events.
 
--- a/borageyard/http_messages.py
+++ b/borageyard/http_messages.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import json
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Iterable, Mapping
 from http import HTTPStatus
 from urllib.parse import parse_qsl, unquote, urlsplit
 
@@ -32,6 +32,8 @@
     query: Mapping[str, str]
     headers: Mapping[str, str]
     body: bytes = b''
+    # Path and query as they came.
+    target: str = ''
 
     def header(self, name: str, default: str = '') -> str:
         """Returns a header by its lower-case name."""
@@ -44,6 +46,7 @@
 
     status: int
     body: bytes = b''
+    # Empty if the headers name the type, or there is none.
     content_type: str = JSON_TYPE
     headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
     chunks: AsyncIterator[bytes] | None = None
@@ -72,6 +75,21 @@
     return b'data: %b\n\n' % encode_json(document)
 
 
+def combine_headers(
+    headers: Iterable[tuple[str, str]],
+) -> dict[str, str]:
+    """Returns headers by name; repeated ones are joined (RFC 9110, 5.3).
+
+    Args:
+        headers: Names in lower case and texts, in their order.
+    """
+    combined: dict[str, str] = {}
+    for name, text in headers:
+        before = combined.get(name)
+        combined[name] = text if before is None else f'{before}, {text}'
+    return combined
+
+
 def split_target(target: str) -> tuple[str, dict[str, str]]:
     """Splits a request target into its path and its query."""
     parts = urlsplit(target)
--- a/borageyard/http_orders.py
+++ b/borageyard/http_orders.py
@@ -5,7 +5,7 @@
 from .http_client import HttpCall, HttpCallError, HttpClient
 from .http_messages import encode_json
 from .orders import ORDER_FLIGHT_MS, Order, OrderError
-from .platform import PlatformError
+from .backing_services import PlatformError
 
 ORDERS_PATH = '/v1/orders'
 STATUS_OK = 200
--- a/borageyard/http_platform.py
+++ b/borageyard/http_platform.py
@@ -6,7 +6,7 @@
 from .generated.http_bodies import InstanceListBody, LogPageBody
 from .http_client import HttpCall, HttpCallError, HttpClient, HttpReply
 from .http_messages import encode_json
-from .platform import (
+from .backing_services import (
     AppendRefusedError,
     AppendUnknownError,
     Instance,
--- a/borageyard/http_server.py
+++ b/borageyard/http_server.py
@@ -3,7 +3,13 @@
 import asyncio
 import contextlib
 import ssl
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Iterator,
+    Mapping,
+)
 from types import TracebackType
 from typing import Self
 
@@ -119,6 +125,19 @@
         shown_host, _ = address.rsplit(':', 1)
         self.address = f'{shown_host}:{bound[1]}'
 
+    @property
+    def active(self) -> int:
+        """Returns how many requests are being answered."""
+        return self._activity.count
+
+    def update_limits(self, limits: HttpLimits) -> None:
+        """Changes the bounds of connections that are accepted from now on."""
+        self._limits = limits
+
+    def begin_closing(self) -> None:
+        """Ends each connection with its next response."""
+        self._activity.closing = True
+
     async def finish(self) -> None:
         """Stops listening and waits until all responses are sent."""
         self._activity.closing = True
@@ -275,6 +294,7 @@
             return None
         headers = decode_headers(head.headers)
         request_id = request_id_of(headers)
+        self._require_one_length(headers, request_id)
         self._require_size(headers.get('content-length', '0'), request_id)
         body = bytearray()
         while True:
@@ -296,8 +316,19 @@
             query=query,
             headers=headers,
             body=bytes(body),
+            target=head.target.decode('latin-1'),
         )
 
+    def _require_one_length(
+        self,
+        headers: Mapping[str, str],
+        request_id: str,
+    ) -> None:
+        """Refuses a body with two lengths, which hides another request."""
+        if 'content-length' in headers and 'transfer-encoding' in headers:
+            refusal = Refusal(ErrorKind.BAD_REQUEST, detail='two body lengths')
+            raise RefusedRequestError(refusal, request_id)
+
     def _require_size(self, size_bytes: int | str, request_id: str) -> None:
         if int(size_bytes) > self._limits.max_body_bytes:
             limit_bytes = self._limits.max_body_bytes
@@ -341,8 +372,9 @@
             self._reader.watch(None)
 
     async def _send_response(self, response: HttpResponse) -> None:
-        headers = [('content-type', response.content_type)]
-        headers.extend(response.headers.items())
+        headers = list(response.headers.items())
+        if response.content_type:
+            headers.insert(0, ('content-type', response.content_type))
         if response.chunks is None:
             headers.append(('content-length', str(len(response.body))))
         else:
--- a/borageyard/http_streams.py
+++ b/borageyard/http_streams.py
@@ -1,13 +1,24 @@
 """Byte streams below HTTP: end of stream, unread bytes, time-outs."""
 
 import asyncio
+import socket
 import ssl
 from collections.abc import Callable, Iterable
 from typing import Any
 
 from .clock import MS_PER_S
+from .http_messages import combine_headers
 
 HIGH_WATER_BYTES = 65536
+# A connection that is silent for a second is probed; two probes a second
+# apart without an answer end it. Unsent bytes end it after two seconds, below
+# the three seconds after which users count an instance as in touch again.
+KEEP_ALIVE_OPTIONS = (
+    (socket.TCP_KEEPIDLE, 1),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 2),
+    (socket.TCP_USER_TIMEOUT, 2000),
+)
 
 
 class CountingReader(asyncio.StreamReader):
@@ -88,11 +99,20 @@
             return
         if self._transport.is_closing():
             raise ConnectionResetError('connection closed')
-        self._writer.write(encoded)
+        self.write(encoded)
         if self._transport.get_write_buffer_size() > HIGH_WATER_BYTES:
             async with asyncio.timeout(self._timeout_s):
                 await self._writer.drain()
 
+    def write(self, encoded: bytes) -> None:
+        """Writes bytes without waiting; they are kept in memory."""
+        self._writer.write(encoded)
+
+    @property
+    def has_unsent(self) -> bool:
+        """Tells whether written bytes were not handed to the system yet."""
+        return self._transport.get_write_buffer_size() > 0
+
     def end(self) -> None:
         """Tells the other side that nothing follows, where that is possible."""
         if self._transport.can_write_eof() and not self._transport.is_closing():
@@ -123,9 +143,24 @@
         port,
         ssl=tls,
     )
+    probe_when_silent(transport)
     return reader, asyncio.StreamWriter(transport, protocol, reader, loop)
 
 
+def probe_when_silent(transport: asyncio.BaseTransport) -> None:
+    """Makes the system notice a connection whose other end is gone.
+
+    Args:
+        transport: An open TCP connection.
+    """
+    plain = transport.get_extra_info('socket')
+    if plain is None:
+        return
+    plain.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, figure in KEEP_ALIVE_OPTIONS:
+        plain.setsockopt(socket.IPPROTO_TCP, option, figure)
+
+
 def decode_headers(
     headers: Iterable[tuple[bytes, bytes]],
 ) -> dict[str, str]:
@@ -134,6 +169,7 @@
     Args:
         headers: Names and texts as on the wire.
     """
-    return {
-        name.decode('latin-1'): text.decode('latin-1') for name, text in headers
-    }
+    return combine_headers(
+        (name.decode('latin-1'), text.decode('latin-1'))
+        for name, text in headers
+    )
--- a/borageyard/leases.py
+++ b/borageyard/leases.py
@@ -7,7 +7,7 @@
 from .generated.log_leases import LeaseRecord
 from .identifiers import new_identifier
 from .permission import waiting_time_ms
-from .platform import LogPage, LogRecord
+from .backing_services import LogPage, LogRecord
 
 LEASE_STREAM = 'leases'
 TERM_MS = 3000
--- a/borageyard/life.py
+++ b/borageyard/life.py
@@ -8,7 +8,7 @@
 import pydantic
 
 from .peers import NewsSection, PeerAddress, PeerHandler, PeerLink
-from .platform import (
+from .backing_services import (
     Instance,
     InstanceList,
     LogPage,
--- /dev/null
+++ b/borageyard/log_queue.py
@@ -0,0 +1,93 @@
+"""Log lines to standard output without ever waiting for its reader."""
+
+import asyncio
+import collections
+import contextlib
+import json
+import os
+from collections.abc import AsyncIterator, Mapping
+from typing import Any
+
+import eliot
+
+from .clock import MS_PER_S
+from .tasks import running_tasks
+
+STANDARD_OUTPUT = 1
+# Bounds of what waits to be written; later lines are dropped and counted.
+MAX_QUEUED_LINES = 4096
+# Lines a second on average, and as many at once after a quiet time.
+MAX_LINES_PER_S = 400
+BURST_LINES = 2000
+FLUSH_MS = 200
+DROPPED_KIND = 'events_dropped'
+_ENCODER = json.JSONEncoder(separators=(',', ':'), default=str)
+
+
+class LogQueue:
+    """Bounded queue between the event log and a file descriptor."""
+
+    def __init__(self, descriptor: int = STANDARD_OUTPUT) -> None:
+        """Starts empty.
+
+        Args:
+            descriptor: Where lines are written.
+        """
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._allowance: float = BURST_LINES
+        self._unwritten = b''
+
+    def __call__(self, message: Mapping[str, Any]) -> None:
+        """Takes in one event, as a destination of eliot."""
+        full = len(self._lines) >= MAX_QUEUED_LINES
+        if full or self._allowance < 1:
+            self.dropped += 1
+            return
+        self._allowance -= 1
+        self._lines.append(_ENCODER.encode(message).encode() + b'\n')
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Writes the lines of all events while the scope lasts."""
+        with contextlib.ExitStack() as stack:
+            eliot.add_destinations(self)
+            stack.callback(self.flush)
+            stack.callback(eliot.remove_destination, self)
+            async with running_tasks(self._flush_regularly()):
+                yield
+
+    def flush(self) -> None:
+        """Writes what can be written without waiting."""
+        if self.dropped:
+            self._note_dropped()
+        self._unwritten += b''.join(self._lines)
+        self._lines.clear()
+        if not self._unwritten:
+            return
+        blocking = os.get_blocking(self._descriptor)
+        os.set_blocking(self._descriptor, False)
+        try:
+            written = os.write(self._descriptor, self._unwritten)
+        except BlockingIOError:
+            written = 0
+        except OSError:
+            # Nobody reads: keeping the lines would only fill the memory.
+            written = len(self._unwritten)
+        finally:
+            os.set_blocking(self._descriptor, blocking)
+        self._unwritten = self._unwritten[written:]
+
+    def _note_dropped(self) -> None:
+        line = {'message_type': DROPPED_KIND, 'lines': self.dropped}
+        self.dropped = 0
+        self._lines.append(_ENCODER.encode(line).encode() + b'\n')
+
+    async def _flush_regularly(self) -> None:
+        while True:
+            await asyncio.sleep(FLUSH_MS / MS_PER_S)
+            gained = MAX_LINES_PER_S * FLUSH_MS / MS_PER_S
+            self._allowance = min(self._allowance + gained, BURST_LINES)
+            if len(self._unwritten) < MAX_QUEUED_LINES:
+                self.flush()
--- a/borageyard/log_reader.py
+++ b/borageyard/log_reader.py
@@ -6,7 +6,7 @@
 
 from .clock import MS_PER_S, Clock
 from .events import Event, log_event
-from .platform import (
+from .backing_services import (
     LogPage,
     LogRecord,
     LogService,
--- a/borageyard/log_writer.py
+++ b/borageyard/log_writer.py
@@ -11,7 +11,7 @@
 from .clock import MS_PER_S, Clock
 from .events import Event, log_event
 from .identifiers import new_identifier
-from .platform import (
+from .backing_services import (
     AppendRefusedError,
     LogService,
     PlatformError,
--- a/borageyard/membership.py
+++ b/borageyard/membership.py
@@ -6,7 +6,7 @@
 
 from .generated.peer_membership import PeerMembershipBody
 from .leaving_marks import LeavingMark, LeavingMarks
-from .platform import ROLE_ENTRY, STATE_LEAVING, Instance
+from .backing_services import ROLE_ENTRY, STATE_LEAVING, Instance
 
 # Regular news comes every 0.5 s by default.
 SUSPECT_AFTER_MS = 1500
--- a/borageyard/membership_service.py
+++ b/borageyard/membership_service.py
@@ -17,7 +17,7 @@
 from .leaving_marks import LeavingMark, LeavingMarks
 from .membership import Membership, MemberState
 from .peers import NewsSection, PeerAddress, PeerError, PeerLink
-from .platform import Instance
+from .backing_services import Instance
 from .targets import TargetDirectory
 
 TICK_MS = 200
--- a/borageyard/memory_deployment.py
+++ b/borageyard/memory_deployment.py
@@ -18,7 +18,7 @@
 from .memory_orders import MemoryOrderClient, MemoryWeights
 from .memory_target import MemoryTargetClient
 from .peers import MemoryPeerNetwork
-from .platform import (
+from .backing_services import (
     ROLE_ENTRY,
     ROLE_TARGET,
     Instance,
--- a/borageyard/memory_log.py
+++ b/borageyard/memory_log.py
@@ -4,7 +4,7 @@
 import contextlib
 
 from .clock import MS_PER_S
-from .platform import LogPage, MemoryLog, PlatformError, Record
+from .backing_services import LogPage, MemoryLog, PlatformError, Record
 
 # How often a waiting read looks for faults of the log.
 POLL_MS = 50
--- a/borageyard/memory_orders.py
+++ b/borageyard/memory_orders.py
@@ -5,7 +5,7 @@
 
 from .generated.log_leases import OrderBody
 from .orders import Order, OrderError
-from .platform import PlatformError
+from .backing_services import PlatformError
 from .standins.orders import StaleOrderError, StandinOrders
 
 
--- a/borageyard/peer_fleet.py
+++ b/borageyard/peer_fleet.py
@@ -16,7 +16,7 @@
 from .memory_target import MemoryTargetClient
 from .peer_link import TcpPeerLink
 from .peer_stream import PeerContext, PeerCounters, PeerIdentity
-from .platform import (
+from .backing_services import (
     ROLE_ENTRY,
     ROLE_TARGET,
     Instance,
--- /dev/null
+++ b/borageyard/plain_relay.py
@@ -0,0 +1,219 @@
+"""Relays requests to plain services, whose answers are whole."""
+
+import dataclasses
+
+from .clock import Clock
+from .errors import ErrorKind, Ran, Refusal, RefusalError
+from .events import Event, log_event
+from .fleet_state import FleetState
+from .http_messages import HttpResponse
+from .inbound import (
+    InboundRequest,
+    SendError,
+    SendFailure,
+    TargetAnswer,
+    TargetSend,
+    TargetSender,
+)
+from .relay_terms import RelayTerms
+from .retry_window import RetryWindow
+from .roster import RosterRow
+from .target_picker import TargetPicker
+
+# Sends that reached no target or that it did not run; each one is a repeat.
+MAX_UNRUN_SENDS = 3
+FIRST_SERVER_ERROR = 500
+# Time to come back after no target could take a request.
+RETRY_AFTER_MS = 300
+
+
+@dataclasses.dataclass(slots=True)
+class SendTally:
+    """What was sent of one request."""
+
+    ran: int = 0
+    unrun: int = 0
+    tried: set[str] = dataclasses.field(default_factory=set)
+    sent: bool = False
+
+
+class PlainRelay:
+    """Sends a request to a target of its service, and again where allowed."""
+
+    def __init__(
+        self,
+        state: FleetState,
+        sender: TargetSender,
+        retries: RetryWindow,
+        domain: str,
+        clock: Clock,
+    ) -> None:
+        """Composes a relay.
+
+        Args:
+            state: Targets.
+            sender: The way to them.
+            retries: Budget of repeated sends.
+            domain: Failure domain of this entry.
+            clock: Source of steady time.
+        """
+        self.entries_known = 1
+        self._state = state
+        self._sender = sender
+        self._retries = retries
+        self._domain = domain
+        self._clock = clock
+        self._picker = TargetPicker(domain)
+
+    async def answer(
+        self,
+        request: InboundRequest,
+        terms: RelayTerms,
+        tally: SendTally,
+    ) -> HttpResponse:
+        """Returns a target's whole answer.
+
+        Args:
+            request: The caller's request.
+            terms: Its route and how long it may take.
+            tally: Takes in what was sent.
+
+        Raises:
+            RefusalError: If there is none.
+        """
+        failed_answer: HttpResponse | None = None
+        while True:
+            target = self._pick(terms, tally)
+            if target is None and failed_answer is not None:
+                return failed_answer
+            if target is None:
+                detail = f'no target of {terms.service}'
+                raise RefusalError(_refusal(tally, detail))
+            may_repeat = self._may_repeat(terms, tally)
+            try:
+                answer = await self._send(request, terms, target, tally)
+            except SendError as error:
+                self._note_failure(request, target, tally, error)
+                if not self._may_go_on(terms, tally, may_repeat=may_repeat):
+                    raise RefusalError(_refusal(tally, str(error))) from error
+                continue
+            failed = answer.status >= FIRST_SERVER_ERROR
+            if not failed or not self._may_go_on(
+                terms,
+                tally,
+                may_repeat=may_repeat,
+            ):
+                return answer
+            failed_answer = answer
+
+    def _pick(self, terms: RelayTerms, tally: SendTally) -> RosterRow | None:
+        return self._picker.pick(
+            self._state.roster.ready(terms.service),
+            tally.tried,
+            self._domain,
+            self._clock.steady_ms(),
+        )
+
+    async def _send(
+        self,
+        request: InboundRequest,
+        terms: RelayTerms,
+        target: RosterRow,
+        tally: SendTally,
+    ) -> HttpResponse:
+        """Sends once; raises SendError also where nothing was run."""
+        now_ms = self._clock.steady_ms()
+        send = TargetSend(
+            request=request,
+            target=target,
+            left_ms=terms.deadline_at_ms - now_ms,
+            organisation=terms.organisation,
+            repeatable=terms.route.repeatable,
+        )
+        tally.tried.add(target.target_id)
+        tally.sent = True
+        with self._picker.counted(target):
+            async with self._sender.send(send) as answer:
+                body = b''.join([chunk async for chunk in answer.chunks])
+                self._note_answer(target, answer, tally)
+        tally.ran += 1
+        if answer.status >= FIRST_SERVER_ERROR:
+            self._picker.note_failure(target, self._clock.steady_ms())
+        else:
+            self._picker.note_success(target)
+        return HttpResponse(
+            answer.status,
+            body,
+            content_type='',
+            headers=answer.headers,
+        )
+
+    def _note_answer(
+        self,
+        target: RosterRow,
+        answer: TargetAnswer,
+        tally: SendTally,
+    ) -> None:
+        if answer.load is not None:
+            now_ms = self._clock.steady_ms()
+            self._picker.note_load(target, answer.load, now_ms)
+        if answer.wrong_target:
+            self._state.roster.avoid(target)
+        if answer.not_run:
+            tally.sent = False
+            raise SendError(SendFailure.NOT_SENT, f'status {answer.status}')
+
+    def _note_failure(
+        self,
+        request: InboundRequest,
+        target: RosterRow,
+        tally: SendTally,
+        error: SendError,
+    ) -> None:
+        self._picker.note_failure(target, self._clock.steady_ms())
+        if error.failure is SendFailure.NOT_SENT:
+            tally.unrun += 1
+            tally.sent = bool(tally.ran)
+        else:
+            tally.ran += 1
+        log_event(
+            Event.ATTEMPT_FAILED,
+            request_id=request.request_id,
+            target_id=target.target_id,
+            failure=error.failure.value,
+            reason=str(error),
+        )
+
+    def _may_repeat(self, terms: RelayTerms, tally: SendTally) -> bool:
+        """Tells whether one more send may run after the next one."""
+        route = terms.route
+        return route.repeatable and tally.ran + 1 < route.max_attempts
+
+    def _may_go_on(
+        self,
+        terms: RelayTerms,
+        tally: SendTally,
+        *,
+        may_repeat: bool,
+    ) -> bool:
+        if tally.ran and not may_repeat:
+            return False
+        if tally.unrun > MAX_UNRUN_SENDS:
+            return False
+        now_ms = self._clock.steady_ms()
+        return self._retries.take(terms.service, now_ms, self.entries_known)
+
+
+def _refusal(tally: SendTally, detail: str) -> Refusal:
+    """Returns how a request ends that got no answer."""
+    if tally.ran:
+        return Refusal(
+            ErrorKind.TARGET_FAILED,
+            ran=Ran.UNKNOWN,
+            detail=detail,
+        )
+    return Refusal(
+        ErrorKind.NO_TARGET,
+        detail=detail,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- /dev/null
+++ b/borageyard/platform/__main__.py
@@ -0,0 +1,66 @@
+"""Runs a gateway on the users' platform: ``python -m borageyard.platform``."""
+
+import asyncio
+import contextlib
+import os
+import signal
+import sys
+
+from ..border import DocumentError
+from ..clock import SystemClock
+from ..gateway import Gateway, GatewayPorts
+from ..http_client import HttpClient
+from ..http_messages import HttpLimits
+from ..log_queue import LogQueue
+from . import ingress
+from .documents import DocumentDecoder
+from .settings import SETTINGS_VARIABLE, load_settings
+from .store import StoreTables
+from .targets import HttpPieceRunner, HttpTargetSender
+
+EXIT_GOOD = 0
+EXIT_USAGE = 2
+CLIENT_LIMITS = HttpLimits(connect_timeout_ms=300)
+
+
+async def serve(path: str) -> None:
+    """Serves until SIGTERM.
+
+    Args:
+        path: Path of the settings file.
+
+    Raises:
+        DocumentError: If the settings are wrong.
+    """
+    settings = load_settings(path)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, load_settings, path)
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(LogQueue().running())
+        client = await stack.enter_async_context(HttpClient(CLIENT_LIMITS))
+        ports = GatewayPorts(
+            tables=StoreTables(client, settings.store_address),
+            decoder=DocumentDecoder(),
+            sender=HttpTargetSender(client),
+            runner=HttpPieceRunner(client),
+            border=ingress,
+            clock=SystemClock(),
+        )
+        await Gateway(settings, ports).serve(stop)
+
+
+def main() -> int:
+    """Runs the gateway; returns the exit code."""
+    path = os.environ.get(SETTINGS_VARIABLE, '')
+    try:
+        asyncio.run(serve(path))
+    except DocumentError as error:
+        sys.stderr.write(f'{error}\n')
+        return EXIT_USAGE
+    return EXIT_GOOD
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/borageyard/platform/documents.py
@@ -0,0 +1,245 @@
+"""Records of the platform's store: the operator's document and targets."""
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from ..border import check_document, parse_json
+from ..roster import RosterRow, TargetPhase
+from ..serving import (
+    Backend,
+    BatchLimits,
+    CallerLimits,
+    EngineLimits,
+    RequestKind,
+    RouteStage,
+    ServedOrganisation,
+    ServiceRoute,
+    ServingConfiguration,
+    TargetService,
+)
+
+BYTES_PER_MB = 1_000_000
+MS_PER_S = 1000
+ADDRESS_PATTERN = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
+CONFIGURATION_SOURCE = 'configuration'
+
+
+class _Fields(BaseModel):
+    model_config = ConfigDict(extra='ignore', populate_by_name=True)
+
+
+class _Stage(_Fields):
+    service: str
+    after: list[int] = []
+    # Size of one result.
+    result_bytes: Annotated[float, Field(alias='bytes')] = 0
+
+
+class _Backend(_Fields):
+    service: str
+    weight: float = 1
+
+
+class _Route(_Fields):
+    name: str = ''
+    host: str
+    path_prefix: Annotated[str, Field(alias='pathPrefix')]
+    kind: str
+    timeout_ms: Annotated[float, Field(alias='timeoutMs')]
+    target_latency_ms: Annotated[float, Field(alias='targetLatencyMs')] = 0
+    priority: int = 0
+    service: str = ''
+    backends: Annotated[list[_Backend], Field(alias='weightedBackends')] = []
+    max_attempts: Annotated[int, Field(alias='maxAttempts')] = 1
+    stages: list[_Stage] = []
+    allow_anonymous: Annotated[bool, Field(alias='allowAnonymous')] = False
+    # Set on routes whose requests state the parts of their prompt.
+    has_prompt: Annotated[bool, Field(alias='sessionAffinity')] = False
+    resumable: Annotated[bool, Field(alias='streamResume')] = False
+    pause_ms: Annotated[float, Field(alias='gapAimMs')] = 0
+
+
+class _Pieces(_Fields):
+    slots: int = 1
+    queue: int = 0
+    # Pieces that a call may hold.
+    size: Annotated[int, Field(alias='batch')] = 1
+    call_ms: Annotated[float, Field(alias='callMs')] = 0
+    piece_ms: Annotated[float, Field(alias='itemMs')] = 0
+    # Memory for results, not a reserve.
+    room_mb: Annotated[float, Field(alias='headroomMb')] = 0
+    # How long a result is kept after its call.
+    keep_s: Annotated[float, Field(alias='handleS')] = 0
+
+
+class _Engine(_Fields):
+    slots: int = 1
+    # Tokens that fit into the memory of an engine.
+    memory_tokens: Annotated[int, Field(alias='kvCapacity')] = 0
+
+
+class _Service(_Fields):
+    name: str
+    max_connections: Annotated[int, Field(alias='maxConnections')] = 0
+    pieces: _Pieces | None = None
+    engine: _Engine | None = None
+
+
+class _Limits(_Fields):
+    max_header_bytes: Annotated[int, Field(alias='maxHeaderBytes')] = 16384
+    max_body_bytes: Annotated[int, Field(alias='maxBodyBytes')] = 4194304
+    header_timeout_ms: Annotated[int, Field(alias='headerTimeoutMs')] = 3000
+    idle_timeout_ms: Annotated[int, Field(alias='idleTimeoutMs')] = 15000
+
+
+class _Tenant(_Fields):
+    name: str
+    keys: Annotated[list[str], Field(alias='apiKeys')] = []
+    priority: int | None = None
+
+
+class _Configuration(_Fields):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+    tenants: list[_Tenant] | None = None
+
+
+class _Target(BaseModel):
+    model_config = ConfigDict(extra='ignore', strict=True)
+
+    service: str
+    address: Annotated[str, Field(pattern=ADDRESS_PATTERN)]
+    zone: str
+    state: str
+    slots: Annotated[int, Field(ge=0)]
+    # Counts the announcements of one start.
+    sequence: Annotated[int, Field(ge=0)] = 0
+    # Start of the process in Unix milliseconds.
+    born: int = 0
+
+
+class DocumentDecoder:
+    """Turns the platform's documents into the product's types."""
+
+    def configuration(self, content: bytes) -> ServingConfiguration:
+        """Decodes the operator's document.
+
+        Raises:
+            DocumentError: If it is malformed.
+        """
+        told = check_document(
+            _Configuration,
+            parse_json(content, CONFIGURATION_SOURCE),
+            CONFIGURATION_SOURCE,
+        )
+        keys = None
+        if told.tenants is not None:
+            keys = {
+                key: ServedOrganisation(tenant.name, tenant.priority)
+                for tenant in told.tenants
+                for key in tenant.keys
+            }
+        return ServingConfiguration(
+            version=told.version,
+            routes=tuple(_decode_route(route) for route in told.routes),
+            services={
+                service.name: _decode_service(service)
+                for service in told.services
+            },
+            limits=CallerLimits(
+                told.limits.max_header_bytes,
+                told.limits.max_body_bytes,
+                told.limits.header_timeout_ms,
+                told.limits.idle_timeout_ms,
+            ),
+            keys=keys,
+        )
+
+    def target(self, target_id: str, content: bytes) -> RosterRow:
+        """Decodes what a target announced of itself.
+
+        Raises:
+            DocumentError: If it names no target.
+        """
+        source = f'target {target_id}'
+        told = check_document(_Target, parse_json(content, source), source)
+        return RosterRow(
+            target_id=target_id,
+            service=told.service,
+            address=told.address,
+            failure_domain=told.zone,
+            phase=_decode_phase(told, source),
+            slots=told.slots,
+            incarnation=told.born,
+            beat=told.sequence,
+        )
+
+
+class _Phase(BaseModel):
+    state: TargetPhase
+
+
+def _decode_phase(told: _Target, source: str) -> TargetPhase:
+    return check_document(_Phase, {'state': told.state}, source).state
+
+
+def _decode_route(route: _Route) -> ServiceRoute:
+    backends = tuple(
+        Backend(backend.service, backend.weight)
+        for backend in route.backends
+    )
+    return ServiceRoute(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        kind=_decode_kind(route.kind),
+        timeout_ms=route.timeout_ms,
+        target_latency_ms=route.target_latency_ms,
+        backends=backends or (Backend(route.service),),
+        priority=route.priority,
+        max_attempts=max(route.max_attempts, 1),
+        stages=tuple(
+            RouteStage(stage.service, tuple(stage.after), stage.result_bytes)
+            for stage in route.stages
+        ),
+        allow_anonymous=route.allow_anonymous,
+        has_prompt=route.has_prompt,
+        resumable=route.resumable,
+        pause_ms=route.pause_ms,
+    )
+
+
+def _decode_kind(kind: str) -> RequestKind:
+    """Returns the kind of a route; of an unknown one nothing is repeated."""
+    known = {member.value: member for member in RequestKind}
+    return known.get(kind, RequestKind.NON_IDEMPOTENT)
+
+
+def _decode_service(service: _Service) -> TargetService:
+    batch = None
+    if service.pieces is not None:
+        pieces = service.pieces
+        batch = BatchLimits(
+            slots=max(pieces.slots, 1),
+            queue=pieces.queue,
+            size=max(pieces.size, 1),
+            call_ms=pieces.call_ms,
+            piece_ms=pieces.piece_ms,
+            room_bytes=pieces.room_mb * BYTES_PER_MB,
+            keep_ms=pieces.keep_s * MS_PER_S,
+        )
+    engine = None
+    if service.engine is not None:
+        engine = EngineLimits(
+            service.engine.slots,
+            service.engine.memory_tokens,
+        )
+    return TargetService(
+        service.name,
+        service.max_connections,
+        batch,
+        engine,
+    )
--- /dev/null
+++ b/borageyard/platform/ingress.py
@@ -0,0 +1,186 @@
+"""Requests of the platform's callers, and the answers to them."""
+
+from collections.abc import Mapping
+
+from ..clock import MS_PER_S
+from ..engine_board import Prompt, PromptPart
+from ..errors import ErrorKind, Refusal, RefusalError
+from ..http_messages import HttpRequest, HttpResponse, encode_json
+from ..inbound import InboundRequest
+
+ATTEMPT_ID = 'x-attempt-id'
+DEADLINE = 'x-deadline-ms'
+KEY_SCHEME = 'token '
+READY_PATH = '/readyz'
+DIRECTORY_PATH = '/resolve'
+# Headers that concern one connection only (RFC 9110, 7.6.1).
+CONNECTION_HEADERS = frozenset(
+    (
+        'connection',
+        'content-length',
+        'expect',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ),
+)
+# Headers that this system sets itself towards targets, whatever a caller
+# sent, and the caller's key.
+OWN_HEADERS = frozenset(
+    (
+        'authorization',
+        DEADLINE,
+        'kv-fetch',
+        'kv-from',
+        'last-event-id',
+        'x-expect-instance',
+        'x-expect-version',
+        'x-hold',
+        'x-inputs',
+        'x-kv-backup',
+        'x-pin-ms',
+        'x-request-priority',
+        'x-tenant',
+    ),
+)
+
+
+def decode_request(
+    request: HttpRequest,
+    received_at_ms: float,
+) -> InboundRequest:
+    """Returns a caller's request in the product's terms.
+
+    Args:
+        request: The request as it came.
+        received_at_ms: Steady time.
+
+    Raises:
+        RefusalError: If it has no id or a malformed header.
+    """
+    request_id = request.header(ATTEMPT_ID)
+    if not request_id:
+        raise _malformed(ATTEMPT_ID)
+    host = request.header('host').rpartition(':')[0] or request.header('host')
+    return InboundRequest(
+        request_id=request_id,
+        host=host.lower(),
+        method=request.method,
+        path=request.target.partition('?')[0],
+        target=request.target,
+        headers=forwarded_headers(request.headers, OWN_HEADERS),
+        body=request.body,
+        received_at_ms=received_at_ms,
+        wait_ms=_decode_wait_ms(request),
+        api_key=_decode_key(request),
+        prompt=_decode_prompt(request),
+        piece_counts=_decode_numbers(request, 'x-pieces'),
+        piece_key=request.header('x-piece-key'),
+        last_event_id=request.header('last-event-id'),
+    )
+
+
+def encode_refusal(request_id: str, refusal: Refusal) -> HttpResponse:
+    """Returns the answer to a request that is not served.
+
+    Args:
+        request_id: Id of the request; empty if it has none.
+        refusal: Why.
+    """
+    headers: dict[str, str] = {}
+    if request_id:
+        headers[ATTEMPT_ID] = request_id
+    if refusal.retry_after_ms:
+        headers['retry-after'] = f'{refusal.retry_after_ms / MS_PER_S:.3f}'
+    body = encode_json(
+        {
+            'error': refusal.kind.value,
+            'message': refusal.answer.message,
+            'detail': refusal.detail,
+        },
+    )
+    return HttpResponse(refusal.answer.status, body, headers=headers)
+
+
+def encode_addresses(addresses: tuple[str, ...], ttl_s: float) -> bytes:
+    """Returns the addresses for callers.
+
+    Args:
+        addresses: Where callers may connect.
+        ttl_s: How long they may keep the list.
+    """
+    return encode_json({'addresses': list(addresses), 'ttlS': ttl_s})
+
+
+def forwarded_headers(
+    headers: Mapping[str, str],
+    dropped: frozenset[str],
+) -> dict[str, str]:
+    """Returns the headers that go on to the other side.
+
+    Args:
+        headers: Headers by lower-case name.
+        dropped: Names that do not go on, besides those of one connection.
+    """
+    named = {
+        name.strip().lower() for name in headers.get('connection', '').split(',')
+    }
+    return {
+        name: text
+        for name, text in headers.items()
+        if name not in CONNECTION_HEADERS
+        and name not in dropped
+        and name not in named
+    }
+
+
+def _decode_wait_ms(request: HttpRequest) -> float | None:
+    told = request.header(DEADLINE)
+    try:
+        return float(told) if told else None
+    except ValueError as error:
+        raise _malformed(DEADLINE) from error
+
+
+def _decode_key(request: HttpRequest) -> str:
+    told = request.header('authorization')
+    if told.lower().startswith(KEY_SCHEME):
+        return told[len(KEY_SCHEME) :].strip()
+    return ''
+
+
+def _decode_prompt(request: HttpRequest) -> Prompt | None:
+    counts = _decode_numbers(request, 'x-token-count')
+    if not counts:
+        return None
+    parts = []
+    for told in request.header('x-prefix-hash').split(','):
+        part_id, _, tokens = told.strip().partition(':')
+        if part_id and tokens.isdigit():
+            parts.append(PromptPart(part_id, int(tokens)))
+    output_tokens = counts[1] if len(counts) > 1 else 0
+    return Prompt(
+        request.header('x-model'),
+        tuple(parts),
+        counts[0],
+        output_tokens,
+    )
+
+
+def _decode_numbers(request: HttpRequest, name: str) -> tuple[int, ...]:
+    told = request.header(name)
+    if not told:
+        return ()
+    try:
+        return tuple(int(number) for number in told.split(','))
+    except ValueError as error:
+        raise _malformed(name) from error
+
+
+def _malformed(name: str) -> RefusalError:
+    return RefusalError(Refusal(ErrorKind.BAD_REQUEST, detail=name))
--- /dev/null
+++ b/borageyard/platform/settings.py
@@ -0,0 +1,82 @@
+"""The settings file that the platform writes for a process."""
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from ..border import check_document, load_json
+from ..clock import MS_PER_S
+from ..gateway_settings import GatewaySettings
+from ..retry_window import RetryTerms
+
+SETTINGS_VARIABLE = 'BORAGEYARD_BOOT'
+# Longest time that callers are told to keep addresses, below the platform's
+# bound: a leaving entry is asked for no longer than three times this.
+ADDRESS_TTL_S = 2
+
+
+class _Fields(BaseModel):
+    model_config = ConfigDict(extra='ignore')
+
+
+class _Listen(_Fields):
+    front: str
+    ready: str
+    directory: str
+
+
+class _Bounds(_Fields):
+    # Share of requests and number of repeated sends of all entries together.
+    retry_ratio: Annotated[float, Field(alias='retryBudgetRatio')] = 0.1
+    retry_window_s: Annotated[float, Field(alias='budgetWindowS')] = 10
+    retry_extra: Annotated[float, Field(alias='budgetExtraRetries')] = 10
+    # Time between the request to stop and the kill.
+    grace_s: Annotated[float, Field(alias='graceS')] = 8
+    address_ttl_s: Annotated[float, Field(alias='ttl_max_s')] = ADDRESS_TTL_S
+
+
+class _Store(_Fields):
+    address: str
+
+
+class _NodeFile(_Fields):
+    instance_id: Annotated[str, Field(alias='nodeName')]
+    ip: str
+    failure_domain: Annotated[str, Field(alias='zone')]
+    listen: _Listen
+    # First and last port for streams between entries.
+    peer_ports: Annotated[
+        list[int],
+        Field(alias='internalPorts', min_length=2),
+    ]
+    bounds: _Bounds = _Bounds()
+    store: Annotated[_Store, Field(alias='platform')]
+
+
+def load_settings(path: str) -> GatewaySettings:
+    """Reads the settings of this process.
+
+    Args:
+        path: Path of the JSON file.
+
+    Raises:
+        DocumentError: If the file can't be read or a field is wrong.
+    """
+    node = check_document(_NodeFile, load_json(path), path)
+    bounds = node.bounds
+    return GatewaySettings(
+        instance_id=node.instance_id,
+        failure_domain=node.failure_domain,
+        caller_address=node.listen.front,
+        ready_address=node.listen.ready,
+        directory_address=node.listen.directory,
+        peer_address=f'{node.ip}:{node.peer_ports[0]}',
+        store_address=node.store.address,
+        retry_terms=RetryTerms(
+            ratio=bounds.retry_ratio,
+            extra=bounds.retry_extra,
+            window_ms=bounds.retry_window_s * MS_PER_S,
+        ),
+        grace_ms=bounds.grace_s * MS_PER_S,
+        address_ttl_s=min(bounds.address_ttl_s, ADDRESS_TTL_S),
+    )
--- /dev/null
+++ b/borageyard/platform/store.py
@@ -0,0 +1,177 @@
+"""The platform's store: topics that keep the newest record of each key."""
+
+import base64
+import struct
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Annotated
+from urllib.parse import urlencode
+
+from pydantic import BaseModel, Field
+
+from ..border import DocumentError, check_document, parse_json
+from ..http_client import HttpCall, HttpCallError, HttpClient, HttpReply
+from ..shared_table import (
+    HistoryLostError,
+    StoreError,
+    Table,
+    TablePage,
+    TableRecord,
+)
+
+TOPICS: Mapping[Table, str] = {
+    Table.CONFIGURATION: 'keyed.op',
+    Table.TARGETS: 'keyed.servers',
+    Table.ENTRIES: 'keyed.status',
+}
+# The one key of the operator's topic that holds the configuration.
+CONFIGURATION_KEY = 'config'
+ONLY_PART = 0
+BOUNDS = struct.Struct('>QQ')
+LENGTH = struct.Struct('>I')
+# Answer time of the store when it is slow (fifty times 4 ms), several times.
+CALL_TIMEOUT_MS = 700
+CALL_HEADERS: Mapping[str, str] = {'accept-encoding': 'identity'}
+
+
+class _Item(BaseModel):
+    key: str
+    # The value in base64.
+    value: str
+    offset: int
+
+
+class _NewestPage(BaseModel):
+    items: list[_Item] = []
+    more: Annotated[bool, Field(alias='hasMore')] = False
+    end: int
+
+
+class StoreTables:
+    """Reads and writes the tables over HTTP."""
+
+    def __init__(self, client: HttpClient, address: str) -> None:
+        """Binds the store's address.
+
+        Args:
+            client: Sends the calls.
+            address: Where the store listens.
+        """
+        self._client = client
+        self._address = address
+
+    async def snapshot(self, table: Table) -> TablePage:
+        """Reads the newest record of each key."""
+        first = page = await self._newest(table, {})
+        items = list(page.items)
+        while page.more and page.items:
+            page = await self._newest(table, {'after': page.items[-1].key})
+            items.extend(page.items)
+        records = [
+            TableRecord(item.offset, item.key, base64.b64decode(item.value))
+            for item in items
+            if _is_relevant(table, item.key)
+        ]
+        records.sort(key=lambda record: record.offset)
+        return TablePage(tuple(records), first.end)
+
+    async def read(self, table: Table, offset: int, wait_ms: float) -> TablePage:
+        """Reads the history of a table from an offset on."""
+        query = {
+            'topic': TOPICS[table],
+            'part': ONLY_PART,
+            'from': offset,
+            'waitMs': round(wait_ms),
+        }
+        reply = await self._call(
+            HttpCall(
+                self._address,
+                'GET',
+                f'/log-read?{urlencode(query)}',
+                headers=CALL_HEADERS,
+                timeout_ms=wait_ms + CALL_TIMEOUT_MS,
+            ),
+        )
+        if reply.status == HTTPStatus.GONE:
+            raise HistoryLostError(f'{TOPICS[table]} before {offset}')
+        _require_good(reply)
+        return _decode_history(table, offset, reply.body)
+
+    async def put(self, table: Table, key: str, content: bytes) -> None:
+        """Writes the newest record of a key."""
+        name = key.encode()
+        record = bytes((len(name),)) + name + content
+        query = {'topic': TOPICS[table], 'part': ONLY_PART}
+        reply = await self._call(
+            HttpCall(
+                self._address,
+                'POST',
+                f'/log-append?{urlencode(query)}',
+                LENGTH.pack(len(record)) + record,
+                headers=CALL_HEADERS,
+                timeout_ms=CALL_TIMEOUT_MS,
+                repeatable=False,
+            ),
+        )
+        _require_good(reply)
+
+    async def _newest(
+        self,
+        table: Table,
+        further: Mapping[str, str],
+    ) -> _NewestPage:
+        query = {'topic': TOPICS[table], 'part': ONLY_PART, **further}
+        reply = await self._call(
+            HttpCall(
+                self._address,
+                'GET',
+                f'/log-newest?{urlencode(query)}',
+                headers=CALL_HEADERS,
+                timeout_ms=CALL_TIMEOUT_MS,
+            ),
+        )
+        _require_good(reply)
+        source = TOPICS[table]
+        try:
+            document = parse_json(reply.body, source)
+            return check_document(_NewestPage, document, source)
+        except DocumentError as error:
+            raise StoreError(str(error)) from error
+
+    async def _call(self, call: HttpCall) -> HttpReply:
+        try:
+            return await self._client.request(call)
+        except HttpCallError as error:
+            raise StoreError(error.reason) from error
+
+
+def _require_good(reply: HttpReply) -> None:
+    if reply.status != HTTPStatus.OK:
+        raise StoreError(f'status {reply.status}')
+
+
+def _is_relevant(table: Table, key: str) -> bool:
+    return table is not Table.CONFIGURATION or key == CONFIGURATION_KEY
+
+
+def _decode_history(table: Table, offset: int, body: bytes) -> TablePage:
+    """Decodes the bounds of a topic and its records."""
+    if len(body) < BOUNDS.size:
+        raise StoreError(f'history of {len(body)} bytes')
+    records: list[TableRecord] = []
+    at = BOUNDS.size
+    while at + LENGTH.size <= len(body):
+        size_bytes = LENGTH.unpack_from(body, at)[0]
+        at += LENGTH.size
+        record = _decode_record(offset, body[at : at + size_bytes])
+        if _is_relevant(table, record.key):
+            records.append(record)
+        at += size_bytes
+        offset += 1
+    return TablePage(tuple(records), offset)
+
+
+def _decode_record(offset: int, raw: bytes) -> TableRecord:
+    key_end = 1 + raw[0] if raw else 0
+    key = raw[1:key_end].decode('utf-8', 'replace')
+    return TableRecord(offset, key, raw[key_end:] or None)
--- /dev/null
+++ b/borageyard/platform/targets.py
@@ -0,0 +1,266 @@
+"""Calls to the platform's targets: requests and pieces."""
+
+import contextlib
+from collections.abc import AsyncIterator, Mapping, Sequence
+from http import HTTPStatus
+from typing import TypeVar
+
+from pydantic import BaseModel, ConfigDict
+
+from ..border import DocumentError, check_document, parse_json
+from ..http_client import HttpCall, HttpCallError, HttpClient
+from ..http_messages import JSON_TYPE, encode_json
+from ..inbound import (
+    SendError,
+    SendFailure,
+    TargetAnswer,
+    TargetLoad,
+    TargetSend,
+)
+from ..piece_runner import (
+    CallFailedError,
+    PieceEnd,
+    PieceOutcome,
+    PieceWork,
+    TargetFullError,
+)
+from ..roster import RosterRow
+from .ingress import ATTEMPT_ID, DEADLINE, forwarded_headers
+
+ModelT = TypeVar('ModelT', bound=BaseModel)
+
+EXPECTED_TARGET = 'x-expect-instance'
+LOAD = 'x-instance-load'
+LOAD_FIGURES = 3
+NOT_RUN = 'x-not-executed'
+STAMP = 'x-server-stamp'
+# A caller's time-out ends an exchange well before this does.
+EXCHANGE_SLACK_MS = 5000
+SHORT_CALL_TIMEOUT_MS = 500
+BYTES_PER_MB = 1_000_000
+ENDS: Mapping[str, PieceEnd] = {
+    'late': PieceEnd.LATE,
+    'gone': PieceEnd.INPUT_GONE,
+    'room': PieceEnd.NO_ROOM,
+}
+
+
+class _Item(BaseModel):
+    # Names the result; empty if there is none.
+    handle: str = ''
+    reason: str = ''
+
+
+class _RunReply(BaseModel):
+    model_config = ConfigDict(extra='ignore')
+
+    items: list[_Item]
+
+
+class _Report(BaseModel):
+    model_config = ConfigDict(extra='ignore')
+
+    # Memory for results that is left.
+    freeMb: float  # noqa: N815
+
+
+class HttpTargetSender:
+    """Sends requests of callers to targets."""
+
+    def __init__(self, client: HttpClient) -> None:
+        """Binds the client.
+
+        Args:
+            client: Keeps the connections.
+        """
+        self._client = client
+
+    @contextlib.asynccontextmanager
+    async def send(self, send: TargetSend) -> AsyncIterator[TargetAnswer]:
+        """Sends a request; leaving the context early cancels it."""
+        request_id = send.request.request_id
+        call = HttpCall(
+            send.target.address,
+            send.request.method,
+            send.request.target,
+            send.request.body,
+            headers=_encode_headers(send),
+            timeout_ms=send.left_ms + EXCHANGE_SLACK_MS,
+            repeatable=send.repeatable,
+            is_answer=lambda headers: _is_answer(headers, request_id),
+        )
+        try:
+            async with self._client.stream(call) as (status, headers, chunks):
+                _require_stamp(status, headers)
+                yield TargetAnswer(
+                    status=status,
+                    headers=forwarded_headers(headers, frozenset((LOAD,))),
+                    not_run=_is_not_run(status, headers),
+                    wrong_target=status == HTTPStatus.MISDIRECTED_REQUEST,
+                    load=_decode_load(headers),
+                    chunks=_guarded(chunks),
+                )
+        except HttpCallError as error:
+            raise _send_error(error) from error
+
+
+class HttpPieceRunner:
+    """Sends calls with pieces to targets."""
+
+    def __init__(self, client: HttpClient) -> None:
+        """Binds the client.
+
+        Args:
+            client: Keeps the connections.
+        """
+        self._client = client
+
+    async def run(
+        self,
+        target: RosterRow,
+        pieces: Sequence[PieceWork],
+        timeout_ms: float,
+    ) -> Sequence[PieceOutcome]:
+        """Runs a call."""
+        call = HttpCall(
+            target.address,
+            'POST',
+            '/stage-run',
+            encode_json({'items': [_encode_piece(piece) for piece in pieces]}),
+            headers={
+                'content-type': JSON_TYPE,
+                EXPECTED_TARGET: target.target_id,
+            },
+            timeout_ms=timeout_ms,
+        )
+        try:
+            reply = await self._client.request(call)
+        except HttpCallError as error:
+            raise CallFailedError(error.reason) from error
+        if reply.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            raise TargetFullError(f'status {reply.status}')
+        if reply.status != HTTPStatus.OK:
+            raise CallFailedError(f'status {reply.status}')
+        told = _decode(_RunReply, reply.body)
+        if len(told.items) != len(pieces):
+            raise CallFailedError(f'{len(told.items)} results')
+        return [_decode_outcome(item) for item in told.items]
+
+    async def free(self, address: str, handles: Sequence[str]) -> None:
+        """Frees results at their maker."""
+        await self._short_call(
+            HttpCall(
+                address,
+                'POST',
+                '/stage-free',
+                encode_json({'handles': list(handles)}),
+                headers={'content-type': JSON_TYPE},
+                timeout_ms=SHORT_CALL_TIMEOUT_MS,
+            ),
+        )
+
+    async def free_bytes(self, target: RosterRow) -> float:
+        """Returns the memory for results that a target has left."""
+        body = await self._short_call(
+            HttpCall(
+                target.address,
+                'GET',
+                '/report',
+                timeout_ms=SHORT_CALL_TIMEOUT_MS,
+            ),
+        )
+        return _decode(_Report, body).freeMb * BYTES_PER_MB
+
+    async def _short_call(self, call: HttpCall) -> bytes:
+        try:
+            reply = await self._client.request(call)
+        except HttpCallError as error:
+            raise CallFailedError(error.reason) from error
+        if reply.status != HTTPStatus.OK:
+            raise CallFailedError(f'status {reply.status}')
+        return reply.body
+
+
+async def _guarded(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    """Yields chunks; a body that breaks off is told as a failed send."""
+    try:
+        async for chunk in chunks:
+            yield chunk
+    except HttpCallError as error:
+        raise _send_error(error) from error
+
+
+def _send_error(error: HttpCallError) -> SendError:
+    failure = SendFailure.UNKNOWN if error.sent else SendFailure.NOT_SENT
+    return SendError(failure, error.reason)
+
+
+def _encode_headers(send: TargetSend) -> Mapping[str, str]:
+    headers = {
+        **send.request.headers,
+        DEADLINE: str(max(round(send.left_ms), 1)),
+        EXPECTED_TARGET: send.target.target_id,
+    }
+    if send.organisation:
+        headers['x-tenant'] = send.organisation
+    if send.priority is not None:
+        headers['x-request-priority'] = str(send.priority)
+    if send.input_handles is not None:
+        headers['x-inputs'] = ','.join(send.input_handles)
+    if send.last_event_id:
+        headers['last-event-id'] = send.last_event_id
+    return headers
+
+
+def _is_answer(headers: Mapping[str, str], request_id: str) -> bool:
+    """Tells whether a response is for a request; rejections carry no id."""
+    told = headers.get(ATTEMPT_ID)
+    if told is None:
+        return NOT_RUN in headers
+    return told == request_id
+
+
+def _is_not_run(status: int, headers: Mapping[str, str]) -> bool:
+    return NOT_RUN in headers or status == HTTPStatus.MISDIRECTED_REQUEST
+
+
+def _require_stamp(status: int, headers: Mapping[str, str]) -> None:
+    """Refuses a success that lacks the target's signature."""
+    good = HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
+    if good and STAMP not in headers:
+        raise SendError(SendFailure.UNKNOWN, 'success without a signature')
+
+
+def _decode_load(headers: Mapping[str, str]) -> TargetLoad | None:
+    figures = headers.get(LOAD, '').split(',')
+    if len(figures) != LOAD_FIGURES or not all(map(str.isdigit, figures)):
+        return None
+    running, waiting, slots = map(int, figures)
+    return TargetLoad(running, waiting, slots)
+
+
+def _encode_piece(piece: PieceWork) -> Mapping[str, object]:
+    encoded: dict[str, object] = {
+        'id': piece.request_id,
+        'stage': piece.stage,
+        'piece': piece.number,
+        'leftMs': round(piece.left_ms),
+    }
+    if piece.inputs is None:
+        encoded['key'] = piece.key
+    else:
+        encoded['inputs'] = list(piece.inputs)
+    return encoded
+
+
+def _decode_outcome(item: _Item) -> PieceOutcome:
+    if item.handle:
+        return PieceOutcome(PieceEnd.MADE, item.handle)
+    return PieceOutcome(ENDS.get(item.reason, PieceEnd.FAILED))
+
+
+def _decode(model: type[ModelT], body: bytes) -> ModelT:
+    try:
+        return check_document(model, parse_json(body, 'target'), 'target')
+    except DocumentError as error:
+        raise CallFailedError(str(error)) from error
--- a/borageyard/policy.py
+++ b/borageyard/policy.py
@@ -17,7 +17,7 @@
 from .events import Event, log_event
 from .latency import ServiceTimes
 from .limits import OrganisationLimits
-from .platform import ROLE_ENTRY, STATE_LIVE, Instance
+from .backing_services import ROLE_ENTRY, STATE_LIVE, Instance
 from .quarantine import CrashQuarantine, Standing
 from .requests import AdmittedRequest, StageRequest
 from .retries import RetryBudgets
--- a/borageyard/policy_slopes.py
+++ b/borageyard/policy_slopes.py
@@ -14,7 +14,7 @@
     Service,
     Stage,
 )
-from .platform import ROLE_TARGET, Instance
+from .backing_services import ROLE_TARGET, Instance
 from .policy import EntryPolicy, PolicyOptions, PolicyPlace
 from .requests import AdmittedRequest, PipelineRequest, StageRequest
 from .target import LoadReport
--- a/borageyard/reconciler.py
+++ b/borageyard/reconciler.py
@@ -17,7 +17,7 @@
     OrderPlanner,
 )
 from .permission import waiting_time_ms
-from .platform import (
+from .backing_services import (
     LogService,
     OffsetExpiredError,
     PlatformError,
--- /dev/null
+++ b/borageyard/relay_terms.py
@@ -0,0 +1,18 @@
+"""What is settled of a request before anything is sent."""
+
+import dataclasses
+
+from .serving import ServiceRoute
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayTerms:
+    """Route, service, customer and time of an admitted request."""
+
+    route: ServiceRoute
+    service: str
+    organisation: str
+    # 0 is the most urgent.
+    priority: int
+    aim_at_ms: float
+    deadline_at_ms: float
--- /dev/null
+++ b/borageyard/roster.py
@@ -0,0 +1,157 @@
+"""Targets as they announce themselves, folded from the shared store."""
+
+import dataclasses
+import enum
+from collections.abc import Iterable, Mapping, Sequence
+
+
+class TargetPhase(enum.Enum):
+    """Whether a target takes new work."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RosterRow:
+    """What a target announced of itself."""
+
+    target_id: str
+    service: str
+    address: str
+    failure_domain: str
+    phase: TargetPhase
+    slots: int = 0
+    # Start of the process in milliseconds since the epoch.
+    incarnation: int = 0
+    # Number of the announcement within an incarnation.
+    beat: int = 0
+
+    @property
+    def age_key(self) -> tuple[int, int]:
+        """Returns what orders the announcements of a target."""
+        return self.incarnation, self.beat
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RosterChange:
+    """A record of the store about one target."""
+
+    offset: int
+    target_id: str
+    # None if the record was removed or names no target.
+    row: RosterRow | None
+
+
+class TargetRoster:
+    """Targets that are known now.
+
+    A record counts once, in the order of its offset. An announcement that is
+    older than one already seen changes nothing, and an incarnation that was
+    draining once never takes new work again.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.offset = 0
+        self._changes: dict[str, RosterChange] = {}
+        self._newest: dict[str, RosterRow] = {}
+        self._avoided: dict[str, int] = {}
+        self._by_service: dict[str, tuple[RosterRow, ...]] = {}
+
+    def apply(self, changes: Iterable[RosterChange], end: int) -> bool:
+        """Takes in records.
+
+        Args:
+            changes: Records, each about one target.
+            end: Offset after the last record that was looked at.
+
+        Returns:
+            Whether a target came, left or changed its phase.
+        """
+        changed = [self._apply_one(change) for change in changes]
+        self.offset = max(self.offset, end)
+        if any(changed):
+            self._index()
+        return any(changed)
+
+    def ready(self, service: str) -> Sequence[RosterRow]:
+        """Returns the targets of a service that take new work."""
+        return self._by_service.get(service, ())
+
+    def find(self, target_id: str) -> RosterRow | None:
+        """Returns a target that is known, in whatever phase."""
+        change = self._changes.get(target_id)
+        return change.row if change else None
+
+    def avoid(self, row: RosterRow) -> None:
+        """Gives an incarnation no new work until another announces itself.
+
+        Args:
+            row: Target that turned out to be gone.
+        """
+        self._avoided[row.target_id] = row.incarnation
+        self._index()
+
+    @property
+    def services(self) -> Mapping[str, Sequence[RosterRow]]:
+        """Returns the targets that take new work by service."""
+        return self._by_service
+
+    def _apply_one(self, change: RosterChange) -> bool:
+        known = self._changes.get(change.target_id)
+        if known is not None and change.offset <= known.offset:
+            return False
+        before = known.row if known else None
+        row = self._accept(change.row, before)
+        self._changes[change.target_id] = dataclasses.replace(change, row=row)
+        return _summary(before) != _summary(row)
+
+    def _accept(
+        self,
+        row: RosterRow | None,
+        before: RosterRow | None,
+    ) -> RosterRow | None:
+        if row is None:
+            return None
+        newest = self._newest.get(row.target_id)
+        if newest is not None and row.age_key < newest.age_key:
+            return before
+        was_draining = (
+            newest is not None
+            and newest.phase is TargetPhase.DRAINING
+            and newest.incarnation == row.incarnation
+        )
+        if was_draining:
+            row = dataclasses.replace(row, phase=TargetPhase.DRAINING)
+        self._newest[row.target_id] = row
+        return row
+
+    def _index(self) -> None:
+        by_address: dict[str, tuple[int, RosterRow]] = {}
+        for change in self._changes.values():
+            row = change.row
+            if row is None:
+                continue
+            held = by_address.get(row.address)
+            # An address that was assigned anew belongs to the later start.
+            if held is None or held[1].incarnation <= row.incarnation:
+                by_address[row.address] = (change.offset, row)
+        rows = [row for _, row in by_address.values() if self._usable(row)]
+        rows.sort(key=lambda row: row.target_id)
+        grouped: dict[str, list[RosterRow]] = {}
+        for row in rows:
+            grouped.setdefault(row.service, []).append(row)
+        self._by_service = {
+            service: tuple(members) for service, members in grouped.items()
+        }
+
+    def _usable(self, row: RosterRow) -> bool:
+        avoided = self._avoided.get(row.target_id)
+        return row.phase is TargetPhase.READY and avoided != row.incarnation
+
+
+def _summary(row: RosterRow | None) -> object:
+    if row is None:
+        return None
+    return dataclasses.replace(row, beat=0)
--- /dev/null
+++ b/borageyard/shared_table.py
@@ -0,0 +1,154 @@
+"""Tables of the newest record of each key, kept by the shared store."""
+
+import asyncio
+import dataclasses
+import enum
+from collections.abc import Sequence
+from typing import Protocol
+
+from .clock import MS_PER_S
+
+
+class Table(enum.Enum):
+    """The tables that entries read; they write only the last one."""
+
+    CONFIGURATION = 'configuration'
+    TARGETS = 'targets'
+    ENTRIES = 'entries'
+
+
+class StoreError(Exception):
+    """The store did not answer, or refused."""
+
+
+class HistoryLostError(StoreError):
+    """Records from the wanted offset on are no longer kept."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableRecord:
+    """A record with its place in the history of its table."""
+
+    offset: int
+    key: str
+    # None if the key was dropped.
+    content: bytes | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TablePage:
+    """Records, and the offset from which on to read further."""
+
+    records: tuple[TableRecord, ...]
+    end: int
+
+
+class SharedTables(Protocol):
+    """The store that the entries of a deployment share."""
+
+    async def snapshot(self, table: Table) -> TablePage:
+        """Reads the newest record of each key.
+
+        Args:
+            table: Which table.
+
+        Raises:
+            StoreError: If the store does not answer.
+        """
+
+    async def read(self, table: Table, offset: int, wait_ms: float) -> TablePage:
+        """Reads the history of a table from an offset on.
+
+        Args:
+            table: Which table.
+            offset: First offset wanted.
+            wait_ms: How long to wait for a record when there is none yet.
+
+        Raises:
+            HistoryLostError: If records from there on were removed.
+            StoreError: If the store does not answer.
+        """
+
+    async def put(self, table: Table, key: str, content: bytes) -> None:
+        """Writes the newest record of a key.
+
+        Args:
+            table: Which table.
+            key: Its key.
+            content: Any bytes.
+
+        Raises:
+            StoreError: If the store does not answer; it may be written.
+        """
+
+
+class MemoryTables:
+    """Tables of one process, with faults, for tests."""
+
+    def __init__(self) -> None:
+        """Starts with empty tables."""
+        self.down = False
+        self._history: dict[Table, list[TableRecord]] = {}
+        self._first: dict[Table, int] = {}
+        self._changed = asyncio.Event()
+
+    def write(self, table: Table, key: str, content: bytes | None) -> None:
+        """Appends a record, as an operator or a target does."""
+        history = self._history.setdefault(table, [])
+        history.append(TableRecord(len(history), key, content))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def forget(self, table: Table) -> None:
+        """Drops the history; the newest record of each key stays."""
+        self._first[table] = len(self._history.get(table, ()))
+
+    async def snapshot(self, table: Table) -> TablePage:
+        """Reads the newest record of each key."""
+        self._require_up()
+        history = self._history.get(table, [])
+        newest = {record.key: record for record in history}
+        kept = [
+            record for record in newest.values() if record.content is not None
+        ]
+        return TablePage(tuple(kept), len(history))
+
+    async def read(self, table: Table, offset: int, wait_ms: float) -> TablePage:
+        """Reads the history of a table from an offset on."""
+        self._require_up()
+        if offset < self._first.get(table, 0):
+            raise HistoryLostError(f'{table.value} before offset {offset}')
+        if offset >= len(self._history.get(table, ())):
+            await self._wait(wait_ms)
+            self._require_up()
+        history = self._history.get(table, [])
+        return TablePage(tuple(history[offset:]), len(history))
+
+    async def put(self, table: Table, key: str, content: bytes) -> None:
+        """Writes the newest record of a key."""
+        self._require_up()
+        self.write(table, key, content)
+
+    async def _wait(self, wait_ms: float) -> None:
+        try:
+            async with asyncio.timeout(wait_ms / MS_PER_S):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _require_up(self) -> None:
+        if self.down:
+            raise StoreError('down')
+
+
+def latest(page: TablePage, key: str) -> TableRecord | None:
+    """Returns the last record of a key on a page.
+
+    Args:
+        page: Records in the order of their offsets.
+        key: The key.
+    """
+    found: Sequence[TableRecord] = [
+        record for record in page.records if record.key == key
+    ]
+    return found[-1] if found else None
--- a/borageyard/standins/command.py
+++ b/borageyard/standins/command.py
@@ -7,7 +7,7 @@
 from ..clock import SystemClock
 from ..generated.settings import StandinSettings
 from ..http_server import Handler, HttpServer
-from ..platform import Instance, MemoryInstances, MemoryLog
+from ..backing_services import Instance, MemoryInstances, MemoryLog
 from .platform_http import InstancesHandler, LogHandler, WeightsHandler
 from .target import StandinTarget, TargetProfile
 from .target_http import TargetServer
--- a/borageyard/standins/platform_http.py
+++ b/borageyard/standins/platform_http.py
@@ -8,7 +8,7 @@
 from ..clock import MS_PER_S
 from ..http_messages import HttpRequest, HttpResponse, json_response
 from ..memory_log import MemoryLogService
-from ..platform import (
+from ..backing_services import (
     AppendUnknownError,
     LogPage,
     MemoryInstances,
--- a/borageyard/targets.py
+++ b/borageyard/targets.py
@@ -9,7 +9,7 @@
 from .clock import MS_PER_S, Clock
 from .events import Event, log_event
 from .peer_calls import PeerCalls
-from .platform import (
+from .backing_services import (
     ROLE_TARGET,
     STATE_LEAVING,
     Instance,
--- /dev/null
+++ b/borageyard/work_times.py
@@ -0,0 +1,71 @@
+"""Times of calls on batching targets, learned from those that ended."""
+
+from collections.abc import Mapping, Sequence
+
+from .serving import BatchLimits
+
+# Part of the difference between an expected and a seen time that is learned.
+LEARNING_RATE = 0.3
+# A learned time stays within these factors of the declared one.
+LEAST_FACTOR = 0.1
+MOST_FACTOR = 4
+
+
+class WorkTimes:
+    """Time of a piece by the kind of work, starting from the declared one."""
+
+    def __init__(self) -> None:
+        """Starts with the declared times."""
+        self._learned_ms: dict[str, float] = {}
+
+    def piece_ms(self, work: str, limits: BatchLimits) -> float:
+        """Returns the time that a piece adds to its call.
+
+        Args:
+            work: Kind of work: route and stage.
+            limits: What is declared of the service.
+        """
+        return self._learned_ms.get(work, limits.piece_ms)
+
+    def call_ms(self, works: Sequence[str], limits: BatchLimits) -> float:
+        """Returns the expected time of a call.
+
+        Args:
+            works: Kind of work of each piece.
+            limits: What is declared of the service.
+        """
+        pieces_ms = sum(self.piece_ms(work, limits) for work in works)
+        return limits.call_ms + pieces_ms
+
+    def note_call(
+        self,
+        works: Sequence[str],
+        took_ms: float,
+        limits: BatchLimits,
+    ) -> None:
+        """Learns from a call that ended well.
+
+        The difference is spread over the kinds of work by their counts
+        (normalised least mean squares, Widrow and Hoff 1960).
+
+        Args:
+            works: Kind of work of each piece.
+            took_ms: How long the call took.
+            limits: What is declared of the service.
+        """
+        counts: dict[str, int] = {}
+        for work in works:
+            counts[work] = counts.get(work, 0) + 1
+        residual_ms = took_ms - self.call_ms(works, limits)
+        power = sum(count * count for count in counts.values())
+        for work, count in counts.items():
+            step_ms = LEARNING_RATE * residual_ms * count / power
+            learned_ms = self.piece_ms(work, limits) + step_ms
+            least_ms = LEAST_FACTOR * limits.piece_ms
+            most_ms = MOST_FACTOR * limits.piece_ms
+            self._learned_ms[work] = min(max(learned_ms, least_ms), most_ms)
+
+    @property
+    def learned_ms(self) -> Mapping[str, float]:
+        """Returns the learned times by kind of work."""
+        return self._learned_ms
--- a/tests/claim_model.py
+++ b/tests/claim_model.py
@@ -15,7 +15,7 @@
 from borageyard.generated.settings import EntrySettings
 from borageyard.memory_log import MemoryLogService
 from borageyard.peers import MemoryPeerNetwork
-from borageyard.platform import (
+from borageyard.backing_services import (
     AppendUnknownError,
     MemoryLog,
     PlatformError,
--- a/tests/test_cache_watcher.py
+++ b/tests/test_cache_watcher.py
@@ -6,7 +6,7 @@
 from borageyard.cache_watcher import CacheWatcher
 from borageyard.clock import ManualClock
 from borageyard.configuration import Configuration, Service
-from borageyard.platform import ROLE_TARGET, Instance
+from borageyard.backing_services import ROLE_TARGET, Instance
 from borageyard.target import CacheEvent, FailureKind, TargetError
 from borageyard.targets import TargetDirectory
 
--- a/tests/test_claim_gate.py
+++ b/tests/test_claim_gate.py
@@ -8,7 +8,7 @@
 
 from borageyard.errors import ErrorKind, Ran
 from borageyard.identifiers import new_identifier
-from borageyard.platform import AppendUnknownError
+from borageyard.backing_services import AppendUnknownError
 from borageyard.requests import Answer
 
 from .claim_cluster import STREAM, claim_cluster, is_not_run
--- a/tests/test_configuration_sync.py
+++ b/tests/test_configuration_sync.py
@@ -14,7 +14,7 @@
 from borageyard.generated.http_configuration import ProposalBody
 from borageyard.identifiers import new_identifier
 from borageyard.memory_deployment import MemoryDeployment
-from borageyard.platform import MemoryLog
+from borageyard.backing_services import MemoryLog
 from borageyard.requests import PipelineRequest
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -3,7 +3,7 @@
 import itertools
 
 from borageyard.leases import TERM_MS, LeaseKeeper
-from borageyard.platform import LogPage, LogRecord
+from borageyard.backing_services import LogPage, LogRecord
 
 SOON_MS = 10
 LONG_MS = 30_000
--- a/tests/test_log_reader.py
+++ b/tests/test_log_reader.py
@@ -3,7 +3,7 @@
 from borageyard.clock import ManualClock
 from borageyard.log_reader import FIRST_BACK_RECORDS, StreamReader
 from borageyard.memory_log import MemoryLogService
-from borageyard.platform import MemoryLog
+from borageyard.backing_services import MemoryLog
 
 STREAM = 'claims-0'
 RECORDS = 200
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -15,7 +15,7 @@
     Membership,
     MemberState,
 )
-from borageyard.platform import ROLE_ENTRY, STATE_LEAVING, Instance
+from borageyard.backing_services import ROLE_ENTRY, STATE_LEAVING, Instance
 
 TICK_MS = 200
 
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -23,7 +23,7 @@
     PeerWord,
     PermissionHolder,
 )
-from borageyard.platform import MemoryLog, OffsetExpiredError, PlatformError
+from borageyard.backing_services import MemoryLog, OffsetExpiredError, PlatformError
 
 # A longer run: BORAGEYARD_EXAMPLES=5000 pytest tests/test_permission.py
 EXAMPLES = int(os.environ.get('BORAGEYARD_EXAMPLES', '60'))
--- a/tests/test_permission_rules.py
+++ b/tests/test_permission_rules.py
@@ -13,7 +13,7 @@
     PermissionHolder,
     waiting_time_ms,
 )
-from borageyard.platform import MemoryLog
+from borageyard.backing_services import MemoryLog
 
 PERMISSION_MS = 1000
 
--- a/tests/test_policy_decisions.py
+++ b/tests/test_policy_decisions.py
@@ -13,7 +13,7 @@
 from borageyard.ejection import OutlierDetector
 from borageyard.fair_queue import FairQueue, Ticket
 from borageyard.latency import RecentQuantiles
-from borageyard.platform import ROLE_TARGET, Instance
+from borageyard.backing_services import ROLE_TARGET, Instance
 from borageyard.quarantine import CrashQuarantine, Standing
 from borageyard.retries import RetryBudgets
 from borageyard.target import FailureKind
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -1,7 +1,7 @@
 """Tests of the choice of a target."""
 
 from borageyard.affinity import PrefixAffinity
-from borageyard.platform import ROLE_TARGET, Instance
+from borageyard.backing_services import ROLE_TARGET, Instance
 from borageyard.routing import PredictedFinishRouter, RouteQuery
 from borageyard.target import LoadReport
 from borageyard.targets import TargetDirectory
