Count results' memory as free only once it was freed

Cause: pieces were told 'no room' (293 of 8,000) because the accounts showed memory as free while the call that frees it was still on its way; the pieces' inputs then expired. Ruled out: results of other sizes than declared (30 are left), calls of others (one scheduler).

--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -11,6 +11,10 @@
 FAILURE_PAUSE_MS = 1000
 # Pause after a target said that it is full: others hold its slots.
 FULL_PAUSE_MS = 60
+# Time for which a target that had no room is taken to be full; about a call.
+NO_ROOM_MS = 250
+# Step in which targets state their free memory.
+REPORT_STEP_BYTES = 1_000_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,15 +106,22 @@
         """Takes in the memory that the target itself states as free.
 
         What is taken beyond the own accounts belongs to calls of others and
-        expires like all results.
+        expires like all results. Targets state whole megabytes, rounded down.
 
         Args:
             free_bytes: Free memory at the target.
             now_ms: Steady time.
         """
-        self.foreign_bytes = max(self.free_bytes(now_ms) - free_bytes, 0)
+        most_free_bytes = free_bytes + REPORT_STEP_BYTES
+        own_free_bytes = self.free_bytes(now_ms)
+        self.foreign_bytes = max(own_free_bytes - most_free_bytes, 0)
         self._foreign_until_ms = now_ms + self.limits.keep_ms
 
+    def note_no_room(self, now_ms: float) -> None:
+        """Takes in that results found no room that the accounts showed."""
+        self.foreign_bytes += max(self.free_bytes(now_ms), 0)
+        self._foreign_until_ms = now_ms + NO_ROOM_MS
+
     def note_sent(self, call: BatchCall) -> None:
         """Takes in that a call was sent."""
         self._calls.append(call)
--- a/borageyard/chain_scheduler.py
+++ b/borageyard/chain_scheduler.py
@@ -11,6 +11,7 @@
     ChainOrder,
     PieceId,
     PieceResult,
+    StageState,
 )
 from .engine_board import (
     PREFILL_TOKENS_PER_MS,
@@ -51,6 +52,8 @@
 # Time after its deadline at which a request is forgotten in any case.
 FORGET_MS = 3000
 MIN_RETRY_AFTER_MS = 200
+# Pause between looks for requests that can't be served any more.
+EXPIRY_INTERVAL_MS = 25
 
 
 class ChainRefusal(enum.Enum):
@@ -100,17 +103,38 @@
     batching: Mapping[str, tuple[BatchLimits, Sequence[RosterRow]]]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class _Candidate:
-    piece: PieceId
+    """Missing pieces of one stage of a request, in the order of urgency."""
+
     chain: Chain
+    state: StageState
     key_ms: float
     slack_ms: float
-    size_bytes: float
-    work: str
-    # Where the engine is that will read the result, if it is large.
+    # Where the engine is that will read the results, if they are large.
     domain: str
 
+    def remote_ms(self, target: BatchTarget) -> float:
+        """Returns what making the results far from their reader costs."""
+        if self.domain in {'', target.row.failure_domain}:
+            return 0
+        return REMOTE_MAKER_MS
+
+
+@dataclasses.dataclass(slots=True)
+class _Draft:
+    """Pieces that a call to a target would hold."""
+
+    target: BatchTarget
+    pieces: list[PieceId]
+    candidates: list[_Candidate]
+    remote_ms: float = 0
+
+    @property
+    def order_key(self) -> tuple[float, int]:
+        """Orders drafts: near to the readers first, then full ones."""
+        return self.remote_ms / len(self.pieces), -len(self.pieces)
+
 
 class ChainScheduler:
     """Decides which pieces share a call, where, and in which order.
@@ -133,6 +157,7 @@
         self.chains: dict[str, Chain] = {}
         self._view = FleetView({}, {})
         self._freed: list[PieceResult] = []
+        self._next_expiry_ms: float = 0
 
     def update_fleet(self, view: FleetView) -> Sequence[RosterRow]:
         """Takes in which targets there are.
@@ -162,9 +187,11 @@
             known.granted = False
             return None
         chain = Chain(order)
+        self._predict(chain, now_ms)
         denial = self._admit(chain, now_ms)
         if denial is None:
             self.chains[order.chain_id] = chain
+            self._next_expiry_ms = now_ms
         return denial
 
     def remove(self, chain_id: str) -> None:
@@ -203,6 +230,12 @@
         for piece in call.pieces:
             self._settle(piece, results.get(piece))
 
+    def note_no_room(self, target_id: str, now_ms: float) -> None:
+        """Takes in that a target had no room for results."""
+        target = self.targets.find(target_id)
+        if target is not None:
+            target.note_no_room(now_ms)
+
     def note_lost_inputs(self, piece: PieceId) -> None:
         """Takes in that inputs of a piece are gone; they are made again."""
         chain = self.chains.get(piece.chain_id)
@@ -234,11 +267,23 @@
             chain = self.chains.get(piece.chain_id)
             if chain is None:
                 continue
-            chain.running.discard(piece)
-            chain.failures += int(not full)
+            chain.note_missed(piece)
             if not full:
+                chain.failures += 1
                 chain.drop_results_at(call.target.target_id)
 
+    def note_freed(self, target_id: str, handles: Iterable[str]) -> None:
+        """Takes in that a target has freed results.
+
+        Args:
+            target_id: The target.
+            handles: The results.
+        """
+        target = self.targets.find(target_id)
+        if target is not None:
+            for handle in handles:
+                target.release(handle)
+
     def plan(self, now_ms: float) -> Plan:
         """Decides what is to be done now.
 
@@ -248,31 +293,13 @@
         plan = Plan()
         self._expire(plan, now_ms)
         for chain in tuple(self.chains.values()):
-            if chain.complete and not chain.granted:
+            if not chain.granted and chain.complete:
                 self._grant(chain, plan, now_ms)
         for service in self._view.batching:
             self._plan_service(service, plan, now_ms)
         plan.freed, self._freed = self._freed, []
-        for freed in plan.freed:
-            maker = self.targets.find(freed.target_id)
-            if maker is not None:
-                maker.release(freed.handle)
         return plan
 
-    def path_ms(self, chain: Chain, number: int) -> float:
-        """Returns the expected time from a stage to the first token.
-
-        Args:
-            chain: The request.
-            number: The stage.
-        """
-        stage = chain.stage(number)
-        after_ms = max(
-            (self.path_ms(chain, other) for other in chain.followers(number)),
-            default=self._engine_ms(chain),
-        )
-        return self._stage_ms(stage.service, stage.work) + after_ms
-
     def _settle(self, piece: PieceId, made: PieceResult | None) -> None:
         chain = self.chains.get(piece.chain_id)
         if chain is None:
@@ -280,7 +307,7 @@
                 self._freed.append(made)
             return
         if made is None:
-            chain.running.discard(piece)
+            chain.note_missed(piece)
             return
         chain.note_result(piece, made)
         self._freed.extend(chain.drop_unneeded())
@@ -307,24 +334,44 @@
         retry_after_ms = max(needed_ms - left_ms / 2, MIN_RETRY_AFTER_MS)
         return Denial(order.chain_id, ChainRefusal.NO_TIME, retry_after_ms)
 
+    def _predict(self, chain: Chain, now_ms: float) -> None:
+        """Sets how long each stage will take to the first token."""
+        for state in chain.stages.values():
+            state.path_ms = self._path_ms(chain, state)
+        largest = max(
+            (state.stage.result_bytes for state in chain.stages.values()),
+            default=0,
+        )
+        if largest >= LARGE_RESULT_BYTES:
+            chain.reader_domain = self._reader_domain(chain, now_ms)
+
+    def _path_ms(self, chain: Chain, state: StageState) -> float:
+        after_ms = max(
+            (self._path_ms(chain, other) for other in state.followers),
+            default=self._engine_ms(chain),
+        )
+        stage = state.stage
+        return self._stage_ms(stage.service, stage.work) + after_ms
+
     def _backlog_ms(self, service: str, now_ms: float) -> float:
         """Returns how long the work that waits keeps a service busy."""
         targets = self.targets.of_service(service)
         limits = self._view.batching[service][0]
+        call_ms = limits.call_ms / (limits.size * TYPICAL_FILL)
         pieces_ms = sum(
-            count * self.times.piece_ms(chain.stage(number).work, limits)
-            + count * limits.call_ms / (limits.size * TYPICAL_FILL)
+            len(state.missing)
+            * (self.times.piece_ms(state.stage.work, limits) + call_ms)
             for chain in self.chains.values()
             if not chain.granted
-            for number, count in chain.pending_pieces().items()
-            if chain.stage(number).service == service
+            for state in chain.stages.values()
+            if state.stage.service == service and not state.done
         )
         busy_ms = sum(target.busy_ms(now_ms) for target in targets)
         return (pieces_ms + busy_ms) / len(targets)
 
     def _chain_ms(self, chain: Chain) -> float:
         return max(
-            (self.path_ms(chain, number) for number in chain.unfinished()),
+            (state.path_ms for state in chain.unfinished()),
             default=self._engine_ms(chain),
         )
 
@@ -341,6 +388,11 @@
         return limits.call_ms + pieces_ms * TYPICAL_FILL
 
     def _expire(self, plan: Plan, now_ms: float) -> None:
+        if now_ms < self._next_expiry_ms:
+            return
+        self._next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS
+        if self.chains:
+            _wake(plan, self._next_expiry_ms)
         for chain_id, chain in tuple(self.chains.items()):
             order = chain.order
             if chain.granted:
@@ -363,9 +415,9 @@
             return ENGINE_START_MS
         return ENGINE_START_MS + max(
             (
-                self._view.batching[chain.stage(number).service][0].call_ms
-                for number in chain.unfinished()
-                if chain.stage(number).service in self._view.batching
+                self._view.batching[state.stage.service][0].call_ms
+                for state in chain.unfinished()
+                if state.stage.service in self._view.batching
             ),
             default=0,
         )
@@ -394,45 +446,70 @@
         plan.grants.append(Grant(order.chain_id, placement, handles))
 
     def _plan_service(self, service: str, plan: Plan, now_ms: float) -> None:
+        idle = self._idle_targets(service, now_ms)
+        if not idle:
+            return
         candidates = self._candidates(service, plan, now_ms)
-        while candidates:
-            idle = [
-                target
-                for target in self.targets.of_service(service)
-                if target.is_idle(now_ms)
-            ]
-            call = self._form_call(candidates, idle, plan, now_ms)
-            if call is None:
+        while idle and candidates:
+            draft = self._choose_draft(candidates, idle, now_ms)
+            if draft is None:
                 return
-            self._start(call, plan)
-            taken = set(call.pieces)
+            if self._should_wait(draft, len(idle), plan, now_ms):
+                return
+            self._start(draft, plan, now_ms)
+            idle = self._idle_targets(service, now_ms)
             candidates = [
                 candidate
                 for candidate in candidates
-                if candidate.piece not in taken
+                if candidate.state.startable
             ]
 
-    def _start(self, call: BatchCall, plan: Plan) -> None:
+    def _idle_targets(
+        self,
+        service: str,
+        now_ms: float,
+    ) -> Sequence[BatchTarget]:
+        return [
+            target
+            for target in self.targets.of_service(service)
+            if target.is_idle(now_ms)
+        ]
+
+    def _start(self, draft: _Draft, plan: Plan, now_ms: float) -> None:
+        target = draft.target
+        stages = [
+            self.chains[piece.chain_id].stages[piece.stage].stage
+            for piece in draft.pieces
+        ]
+        works = tuple(stage.work for stage in stages)
+        call = BatchCall(
+            target=target.row,
+            limits=target.limits,
+            pieces=tuple(draft.pieces),
+            works=works,
+            sizes_bytes=tuple(stage.result_bytes for stage in stages),
+            sent_at_ms=now_ms,
+            expected_ms=self.times.call_ms(works, target.limits),
+        )
         plan.calls.append(call)
-        target = self.targets.find(call.target.target_id)
-        if target is not None:
-            target.note_sent(call)
+        target.note_sent(call)
         for piece in call.pieces:
-            self.chains[piece.chain_id].running.add(piece)
+            self.chains[piece.chain_id].note_sent(piece)
 
     def _candidates(
         self,
         service: str,
         plan: Plan,
         now_ms: float,
-    ) -> list[_Candidate]:
+    ) -> Sequence[_Candidate]:
         found = [
-            self._candidate(chain, piece, now_ms)
+            self._candidate(chain, state, now_ms)
             for chain in self.chains.values()
             if not chain.granted
-            for piece in chain.startable()
-            if chain.stage(piece.stage).service == service
-            and self._is_due(chain, piece, plan, now_ms)
+            for state in chain.stages.values()
+            if state.stage.service == service
+            and state.startable
+            and self._is_due(chain, state, plan, now_ms)
         ]
         found.sort(key=lambda candidate: candidate.key_ms)
         return found
@@ -440,23 +517,22 @@
     def _is_due(
         self,
         chain: Chain,
-        piece: PieceId,
+        state: StageState,
         plan: Plan,
         now_ms: float,
     ) -> bool:
         """Tells whether a result may be begun: large ones not too early."""
-        stage = chain.stage(piece.stage)
-        if stage.result_bytes < LARGE_RESULT_BYTES:
+        if state.stage.result_bytes < LARGE_RESULT_BYTES:
             return True
         others_ms = max(
             (
-                self.path_ms(chain, number)
-                for number in chain.unfinished()
-                if number != piece.stage
+                other.path_ms
+                for other in chain.unfinished()
+                if other is not state
             ),
             default=0,
         )
-        early_ms = others_ms - self.path_ms(chain, piece.stage) - EARLY_MS
+        early_ms = others_ms - state.path_ms - EARLY_MS
         if early_ms <= 0:
             return True
         _wake(plan, now_ms + early_ms)
@@ -465,29 +541,20 @@
     def _candidate(
         self,
         chain: Chain,
-        piece: PieceId,
+        state: StageState,
         now_ms: float,
     ) -> _Candidate:
         order = chain.order
-        stage = chain.stage(piece.stage)
-        path_ms = self.path_ms(chain, piece.stage)
-        slack_ms = order.aim_at_ms - now_ms - path_ms
+        if state.ready_at_ms is None:
+            state.ready_at_ms = now_ms
+        slack_ms = order.aim_at_ms - now_ms - state.path_ms
         key_ms = slack_ms + order.priority * PRIORITY_MS
         if slack_ms < -LATE_MARGIN_MS:
             late_ms = BEGUN_LATE_MS if chain.begun else LATE_MS
-            key_ms = late_ms + order.deadline_at_ms - now_ms - path_ms
-        domain = ''
-        if stage.result_bytes >= LARGE_RESULT_BYTES:
-            domain = self._reader_domain(chain, now_ms)
-        return _Candidate(
-            piece,
-            chain,
-            key_ms,
-            slack_ms,
-            stage.result_bytes,
-            stage.work,
-            domain,
-        )
+            key_ms = late_ms + order.deadline_at_ms - now_ms - state.path_ms
+        large = state.stage.result_bytes >= LARGE_RESULT_BYTES
+        domain = chain.reader_domain if large else ''
+        return _Candidate(chain, state, key_ms, slack_ms, domain)
 
     def _reader_domain(self, chain: Chain, now_ms: float) -> str:
         """Returns where the engine is that a request will likely get."""
@@ -497,80 +564,80 @@
         placement = self.board.place(query, now_ms)
         return placement.engine.failure_domain if placement else ''
 
-    def _form_call(
+    def _choose_draft(
         self,
         candidates: Sequence[_Candidate],
         idle: Sequence[BatchTarget],
-        plan: Plan,
         now_ms: float,
-    ) -> BatchCall | None:
-        """Returns the next call of a service, or none for now."""
-        options = [
-            (target, self._fill(target, candidates, now_ms)) for target in idle
-        ]
-        options = [option for option in options if option[1]]
-        if not options:
-            return None
-        target, chosen = min(
-            options,
-            key=lambda option: _option_key(option[0], option[1]),
-        )
-        if self._should_wait(target, chosen, len(idle), plan, now_ms):
-            return None
-        works = tuple(candidate.work for candidate in chosen)
-        return BatchCall(
-            target=target.row,
-            limits=target.limits,
-            pieces=tuple(candidate.piece for candidate in chosen),
-            works=works,
-            sizes_bytes=tuple(candidate.size_bytes for candidate in chosen),
-            sent_at_ms=now_ms,
-            expected_ms=self.times.call_ms(works, target.limits),
+    ) -> _Draft | None:
+        """Returns the next call of a service, or none without room."""
+        drafts = [self._fill(target, candidates, now_ms) for target in idle]
+        return min(
+            (draft for draft in drafts if draft.pieces),
+            key=lambda draft: draft.order_key,
+            default=None,
         )
 
     def _fill(
         self,
         target: BatchTarget,
-        candidates: Iterable[_Candidate],
+        candidates: Sequence[_Candidate],
         now_ms: float,
-    ) -> Sequence[_Candidate]:
+    ) -> _Draft:
         """Returns the pieces that a call to a target would hold."""
         room_bytes = target.free_bytes(now_ms)
-        chosen: list[_Candidate] = []
-        ordered = sorted(
-            candidates,
-            key=lambda candidate: candidate.key_ms
-            + _remote_ms(candidate, target),
-        )
+        draft = _Draft(target, [], [])
+        ordered = candidates
+        if any(candidate.domain for candidate in candidates):
+            ordered = sorted(
+                candidates,
+                key=lambda candidate: candidate.key_ms
+                + candidate.remote_ms(target),
+            )
         for candidate in ordered:
-            if len(chosen) >= target.limits.size:
+            size_bytes = candidate.state.stage.result_bytes
+            fitting = target.limits.size - len(draft.pieces)
+            if size_bytes:
+                fitting = min(fitting, int(room_bytes // size_bytes))
+            chosen = candidate.state.missing[: max(fitting, 0)]
+            if not chosen:
+                continue
+            room_bytes -= size_bytes * len(chosen)
+            draft.remote_ms += candidate.remote_ms(target) * len(chosen)
+            draft.candidates.append(candidate)
+            draft.pieces.extend(
+                PieceId(
+                    candidate.chain.order.chain_id,
+                    candidate.state.number,
+                    number,
+                )
+                for number in chosen
+            )
+            if len(draft.pieces) >= target.limits.size:
                 break
-            if candidate.size_bytes <= room_bytes:
-                chosen.append(candidate)
-                room_bytes -= candidate.size_bytes
-        return chosen
+        return draft
 
     def _should_wait(
         self,
-        target: BatchTarget,
-        chosen: Sequence[_Candidate],
+        draft: _Draft,
         idle_count: int,
         plan: Plan,
         now_ms: float,
     ) -> bool:
         """Tells whether a call waits for more pieces."""
-        if len(chosen) >= FULL_ENOUGH * target.limits.size:
+        target = draft.target
+        if len(draft.pieces) >= FULL_ENOUGH * target.limits.size:
             return False
         count = len(self.targets.of_service(target.row.service))
         scarcity = 1 - (idle_count - 1) / max(count, 1)
-        slack_ms = min(candidate.slack_ms for candidate in chosen)
+        slack_ms = min(candidate.slack_ms for candidate in draft.candidates)
         allowed_ms = min(
             FILL_WAIT_MS * scarcity,
             max(slack_ms, 0) * FILL_WAIT_SLACK,
         )
         ready_at_ms = min(
-            candidate.chain.ready_at_ms(candidate.piece.stage, now_ms)
-            for candidate in chosen
+            candidate.state.ready_at_ms or now_ms
+            for candidate in draft.candidates
         )
         until_ms = ready_at_ms + allowed_ms
         if until_ms <= now_ms:
@@ -579,21 +646,6 @@
         return True
 
 
-def _remote_ms(candidate: _Candidate, target: BatchTarget) -> float:
-    if candidate.domain in {'', target.row.failure_domain}:
-        return 0
-    return REMOTE_MAKER_MS
-
-
-def _option_key(
-    target: BatchTarget,
-    chosen: Sequence[_Candidate],
-) -> tuple[float, float]:
-    """Orders idle targets: near to the readers first, then full calls."""
-    remote_ms = sum(_remote_ms(candidate, target) for candidate in chosen)
-    return remote_ms / len(chosen), -len(chosen)
-
-
 def _wake(plan: Plan, at_ms: float) -> None:
     if plan.wake_at_ms is None or at_ms < plan.wake_at_ms:
         plan.wake_at_ms = at_ms
--- a/borageyard/chains.py
+++ b/borageyard/chains.py
@@ -57,6 +57,60 @@
     size_bytes: float
 
 
+class StageState:
+    """Pieces of one stage: missing, running and made."""
+
+    def __init__(self, number: int, stage: ChainStage) -> None:
+        """Starts with all pieces missing.
+
+        Args:
+            number: Number of the stage.
+            stage: What it needs.
+        """
+        self.number = number
+        self.stage = stage
+        self.missing = list(range(stage.pieces))
+        self.running: set[int] = set()
+        self.made: dict[int, PieceResult] = {}
+        self.followers: tuple[StageState, ...] = ()
+        self.sources: tuple[StageState, ...] = ()
+        # Expected time from its begin to the first token of the request.
+        self.path_ms: float = 0
+        # Since when its inputs are there; none if they are not.
+        self.ready_at_ms: float | None = None
+
+    @property
+    def has_all(self) -> bool:
+        """Tells whether all results are held."""
+        return len(self.made) == self.stage.pieces
+
+    @property
+    def done(self) -> bool:
+        """Tells whether nothing needs it to be run any more."""
+        if self.has_all:
+            return True
+        if not self.followers:
+            return False
+        return all(follower.done for follower in self.followers)
+
+    @property
+    def startable(self) -> bool:
+        """Tells whether pieces are missing whose inputs are there."""
+        if not self.missing or self.done:
+            return False
+        return all(source.has_all for source in self.sources)
+
+    def results(self) -> Sequence[PieceResult]:
+        """Returns the results in the order of the pieces."""
+        return [self.made[number] for number in sorted(self.made)]
+
+    def reset(self) -> None:
+        """Forgets the results, so that they are made again."""
+        self.missing = sorted({*self.missing, *self.made})
+        self.made.clear()
+        self.ready_at_ms = None
+
+
 class Chain:
     """State of the stages of one request."""
 
@@ -67,94 +121,95 @@
             order: What is needed.
         """
         self.order = order
-        self.running: set[PieceId] = set()
         self.failures = 0
         self.granted = False
-        self._ready_at_ms: dict[int, float] = {}
-        self._results: dict[PieceId, PieceResult] = {}
-        self._stages = {
-            number: stage
+        # Failure domain of the engine that will likely be chosen.
+        self.reader_domain = ''
+        self.stages: Mapping[int, StageState] = {
+            number: StageState(number, stage)
             for number, stage in enumerate(order.stages)
             if stage.pieces
         }
+        for state in self.stages.values():
+            state.sources = tuple(
+                self.stages[number]
+                for number in state.stage.after
+                if number in self.stages
+            )
+            state.followers = tuple(
+                other
+                for number, other in self.stages.items()
+                if state.number in other.stage.after
+            )
 
     @property
     def begun(self) -> bool:
         """Tells whether work was spent on it."""
-        return bool(self._results or self.running)
+        return any(
+            state.made or state.running for state in self.stages.values()
+        )
+
+    @property
+    def running(self) -> bool:
+        """Tells whether a piece is being made."""
+        return any(state.running for state in self.stages.values())
 
     @property
     def complete(self) -> bool:
         """Tells whether all stages are done."""
-        return all(self._is_done(number) for number in self._stages)
+        return all(state.done for state in self.stages.values())
 
     @property
     def results(self) -> Sequence[PieceResult]:
         """Returns the results that are held."""
-        return tuple(self._results.values())
-
-    def pending_pieces(self) -> Mapping[int, int]:
-        """Returns how many pieces each stage still needs to be called for."""
-        return {
-            number: len(self._missing(number)) for number in self.unfinished()
-        }
-
-    def startable(self) -> Sequence[PieceId]:
-        """Returns the pieces whose inputs are there and that do not run."""
-        return tuple(
-            piece
-            for number in self.unfinished()
-            if self._has_inputs(self._stages[number])
-            for piece in self._missing(number)
-        )
-
-    def ready_at_ms(self, number: int, now_ms: float) -> float:
-        """Returns since when a stage could have begun.
-
-        Args:
-            number: The stage, whose inputs are there.
-            now_ms: Steady time.
-        """
-        return self._ready_at_ms.setdefault(number, now_ms)
-
-    def stage(self, number: int) -> ChainStage:
-        """Returns a stage by its number."""
-        return self._stages[number]
+        return [
+            made
+            for state in self.stages.values()
+            for made in state.made.values()
+        ]
 
-    def unfinished(self) -> Sequence[int]:
+    def unfinished(self) -> Sequence[StageState]:
         """Returns the stages that are not done."""
-        return tuple(
-            number for number in self._stages if not self._is_done(number)
-        )
-
-    def followers(self, number: int) -> Sequence[int]:
-        """Returns the stages that need the results of a stage."""
-        return tuple(
-            other
-            for other, stage in self._stages.items()
-            if number in stage.after
-        )
+        return [state for state in self.stages.values() if not state.done]
 
     def inputs_of(self, number: int) -> Sequence[PieceResult]:
         """Returns the results that the pieces of a stage need."""
-        return self._results_of(
-            [
-                other
-                for other in self._stages[number].after
-                if other in self._stages
-            ],
-        )
+        return [
+            made
+            for source in self.stages[number].sources
+            for made in source.results()
+        ]
 
     def final_results(self) -> Sequence[PieceResult]:
         """Returns the results of the stages that no other one follows."""
-        return self._results_of(
-            [number for number in self._stages if not self.followers(number)],
-        )
+        return [
+            made
+            for state in self.stages.values()
+            if not state.followers
+            for made in state.results()
+        ]
 
-    def note_result(self, piece: PieceId, piece_result: PieceResult) -> None:
+    def note_sent(self, piece: PieceId) -> None:
+        """Takes in that a piece is in a call."""
+        state = self.stages[piece.stage]
+        state.missing.remove(piece.number)
+        state.running.add(piece.number)
+
+    def note_missed(self, piece: PieceId) -> None:
+        """Takes in that a call ended without the result of a piece."""
+        state = self.stages[piece.stage]
+        if piece.number in state.running:
+            state.running.remove(piece.number)
+            state.missing.append(piece.number)
+            state.missing.sort()
+
+    def note_result(self, piece: PieceId, made: PieceResult) -> None:
         """Takes in the result of a piece."""
-        self.running.discard(piece)
-        self._results[piece] = piece_result
+        state = self.stages[piece.stage]
+        state.running.discard(piece.number)
+        if piece.number in state.missing:
+            state.missing.remove(piece.number)
+        state.made[piece.number] = made
 
     def drop_unneeded(self) -> Sequence[PieceResult]:
         """Removes results that only finished stages needed.
@@ -162,74 +217,30 @@
         Returns:
             What was removed.
         """
-        unneeded = [
-            piece
-            for piece in self._results
-            if self.followers(piece.stage)
-            and all(self._is_done(other) for other in self.followers(piece.stage))
-        ]
-        return tuple(self._results.pop(piece) for piece in unneeded)
+        removed: list[PieceResult] = []
+        for state in self.stages.values():
+            read = state.followers and all(
+                follower.done for follower in state.followers
+            )
+            if read and state.made:
+                removed.extend(state.made.values())
+                state.reset()
+        return removed
 
     def drop_results_at(self, target_id: str) -> None:
         """Forgets results that vanished with their maker."""
-        lost = [
-            piece
-            for piece, known in self._results.items()
-            if known.target_id == target_id
-        ]
-        for piece in lost:
-            self._results.pop(piece)
+        for state in self.stages.values():
+            lost = [
+                number
+                for number, made in state.made.items()
+                if made.target_id == target_id
+            ]
+            for number in lost:
+                state.made.pop(number)
+            if lost:
+                state.missing = sorted((*state.missing, *lost))
 
     def drop_inputs_of(self, number: int) -> None:
         """Forgets the inputs of a stage, so that they are made again."""
-        stages = self._stages[number].after
-        for piece in tuple(self._results):
-            if piece.stage in stages:
-                self._results.pop(piece)
-
-    def _is_done(self, number: int) -> bool:
-        followers = self.followers(number)
-        if followers and all(self._is_done(other) for other in followers):
-            return True
-        stage = self._stages[number]
-        return all(
-            self._piece(number, index) in self._results
-            for index in range(stage.pieces)
-        )
-
-    def _missing(self, number: int) -> Sequence[PieceId]:
-        pieces = [
-            self._piece(number, index)
-            for index in range(self._stages[number].pieces)
-        ]
-        return tuple(
-            piece
-            for piece in pieces
-            if piece not in self._results and piece not in self.running
-        )
-
-    def _has_inputs(self, stage: ChainStage) -> bool:
-        return all(
-            self._is_made(number)
-            for number in stage.after
-            if number in self._stages
-        )
-
-    def _is_made(self, number: int) -> bool:
-        return all(
-            self._piece(number, index) in self._results
-            for index in range(self._stages[number].pieces)
-        )
-
-    def _results_of(self, numbers: Sequence[int]) -> Sequence[PieceResult]:
-        return tuple(
-            known
-            for piece, known in sorted(
-                self._results.items(),
-                key=lambda pair: (pair[0].stage, pair[0].number),
-            )
-            if piece.stage in numbers
-        )
-
-    def _piece(self, number: int, index: int) -> PieceId:
-        return PieceId(self.order.chain_id, number, index)
+        for source in self.stages[number].sources:
+            source.reset()
--- a/borageyard/scheduler_service.py
+++ b/borageyard/scheduler_service.py
@@ -32,7 +32,7 @@
 CALL_TIME_FACTOR = 2.5
 CALL_EXTRA_MS = 150
 # Results that are given up within this time are freed with one call.
-FREE_DELAY_MS = 15
+FREE_DELAY_MS = 5
 # Time for which a failed engine is tried last.
 ENGINE_PAUSE_MS = 1500
 
@@ -216,7 +216,7 @@
 
     def _work_of(self, piece: PieceId) -> PieceWork:
         chain = self.scheduler.chains[piece.chain_id]
-        stage = chain.stage(piece.stage)
+        stage = chain.stages[piece.stage].stage
         left_ms = chain.order.deadline_at_ms - self._clock.steady_ms()
         inputs = None
         if stage.after:
@@ -252,10 +252,25 @@
             )
             if outcome.end is PieceEnd.MADE
         }
-        self.scheduler.note_made(call, made, self._clock.steady_ms())
+        now_ms = self._clock.steady_ms()
+        target = self.scheduler.targets.find(call.target.target_id)
+        log_event(
+            Event.BATCH_ENDED,
+            target_id=call.target.target_id,
+            service=call.target.service,
+            pieces=len(call.pieces),
+            took_ms=round(now_ms - call.sent_at_ms),
+            expected_ms=round(call.expected_ms),
+            made_bytes=round(sum(made_.size_bytes for made_ in made.values())),
+            free_bytes=round(target.free_bytes(now_ms)) if target else None,
+        )
+        self.scheduler.note_made(call, made, now_ms)
         for piece, outcome in zip(call.pieces, outcomes, strict=True):
             if outcome.end is PieceEnd.INPUT_GONE:
                 self.scheduler.note_lost_inputs(piece)
+        ends = {outcome.end for outcome in outcomes}
+        if PieceEnd.NO_ROOM in ends:
+            self.scheduler.note_no_room(call.target.target_id, now_ms)
         missed = [
             outcome.end.value
             for outcome in outcomes
@@ -274,24 +289,27 @@
             target = self.scheduler.targets.find(made.target_id)
             if target is None:
                 continue
-            handles = self._unfreed.setdefault(target.row.address, set())
+            handles = self._unfreed.setdefault(target.row.target_id, set())
             if not handles:
-                self._spawn(self._free(target.row.address))
+                self._spawn(self._free(target.row))
             handles.add(made.handle)
 
-    async def _free(self, address: str) -> None:
+    async def _free(self, row: RosterRow) -> None:
         await asyncio.sleep(FREE_DELAY_MS / MS_PER_S)
-        handles = self._unfreed.pop(address, set())
+        handles = sorted(self._unfreed.pop(row.target_id, set()))
         try:
-            await self._runner.free(address, sorted(handles))
+            await self._runner.free(row.address, handles)
         except CallFailedError as error:
             # They expire by themselves.
             log_event(
                 Event.RESULTS_UNFREED,
-                address=address,
+                target_id=row.target_id,
                 results=len(handles),
                 reason=str(error),
             )
+            return
+        self.scheduler.note_freed(row.target_id, handles)
+        self._pump()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
