--- a/borageyard/bench_capacity.py
+++ b/borageyard/bench_capacity.py
@@ -9,13 +9,6 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from .bench_report import BenchReport, Bound
-from .claims import Claim, ClaimFold
-from .clock import MS_PER_S
-from .configuration_log import CONFIGURATION_STREAM, ConfigurationFold
-from .http_messages import encode_json
-from .identifiers import key_at
-from .membership import Membership
 from .backing_services import (
     ROLE_ENTRY,
     ROLE_TARGET,
@@ -23,6 +16,13 @@
     LogPage,
     LogRecord,
 )
+from .bench_report import BenchReport, Bound
+from .claims import Claim, ClaimFold
+from .clock import MS_PER_S
+from .configuration_log import CONFIGURATION_STREAM, ConfigurationFold
+from .http_messages import encode_json
+from .identifiers import key_at
+from .membership import Membership
 from .target import LoadReport
 from .targets import TargetDirectory
 
--- a/borageyard/bench_chain.py
+++ b/borageyard/bench_chain.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator, Iterator, Sequence
 from typing import Any
 
+from .backing_services import ROLE_TARGET, Instance, MemoryInstances, MemoryLog
 from .bench_bare import BareClient, bare_server
 from .clock import SystemClock
 from .configuration_log import CONFIGURATION_STREAM
@@ -13,7 +14,6 @@
 from .generated.settings import EntrySettings
 from .http_messages import encode_event, encode_json
 from .http_server import HttpServer
-from .backing_services import ROLE_TARGET, Instance, MemoryInstances, MemoryLog
 from .standins.platform_http import (
     InstancesHandler,
     LogHandler,
--- a/borageyard/bench_claims.py
+++ b/borageyard/bench_claims.py
@@ -11,6 +11,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
+from .backing_services import MemoryLog
 from .bench_report import BenchReport, Bound
 from .claim_service import ClaimService, ClaimServicePorts
 from .clock import MS_PER_S, LoopClock
@@ -19,7 +20,6 @@
 from .identifiers import key_at
 from .memory_log import MemoryLogService
 from .peers import MemoryPeerNetwork
-from .backing_services import MemoryLog
 from .requests import AdmittedRequest, Answer, PipelineRequest
 from .tasks import running_tasks
 from .virtual_time import run_virtual
--- /dev/null
+++ b/borageyard/call_planner.py
@@ -0,0 +1,334 @@
+"""Forms calls of pieces of many requests."""
+
+import dataclasses
+from collections.abc import Mapping, Sequence
+
+from .batch_targets import BatchCall, BatchTarget, BatchTargets
+from .chains import Chain, ChainStage, PieceId, StageState
+from .engine_board import BYTES_PER_MB
+from .plans import Plan
+from .work_times import WorkTimes
+
+# Each step of priority goes before the next like this much less slack.
+PRIORITY_MS = 300
+# Requests that can't be in time go after those that can, a begun one less so:
+# its results hold memory.
+LATE_MS = 2000
+BEGUN_LATE_MS = 600
+# Estimates are rough: a request counts as late only beyond this.
+LATE_MARGIN_MS = 0
+# Longest wait of a call that is far from full for further pieces, at the last
+# idle target; nearly half of the fixed time of a call (200 ms on the sheets).
+FILL_WAIT_MS = 120
+# Part of the slack of its most urgent piece that a call may wait.
+FILL_WAIT_SLACK = 0.15
+# Fill from which a call does not wait for more.
+FULL_ENOUGH = 0.6
+# Results from this size on are made when they are needed and near to it.
+LARGE_RESULT_BYTES = 500_000
+# Cost of a megabyte between failure domains: the users price it at an eighth
+# of a plain request, and a second of lateness at about half of one.
+REMOTE_MS_PER_MB = 60
+MAX_REMOTE_MS = 400
+# Large results are begun this long before their reader is expected.
+EARLY_MS = 250
+
+
+@dataclasses.dataclass(slots=True)
+class _Candidate:
+    """Missing pieces of one stage of a request, in the order of urgency."""
+
+    chain: Chain
+    state: StageState
+    key_ms: float
+    slack_ms: float
+    # What a piece reads from each failure domain; for large results also
+    # what the engine will read, where it will likely be.
+    moved_bytes: Mapping[str, float]
+
+    def remote_ms(self, domain: str) -> float:
+        """Returns the cost of moving bytes between failure domains.
+
+        Args:
+            domain: Failure domain of a target that could run the pieces.
+        """
+        remote_bytes = sum(
+            size_bytes
+            for other, size_bytes in self.moved_bytes.items()
+            if other != domain
+        )
+        moved_mb = remote_bytes * len(self.state.missing) / BYTES_PER_MB
+        return min(moved_mb * REMOTE_MS_PER_MB, MAX_REMOTE_MS)
+
+
+@dataclasses.dataclass(slots=True)
+class _Draft:
+    """Pieces that a call to a target would hold."""
+
+    target: BatchTarget
+    pieces: list[PieceId] = dataclasses.field(default_factory=list)
+    # Request and stage of each piece.
+    chains: list[Chain] = dataclasses.field(default_factory=list)
+    stages: list[ChainStage] = dataclasses.field(default_factory=list)
+    candidates: list[_Candidate] = dataclasses.field(default_factory=list)
+    remote_ms: float = 0
+
+    def add(self, candidate: _Candidate, numbers: Sequence[int]) -> None:
+        """Adds pieces of a stage.
+
+        Args:
+            candidate: The stage.
+            numbers: Which of its missing pieces.
+        """
+        chain = candidate.chain
+        state = candidate.state
+        self.candidates.append(candidate)
+        for number in numbers:
+            piece = PieceId(chain.order.chain_id, state.number, number)
+            self.pieces.append(piece)
+            self.chains.append(chain)
+            self.stages.append(state.stage)
+
+    @property
+    def order_key(self) -> tuple[float, int]:
+        """Orders drafts: near to the readers first, then full ones."""
+        return self.remote_ms / len(self.candidates), -len(self.pieces)
+
+
+class CallPlanner:
+    """Decides which pieces share a call, where, and in which order.
+
+    Answers the load pattern of many small requests whose stages have a high
+    fixed cost for each call: only full calls of all requests together keep
+    up with a burst. What can still be in time goes first, weighted with its
+    priority; a call that is nearly empty waits a little for more.
+    """
+
+    def __init__(self, targets: BatchTargets, work: WorkTimes) -> None:
+        """Composes a planner.
+
+        Args:
+            targets: Accounts of the batching targets.
+            work: Expected times of calls.
+        """
+        self._targets = targets
+        self._work = work
+
+    def plan_service(
+        self,
+        service: str,
+        chains: Mapping[str, Chain],
+        plan: Plan,
+        now_ms: float,
+    ) -> None:
+        """Adds the calls that a service gets now to a plan.
+
+        Args:
+            service: The service.
+            chains: The requests that were taken in.
+            plan: Takes in the calls.
+            now_ms: Steady time.
+        """
+        idle = self._idle_targets(service, now_ms)
+        if not idle:
+            return
+        candidates = self._candidates(service, chains, plan, now_ms)
+        while idle and candidates:
+            draft = self._choose_draft(candidates, idle, now_ms)
+            if draft is None:
+                return
+            if self._should_wait(draft, len(idle), plan, now_ms):
+                return
+            self._start(draft, plan, now_ms)
+            idle = self._idle_targets(service, now_ms)
+            candidates = [
+                candidate
+                for candidate in candidates
+                if candidate.state.startable
+            ]
+
+    def _idle_targets(
+        self,
+        service: str,
+        now_ms: float,
+    ) -> Sequence[BatchTarget]:
+        return [
+            target
+            for target in self._targets.of_service(service)
+            if target.is_idle(now_ms)
+        ]
+
+    def _start(self, draft: _Draft, plan: Plan, now_ms: float) -> None:
+        target = draft.target
+        stages = draft.stages
+        works = tuple(stage.work for stage in stages)
+        call = BatchCall(
+            target=target.row,
+            limits=target.limits,
+            pieces=tuple(draft.pieces),
+            works=works,
+            sizes_bytes=tuple(stage.result_bytes for stage in stages),
+            sent_at_ms=now_ms,
+            expected_ms=self._work.call_ms(works, target.limits),
+        )
+        plan.calls.append(call)
+        target.note_sent(call)
+        for chain, piece in zip(draft.chains, draft.pieces, strict=True):
+            chain.note_sent(piece)
+
+    def _candidates(
+        self,
+        service: str,
+        chains: Mapping[str, Chain],
+        plan: Plan,
+        now_ms: float,
+    ) -> Sequence[_Candidate]:
+        found = [
+            self._candidate(chain, state, now_ms)
+            for chain in chains.values()
+            if not chain.granted
+            for state in chain.stages.values()
+            if state.stage.service == service
+            and state.startable
+            and self._is_due(chain, state, plan, now_ms)
+        ]
+        found.sort(key=lambda candidate: candidate.key_ms)
+        return found
+
+    def _is_due(
+        self,
+        chain: Chain,
+        state: StageState,
+        plan: Plan,
+        now_ms: float,
+    ) -> bool:
+        """Tells whether a result may be begun: large ones not too early."""
+        if state.stage.result_bytes < LARGE_RESULT_BYTES:
+            return True
+        others_ms = max(
+            (
+                other.path_ms
+                for other in chain.unfinished()
+                if other is not state
+            ),
+            default=0,
+        )
+        early_ms = others_ms - state.path_ms - EARLY_MS
+        if early_ms <= 0:
+            return True
+        plan.wake(now_ms + early_ms)
+        return False
+
+    def _candidate(
+        self,
+        chain: Chain,
+        state: StageState,
+        now_ms: float,
+    ) -> _Candidate:
+        order = chain.order
+        if state.ready_at_ms is None:
+            state.ready_at_ms = now_ms
+        slack_ms = order.aim_at_ms - now_ms - state.path_ms
+        key_ms = slack_ms + order.priority * PRIORITY_MS
+        if slack_ms < -LATE_MARGIN_MS:
+            late_ms = BEGUN_LATE_MS if chain.begun else LATE_MS
+            key_ms = late_ms + order.deadline_at_ms - now_ms - state.path_ms
+        moved_bytes = state.inputs_bytes()
+        size_bytes = state.stage.result_bytes
+        if chain.reader_domain and size_bytes >= LARGE_RESULT_BYTES:
+            moved_bytes = {chain.reader_domain: size_bytes}
+        return _Candidate(chain, state, key_ms, slack_ms, moved_bytes)
+
+    def _choose_draft(
+        self,
+        candidates: Sequence[_Candidate],
+        idle: Sequence[BatchTarget],
+        now_ms: float,
+    ) -> _Draft | None:
+        """Returns the next call of a service, or none without room."""
+        drafts = [self._fill(target, candidates, now_ms) for target in idle]
+        return min(
+            (draft for draft in drafts if draft.pieces),
+            key=lambda draft: draft.order_key,
+            default=None,
+        )
+
+    def _fill(
+        self,
+        target: BatchTarget,
+        candidates: Sequence[_Candidate],
+        now_ms: float,
+    ) -> _Draft:
+        """Returns the pieces that a call to a target would hold."""
+        room_bytes = target.free_bytes(now_ms)
+        draft = _Draft(target)
+        domain = target.row.failure_domain
+        ordered = sorted(
+            (
+                candidate
+                for candidate in candidates
+                if not self._is_better_elsewhere(candidate, target, now_ms)
+            ),
+            key=lambda candidate: (
+                candidate.key_ms + candidate.remote_ms(domain)
+            ),
+        )
+        for candidate in ordered:
+            size_bytes = candidate.state.stage.result_bytes
+            fitting = target.limits.size - len(draft.pieces)
+            if size_bytes:
+                fitting = min(fitting, int(room_bytes // size_bytes))
+            chosen = candidate.state.missing[: max(fitting, 0)]
+            if not chosen:
+                continue
+            room_bytes -= size_bytes * len(chosen)
+            draft.remote_ms += candidate.remote_ms(domain)
+            draft.add(candidate, chosen)
+            if len(draft.pieces) >= target.limits.size:
+                break
+        return draft
+
+    def _is_better_elsewhere(
+        self,
+        candidate: _Candidate,
+        target: BatchTarget,
+        now_ms: float,
+    ) -> bool:
+        """Tells whether pieces wait for a target that is nearer."""
+        remote_ms = candidate.remote_ms(target.row.failure_domain)
+        if not remote_ms:
+            return False
+        for other in self._targets.of_service(target.row.service):
+            wait_ms = other.busy_ms(now_ms)
+            other_ms = candidate.remote_ms(other.row.failure_domain) + wait_ms
+            if other_ms < remote_ms and wait_ms < candidate.slack_ms:
+                return True
+        return False
+
+    def _should_wait(
+        self,
+        draft: _Draft,
+        idle_count: int,
+        plan: Plan,
+        now_ms: float,
+    ) -> bool:
+        """Tells whether a call waits for more pieces."""
+        target = draft.target
+        if len(draft.pieces) >= FULL_ENOUGH * target.limits.size:
+            return False
+        count = len(self._targets.of_service(target.row.service))
+        scarcity = 1 - (idle_count - 1) / max(count, 1)
+        slack_ms = min(candidate.slack_ms for candidate in draft.candidates)
+        allowed_ms = min(
+            FILL_WAIT_MS * scarcity,
+            max(slack_ms, 0) * FILL_WAIT_SLACK,
+        )
+        ready_at_ms = min(
+            candidate.state.ready_at_ms or now_ms
+            for candidate in draft.candidates
+        )
+        until_ms = ready_at_ms + allowed_ms
+        if until_ms <= now_ms:
+            return False
+        plan.wake(until_ms)
+        return True
--- /dev/null
+++ b/borageyard/call_runner.py
@@ -0,0 +1,139 @@
+"""Sends calls with pieces to targets and takes in their outcomes."""
+
+from collections.abc import Sequence
+
+from .batch_targets import BatchCall
+from .chain_scheduler import ChainScheduler
+from .chains import PieceId, PieceResult
+from .clock import Clock
+from .events import Event, log_event
+from .piece_runner import (
+    CallFailedError,
+    PieceEnd,
+    PieceOutcome,
+    PieceRunner,
+    PieceWork,
+    TargetFullError,
+)
+
+# A call may take this many times its expected time, and a little more, before
+# its pieces are given to another target.
+CALL_TIME_FACTOR = 2.5
+CALL_EXTRA_MS = 150
+
+
+class CallRunner:
+    """Runs the calls that the scheduler forms."""
+
+    def __init__(
+        self,
+        scheduler: ChainScheduler,
+        runner: PieceRunner,
+        clock: Clock,
+    ) -> None:
+        """Composes a runner.
+
+        Args:
+            scheduler: Knows the requests.
+            runner: The way to the targets.
+            clock: Source of steady time.
+        """
+        self._scheduler = scheduler
+        self._runner = runner
+        self._clock = clock
+
+    def describe(self, call: BatchCall) -> Sequence[PieceWork]:
+        """Returns the pieces of a call as the target is asked for them.
+
+        Args:
+            call: A call that was just formed.
+        """
+        return [self._work_of(piece) for piece in call.pieces]
+
+    async def run(
+        self,
+        call: BatchCall,
+        pieces: Sequence[PieceWork],
+    ) -> None:
+        """Runs a call and tells the scheduler how it ended.
+
+        Args:
+            call: The call.
+            pieces: What the target is asked for.
+        """
+        timeout_ms = call.expected_ms * CALL_TIME_FACTOR + CALL_EXTRA_MS
+        try:
+            outcomes = await self._runner.run(call.target, pieces, timeout_ms)
+        except (TargetFullError, CallFailedError) as error:
+            full = isinstance(error, TargetFullError)
+            log_event(
+                Event.BATCH_FAILED,
+                target_id=call.target.target_id,
+                pieces=len(call.pieces),
+                full=full,
+                reason=str(error),
+            )
+            now_ms = self._clock.steady_ms()
+            self._scheduler.note_call_failed(call, now_ms, full=full)
+        else:
+            self._take_outcomes(call, outcomes)
+
+    def _work_of(self, piece: PieceId) -> PieceWork:
+        chain = self._scheduler.chains[piece.chain_id]
+        stage = chain.stages[piece.stage].stage
+        left_ms = chain.order.deadline_at_ms - self._clock.steady_ms()
+        inputs = None
+        if stage.after:
+            inputs = tuple(made.handle for made in chain.inputs_of(piece.stage))
+        return PieceWork(
+            request_id=piece.chain_id,
+            stage=piece.stage,
+            number=piece.number,
+            left_ms=left_ms,
+            key=chain.order.piece_key,
+            inputs=inputs,
+        )
+
+    def _take_outcomes(
+        self,
+        call: BatchCall,
+        outcomes: Sequence[PieceOutcome],
+    ) -> None:
+        now_ms = self._clock.steady_ms()
+        made = {
+            piece: _result_of(call, index, outcomes[index])
+            for index, piece in enumerate(call.pieces)
+            if outcomes[index].end is PieceEnd.MADE
+        }
+        self._scheduler.note_made(call, made, now_ms)
+        ends = [outcome.end for outcome in outcomes]
+        for piece, outcome in zip(call.pieces, outcomes, strict=True):
+            if outcome.end is PieceEnd.INPUT_GONE:
+                self._scheduler.note_lost_inputs(piece)
+        if PieceEnd.NO_ROOM in ends:
+            self._scheduler.note_no_room(call.target.target_id, now_ms)
+        log_event(
+            Event.BATCH_ENDED,
+            target_id=call.target.target_id,
+            service=call.target.service,
+            pieces=len(call.pieces),
+            took_ms=round(now_ms - call.sent_at_ms),
+            expected_ms=round(call.expected_ms),
+            missed=[
+                missed.value for missed in ends if missed is not PieceEnd.MADE
+            ],
+        )
+
+
+def _result_of(
+    call: BatchCall,
+    index: int,
+    outcome: PieceOutcome,
+) -> PieceResult:
+    return PieceResult(
+        outcome.handle,
+        call.target.target_id,
+        call.target.address,
+        call.target.failure_domain,
+        call.sizes_bytes[index],
+    )
--- /dev/null
+++ b/borageyard/chain_admission.py
@@ -0,0 +1,146 @@
+"""Admission of requests that need pieces and an engine, and its choice."""
+
+from collections.abc import Collection, Sequence
+
+from .batch_targets import BatchTargets
+from .call_planner import LARGE_RESULT_BYTES
+from .chain_times import ChainTimes
+from .chains import Chain, ChainOrder, PieceResult
+from .engine_board import EngineBoard, Placement, PlacementQuery
+from .plans import ChainRefusal, Denial
+
+# Part of the time left that the predicted time may take.
+ADMIT_SHARE = 0.85
+# Calls that a request may fail before it is refused.
+MAX_FAILURES = 6
+MIN_RETRY_AFTER_MS = 200
+# Time in which a target that crashed is usually back.
+NO_TARGET_RETRY_MS = 1000
+
+
+class ChainAdmission:
+    """Refuses at once what can't be served by its deadline.
+
+    Answers the load pattern of a burst beyond what the targets can do: a
+    request that waits in vain costs its caller the time to come back, and
+    pieces that are made for it are wasted.
+    """
+
+    def __init__(
+        self,
+        targets: BatchTargets,
+        board: EngineBoard,
+        times: ChainTimes,
+    ) -> None:
+        """Composes the admission.
+
+        Args:
+            targets: Accounts of the batching targets.
+            board: Knows the engines.
+            times: Predicted times.
+        """
+        self._targets = targets
+        self._board = board
+        self._times = times
+
+    def admit(
+        self,
+        chain: Chain,
+        others: Collection[Chain],
+        now_ms: float,
+    ) -> Denial | None:
+        """Predicts a request's times, and refuses it if they are too long.
+
+        Args:
+            chain: The request.
+            others: Those that were taken in before.
+            now_ms: Steady time.
+
+        Returns:
+            Why it is refused, or none if it is taken in.
+        """
+        order = chain.order
+        services = {state.stage.service for state in chain.stages.values()}
+        if not self._has_targets(order, services):
+            return Denial(
+                order.chain_id,
+                ChainRefusal.NO_TARGET,
+                NO_TARGET_RETRY_MS,
+            )
+        self._predict(chain, now_ms)
+        left_ms = order.deadline_at_ms - now_ms
+        wait_ms = max(
+            (
+                self._times.backlog_ms(service, others, now_ms)
+                for service in services
+            ),
+            default=0,
+        )
+        needed_ms = wait_ms + self._times.chain_ms(chain)
+        if needed_ms <= left_ms * ADMIT_SHARE:
+            return None
+        retry_after_ms = max(needed_ms - left_ms / 2, MIN_RETRY_AFTER_MS)
+        return Denial(order.chain_id, ChainRefusal.NO_TIME, retry_after_ms)
+
+    def find_hopeless(
+        self,
+        chain: Chain,
+        now_ms: float,
+    ) -> ChainRefusal | None:
+        """Returns why a request can't be served any more, or none.
+
+        Args:
+            chain: A request without an engine.
+            now_ms: Steady time.
+        """
+        left_ms = chain.order.deadline_at_ms - now_ms
+        if left_ms < self._times.least_ms(chain):
+            return ChainRefusal.NO_TIME
+        if chain.failures > MAX_FAILURES:
+            return ChainRefusal.FAILING
+        return None
+
+    def place(
+        self,
+        order: ChainOrder,
+        inputs: Sequence[PieceResult],
+        now_ms: float,
+    ) -> Placement | None:
+        """Returns the best engine, or none if there is none.
+
+        Args:
+            order: What the request needs.
+            inputs: Results that the engine will fetch.
+            now_ms: Steady time.
+        """
+        inputs_bytes: dict[str, float] = {}
+        for known in inputs:
+            domain = known.failure_domain
+            before = inputs_bytes.get(domain, 0)
+            inputs_bytes[domain] = before + known.size_bytes
+        engines = self._times.view.engines.get(order.engine_service, ())
+        query = PlacementQuery(order.prompt, engines, inputs_bytes)
+        return self._board.place(query, now_ms)
+
+    def _has_targets(
+        self,
+        order: ChainOrder,
+        services: Collection[str],
+    ) -> bool:
+        engines = self._times.view.engines.get(order.engine_service)
+        return bool(engines) and all(
+            self._targets.of_service(service) for service in services
+        )
+
+    def _predict(self, chain: Chain, now_ms: float) -> None:
+        """Sets expected times, and where large results will be read."""
+        self._times.predict(chain)
+        largest = max(
+            (state.stage.result_bytes for state in chain.stages.values()),
+            default=0,
+        )
+        if largest < LARGE_RESULT_BYTES:
+            return
+        placement = self.place(chain.order, (), now_ms)
+        if placement is not None:
+            chain.reader_domain = placement.engine.failure_domain
--- a/borageyard/chains.py
+++ b/borageyard/chains.py
@@ -53,6 +53,8 @@
 
     handle: str
     target_id: str
+    # Where its maker listens.
+    address: str
     failure_domain: str
     size_bytes: float
 
@@ -87,11 +89,17 @@
     @property
     def done(self) -> bool:
         """Tells whether nothing needs it to be run any more."""
-        if self.has_all:
-            return True
+        return self.has_all or self.is_read
+
+    @property
+    def is_read(self) -> bool:
+        """Tells whether its results are needed by nothing to come."""
         if not self.followers:
             return False
-        return all(follower.done for follower in self.followers)
+        return all(
+            follower.done or (follower.running and not follower.missing)
+            for follower in self.followers
+        )
 
     @property
     def startable(self) -> bool:
@@ -100,6 +108,15 @@
             return False
         return all(source.has_all for source in self.sources)
 
+    def inputs_bytes(self) -> Mapping[str, float]:
+        """Returns the size of what each piece reads, by failure domain."""
+        sizes: dict[str, float] = {}
+        for source in self.sources:
+            for made in source.made.values():
+                before = sizes.get(made.failure_domain, 0)
+                sizes[made.failure_domain] = before + made.size_bytes
+        return sizes
+
     def results(self) -> Sequence[PieceResult]:
         """Returns the results in the order of the pieces."""
         return [self.made[number] for number in sorted(self.made)]
@@ -211,18 +228,18 @@
             state.missing.remove(piece.number)
         state.made[piece.number] = made
 
-    def drop_unneeded(self) -> Sequence[PieceResult]:
-        """Removes results that only finished stages needed.
+    def drop_read(self) -> Sequence[PieceResult]:
+        """Removes results that all pieces which need them have read.
+
+        Inputs are read when a call begins; if the call fails later, they are
+        made again.
 
         Returns:
             What was removed.
         """
         removed: list[PieceResult] = []
         for state in self.stages.values():
-            read = state.followers and all(
-                follower.done for follower in state.followers
-            )
-            if read and state.made:
+            if state.made and state.is_read:
                 removed.extend(state.made.values())
                 state.reset()
         return removed
--- a/borageyard/claim_log.py
+++ b/borageyard/claim_log.py
@@ -8,6 +8,7 @@
 
 from .append_budget import AppendBudget
 from .append_queue import QueuedItem
+from .backing_services import LogRecord, LogService, PlatformError
 from .checkpoints import CheckpointSpan, CheckpointTracker, build_checkpoint
 from .claim_records import (
     BatchItem,
@@ -24,7 +25,6 @@
 from .key_waiters import KeyWaiters
 from .log_reader import RETRY_MS, StreamReader
 from .log_writer import GroupWriter, WriterSettings
-from .backing_services import LogRecord, LogService, PlatformError
 
 STREAM_PREFIX = 'claims'
 # Parts of the retention: age at which records are carried forward, and how
--- a/borageyard/claim_records.py
+++ b/borageyard/claim_records.py
@@ -3,6 +3,7 @@
 import itertools
 from collections.abc import Sequence
 
+from .backing_services import LogRecord, Record
 from .border import DocumentError, check_document
 from .claims import Claim, ClaimFold, RecordedOutcome
 from .events import Event, log_event
@@ -13,7 +14,6 @@
     OutcomeRecord,
     VoidRecord,
 )
-from .backing_services import LogRecord, Record
 
 BatchItem = ClaimRecord | VoidRecord | OutcomeRecord | CheckpointRecord
 NEW_CLAIM_OFFSET = -1
--- a/borageyard/claim_service.py
+++ b/borageyard/claim_service.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
+from .backing_services import ROLE_ENTRY, Instance, LogService, PlatformError
 from .claim_attempts import ClaimAttempts
 from .claim_gate import LogClaimGate
 from .claim_log import ClaimLog, ClaimLogPorts
@@ -17,7 +18,6 @@
 from .outcome_recorder import OutcomeRecorder
 from .outcomes import OutcomeHolder
 from .peers import PeerLink
-from .backing_services import ROLE_ENTRY, Instance, LogService, PlatformError
 
 DEFAULT_WINDOW_MS = 600_000
 DEFAULT_SKEW_MS = 2000
--- a/borageyard/configuration_changes.py
+++ b/borageyard/configuration_changes.py
@@ -6,6 +6,7 @@
 import enum
 from collections.abc import Callable
 
+from .backing_services import AppendRefusedError, LogService, PlatformError
 from .clock import MS_PER_S
 from .configuration_diff import Difference, differences
 from .configuration_log import (
@@ -18,7 +19,6 @@
 from .generated.log_configuration import DecisionRecord
 from .permission import AcceptanceTracker, PermissionHolder
 from .permission_probes import PermissionProber
-from .backing_services import AppendRefusedError, LogService, PlatformError
 
 # How long a lost append is looked for.
 LOOK_MS = 3000
--- a/borageyard/configuration_handler.py
+++ b/borageyard/configuration_handler.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from http import HTTPStatus
 
+from .backing_services import PlatformError
 from .border import DocumentError, check_document, parse_json
 from .configuration import parse_configuration
 from .configuration_changes import (
@@ -26,7 +27,6 @@
 )
 from .http_messages import HttpRequest, HttpResponse, json_response
 from .identifiers import new_identifier
-from .backing_services import PlatformError
 from .tokens import is_operator
 from .wire import encode_refusal
 
--- a/borageyard/configuration_log.py
+++ b/borageyard/configuration_log.py
@@ -7,6 +7,7 @@
 
 import pydantic
 
+from .backing_services import LogPage, LogRecord
 from .border import DocumentError, check_document
 from .configuration import Configuration, parse_configuration
 from .configuration_state import (
@@ -25,7 +26,6 @@
     JoinRecord,
     LeaveRecord,
 )
-from .backing_services import LogPage, LogRecord
 
 CONFIGURATION_STREAM = 'configuration'
 RECORD = 'record'
--- a/borageyard/configuration_service.py
+++ b/borageyard/configuration_service.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from .backing_services import Instance, LogService
 from .clock import Clock
 from .configuration_changes import ConfigurationChanges
 from .configuration_log import ConfigurationFold
@@ -12,7 +13,6 @@
 from .peers import PeerLink
 from .permission import AcceptanceTracker, PermissionHolder
 from .permission_probes import PermissionProber
-from .backing_services import Instance, LogService
 from .tasks import running_tasks
 
 
--- a/borageyard/configuration_sync.py
+++ b/borageyard/configuration_sync.py
@@ -4,6 +4,14 @@
 import contextlib
 from collections.abc import Callable, Sequence
 
+from .backing_services import (
+    ROLE_ENTRY,
+    Instance,
+    LogService,
+    OffsetExpiredError,
+    PlatformError,
+    Record,
+)
 from .clock import MS_PER_S, Clock
 from .configuration_log import (
     CONFIGURATION_STREAM,
@@ -13,14 +21,6 @@
 from .configuration_state import instance_of
 from .events import Event, log_event
 from .permission import AcceptanceTracker, PermissionHolder
-from .backing_services import (
-    ROLE_ENTRY,
-    Instance,
-    LogService,
-    OffsetExpiredError,
-    PlatformError,
-    Record,
-)
 
 READ_WAIT_MS = 250
 RETRY_MS = 100
--- a/borageyard/core.py
+++ b/borageyard/core.py
@@ -9,6 +9,7 @@
 from opentelemetry import trace
 
 from .addresses import EntryAddress, order_entries
+from .backing_services import InstanceList, LogService, WeightStore
 from .cache_watcher import CacheWatcher
 from .claim_service import ClaimService, ClaimServicePorts
 from .clock import MS_PER_S, Clock
@@ -31,7 +32,6 @@
 from .peer_stream import PeerCounters
 from .peers import PeerLink
 from .pipeline import PipelineRunner
-from .backing_services import InstanceList, LogService, WeightStore
 from .policy import EntryPolicy, PolicyOptions, PolicyPlace
 from .policy_news import PolicyNews
 from .reconciler import build_reconciler
--- a/borageyard/deployment.py
+++ b/borageyard/deployment.py
@@ -6,12 +6,6 @@
 from types import TracebackType
 from typing import Any, Self
 
-from .clock import Clock, SystemClock
-from .configuration import Configuration, parse_configuration
-from .configuration_log import CONFIGURATION_STREAM
-from .entry import Entry
-from .generated.settings import EntrySettings
-from .http_server import Handler, HttpServer
 from .backing_services import (
     ROLE_ENTRY,
     ROLE_TARGET,
@@ -19,6 +13,12 @@
     MemoryInstances,
     MemoryLog,
 )
+from .clock import Clock, SystemClock
+from .configuration import Configuration, parse_configuration
+from .configuration_log import CONFIGURATION_STREAM
+from .entry import Entry
+from .generated.settings import EntrySettings
+from .http_server import Handler, HttpServer
 from .standins.orders import preload
 from .standins.platform_http import (
     InstancesHandler,
--- a/borageyard/engine_board.py
+++ b/borageyard/engine_board.py
@@ -108,9 +108,7 @@
             now_ms: Steady time.
         """
         fitting = [
-            row
-            for row in query.engines
-            if row.target_id not in query.excluded
+            row for row in query.engines if row.target_id not in query.excluded
         ]
         sound = [
             row
@@ -221,17 +219,14 @@
         shared = sum(part.tokens for part in prompt.parts[:-1])
         reread = max(shared - cached, 0)
         unread = max(prompt.prompt_tokens - cached, 0)
-        read_ms = (engine.unread_tokens + unread) / PREFILL_TOKENS_PER_MS
-        reread_ms = REREAD_WEIGHT * reread / PREFILL_TOKENS_PER_MS
-        step_ms = engine.running * STEP_MS_PER_RUN * FIRST_TOKEN_STEPS
-        remote_bytes = sum(
-            size_bytes
-            for domain, size_bytes in query.inputs_bytes.items()
-            if domain != row.failure_domain
+        tokens = engine.unread_tokens + unread + REREAD_WEIGHT * reread
+        cost_ms = (
+            tokens / PREFILL_TOKENS_PER_MS
+            + engine.running * STEP_MS_PER_RUN * FIRST_TOKEN_STEPS
+            + _remote_ms(query, row)
         )
-        remote_ms = REMOTE_INPUT_MS_PER_MB * remote_bytes / BYTES_PER_MB
-        home_ms = 0 if self._is_home(query, row) else HOME_MS
-        cost_ms = read_ms + reread_ms + step_ms + remote_ms + home_ms
+        if not _is_home(query, row):
+            cost_ms += HOME_MS
         return Placement(row, cost_ms, cached)
 
     def _cached_tokens(
@@ -248,9 +243,21 @@
         )
         return sum(part.tokens for part in held)
 
-    def _is_home(self, query: PlacementQuery, row: RosterRow) -> bool:
-        if not query.prompt.parts:
-            return False
-        root = query.prompt.parts[0].part_id
-        names = [engine.target_id for engine in query.engines]
-        return choose(root, names) == row.target_id
+
+def _remote_ms(query: PlacementQuery, row: RosterRow) -> float:
+    """Returns the cost of inputs that lie in other failure domains."""
+    remote_bytes = sum(
+        size_bytes
+        for domain, size_bytes in query.inputs_bytes.items()
+        if domain != row.failure_domain
+    )
+    return REMOTE_INPUT_MS_PER_MB * remote_bytes / BYTES_PER_MB
+
+
+def _is_home(query: PlacementQuery, row: RosterRow) -> bool:
+    """Tells whether the first part of a prompt is assigned to an engine."""
+    if not query.prompt.parts:
+        return False
+    root = query.prompt.parts[0].part_id
+    names = [engine.target_id for engine in query.engines]
+    return choose(root, names) == row.target_id
--- a/borageyard/fault_ports.py
+++ b/borageyard/fault_ports.py
@@ -7,15 +7,15 @@
 from collections.abc import AsyncGenerator, Mapping, Sequence
 from typing import Protocol
 
-from .clock import MS_PER_S
-from .fault_table import Fault, Step
-from .life import Life, LivingLog
 from .backing_services import (
     AppendRefusedError,
     LogPage,
     LogService,
     Record,
 )
+from .clock import MS_PER_S
+from .fault_table import Fault, Step
+from .life import Life, LivingLog
 from .target import (
     CacheEvent,
     FailureKind,
--- a/borageyard/fleet_state.py
+++ b/borageyard/fleet_state.py
@@ -4,8 +4,8 @@
 from typing import Protocol
 
 from .border import DocumentError
-from .chain_scheduler import FleetView
 from .events import Event, log_event
+from .plans import FleetView
 from .roster import RosterChange, RosterRow, TargetRoster
 from .serving import ServingConfiguration, group_services
 from .shared_table import Table, TablePage, TableRecord
--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -3,21 +3,18 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import Awaitable, Callable
-from typing import Protocol
 
 from .clock import MS_PER_S, Clock
-from .errors import ErrorKind, Refusal, RefusalError
 from .events import Event, log_event
 from .fleet_state import FleetState, RecordDecoder
 from .fleet_sync import FleetSync
-from .gateway_metrics import GatewayMetrics
+from .gateway_handlers import CallerBorder, GatewayHandlers
 from .gateway_settings import GatewaySettings
 from .generated.peer_fleet import EntryPresenceBody
 from .generated.settings import PeerSettings
-from .http_messages import HttpLimits, HttpRequest, HttpResponse
+from .http_messages import HttpLimits
 from .http_server import HttpServer
-from .inbound import InboundRequest, TargetSender
+from .inbound import TargetSender
 from .membership import Membership
 from .peer_link import TcpPeerLink
 from .peer_stream import PeerContext, PeerCounters, PeerIdentity
@@ -32,14 +29,20 @@
 
 # Bounds of streams between entries: a silent peer is passed over before most
 # requests that it schedules are late.
+PEER_BEAT_MS = 300
+PEER_SILENCE_MS = 1000
+# Budget of news for all peers together, from the users' bound on a node.
+PEER_NEWS_BYTES_PER_S = 3000
+# Requests that one peer may have at the scheduler of a group.
+PEER_REQUESTS = 2048
 PEER_SETTINGS = PeerSettings(
-    news_interval_ms=300,
-    heartbeat_ms=300,
-    silence_ms=1000,
-    connect_timeout_ms=300,
-    news_bytes_per_s=3000,
-    max_requests=2048,
-    max_queued_frames=2048,
+    news_interval_ms=PEER_BEAT_MS,
+    heartbeat_ms=PEER_BEAT_MS,
+    silence_ms=PEER_SILENCE_MS,
+    connect_timeout_ms=PEER_BEAT_MS,
+    news_bytes_per_s=PEER_NEWS_BYTES_PER_S,
+    max_requests=PEER_REQUESTS,
+    max_queued_frames=PEER_REQUESTS,
 )
 MAX_CONNECTIONS = 2000
 # Time for which an entry that stops takes new requests: callers keep its
@@ -48,32 +51,6 @@
 # Time before the kill at which an entry that stops ends in any case.
 STOP_MARGIN_MS = 400
 STOP_POLL_MS = 50
-NO_READY_RETRY_MS = 300
-
-
-class CallerBorder(Protocol):
-    """Formats that callers and the platform use towards an entry."""
-
-    def decode_request(
-        self,
-        request: HttpRequest,
-        received_at_ms: float,
-    ) -> InboundRequest:
-        """Returns a caller's request; raises RefusalError."""
-
-    def encode_refusal(
-        self,
-        request_id: str,
-        refusal: Refusal,
-    ) -> HttpResponse:
-        """Returns the answer to a request that is not served."""
-
-    def encode_addresses(
-        self,
-        addresses: tuple[str, ...],
-        ttl_s: float,
-    ) -> bytes:
-        """Returns the body that names the addresses for callers."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,7 +76,6 @@
             ports: The outside.
         """
         self.settings = settings
-        self.metrics = GatewayMetrics()
         self.state = FleetState(ports.decoder)
         self._ports = ports
         clock = ports.clock
@@ -152,12 +128,19 @@
             clock,
             settings.instance_id,
         )
+        self.handlers = GatewayHandlers(
+            settings,
+            ports.border,
+            self.relay,
+            membership,
+            self.is_ready,
+            clock,
+        )
         limits = HttpLimits(max_connections=MAX_CONNECTIONS)
-        self._callers = HttpServer(self._handle_caller, limits)
+        self._callers = HttpServer(self.handlers.handle_caller, limits)
         self.state.add_listener(self._note_table)
 
-    @property
-    def ready(self) -> bool:
+    def is_ready(self) -> bool:
         """Tells whether this entry can serve requests."""
         has_targets = bool(self.state.roster.services)
         configured = self.state.configuration is not None
@@ -171,18 +154,7 @@
         """
         settings = self.settings
         async with contextlib.AsyncExitStack() as stack:
-            await self._listen(
-                settings.directory_address,
-                self._handle_directory,
-                stack,
-            )
-            await self._listen(
-                settings.ready_address,
-                self._handle_ready,
-                stack,
-            )
-            await stack.enter_async_context(self._callers)
-            await self._callers.start(settings.caller_address)
+            await self._listen(stack)
             await self.link.start(settings.peer_address, stack)
             await stack.enter_async_context(self.service.running())
             await stack.enter_async_context(self.sync.running())
@@ -216,70 +188,22 @@
                 break
             await asyncio.sleep(STOP_POLL_MS / MS_PER_S)
 
-    async def _listen(
-        self,
-        address: str,
-        handler: Callable[[HttpRequest], Awaitable[HttpResponse]],
-        stack: contextlib.AsyncExitStack,
-    ) -> None:
-        server = HttpServer(handler, HttpLimits(max_connections=MAX_CONNECTIONS))
-        await stack.enter_async_context(server)
-        await server.start(address)
-
-    async def _handle_caller(self, request: HttpRequest) -> HttpResponse:
-        clock = self._ports.clock
-        border = self._ports.border
-        began_ms = clock.steady_ms()
-        request_id = ''
-        try:
-            inbound = border.decode_request(request, began_ms)
-            request_id = inbound.request_id
-            response = await self.relay.answer(inbound)
-        except RefusalError as error:
-            refusal = error.refusal
-            self.metrics.note_refusal(refusal)
-            log_event(
-                Event.REQUEST_REFUSED,
-                request_id=request_id,
-                kind=refusal.kind.value,
-                ran=refusal.ran.value,
-                detail=refusal.detail,
-                retry_after_ms=refusal.retry_after_ms,
-                took_ms=round(clock.steady_ms() - began_ms),
-            )
-            response = border.encode_refusal(request_id, refusal)
-        took_ms = clock.steady_ms() - began_ms
-        self.metrics.note_answer(response.status, took_ms)
-        return response
-
-    async def _handle_ready(self, request: HttpRequest) -> HttpResponse:
-        if self.ready:
-            return HttpResponse(200, b'{}')
-        return self._ports.border.encode_refusal(
-            '',
-            Refusal(ErrorKind.NOT_READY, retry_after_ms=NO_READY_RETRY_MS),
-        )
-
-    async def _handle_directory(self, request: HttpRequest) -> HttpResponse:
-        """Names the entries that are ready, as fresh news tells."""
-        now_ms = self._ports.clock.steady_ms()
-        addresses = [
-            member.address
-            for member in self.sync.membership.alive(now_ms)
-            if member.address
-        ]
-        if self.ready:
-            addresses.append(self.settings.caller_address)
-        if not addresses:
-            return await self._handle_ready(request)
-        body = self._ports.border.encode_addresses(
-            tuple(sorted(addresses)),
-            self.settings.address_ttl_s,
-        )
-        return HttpResponse(200, body)
+    async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
+        """Opens the addresses for callers and for the platform."""
+        settings = self.settings
+        limits = HttpLimits(max_connections=MAX_CONNECTIONS)
+        directory = HttpServer(self.handlers.handle_directory, limits)
+        ready = HttpServer(self.handlers.handle_ready, limits)
+        for server, address in (
+            (directory, settings.directory_address),
+            (ready, settings.ready_address),
+            (self._callers, settings.caller_address),
+        ):
+            await stack.enter_async_context(server)
+            await server.start(address)
 
     def _note_table(self, table: Table) -> None:
-        if self.ready:
+        if self.is_ready():
             self.sync.address = self.settings.caller_address
         known = self.sync.entries_known()
         self._plain.entries_known = known
@@ -288,7 +212,7 @@
         if configuration is None:
             return
         limits = configuration.limits
-        self.metrics.version.set({}, configuration.version)
+        self.handlers.metrics.version.set({}, configuration.version)
         self._callers.update_limits(
             HttpLimits(
                 max_body_bytes=limits.max_body_bytes,
--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -153,26 +153,6 @@
         self._codec.receive_data(trailing)
         return True
 
-    def _encode(self, call: HttpCall) -> bytes:
-        headers = [
-            ('host', call.headers.get('host', call.address)),
-            ('content-length', str(len(call.body))),
-        ]
-        headers.extend(
-            (name, text)
-            for name, text in call.headers.items()
-            if name != 'host'
-        )
-        head = h11.Request(
-            method=call.method,
-            target=call.path,
-            headers=headers,
-        )
-        encoded = self._codec.send(head) or b''
-        if call.body:
-            encoded += self._codec.send(h11.Data(data=call.body)) or b''
-        return encoded + (self._codec.send(h11.EndOfMessage()) or b'')
-
     def is_fresh(self, now_s: float) -> bool:
         """Tells whether the server surely keeps the connection still.
 
@@ -212,6 +192,26 @@
         """Drops the connection."""
         self._raw_writer.transport.abort()
 
+    def _encode(self, call: HttpCall) -> bytes:
+        headers = [
+            ('host', call.headers.get('host', call.address)),
+            ('content-length', str(len(call.body))),
+        ]
+        headers.extend(
+            (name, text)
+            for name, text in call.headers.items()
+            if name != 'host'
+        )
+        head = h11.Request(
+            method=call.method,
+            target=call.path,
+            headers=headers,
+        )
+        encoded = self._codec.send(head) or b''
+        if call.body:
+            encoded += self._codec.send(h11.Data(data=call.body)) or b''
+        return encoded + (self._codec.send(h11.EndOfMessage()) or b'')
+
     async def _receive_chunk(self) -> bytes | bytearray:
         try:
             return await self._next_chunk()
@@ -367,8 +367,7 @@
                 connection.send(call)
                 return await self._receive_own_head(call, connection)
             except (OSError, h11.ProtocolError, HttpCallError) as error:
-                repeatable = call.repeatable and connection.stale
-                if isinstance(error, TimeoutError) or not repeatable:
+                if not _may_resend(call, connection, error):
                     raise
             connection.close()
 
@@ -410,6 +409,16 @@
         connection.close()
 
 
+def _may_resend(
+    call: HttpCall,
+    connection: ClientConnection,
+    error: Exception,
+) -> bool:
+    """Tells whether a kept connection broke and the call may be repeated."""
+    timed_out = isinstance(error, TimeoutError)
+    return call.repeatable and connection.stale and not timed_out
+
+
 def _keep_s(headers: Mapping[str, str]) -> float:
     """Returns how long a connection may be idle by its headers."""
     for field in headers.get('keep-alive', '').split(','):
--- a/borageyard/http_orders.py
+++ b/borageyard/http_orders.py
@@ -1,11 +1,11 @@
 """Orders to targets and the weight store over HTTP."""
 
+from .backing_services import PlatformError
 from .border import DocumentError, check_document, parse_json
 from .generated.log_leases import OrderBody, OrderReplyBody, WeightRateBody
 from .http_client import HttpCall, HttpCallError, HttpClient
 from .http_messages import encode_json
 from .orders import ORDER_FLIGHT_MS, Order, OrderError
-from .backing_services import PlatformError
 
 ORDERS_PATH = '/v1/orders'
 STATUS_OK = 200
--- a/borageyard/http_platform.py
+++ b/borageyard/http_platform.py
@@ -2,10 +2,6 @@
 
 from collections.abc import Sequence
 
-from .border import DocumentError, check_document, parse_json
-from .generated.http_bodies import InstanceListBody, LogPageBody
-from .http_client import HttpCall, HttpCallError, HttpClient, HttpReply
-from .http_messages import encode_json
 from .backing_services import (
     AppendRefusedError,
     AppendUnknownError,
@@ -16,6 +12,10 @@
     PlatformError,
     Record,
 )
+from .border import DocumentError, check_document, parse_json
+from .generated.http_bodies import InstanceListBody, LogPageBody
+from .http_client import HttpCall, HttpCallError, HttpClient, HttpReply
+from .http_messages import encode_json
 
 APPEND_TIMEOUT_MS = 1000
 READ_TIMEOUT_MS = 1000
--- a/borageyard/leases.py
+++ b/borageyard/leases.py
@@ -2,12 +2,12 @@
 
 import dataclasses
 
+from .backing_services import LogPage, LogRecord
 from .border import DocumentError, check_document
 from .events import Event, log_event
 from .generated.log_leases import LeaseRecord
 from .identifiers import new_identifier
 from .permission import waiting_time_ms
-from .backing_services import LogPage, LogRecord
 
 LEASE_STREAM = 'leases'
 TERM_MS = 3000
--- a/borageyard/life.py
+++ b/borageyard/life.py
@@ -7,7 +7,6 @@
 
 import pydantic
 
-from .peers import NewsSection, PeerAddress, PeerHandler, PeerLink
 from .backing_services import (
     Instance,
     InstanceList,
@@ -15,6 +14,7 @@
     LogService,
     Record,
 )
+from .peers import NewsSection, PeerAddress, PeerHandler, PeerLink
 
 ReplyT = TypeVar('ReplyT', bound=pydantic.BaseModel)
 
--- a/borageyard/log_queue.py
+++ b/borageyard/log_queue.py
@@ -46,7 +46,7 @@
             self.dropped += 1
             return
         self._allowance -= 1
-        self._lines.append(_ENCODER.encode(message).encode() + b'\n')
+        self._append(message)
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
@@ -79,10 +79,13 @@
             os.set_blocking(self._descriptor, blocking)
         self._unwritten = self._unwritten[written:]
 
+    def _append(self, line: Mapping[str, Any]) -> None:
+        self._lines.append(b'%b\n' % _ENCODER.encode(line).encode())
+
     def _note_dropped(self) -> None:
         line = {'message_type': DROPPED_KIND, 'lines': self.dropped}
         self.dropped = 0
-        self._lines.append(_ENCODER.encode(line).encode() + b'\n')
+        self._append(line)
 
     async def _flush_regularly(self) -> None:
         while True:
--- a/borageyard/log_reader.py
+++ b/borageyard/log_reader.py
@@ -4,8 +4,6 @@
 import dataclasses
 from collections.abc import Callable, Sequence
 
-from .clock import MS_PER_S, Clock
-from .events import Event, log_event
 from .backing_services import (
     LogPage,
     LogRecord,
@@ -13,6 +11,8 @@
     OffsetExpiredError,
     PlatformError,
 )
+from .clock import MS_PER_S, Clock
+from .events import Event, log_event
 
 READ_WAIT_MS = 500
 RETRY_MS = 50
--- a/borageyard/log_writer.py
+++ b/borageyard/log_writer.py
@@ -8,15 +8,15 @@
 
 from .append_budget import AppendBudget
 from .append_queue import AppendBackoff, AppendQueue, QueuedItem
-from .clock import MS_PER_S, Clock
-from .events import Event, log_event
-from .identifiers import new_identifier
 from .backing_services import (
     AppendRefusedError,
     LogService,
     PlatformError,
     Record,
 )
+from .clock import MS_PER_S, Clock
+from .events import Event, log_event
+from .identifiers import new_identifier
 
 MAX_IN_FLIGHT = 4
 # Time in which a record whose append had no answer should be read back.
--- a/borageyard/membership.py
+++ b/borageyard/membership.py
@@ -4,9 +4,9 @@
 import enum
 from collections.abc import Iterable, Sequence
 
+from .backing_services import ROLE_ENTRY, STATE_LEAVING, Instance
 from .generated.peer_membership import PeerMembershipBody
 from .leaving_marks import LeavingMark, LeavingMarks
-from .backing_services import ROLE_ENTRY, STATE_LEAVING, Instance
 
 # Regular news comes every 0.5 s by default.
 SUSPECT_AFTER_MS = 1500
--- a/borageyard/membership_service.py
+++ b/borageyard/membership_service.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from .activity import Activity
+from .backing_services import Instance
 from .clock import MS_PER_S, Clock
 from .events import Event, log_event
 from .generated.peer_membership import (
@@ -17,7 +18,6 @@
 from .leaving_marks import LeavingMark, LeavingMarks
 from .membership import Membership, MemberState
 from .peers import NewsSection, PeerAddress, PeerError, PeerLink
-from .backing_services import Instance
 from .targets import TargetDirectory
 
 TICK_MS = 200
--- a/borageyard/memory_deployment.py
+++ b/borageyard/memory_deployment.py
@@ -8,6 +8,13 @@
 from types import TracebackType
 from typing import Self
 
+from .backing_services import (
+    ROLE_ENTRY,
+    ROLE_TARGET,
+    Instance,
+    MemoryInstances,
+    MemoryLog,
+)
 from .clock import MS_PER_S, Clock, LoopClock
 from .configuration import Configuration, parse_configuration
 from .configuration_log import CONFIGURATION_STREAM
@@ -18,13 +25,6 @@
 from .memory_orders import MemoryOrderClient, MemoryWeights
 from .memory_target import MemoryTargetClient
 from .peers import MemoryPeerNetwork
-from .backing_services import (
-    ROLE_ENTRY,
-    ROLE_TARGET,
-    Instance,
-    MemoryInstances,
-    MemoryLog,
-)
 from .policy import PolicyOptions
 from .standins.orders import (
     DEFAULT_RATE_BYTES_PER_S,
--- a/borageyard/memory_orders.py
+++ b/borageyard/memory_orders.py
@@ -3,9 +3,9 @@
 import dataclasses
 from collections.abc import Mapping
 
+from .backing_services import PlatformError
 from .generated.log_leases import OrderBody
 from .orders import Order, OrderError
-from .backing_services import PlatformError
 from .standins.orders import StaleOrderError, StandinOrders
 
 
--- a/borageyard/peer_fleet.py
+++ b/borageyard/peer_fleet.py
@@ -6,6 +6,13 @@
 from types import TracebackType
 from typing import Self
 
+from .backing_services import (
+    ROLE_ENTRY,
+    ROLE_TARGET,
+    Instance,
+    MemoryInstances,
+    MemoryLog,
+)
 from .clock import MS_PER_S, SystemClock
 from .configuration_log import CONFIGURATION_STREAM
 from .core import EntryCore, EntryPorts
@@ -16,13 +23,6 @@
 from .memory_target import MemoryTargetClient
 from .peer_link import TcpPeerLink
 from .peer_stream import PeerContext, PeerCounters, PeerIdentity
-from .backing_services import (
-    ROLE_ENTRY,
-    ROLE_TARGET,
-    Instance,
-    MemoryInstances,
-    MemoryLog,
-)
 from .standins.orders import DEFAULT_RATE_BYTES_PER_S
 
 ANY_PORT = '127.0.0.1:0'
--- a/borageyard/plain_relay.py
+++ b/borageyard/plain_relay.py
@@ -81,30 +81,36 @@
         Raises:
             RefusalError: If there is none.
         """
-        failed_answer: HttpResponse | None = None
-        while True:
+        answer: HttpResponse | None = None
+        while answer is None or self._may_repeat(terms, tally, answer):
             target = self._pick(terms, tally)
-            if target is None and failed_answer is not None:
-                return failed_answer
             if target is None:
-                detail = f'no target of {terms.service}'
-                raise RefusalError(_refusal(tally, detail))
-            may_repeat = self._may_repeat(terms, tally)
-            try:
-                answer = await self._send(request, terms, target, tally)
-            except SendError as error:
-                self._note_failure(request, target, tally, error)
-                if not self._may_go_on(terms, tally, may_repeat=may_repeat):
-                    raise RefusalError(_refusal(tally, str(error))) from error
-                continue
-            failed = answer.status >= FIRST_SERVER_ERROR
-            if not failed or not self._may_go_on(
-                terms,
-                tally,
-                may_repeat=may_repeat,
-            ):
-                return answer
-            failed_answer = answer
+                break
+            answer = await self._try(request, terms, target, tally) or answer
+        if answer is None:
+            detail = f'no target of {terms.service}'
+            raise RefusalError(_refusal(tally, detail))
+        return answer
+
+    async def _try(
+        self,
+        request: InboundRequest,
+        terms: RelayTerms,
+        target: RosterRow,
+        tally: SendTally,
+    ) -> HttpResponse | None:
+        """Returns an answer, or none if another send may be tried.
+
+        Raises:
+            RefusalError: If there is no answer and none may be tried.
+        """
+        try:
+            return await self._send(request, terms, target, tally)
+        except SendError as error:
+            self._note_failure(request, target, tally, error)
+            if not self._may_go_on(terms, tally):
+                raise RefusalError(_refusal(tally, str(error))) from error
+        return None
 
     def _pick(self, terms: RelayTerms, tally: SendTally) -> RosterRow | None:
         return self._picker.pick(
@@ -134,19 +140,20 @@
         tally.sent = True
         with self._picker.counted(target):
             async with self._sender.send(send) as answer:
-                body = b''.join([chunk async for chunk in answer.chunks])
+                body = await _read_body(answer)
                 self._note_answer(target, answer, tally)
+                response = HttpResponse(
+                    answer.status,
+                    body,
+                    content_type='',
+                    headers=answer.headers,
+                )
         tally.ran += 1
-        if answer.status >= FIRST_SERVER_ERROR:
+        if response.status >= FIRST_SERVER_ERROR:
             self._picker.note_failure(target, self._clock.steady_ms())
         else:
             self._picker.note_success(target)
-        return HttpResponse(
-            answer.status,
-            body,
-            content_type='',
-            headers=answer.headers,
-        )
+        return response
 
     def _note_answer(
         self,
@@ -184,26 +191,32 @@
             reason=str(error),
         )
 
-    def _may_repeat(self, terms: RelayTerms, tally: SendTally) -> bool:
-        """Tells whether one more send may run after the next one."""
-        route = terms.route
-        return route.repeatable and tally.ran + 1 < route.max_attempts
-
-    def _may_go_on(
+    def _may_repeat(
         self,
         terms: RelayTerms,
         tally: SendTally,
-        *,
-        may_repeat: bool,
+        answer: HttpResponse,
     ) -> bool:
-        if tally.ran and not may_repeat:
+        """Tells whether an answer that is a failure may be replaced."""
+        if answer.status < FIRST_SERVER_ERROR:
+            return False
+        return self._may_go_on(terms, tally)
+
+    def _may_go_on(self, terms: RelayTerms, tally: SendTally) -> bool:
+        """Tells whether the request may be sent once more."""
+        route = terms.route
+        if tally.ran and not route.repeatable:
             return False
-        if tally.unrun > MAX_UNRUN_SENDS:
+        if tally.ran >= route.max_attempts or tally.unrun > MAX_UNRUN_SENDS:
             return False
         now_ms = self._clock.steady_ms()
         return self._retries.take(terms.service, now_ms, self.entries_known)
 
 
+async def _read_body(answer: TargetAnswer) -> bytes:
+    return b''.join([chunk async for chunk in answer.chunks])
+
+
 def _refusal(tally: SendTally, detail: str) -> Refusal:
     """Returns how a request ends that got no answer."""
     if tally.ran:
--- a/borageyard/platform/__main__.py
+++ b/borageyard/platform/__main__.py
@@ -20,7 +20,9 @@
 
 EXIT_GOOD = 0
 EXIT_USAGE = 2
-CLIENT_LIMITS = HttpLimits(connect_timeout_ms=300)
+# A connection within a deployment opens within milliseconds.
+CONNECT_TIMEOUT_MS = 300
+CLIENT_LIMITS = HttpLimits(connect_timeout_ms=CONNECT_TIMEOUT_MS)
 
 
 async def serve(path: str) -> None:
--- a/borageyard/platform/documents.py
+++ b/borageyard/platform/documents.py
@@ -1,10 +1,11 @@
 """Records of the platform's store: the operator's document and targets."""
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field
 
 from ..border import check_document, parse_json
+from ..clock import MS_PER_S
 from ..roster import RosterRow, TargetPhase
 from ..serving import (
     Backend,
@@ -20,7 +21,6 @@
 )
 
 BYTES_PER_MB = 1_000_000
-MS_PER_S = 1000
 ADDRESS_PATTERN = r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$'
 CONFIGURATION_SOURCE = 'configuration'
 
@@ -113,7 +113,7 @@
     service: str
     address: Annotated[str, Field(pattern=ADDRESS_PATTERN)]
     zone: str
-    state: str
+    state: Literal['ready', 'draining']
     slots: Annotated[int, Field(ge=0)]
     # Counts the announcements of one start.
     sequence: Annotated[int, Field(ge=0)] = 0
@@ -171,25 +171,16 @@
             service=told.service,
             address=told.address,
             failure_domain=told.zone,
-            phase=_decode_phase(told, source),
+            phase=TargetPhase(told.state),
             slots=told.slots,
             incarnation=told.born,
             beat=told.sequence,
         )
 
 
-class _Phase(BaseModel):
-    state: TargetPhase
-
-
-def _decode_phase(told: _Target, source: str) -> TargetPhase:
-    return check_document(_Phase, {'state': told.state}, source).state
-
-
 def _decode_route(route: _Route) -> ServiceRoute:
     backends = tuple(
-        Backend(backend.service, backend.weight)
-        for backend in route.backends
+        Backend(backend.service, backend.weight) for backend in route.backends
     )
     return ServiceRoute(
         name=route.name,
--- a/borageyard/platform/ingress.py
+++ b/borageyard/platform/ingress.py
@@ -96,7 +96,8 @@
     if request_id:
         headers[ATTEMPT_ID] = request_id
     if refusal.retry_after_ms:
-        headers['retry-after'] = f'{refusal.retry_after_ms / MS_PER_S:.3f}'
+        retry_after_s = round(refusal.retry_after_ms / MS_PER_S, 3)
+        headers['retry-after'] = str(retry_after_s)
     body = encode_json(
         {
             'error': refusal.kind.value,
@@ -128,7 +129,8 @@
         dropped: Names that do not go on, besides those of one connection.
     """
     named = {
-        name.strip().lower() for name in headers.get('connection', '').split(',')
+        name.strip().lower()
+        for name in headers.get('connection', '').split(',')
     }
     return {
         name: text
--- a/borageyard/platform/store.py
+++ b/borageyard/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import struct
+import types
 from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Annotated
@@ -19,11 +20,13 @@
     TableRecord,
 )
 
-TOPICS: Mapping[Table, str] = {
-    Table.CONFIGURATION: 'keyed.op',
-    Table.TARGETS: 'keyed.servers',
-    Table.ENTRIES: 'keyed.status',
-}
+TOPICS: Mapping[Table, str] = types.MappingProxyType(
+    {
+        Table.CONFIGURATION: 'keyed.op',
+        Table.TARGETS: 'keyed.servers',
+        Table.ENTRIES: 'keyed.status',
+    },
+)
 # The one key of the operator's topic that holds the configuration.
 CONFIGURATION_KEY = 'config'
 ONLY_PART = 0
@@ -31,7 +34,9 @@
 LENGTH = struct.Struct('>I')
 # Answer time of the store when it is slow (fifty times 4 ms), several times.
 CALL_TIMEOUT_MS = 700
-CALL_HEADERS: Mapping[str, str] = {'accept-encoding': 'identity'}
+CALL_HEADERS: Mapping[str, str] = types.MappingProxyType(
+    {'accept-encoding': 'identity'},
+)
 
 
 class _Item(BaseModel):
@@ -62,7 +67,8 @@
 
     async def snapshot(self, table: Table) -> TablePage:
         """Reads the newest record of each key."""
-        first = page = await self._newest(table, {})
+        page = await self._newest(table, {})
+        end = page.end
         items = list(page.items)
         while page.more and page.items:
             page = await self._newest(table, {'after': page.items[-1].key})
@@ -73,9 +79,11 @@
             if _is_relevant(table, item.key)
         ]
         records.sort(key=lambda record: record.offset)
-        return TablePage(tuple(records), first.end)
+        return TablePage(tuple(records), end)
 
-    async def read(self, table: Table, offset: int, wait_ms: float) -> TablePage:
+    async def read(
+        self, table: Table, offset: int, wait_ms: float
+    ) -> TablePage:
         """Reads the history of a table from an offset on."""
         query = {
             'topic': TOPICS[table],
--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -1,11 +1,12 @@
 """Calls to the platform's targets: requests and pieces."""
 
 import contextlib
+import types
 from collections.abc import AsyncIterator, Mapping, Sequence
 from http import HTTPStatus
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
-from pydantic import BaseModel, ConfigDict
+from pydantic import BaseModel, ConfigDict, Field
 
 from ..border import DocumentError, check_document, parse_json
 from ..http_client import HttpCall, HttpCallError, HttpClient
@@ -38,11 +39,13 @@
 EXCHANGE_SLACK_MS = 5000
 SHORT_CALL_TIMEOUT_MS = 500
 BYTES_PER_MB = 1_000_000
-ENDS: Mapping[str, PieceEnd] = {
-    'late': PieceEnd.LATE,
-    'gone': PieceEnd.INPUT_GONE,
-    'room': PieceEnd.NO_ROOM,
-}
+ENDS: Mapping[str, PieceEnd] = types.MappingProxyType(
+    {
+        'late': PieceEnd.LATE,
+        'gone': PieceEnd.INPUT_GONE,
+        'room': PieceEnd.NO_ROOM,
+    },
+)
 
 
 class _Item(BaseModel):
@@ -61,7 +64,7 @@
     model_config = ConfigDict(extra='ignore')
 
     # Memory for results that is left.
-    freeMb: float  # noqa: N815
+    free_mb: Annotated[float, Field(alias='freeMb')]
 
 
 class HttpTargetSender:
@@ -169,7 +172,7 @@
                 timeout_ms=SHORT_CALL_TIMEOUT_MS,
             ),
         )
-        return _decode(_Report, body).freeMb * BYTES_PER_MB
+        return _decode(_Report, body).free_mb * BYTES_PER_MB
 
     async def _short_call(self, call: HttpCall) -> bytes:
         try:
--- a/borageyard/policy.py
+++ b/borageyard/policy.py
@@ -8,6 +8,7 @@
 
 from .admission import Backlog, StageNeed, StagePlanner, wait_ms
 from .affinity import PrefixAffinity
+from .backing_services import ROLE_ENTRY, STATE_LIVE, Instance
 from .capacity import ServiceCapacity
 from .clock import Clock
 from .configuration import Stage
@@ -17,7 +18,6 @@
 from .events import Event, log_event
 from .latency import ServiceTimes
 from .limits import OrganisationLimits
-from .backing_services import ROLE_ENTRY, STATE_LIVE, Instance
 from .quarantine import CrashQuarantine, Standing
 from .requests import AdmittedRequest, StageRequest
 from .retries import RetryBudgets
--- a/borageyard/policy_slopes.py
+++ b/borageyard/policy_slopes.py
@@ -6,6 +6,7 @@
 from typing import TypeVar
 
 from .admission import decide_admission
+from .backing_services import ROLE_TARGET, Instance
 from .clock import ManualClock
 from .configuration import (
     Configuration,
@@ -14,7 +15,6 @@
     Service,
     Stage,
 )
-from .backing_services import ROLE_TARGET, Instance
 from .policy import EntryPolicy, PolicyOptions, PolicyPlace
 from .requests import AdmittedRequest, PipelineRequest, StageRequest
 from .target import LoadReport
--- a/borageyard/prompt_relay.py
+++ b/borageyard/prompt_relay.py
@@ -3,10 +3,10 @@
 import asyncio
 import contextlib
 import dataclasses
-from collections.abc import AsyncGenerator, AsyncIterator
+import types
+from collections.abc import AsyncGenerator, AsyncIterator, Mapping
 from typing import Self
 
-from .chain_scheduler import ChainRefusal, Denial, Grant
 from .chains import ChainOrder, ChainStage
 from .clock import MS_PER_S, Clock
 from .engine_board import Prompt
@@ -24,7 +24,8 @@
     TargetSend,
     TargetSender,
 )
-from .plain_relay import MAX_UNRUN_SENDS, SendTally
+from .plain_relay import MAX_UNRUN_SENDS, RETRY_AFTER_MS, SendTally
+from .plans import ChainRefusal, Denial, Grant
 from .relay_terms import RelayTerms
 from .retry_window import RetryWindow
 from .scheduler_client import SchedulerClient
@@ -46,11 +47,13 @@
 RESUME_AIM_MS = 600
 # Most urgent and least urgent rank that engines know.
 MAX_RANK = 9
-REFUSALS = {
-    ChainRefusal.NO_TIME: ErrorKind.DEADLINE_UNREACHABLE,
-    ChainRefusal.NO_TARGET: ErrorKind.NO_TARGET,
-    ChainRefusal.FAILING: ErrorKind.NO_TARGET,
-}
+REFUSALS: Mapping[ChainRefusal, ErrorKind] = types.MappingProxyType(
+    {
+        ChainRefusal.NO_TIME: ErrorKind.DEADLINE_UNREACHABLE,
+        ChainRefusal.NO_TARGET: ErrorKind.NO_TARGET,
+        ChainRefusal.FAILING: ErrorKind.NO_TARGET,
+    },
+)
 
 
 class StreamBrokenError(ConnectionAbortError):
@@ -226,7 +229,7 @@
                 self._check_head(stream, grant, answer)
                 first = await anext(answer.chunks, b'')
         except TimeoutError as error:
-            reason = f'no event within {limit_ms:.0f} ms'
+            reason = f'no event within {limit_ms} ms'
             raise SendError(SendFailure.UNKNOWN, reason) from error
         if answer.status == STATUS_GOOD:
             self._scheduler.note_started(stream.request.request_id)
@@ -295,7 +298,7 @@
             async with asyncio.timeout(max(limit_ms, 0) / MS_PER_S):
                 return await anext(chunks, b'')
         except TimeoutError as error:
-            reason = f'silent for {limit_ms:.0f} ms'
+            reason = f'silent for {limit_ms} ms'
             raise SendError(SendFailure.UNKNOWN, reason) from error
 
     async def _resume(
@@ -425,7 +428,9 @@
                 ran=Ran.UNKNOWN,
                 detail=detail,
             )
-        return Refusal(ErrorKind.NO_TARGET, detail=detail, retry_after_ms=300)
+        return Refusal(
+            ErrorKind.NO_TARGET, detail=detail, retry_after_ms=RETRY_AFTER_MS
+        )
 
 
 def _denied(stream: StreamState, denial: Denial) -> Refusal:
@@ -454,7 +459,7 @@
             pieces=counts[number] if number < len(counts) else 0,
             after=stage.after,
             result_bytes=stage.result_bytes,
-            work=f'{terms.route.name}/{number}',
+            work='/'.join((terms.route.name, str(number))),
         )
         for number, stage in enumerate(terms.route.stages)
     )
--- a/borageyard/reconciler.py
+++ b/borageyard/reconciler.py
@@ -3,6 +3,12 @@
 import asyncio
 import contextlib
 
+from .backing_services import (
+    LogService,
+    OffsetExpiredError,
+    PlatformError,
+    WeightStore,
+)
 from .clock import MS_PER_S, Clock
 from .configuration import Configuration
 from .configuration_service import ConfigurationService
@@ -17,12 +23,6 @@
     OrderPlanner,
 )
 from .permission import waiting_time_ms
-from .backing_services import (
-    LogService,
-    OffsetExpiredError,
-    PlatformError,
-    WeightStore,
-)
 from .targets import TargetDirectory, TargetState
 
 TICK_MS = 250
--- /dev/null
+++ b/borageyard/result_freer.py
@@ -0,0 +1,75 @@
+"""Frees results at their makers, several with one call."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable, Sequence
+
+from .chains import PieceResult
+from .clock import MS_PER_S
+from .events import Event, log_event
+from .piece_runner import CallFailedError, PieceRunner
+
+# Results that are given up within this time are freed with one call.
+FREE_DELAY_MS = 5
+
+
+class ResultFreer:
+    """Collects results that nobody needs any more."""
+
+    def __init__(
+        self,
+        runner: PieceRunner,
+        on_freed: Callable[[str, Sequence[str]], None],
+    ) -> None:
+        """Starts with nothing to free.
+
+        Args:
+            runner: The way to the makers.
+            on_freed: Told the maker and the handles once they are freed.
+        """
+        self._runner = runner
+        self._on_freed = on_freed
+        self._handles: dict[str, set[str]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Ends all calls with the scope."""
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(self._cancel)
+            yield
+
+    def free_later(self, results: Sequence[PieceResult]) -> None:
+        """Frees results soon.
+
+        Args:
+            results: What nobody needs any more.
+        """
+        for made in results:
+            handles = self._handles.setdefault(made.target_id, set())
+            if not handles:
+                task = asyncio.ensure_future(self._free(made))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            handles.add(made.handle)
+
+    async def _free(self, first: PieceResult) -> None:
+        await asyncio.sleep(FREE_DELAY_MS / MS_PER_S)
+        target_id = first.target_id
+        handles = sorted(self._handles.pop(target_id, set()))
+        try:
+            await self._runner.free(first.address, handles)
+        except CallFailedError as error:
+            # They expire by themselves.
+            log_event(
+                Event.RESULTS_UNFREED,
+                target_id=target_id,
+                results=len(handles),
+                reason=str(error),
+            )
+            return
+        self._on_freed(target_id, handles)
+
+    def _cancel(self) -> None:
+        for task in self._tasks:
+            task.cancel()
--- a/borageyard/scheduler_client.py
+++ b/borageyard/scheduler_client.py
@@ -4,7 +4,6 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from .chain_scheduler import ChainRefusal, Denial, Grant
 from .chains import ChainOrder, ChainStage
 from .clock import Clock
 from .engine_board import Placement, Prompt, PromptPart
@@ -21,6 +20,7 @@
 )
 from .membership import Membership
 from .peers import PeerError, PeerLink
+from .plans import ChainRefusal, Denial, Grant
 from .rendezvous import choose
 from .scheduler_service import SchedulerService
 
@@ -67,7 +67,7 @@
     async def place(
         self,
         order: ChainOrder,
-        excluded: frozenset[str] = frozenset(),
+        excluded: frozenset[str],
     ) -> Grant | Denial:
         """Has the stages of a request run and an engine chosen.
 
--- a/borageyard/scheduler_service.py
+++ b/borageyard/scheduler_service.py
@@ -6,33 +6,19 @@
 from typing import Any
 
 from .batch_targets import BatchCall
-from .chain_scheduler import (
-    ChainScheduler,
-    Denial,
-    Grant,
-    Plan,
-)
-from .chains import ChainOrder, PieceId, PieceResult
+from .call_runner import CallRunner
+from .chain_scheduler import ChainScheduler
+from .chains import ChainOrder
 from .clock import MS_PER_S, Clock
 from .events import Event, log_event
 from .fleet_state import FleetState
-from .piece_runner import (
-    CallFailedError,
-    PieceEnd,
-    PieceOutcome,
-    PieceRunner,
-    PieceWork,
-    TargetFullError,
-)
+from .piece_runner import CallFailedError, PieceRunner, PieceWork
+from .plans import Denial, Grant
+from .result_freer import ResultFreer
 from .roster import RosterRow
 from .shared_table import Table
+from .wake_timer import WakeTimer
 
-# A call may take this many times its expected time, and a little more, before
-# its pieces are given to another target.
-CALL_TIME_FACTOR = 2.5
-CALL_EXTRA_MS = 150
-# Results that are given up within this time are freed with one call.
-FREE_DELAY_MS = 5
 # Time for which a failed engine is tried last.
 ENGINE_PAUSE_MS = 1500
 
@@ -56,26 +42,22 @@
         self.scheduler = ChainScheduler()
         self._state = state
         self._runner = runner
+        self._calls = CallRunner(self.scheduler, runner, clock)
         self._clock = clock
         self._waiting: dict[str, asyncio.Future[Grant | Denial]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._unfreed: dict[str, set[str]] = {}
-        self._timer: asyncio.TimerHandle | None = None
+        self._freer = ResultFreer(runner, self._note_freed)
+        self._timer = WakeTimer(self._pump)
         self._used = False
         state.add_listener(self._note_fleet)
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Ends all calls with the scope."""
-        try:
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._close)
+            await stack.enter_async_context(self._freer.running())
             yield
-        finally:
-            if self._timer is not None:
-                self._timer.cancel()
-            tasks = tuple(self._tasks)
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
 
     async def place(
         self,
@@ -100,7 +82,9 @@
             return denial
         loop = asyncio.get_running_loop()
         waiting: asyncio.Future[Grant | Denial] = loop.create_future()
-        self._settle_superseded(order.chain_id)
+        before = self._waiting.pop(order.chain_id, None)
+        if before is not None:
+            before.cancel()
         self._waiting[order.chain_id] = waiting
         self._pump()
         try:
@@ -128,6 +112,13 @@
         self._avoid_engine(engine_id)
         self.scheduler.board.note_ended(chain_id)
 
+    async def _close(self) -> None:
+        self._timer.cancel()
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _begin_use(self) -> None:
         """Learns the targets' state when the first request comes."""
         if self._used:
@@ -158,157 +149,39 @@
         if target is not None:
             target.note_report(free_bytes, self._clock.steady_ms())
 
+    def _note_freed(self, target_id: str, handles: Sequence[str]) -> None:
+        self.scheduler.note_freed(target_id, handles)
+        self._pump()
+
     def _avoid_engine(self, engine_id: str) -> None:
         until_ms = self._clock.steady_ms() + ENGINE_PAUSE_MS
         self.scheduler.board.note_failure(engine_id, until_ms)
 
-    def _settle_superseded(self, chain_id: str) -> None:
-        before = self._waiting.pop(chain_id, None)
-        if before is not None:
-            before.cancel()
-
     def _pump(self) -> None:
         """Carries out what the scheduler decides now."""
         now_ms = self._clock.steady_ms()
         plan = self.scheduler.plan(now_ms)
         for call in plan.calls:
-            pieces = [self._work_of(piece) for piece in call.pieces]
-            self._spawn(self._run_call(call, pieces))
-        for settled in (*plan.grants, *plan.denials):
-            waiting = self._waiting.get(settled.chain_id)
-            if waiting is not None and not waiting.done():
-                waiting.set_result(settled)
-        self._free_later(plan.freed)
-        self._set_timer(plan, now_ms)
-
-    def _set_timer(self, plan: Plan, now_ms: float) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-        if plan.wake_at_ms is None:
-            return
-        delay_s = max(plan.wake_at_ms - now_ms, 1) / MS_PER_S
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay_s, self._pump)
-
-    async def _run_call(
+            self._spawn(self._run(call, self._calls.describe(call)))
+        for grant in plan.grants:
+            self._settle(grant)
+        for denial in plan.denials:
+            self._settle(denial)
+        self._freer.free_later(plan.freed)
+        if plan.wake_at_ms is not None:
+            self._timer.set((plan.wake_at_ms - now_ms) / MS_PER_S)
+
+    def _settle(self, settled: Grant | Denial) -> None:
+        waiting = self._waiting.get(settled.chain_id)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(settled)
+
+    async def _run(
         self,
         call: BatchCall,
         pieces: Sequence[PieceWork],
     ) -> None:
-        timeout_ms = call.expected_ms * CALL_TIME_FACTOR + CALL_EXTRA_MS
-        try:
-            outcomes = await self._runner.run(call.target, pieces, timeout_ms)
-        except (TargetFullError, CallFailedError) as error:
-            full = isinstance(error, TargetFullError)
-            log_event(
-                Event.BATCH_FAILED,
-                target_id=call.target.target_id,
-                pieces=len(call.pieces),
-                full=full,
-                reason=str(error),
-            )
-            now_ms = self._clock.steady_ms()
-            self.scheduler.note_call_failed(call, now_ms, full=full)
-        else:
-            self._take_outcomes(call, outcomes)
-        self._pump()
-
-    def _work_of(self, piece: PieceId) -> PieceWork:
-        chain = self.scheduler.chains[piece.chain_id]
-        stage = chain.stages[piece.stage].stage
-        left_ms = chain.order.deadline_at_ms - self._clock.steady_ms()
-        inputs = None
-        if stage.after:
-            inputs = tuple(
-                made.handle for made in chain.inputs_of(piece.stage)
-            )
-        return PieceWork(
-            request_id=piece.chain_id,
-            stage=piece.stage,
-            number=piece.number,
-            left_ms=left_ms,
-            key=chain.order.piece_key,
-            inputs=inputs,
-        )
-
-    def _take_outcomes(
-        self,
-        call: BatchCall,
-        outcomes: Sequence[PieceOutcome],
-    ) -> None:
-        made = {
-            piece: PieceResult(
-                outcome.handle,
-                call.target.target_id,
-                call.target.failure_domain,
-                size_bytes,
-            )
-            for piece, outcome, size_bytes in zip(
-                call.pieces,
-                outcomes,
-                call.sizes_bytes,
-                strict=True,
-            )
-            if outcome.end is PieceEnd.MADE
-        }
-        now_ms = self._clock.steady_ms()
-        target = self.scheduler.targets.find(call.target.target_id)
-        log_event(
-            Event.BATCH_ENDED,
-            target_id=call.target.target_id,
-            service=call.target.service,
-            pieces=len(call.pieces),
-            took_ms=round(now_ms - call.sent_at_ms),
-            expected_ms=round(call.expected_ms),
-            made_bytes=round(sum(made_.size_bytes for made_ in made.values())),
-            free_bytes=round(target.free_bytes(now_ms)) if target else None,
-        )
-        self.scheduler.note_made(call, made, now_ms)
-        for piece, outcome in zip(call.pieces, outcomes, strict=True):
-            if outcome.end is PieceEnd.INPUT_GONE:
-                self.scheduler.note_lost_inputs(piece)
-        ends = {outcome.end for outcome in outcomes}
-        if PieceEnd.NO_ROOM in ends:
-            self.scheduler.note_no_room(call.target.target_id, now_ms)
-        missed = [
-            outcome.end.value
-            for outcome in outcomes
-            if outcome.end is not PieceEnd.MADE
-        ]
-        if missed:
-            log_event(
-                Event.BATCH_FAILED,
-                target_id=call.target.target_id,
-                pieces=len(call.pieces),
-                missed=missed,
-            )
-
-    def _free_later(self, freed: Sequence[PieceResult]) -> None:
-        for made in freed:
-            target = self.scheduler.targets.find(made.target_id)
-            if target is None:
-                continue
-            handles = self._unfreed.setdefault(target.row.target_id, set())
-            if not handles:
-                self._spawn(self._free(target.row))
-            handles.add(made.handle)
-
-    async def _free(self, row: RosterRow) -> None:
-        await asyncio.sleep(FREE_DELAY_MS / MS_PER_S)
-        handles = sorted(self._unfreed.pop(row.target_id, set()))
-        try:
-            await self._runner.free(row.address, handles)
-        except CallFailedError as error:
-            # They expire by themselves.
-            log_event(
-                Event.RESULTS_UNFREED,
-                target_id=row.target_id,
-                results=len(handles),
-                reason=str(error),
-            )
-            return
-        self.scheduler.note_freed(row.target_id, handles)
+        await self._calls.run(call, pieces)
         self._pump()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/borageyard/shared_table.py
+++ b/borageyard/shared_table.py
@@ -56,7 +56,9 @@
             StoreError: If the store does not answer.
         """
 
-    async def read(self, table: Table, offset: int, wait_ms: float) -> TablePage:
+    async def read(
+        self, table: Table, offset: int, wait_ms: float
+    ) -> TablePage:
         """Reads the history of a table from an offset on.
 
         Args:
@@ -113,7 +115,9 @@
         ]
         return TablePage(tuple(kept), len(history))
 
-    async def read(self, table: Table, offset: int, wait_ms: float) -> TablePage:
+    async def read(
+        self, table: Table, offset: int, wait_ms: float
+    ) -> TablePage:
         """Reads the history of a table from an offset on."""
         self._require_up()
         if offset < self._first.get(table, 0):
--- a/borageyard/standins/command.py
+++ b/borageyard/standins/command.py
@@ -4,10 +4,10 @@
 import contextlib
 import signal
 
+from ..backing_services import Instance, MemoryInstances, MemoryLog
 from ..clock import SystemClock
 from ..generated.settings import StandinSettings
 from ..http_server import Handler, HttpServer
-from ..backing_services import Instance, MemoryInstances, MemoryLog
 from .platform_http import InstancesHandler, LogHandler, WeightsHandler
 from .target import StandinTarget, TargetProfile
 from .target_http import TargetServer
--- a/borageyard/standins/platform_http.py
+++ b/borageyard/standins/platform_http.py
@@ -4,10 +4,6 @@
 import dataclasses
 from http import HTTPStatus
 
-from ..border import parse_json
-from ..clock import MS_PER_S
-from ..http_messages import HttpRequest, HttpResponse, json_response
-from ..memory_log import MemoryLogService
 from ..backing_services import (
     AppendUnknownError,
     LogPage,
@@ -16,6 +12,10 @@
     OffsetExpiredError,
     PlatformError,
 )
+from ..border import parse_json
+from ..clock import MS_PER_S
+from ..http_messages import HttpRequest, HttpResponse, json_response
+from ..memory_log import MemoryLogService
 from .faults import set_faults
 
 STREAM_PATH_PARTS = 5
--- a/borageyard/target_picker.py
+++ b/borageyard/target_picker.py
@@ -59,9 +59,7 @@
         """
         fitting = [row for row in rows if row.target_id not in excluded]
         sound = [
-            row
-            for row in fitting
-            if self._of(row).paused_until_ms <= now_ms
+            row for row in fitting if self._of(row).paused_until_ms <= now_ms
         ]
         return min(
             sound or fitting,
@@ -120,5 +118,7 @@
         seen = self._of(row)
         freshness = max(1 - (now_ms - seen.told_at_ms) / LOAD_KEEP_MS, 0)
         calls = seen.in_flight + seen.told_calls * freshness
-        remote = REMOTE_CALLS if row.failure_domain != domain else 0
-        return calls + remote + self._random.random() / 2
+        calls += self._random.random() / 2
+        if row.failure_domain == domain:
+            return calls
+        return calls + REMOTE_CALLS
--- a/borageyard/targets.py
+++ b/borageyard/targets.py
@@ -6,9 +6,6 @@
 import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
-from .clock import MS_PER_S, Clock
-from .events import Event, log_event
-from .peer_calls import PeerCalls
 from .backing_services import (
     ROLE_TARGET,
     STATE_LEAVING,
@@ -16,6 +13,9 @@
     InstanceList,
     PlatformError,
 )
+from .clock import MS_PER_S, Clock
+from .events import Event, log_event
+from .peer_calls import PeerCalls
 from .target import LoadReport, TargetClient, TargetError
 
 # Time in which the weight of a report or of peers' news falls to 1/e.
--- a/tests/claim_model.py
+++ b/tests/claim_model.py
@@ -6,6 +6,11 @@
 import dataclasses
 import pathlib
 
+from borageyard.backing_services import (
+    AppendUnknownError,
+    MemoryLog,
+    PlatformError,
+)
 from borageyard.claim_service import ClaimService, ClaimServicePorts
 from borageyard.clock import MS_PER_S, LoopClock
 from borageyard.configuration import parse_configuration
@@ -15,11 +20,6 @@
 from borageyard.generated.settings import EntrySettings
 from borageyard.memory_log import MemoryLogService
 from borageyard.peers import MemoryPeerNetwork
-from borageyard.backing_services import (
-    AppendUnknownError,
-    MemoryLog,
-    PlatformError,
-)
 from borageyard.requests import AdmittedRequest, Answer, PipelineRequest
 from borageyard.tasks import running_tasks
 from borageyard.virtual_time import VirtualTimeLoop
--- a/tests/test_cache_watcher.py
+++ b/tests/test_cache_watcher.py
@@ -3,10 +3,10 @@
 import pytest
 
 from borageyard.affinity import PrefixAffinity
+from borageyard.backing_services import ROLE_TARGET, Instance
 from borageyard.cache_watcher import CacheWatcher
 from borageyard.clock import ManualClock
 from borageyard.configuration import Configuration, Service
-from borageyard.backing_services import ROLE_TARGET, Instance
 from borageyard.target import CacheEvent, FailureKind, TargetError
 from borageyard.targets import TargetDirectory
 
--- a/tests/test_claim_gate.py
+++ b/tests/test_claim_gate.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from borageyard.backing_services import AppendUnknownError
 from borageyard.errors import ErrorKind, Ran
 from borageyard.identifiers import new_identifier
-from borageyard.backing_services import AppendUnknownError
 from borageyard.requests import Answer
 
 from .claim_cluster import STREAM, claim_cluster, is_not_run
--- a/tests/test_configuration_sync.py
+++ b/tests/test_configuration_sync.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from borageyard.backing_services import MemoryLog
 from borageyard.configuration_changes import ChangeOutcome, EntryState
 from borageyard.configuration_log import CONFIGURATION_STREAM
 from borageyard.demo import load_plan
@@ -14,7 +15,6 @@
 from borageyard.generated.http_configuration import ProposalBody
 from borageyard.identifiers import new_identifier
 from borageyard.memory_deployment import MemoryDeployment
-from borageyard.backing_services import MemoryLog
 from borageyard.requests import PipelineRequest
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -2,8 +2,8 @@
 
 import itertools
 
-from borageyard.leases import TERM_MS, LeaseKeeper
 from borageyard.backing_services import LogPage, LogRecord
+from borageyard.leases import TERM_MS, LeaseKeeper
 
 SOON_MS = 10
 LONG_MS = 30_000
--- a/tests/test_log_reader.py
+++ b/tests/test_log_reader.py
@@ -1,9 +1,9 @@
 """Tests of the reader of a stream."""
 
+from borageyard.backing_services import MemoryLog
 from borageyard.clock import ManualClock
 from borageyard.log_reader import FIRST_BACK_RECORDS, StreamReader
 from borageyard.memory_log import MemoryLogService
-from borageyard.backing_services import MemoryLog
 
 STREAM = 'claims-0'
 RECORDS = 200
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from borageyard.backing_services import ROLE_ENTRY, STATE_LEAVING, Instance
 from borageyard.generated.peer_membership import (
     LeavingMarkBody,
     PeerMembershipBody,
@@ -15,7 +16,6 @@
     Membership,
     MemberState,
 )
-from borageyard.backing_services import ROLE_ENTRY, STATE_LEAVING, Instance
 
 TICK_MS = 200
 
--- a/tests/test_permission.py
+++ b/tests/test_permission.py
@@ -13,6 +13,11 @@
     run_state_machine_as_test,
 )
 
+from borageyard.backing_services import (
+    MemoryLog,
+    OffsetExpiredError,
+    PlatformError,
+)
 from borageyard.clock import ManualClock
 from borageyard.configuration_log import (
     CONFIGURATION_STREAM,
@@ -23,7 +28,6 @@
     PeerWord,
     PermissionHolder,
 )
-from borageyard.backing_services import MemoryLog, OffsetExpiredError, PlatformError
 
 # A longer run: BORAGEYARD_EXAMPLES=5000 pytest tests/test_permission.py
 EXAMPLES = int(os.environ.get('BORAGEYARD_EXAMPLES', '60'))
--- a/tests/test_permission_rules.py
+++ b/tests/test_permission_rules.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from borageyard.backing_services import MemoryLog
 from borageyard.clock import ManualClock
 from borageyard.configuration_log import (
     CONFIGURATION_STREAM,
@@ -13,7 +14,6 @@
     PermissionHolder,
     waiting_time_ms,
 )
-from borageyard.backing_services import MemoryLog
 
 PERMISSION_MS = 1000
 
--- a/tests/test_policy_decisions.py
+++ b/tests/test_policy_decisions.py
@@ -8,12 +8,12 @@
     decide_admission,
     wait_ms,
 )
+from borageyard.backing_services import ROLE_TARGET, Instance
 from borageyard.configuration import Organisation
 from borageyard.costs import CostAccounts, CostKey, StageCost, Waste
 from borageyard.ejection import OutlierDetector
 from borageyard.fair_queue import FairQueue, Ticket
 from borageyard.latency import RecentQuantiles
-from borageyard.backing_services import ROLE_TARGET, Instance
 from borageyard.quarantine import CrashQuarantine, Standing
 from borageyard.retries import RetryBudgets
 from borageyard.target import FailureKind
