--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -9,6 +9,9 @@
 
 # Time for which a target that failed a call gets none.
 FAILURE_PAUSE_MS = 1000
+# First and longest pause of a target whose calls take much too long.
+SLOW_PAUSE_MS = 800
+MAX_SLOW_PAUSE_MS = 4000
 # Pause after a target said that it is full: others hold its slots.
 FULL_PAUSE_MS = 60
 # Time for which a target that had no room is taken to be full; about a call.
@@ -56,6 +59,7 @@
         self.paused_until_ms: float = 0
         self.foreign_bytes: float = 0
         self._foreign_until_ms: float = 0
+        self._slow_calls = 0
         self._calls: list[BatchCall] = []
         self._held: dict[str, _HeldResult] = {}
 
@@ -150,6 +154,17 @@
         """Pauses a target that failed; its results may be lost."""
         self.paused_until_ms = now_ms + FAILURE_PAUSE_MS
 
+    def note_slow(self, now_ms: float) -> None:
+        """Pauses a target that takes too long, longer each time."""
+        pause_ms = SLOW_PAUSE_MS * 2**self._slow_calls
+        self._slow_calls += 1
+        until_ms = now_ms + min(pause_ms, MAX_SLOW_PAUSE_MS)
+        self.paused_until_ms = max(self.paused_until_ms, until_ms)
+
+    def note_quick(self) -> None:
+        """Takes in a call that took no longer than expected."""
+        self._slow_calls = 0
+
     def note_full(self, now_ms: float) -> None:
         """Pauses a target whose slots others hold."""
         self.paused_until_ms = now_ms + FULL_PAUSE_MS
--- a/borageyard/call_runner.py
+++ b/borageyard/call_runner.py
@@ -17,9 +17,17 @@
 )
 
 # A call may take this many times its expected time, and a little more, before
-# its pieces are given to another target.
-CALL_TIME_FACTOR = 2.5
-CALL_EXTRA_MS = 150
+# its pieces are given to another target as well.
+OVERDUE_FACTOR = 1.8
+OVERDUE_EXTRA_MS = 60
+# The same before it is given up.
+CALL_TIME_FACTOR = 7
+CALL_EXTRA_MS = 300
+
+
+def overdue_ms(call: BatchCall) -> float:
+    """Returns the time after which a call is taken to be on a slow target."""
+    return call.expected_ms * OVERDUE_FACTOR + OVERDUE_EXTRA_MS
 
 
 class CallRunner:
--- a/borageyard/chain_scheduler.py
+++ b/borageyard/chain_scheduler.py
@@ -21,6 +21,8 @@
 # Time in which a target surely fetches the inputs of a call (some megabytes
 # over links of 10 Gbit/s) once it runs it.
 READ_MS = 80
+# A call that took this many times its expected time was on a slow target.
+SLOW_FACTOR = 1.8
 # Pause between looks for requests that can't be served any more.
 EXPIRY_INTERVAL_MS = 25
 
@@ -117,8 +119,7 @@
         if target is not None:
             target.note_ended(call, tuple(results.values()), now_ms)
         if len(results) == len(call.pieces):
-            took_ms = now_ms - call.sent_at_ms
-            self._times.work.note_call(call.works, took_ms, call.limits)
+            self._learn(call, now_ms)
         for piece in call.pieces:
             self._settle(piece, results.get(piece))
 
@@ -134,6 +135,24 @@
         if chain is not None:
             chain.drop_inputs_of(piece.stage)
 
+    def note_overdue(self, call: BatchCall, now_ms: float) -> None:
+        """Takes in that a call takes much longer than expected.
+
+        Its pieces are given to other targets where their inputs are still
+        held; what the call makes in the end is used if it comes first.
+
+        Args:
+            call: A call under way.
+            now_ms: Steady time.
+        """
+        target = self.targets.find(call.target.target_id)
+        if target is not None:
+            target.note_slow(now_ms)
+        for piece in call.pieces:
+            chain = self.chains.get(piece.chain_id)
+            if chain is not None and chain.may_rerun(piece):
+                chain.note_missed(piece)
+
     def note_call_failed(
         self,
         call: BatchCall,
@@ -197,12 +216,24 @@
         self._freed.clear()
         return plan
 
+    def _learn(self, call: BatchCall, now_ms: float) -> None:
+        """Learns from a whole call, unless its target is slow."""
+        took_ms = now_ms - call.sent_at_ms
+        target = self.targets.find(call.target.target_id)
+        if took_ms > call.expected_ms * SLOW_FACTOR:
+            if target is not None:
+                target.note_slow(now_ms)
+            return
+        if target is not None:
+            target.note_quick()
+        self._times.work.note_call(call.works, took_ms, call.limits)
+
     def _drop_read(self, plan: Plan, now_ms: float) -> None:
         """Frees results that calls under way have read by now."""
         while self._reads and self._reads[0][0] <= now_ms:
             call = self._reads.popleft()[1]
-            for chain_id in {piece.chain_id for piece in call.pieces}:
-                chain = self.chains.get(chain_id)
+            for piece in call.pieces:
+                chain = self.chains.get(piece.chain_id)
                 if chain is not None:
                     self._freed.extend(chain.drop_read())
         if self._reads:
@@ -217,7 +248,8 @@
         if made is None:
             chain.note_missed(piece)
             return
-        chain.note_result(piece, made)
+        if chain.granted or not chain.note_result(piece, made):
+            self._freed.append(made)
         self._freed.extend(chain.drop_read())
 
     def _expire(self, plan: Plan, now_ms: float) -> None:
@@ -228,17 +260,13 @@
             plan.wake(self._next_expiry_ms)
         for chain in tuple(self.chains.values()):
             if chain.granted:
-                self._forget_old(chain, now_ms)
+                if chain.order.deadline_at_ms + FORGET_MS < now_ms:
+                    self.remove(chain.order.chain_id)
                 continue
             reason = self._admission.find_hopeless(chain, now_ms)
             if reason is not None:
                 self._deny(chain, reason, MIN_RETRY_AFTER_MS, plan)
 
-    def _forget_old(self, chain: Chain, now_ms: float) -> None:
-        """Removes a request of which nothing was heard any more."""
-        if chain.order.deadline_at_ms + FORGET_MS < now_ms:
-            self.remove(chain.order.chain_id)
-
     def _deny(
         self,
         chain: Chain,
--- a/borageyard/chains.py
+++ b/borageyard/chains.py
@@ -8,6 +8,9 @@
 # Time from the hand-over to an engine to its first token on an idle engine,
 # without the reading of the prompt (sheets of both users).
 ENGINE_START_MS = 70
+# Results from this size on are freed as soon as they were read: their memory
+# is what bounds a burst (2.3 MB for 38 results on the sheets).
+EARLY_FREE_BYTES = 16_384
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -93,11 +96,17 @@
 
     @property
     def is_read(self) -> bool:
-        """Tells whether its results are needed by nothing to come."""
+        """Tells whether its results are needed by nothing to come.
+
+        Small results are kept until their readers have ended, so that these
+        can be run again elsewhere.
+        """
         if not self.followers:
             return False
+        early = self.stage.result_bytes >= EARLY_FREE_BYTES
         return all(
-            follower.done or (follower.running and not follower.missing)
+            follower.done
+            or (early and follower.running and not follower.missing)
             for follower in self.followers
         )
 
@@ -220,13 +229,29 @@
             state.missing.append(piece.number)
             state.missing.sort()
 
-    def note_result(self, piece: PieceId, made: PieceResult) -> None:
-        """Takes in the result of a piece."""
+    def may_rerun(self, piece: PieceId) -> bool:
+        """Tells whether the inputs of a piece are still held."""
+        sources = self.stages[piece.stage].sources
+        return all(source.has_all for source in sources)
+
+    def note_result(self, piece: PieceId, made: PieceResult) -> bool:
+        """Takes in the result of a piece.
+
+        Args:
+            piece: The piece.
+            made: Its result.
+
+        Returns:
+            Whether it is needed; a piece may have been run twice.
+        """
         state = self.stages[piece.stage]
         state.running.discard(piece.number)
+        if piece.number in state.made or state.is_read:
+            return False
         if piece.number in state.missing:
             state.missing.remove(piece.number)
         state.made[piece.number] = made
+        return True
 
     def drop_read(self) -> Sequence[PieceResult]:
         """Removes results that all pieces which need them have read.
--- a/borageyard/fleet_sync.py
+++ b/borageyard/fleet_sync.py
@@ -72,6 +72,7 @@
         self.leaving = False
         # Address for callers; empty while this entry is not ready.
         self.address = ''
+        self.started_at_ms = clock.steady_ms()
         self._presence = presence
         self._state = state
         self._tables = tables
@@ -311,6 +312,7 @@
             address=self.address,
             failure_domain=self._presence.failure_domain,
             leaving=self.leaving,
+            age_ms=round(self._clock.steady_ms() - self.started_at_ms),
         )
 
     def _note_membership(self, peer_id: str, news: PeerMembershipBody) -> None:
--- a/borageyard/load_replay.py
+++ b/borageyard/load_replay.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from .batch_targets import BatchCall
+from .call_runner import overdue_ms
 from .chain_scheduler import ChainScheduler
 from .chains import PieceId, PieceResult
 from .clock import MS_PER_S
@@ -49,8 +50,9 @@
     def run(self) -> None:
         """Runs everything until nothing is due any more."""
         while self._due:
-            self.now_ms, _, act = heapq.heappop(self._due)
-            act()
+            due = heapq.heappop(self._due)
+            self.now_ms = due[0]
+            due[2]()
 
 
 class LoadReplay:
@@ -184,6 +186,12 @@
             self._random,
         )
         self.result.work_s += made.took_ms / MS_PER_S
+        due_ms = now_ms + overdue_ms(call)
+        if made.end_ms > due_ms:
+            self._time.at(
+                due_ms,
+                functools.partial(self._note_overdue, index, call),
+            )
         self.result.no_room += made.no_room
         self._time.at(
             made.end_ms + MESSAGE_MS,
@@ -225,6 +233,10 @@
             scheduler.note_no_room(call.target.target_id, now_ms)
         self._pump(index)
 
+    def _note_overdue(self, index: int, call: BatchCall) -> None:
+        self._schedulers[index].note_overdue(call, self._time.now_ms)
+        self._pump(index)
+
     def _fail_call(self, index: int, call: BatchCall) -> None:
         scheduler = self._schedulers[index]
         scheduler.note_call_failed(call, self._time.now_ms, full=False)
--- a/borageyard/scheduler_service.py
+++ b/borageyard/scheduler_service.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from .batch_targets import BatchCall
-from .call_runner import CallRunner
+from .call_runner import CallRunner, overdue_ms
 from .chain_scheduler import ChainScheduler
 from .chains import ChainOrder
 from .clock import MS_PER_S, Clock
@@ -181,7 +181,26 @@
         call: BatchCall,
         pieces: Sequence[PieceWork],
     ) -> None:
-        await self._calls.run(call, pieces)
+        loop = asyncio.get_running_loop()
+        overdue = loop.call_later(
+            overdue_ms(call) / MS_PER_S,
+            self._note_overdue,
+            call,
+        )
+        try:
+            await self._calls.run(call, pieces)
+        finally:
+            overdue.cancel()
+        self._pump()
+
+    def _note_overdue(self, call: BatchCall) -> None:
+        log_event(
+            Event.BATCH_OVERDUE,
+            target_id=call.target.target_id,
+            pieces=len(call.pieces),
+            expected_ms=round(call.expected_ms),
+        )
+        self.scheduler.note_overdue(call, self._clock.steady_ms())
         self._pump()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
