Run pieces whose inputs would expire before others

Change: a stage is as urgent as its inputs are near to expiring; inputs that would not last are made again without a call in vain.

--- a/borageyard/call_planner.py
+++ b/borageyard/call_planner.py
@@ -30,6 +30,8 @@
 # of a plain request, and a second of lateness at about half of one.
 REMOTE_MS_PER_MB = 60
 MAX_REMOTE_MS = 400
+# Inputs that expire within this time might be gone when a call begins.
+EXPIRY_MARGIN_MS = 20
 # Large results are begun this long before their reader is expected.
 EARLY_MS = 250
 
@@ -190,11 +192,20 @@
             for state in chain.stages.values()
             if state.stage.service == service
             and state.startable
+            and self._has_fresh_inputs(state, now_ms)
             and self._is_due(chain, state, plan, now_ms)
         ]
         found.sort(key=lambda candidate: candidate.key_ms)
         return found
 
+    def _has_fresh_inputs(self, state: StageState, now_ms: float) -> bool:
+        """Tells whether inputs last long enough; else they are made again."""
+        if state.inputs_expire_at_ms > now_ms + EXPIRY_MARGIN_MS:
+            return True
+        for source in state.sources:
+            source.reset()
+        return False
+
     def _is_due(
         self,
         chain: Chain,
@@ -233,6 +244,8 @@
         if slack_ms < -LATE_MARGIN_MS:
             late_ms = BEGUN_LATE_MS if chain.begun else LATE_MS
             key_ms = late_ms + order.deadline_at_ms - now_ms - state.path_ms
+        # Results that expire are made again: their readers go before that.
+        key_ms = min(key_ms, state.inputs_expire_at_ms - now_ms)
         moved_bytes = state.inputs_bytes()
         size_bytes = state.stage.result_bytes
         if chain.reader_domain and size_bytes >= LARGE_RESULT_BYTES:
--- a/borageyard/call_runner.py
+++ b/borageyard/call_runner.py
@@ -109,7 +109,7 @@
     ) -> None:
         now_ms = self._clock.steady_ms()
         made = {
-            piece: _result_of(call, index, outcomes[index])
+            piece: _result_of(call, index, outcomes[index], now_ms)
             for index, piece in enumerate(call.pieces)
             if outcomes[index].end is PieceEnd.MADE
         }
@@ -137,6 +137,7 @@
     call: BatchCall,
     index: int,
     outcome: PieceOutcome,
+    now_ms: float,
 ) -> PieceResult:
     return PieceResult(
         outcome.handle,
@@ -144,4 +145,5 @@
         call.target.address,
         call.target.failure_domain,
         call.sizes_bytes[index],
+        now_ms + call.limits.keep_ms,
     )
--- a/borageyard/chains.py
+++ b/borageyard/chains.py
@@ -1,6 +1,7 @@
 """Stages of one request: what is done, what may begin, how long is left."""
 
 import dataclasses
+import math
 from collections.abc import Mapping, Sequence
 
 from .engine_board import Prompt
@@ -60,6 +61,8 @@
     address: str
     failure_domain: str
     size_bytes: float
+    # Steady time at which its maker drops it.
+    expires_at_ms: float
 
 
 class StageState:
@@ -83,6 +86,8 @@
         self.path_ms: float = 0
         # Since when its inputs are there; none if they are not.
         self.ready_at_ms: float | None = None
+        # When the first of its results expires at its maker.
+        self.expires_at_ms = math.inf
 
     @property
     def has_all(self) -> bool:
@@ -117,6 +122,14 @@
             return False
         return all(source.has_all for source in self.sources)
 
+    @property
+    def inputs_expire_at_ms(self) -> float:
+        """Returns when the first of its inputs expires."""
+        return min(
+            (source.expires_at_ms for source in self.sources),
+            default=math.inf,
+        )
+
     def inputs_bytes(self) -> Mapping[str, float]:
         """Returns the size of what each piece reads, by failure domain."""
         sizes: dict[str, float] = {}
@@ -135,6 +148,7 @@
         self.missing = sorted({*self.missing, *self.made})
         self.made.clear()
         self.ready_at_ms = None
+        self.expires_at_ms = math.inf
 
 
 class Chain:
@@ -251,6 +265,7 @@
         if piece.number in state.missing:
             state.missing.remove(piece.number)
         state.made[piece.number] = made
+        state.expires_at_ms = min(state.expires_at_ms, made.expires_at_ms)
         return True
 
     def drop_read(self) -> Sequence[PieceResult]:
--- a/borageyard/load_models.py
+++ b/borageyard/load_models.py
@@ -133,6 +133,7 @@
                 self.row.address,
                 self.row.failure_domain,
                 size_bytes,
+                end_ms + self.limits.keep_ms,
             )
         return results
 
