Use slow targets when there is no other; stand-ins of the users' platform

Rejections by another target at a reused address carry no request id and were taken for foreign answers (502 in place of a true 503). Change: slow is told apart from failed; a rejection names its target. Stand-ins of the store and of targets, gateways on them in one process, and tests of both over sockets.

--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -60,6 +60,7 @@
         self.foreign_bytes: float = 0
         self._foreign_until_ms: float = 0
         self._slow_calls = 0
+        self._slow_until_ms: float = 0
         self._calls: list[BatchCall] = []
         self._held: dict[str, _HeldResult] = {}
 
@@ -74,6 +75,14 @@
             and self.paused_until_ms <= now_ms
         )
 
+    def is_slow(self, now_ms: float) -> bool:
+        """Tells whether others go first because its calls took too long.
+
+        Args:
+            now_ms: Steady time.
+        """
+        return self._slow_until_ms > now_ms
+
     def busy_ms(self, now_ms: float) -> float:
         """Returns the expected time until a call would be run.
 
@@ -155,11 +164,10 @@
         self.paused_until_ms = now_ms + FAILURE_PAUSE_MS
 
     def note_slow(self, now_ms: float) -> None:
-        """Pauses a target that takes too long, longer each time."""
+        """Lets others go first, for longer each time."""
         pause_ms = SLOW_PAUSE_MS * 2**self._slow_calls
         self._slow_calls += 1
-        until_ms = now_ms + min(pause_ms, MAX_SLOW_PAUSE_MS)
-        self.paused_until_ms = max(self.paused_until_ms, until_ms)
+        self._slow_until_ms = now_ms + min(pause_ms, MAX_SLOW_PAUSE_MS)
 
     def note_quick(self) -> None:
         """Takes in a call that took no longer than expected."""
--- a/borageyard/call_planner.py
+++ b/borageyard/call_planner.py
@@ -154,11 +154,10 @@
         service: str,
         now_ms: float,
     ) -> Sequence[BatchTarget]:
-        return [
-            target
-            for target in self._targets.of_service(service)
-            if target.is_idle(now_ms)
-        ]
+        targets = self._targets.of_service(service)
+        quick = [target for target in targets if not target.is_slow(now_ms)]
+        # Slow targets are better than none.
+        return [target for target in quick or targets if target.is_idle(now_ms)]
 
     def _start(self, draft: _Draft, plan: Plan, now_ms: float) -> None:
         target = draft.target
@@ -312,6 +311,8 @@
         if not remote_ms:
             return False
         for other in self._targets.of_service(target.row.service):
+            if other.is_slow(now_ms):
+                continue
             wait_ms = other.busy_ms(now_ms)
             other_ms = candidate.remote_ms(other.row.failure_domain) + wait_ms
             if other_ms < remote_ms and wait_ms < candidate.slack_ms:
--- a/borageyard/call_runner.py
+++ b/borageyard/call_runner.py
@@ -19,7 +19,7 @@
 # A call may take this many times its expected time, and a little more, before
 # its pieces are given to another target as well.
 OVERDUE_FACTOR = 1.8
-OVERDUE_EXTRA_MS = 60
+OVERDUE_EXTRA_MS = 100
 # The same before it is given up.
 CALL_TIME_FACTOR = 7
 CALL_EXTRA_MS = 300
--- a/borageyard/chain_times.py
+++ b/borageyard/chain_times.py
@@ -78,8 +78,10 @@
             for state in chain.stages.values()
             if state.stage.service == service and not state.done
         )
-        busy_ms = sum(target.busy_ms(now_ms) for target in targets)
-        return (pieces_ms + busy_ms) / len(targets)
+        quick = [target for target in targets if not target.is_slow(now_ms)]
+        used = quick or targets
+        busy_ms = sum(target.busy_ms(now_ms) for target in used)
+        return (pieces_ms + busy_ms) / len(used)
 
     def _path_ms(self, chain: Chain, state: StageState) -> float:
         after_ms = max(
--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -32,6 +32,8 @@
 
 EXPECTED_TARGET = 'x-expect-instance'
 LOAD = 'x-instance-load'
+# Names the target that answers, with rejections of requests for another.
+OWN_ID = 'x-instance-id'
 LOAD_FIGURES = 3
 NOT_RUN = 'x-not-executed'
 STAMP = 'x-server-stamp'
@@ -219,7 +221,7 @@
     """Tells whether a response is for a request; rejections carry no id."""
     told = headers.get(ATTEMPT_ID)
     if told is None:
-        return NOT_RUN in headers
+        return NOT_RUN in headers or OWN_ID in headers
     return told == request_id
 
 
--- /dev/null
+++ b/borageyard/standins/gateway_deployment.py
@@ -0,0 +1,241 @@
+"""Gateways on stand-ins of the users' platform, in one process."""
+
+import asyncio
+import contextlib
+import dataclasses
+import socket
+from collections.abc import AsyncIterator, Sequence
+from typing import Any
+
+from ..clock import SystemClock
+from ..gateway import Gateway, GatewayPorts
+from ..gateway_settings import GatewaySettings
+from ..http_client import HttpClient
+from ..http_server import HttpServer
+from ..platform import ingress
+from ..platform.documents import DocumentDecoder
+from ..platform.store import StoreTables
+from ..platform.targets import HttpPieceRunner, HttpTargetSender
+from ..retry_window import RetryTerms
+from .keyed_store import (
+    OPERATOR_KEY,
+    OPERATOR_TOPIC,
+    KeyedStore,
+    KeyedStoreHandler,
+)
+from .served_target import HEALTH_PATH, ServedTarget, TargetPlan
+
+LOOPBACK = '127.0.0.1:0'
+HOST = 'walks.example'
+KEY = 'key-of-kennels'
+ORGANISATION = 'kennels'
+DOMAINS = ('north', 'south')
+READY_POLL_S = 0.01
+GRACE_MS = 3500
+TARGET_PLANS = (
+    *(
+        TargetPlan(f'desk-{number}', 'desk', DOMAINS[number])
+        for number in range(2)
+    ),
+    *(
+        TargetPlan(f'model-{number}', 'model', DOMAINS[number], 'engine')
+        for number in range(2)
+    ),
+    *(
+        TargetPlan(f'planner-{number}', 'planner', DOMAINS[number], 'batch')
+        for number in range(2)
+    ),
+)
+
+
+def build_document(version: int = 1) -> dict[str, Any]:
+    """Returns an operator's document for the stand-ins' targets.
+
+    Args:
+        version: Its version.
+    """
+    return {
+        'version': version,
+        'routes': [
+            _route('read', '/read/', 'idempotent', 'desk', maxAttempts=2),
+            _route('book', '/book/', 'non_idempotent', 'desk'),
+            _route(
+                'brief',
+                '/brief/',
+                'streaming',
+                'model',
+                maxAttempts=2,
+                streamResume=True,
+                stages=[
+                    {'service': 'planner', 'after': [], 'bytes': 1000},
+                    {'service': 'planner', 'after': [0], 'bytes': 1000},
+                ],
+            ),
+            _route('reply', '/reply/', 'streaming', 'model'),
+        ],
+        'services': [
+            {'name': 'desk', 'healthPath': HEALTH_PATH},
+            {
+                'name': 'model',
+                'engine': {'slots': 8, 'kvCapacity': 100_000},
+            },
+            {
+                'name': 'planner',
+                'pieces': {
+                    'slots': 1,
+                    'queue': 2,
+                    'batch': 4,
+                    'callMs': 5,
+                    'itemMs': 1,
+                    'headroomMb': 1,
+                    'handleS': 4,
+                },
+            },
+        ],
+        'limits': {'maxBodyBytes': 100_000, 'idleTimeoutMs': 5000},
+        'tenants': [{'name': ORGANISATION, 'apiKeys': [KEY], 'priority': 1}],
+    }
+
+
+def _route(
+    name: str,
+    prefix: str,
+    kind: str,
+    service: str,
+    **further: Any,
+) -> dict[str, Any]:
+    return {
+        'name': name,
+        'host': HOST,
+        'pathPrefix': prefix,
+        'kind': kind,
+        'timeoutMs': 3000,
+        'targetLatencyMs': 1000,
+        'gapAimMs': 400,
+        'service': service,
+        'sessionAffinity': kind == 'streaming',
+        **further,
+    }
+
+
+@dataclasses.dataclass(slots=True)
+class RunningGateway:
+    """One gateway with the store as it sees it."""
+
+    gateway: Gateway
+    store: KeyedStoreHandler
+    stop: asyncio.Event
+    task: asyncio.Task[None]
+
+    @property
+    def address(self) -> str:
+        """Returns where callers reach it."""
+        return self.gateway.settings.caller_address
+
+
+class GatewayDeployment:
+    """Store, targets and gateways on loopback."""
+
+    def __init__(self, gateways: int = 2) -> None:
+        """Prepares a deployment that is not running yet.
+
+        Args:
+            gateways: How many gateways there are.
+        """
+        self.store = KeyedStore()
+        self.results: dict[str, str] = {}
+        self.targets = {
+            plan.target_id: ServedTarget(plan, self.store, self.results)
+            for plan in TARGET_PLANS
+        }
+        self.gateways: list[RunningGateway] = []
+        self._count = gateways
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator['GatewayDeployment']:
+        """Runs everything while the scope lasts."""
+        self.configure(build_document())
+        async with contextlib.AsyncExitStack() as stack:
+            for target in self.targets.values():
+                await stack.enter_async_context(target.running())
+            for number in range(self._count):
+                await self._start(number, stack)
+            await self.until_ready()
+            yield self
+
+    def configure(self, document: object) -> None:
+        """Writes the operator's document."""
+        self.store.put(OPERATOR_TOPIC, OPERATOR_KEY, document)
+
+    async def until_ready(self) -> None:
+        """Waits until all gateways are ready and know each other."""
+        while not all(map(self._is_settled, self.gateways)):
+            await asyncio.sleep(READY_POLL_S)
+
+    def _is_settled(self, running: RunningGateway) -> bool:
+        gateway = running.gateway
+        peers = len(gateway.link.connected_ids())
+        targets = sum(map(len, gateway.state.roster.services.values()))
+        settled = peers >= self._count - 1 and targets == len(self.targets)
+        return gateway.is_ready() and settled
+
+    async def _start(
+        self,
+        number: int,
+        stack: contextlib.AsyncExitStack,
+    ) -> None:
+        handler = KeyedStoreHandler(self.store)
+        server = await stack.enter_async_context(HttpServer(handler.handle))
+        await server.start(LOOPBACK)
+        client = await stack.enter_async_context(HttpClient())
+        settings = _settings(number, server.address)
+        ports = GatewayPorts(
+            tables=StoreTables(client, server.address),
+            decoder=DocumentDecoder(),
+            sender=HttpTargetSender(client),
+            runner=HttpPieceRunner(client),
+            border=ingress,
+            clock=SystemClock(),
+        )
+        gateway = Gateway(settings, ports)
+        stop = asyncio.Event()
+        task = asyncio.ensure_future(gateway.serve(stop))
+        stack.push_async_callback(_end, task)
+        self.gateways.append(RunningGateway(gateway, handler, stop, task))
+
+
+def free_addresses(count: int) -> Sequence[str]:
+    """Returns addresses of loopback that nobody listens on now.
+
+    Args:
+        count: How many.
+    """
+    with contextlib.ExitStack() as stack:
+        sockets = [
+            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
+            for _ in range(count)
+        ]
+        return [
+            '{}:{}'.format(*listening.getsockname()) for listening in sockets
+        ]
+
+
+def _settings(number: int, store_address: str) -> GatewaySettings:
+    caller, ready, directory, peer = free_addresses(4)
+    return GatewaySettings(
+        instance_id=f'gateway-{number}',
+        failure_domain=DOMAINS[number % len(DOMAINS)],
+        caller_address=caller,
+        ready_address=ready,
+        directory_address=directory,
+        peer_address=peer,
+        store_address=store_address,
+        retry_terms=RetryTerms(ratio=0.2, extra=50, window_ms=10_000),
+        grace_ms=GRACE_MS,
+        address_ttl_s=2,
+    )
+
+
+async def _end(task: asyncio.Task[None]) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/borageyard/standins/keyed_store.py
@@ -0,0 +1,183 @@
+"""Stand-in of the users' store: topics that keep the newest of each key."""
+
+import asyncio
+import base64
+import dataclasses
+import json
+import struct
+from http import HTTPStatus
+
+from ..clock import MS_PER_S
+from ..http_messages import HttpRequest, HttpResponse, json_response
+
+BOUNDS = struct.Struct('>QQ')
+LENGTH = struct.Struct('>I')
+OPERATOR_TOPIC = 'keyed.op'
+TARGETS_TOPIC = 'keyed.servers'
+ENTRIES_TOPIC = 'keyed.status'
+OPERATOR_KEY = 'config'
+
+
+@dataclasses.dataclass(slots=True)
+class StoreFaults:
+    """How the store misbehaves."""
+
+    down: bool = False
+    delay_ms: float = 0
+    # Appends that are done and not answered.
+    lose_appends: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Topic:
+    records: list[bytes] = dataclasses.field(default_factory=list)
+    first: int = 0
+
+
+class KeyedStore:
+    """Topics in memory; several handlers may serve them with own faults."""
+
+    def __init__(self) -> None:
+        """Starts without topics."""
+        self._topics: dict[str, _Topic] = {}
+        self._changed = asyncio.Event()
+
+    def put(self, topic: str, key: str, document: object) -> int:
+        """Writes a JSON document under a key; none drops the key.
+
+        Args:
+            topic: Name of the topic.
+            key: The key.
+            document: What is encoded.
+
+        Returns:
+            The offset of the record.
+        """
+        content = b'' if document is None else json.dumps(document).encode()
+        return self.append(topic, _encode_key(key) + content)
+
+    def append(self, topic: str, record: bytes) -> int:
+        """Appends a record; returns its offset."""
+        records = self._topic(topic).records
+        records.append(record)
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return len(records) - 1
+
+    def forget(self, topic: str) -> None:
+        """Drops the history of a topic; the newest of each key stays."""
+        known = self._topic(topic)
+        known.first = len(known.records)
+
+    def newest(self, topic: str) -> dict[str, tuple[int, bytes]]:
+        """Returns the offset and the content of the newest of each key."""
+        found: dict[str, tuple[int, bytes]] = {}
+        for offset, record in enumerate(self._topic(topic).records):
+            key, content = _split(record)
+            found.pop(key, None)
+            if content:
+                found[key] = (offset, content)
+        return found
+
+    async def read(self, topic: str, offset: int, wait_s: float) -> bytes:
+        """Returns the bounds of a topic and its records from an offset on."""
+        known = self._topic(topic)
+        if offset >= len(known.records):
+            await self._wait(wait_s)
+        records = known.records[offset:]
+        framed = [LENGTH.pack(len(record)) + record for record in records]
+        bounds = BOUNDS.pack(len(known.records), known.first)
+        return bounds + b''.join(framed)
+
+    def first(self, topic: str) -> int:
+        """Returns the oldest offset that is kept."""
+        return self._topic(topic).first
+
+    def end(self, topic: str) -> int:
+        """Returns the offset of the next record."""
+        return len(self._topic(topic).records)
+
+    def _topic(self, topic: str) -> _Topic:
+        return self._topics.setdefault(topic, _Topic())
+
+    async def _wait(self, wait_s: float) -> None:
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+
+class KeyedStoreHandler:
+    """Answers the store's calls of some processes."""
+
+    def __init__(self, store: KeyedStore) -> None:
+        """Wraps a store.
+
+        Args:
+            store: Where records are kept.
+        """
+        self.faults = StoreFaults()
+        self._store = store
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answers one call."""
+        await asyncio.sleep(self.faults.delay_ms / MS_PER_S)
+        if self.faults.down:
+            return json_response({}, HTTPStatus.SERVICE_UNAVAILABLE)
+        if request.path == '/log-newest':
+            return self._newest(request)
+        if request.path == '/log-read':
+            return await self._read(request)
+        if request.path == '/log-append':
+            return await self._append(request)
+        return json_response({}, HTTPStatus.NOT_FOUND)
+
+    def _newest(self, request: HttpRequest) -> HttpResponse:
+        topic = request.query['topic']
+        items = [
+            {
+                'key': key,
+                'value': base64.b64encode(content).decode(),
+                'offset': offset,
+            }
+            for key, (offset, content) in self._store.newest(topic).items()
+        ]
+        page = {
+            'items': items,
+            'hasMore': False,
+            'end': self._store.end(topic),
+        }
+        return json_response(page)
+
+    async def _read(self, request: HttpRequest) -> HttpResponse:
+        topic = request.query['topic']
+        offset = int(request.query['from'])
+        if offset < self._store.first(topic):
+            first = {'first': self._store.first(topic)}
+            return json_response(first, HTTPStatus.GONE)
+        wait_s = int(request.query.get('waitMs', '0')) / MS_PER_S
+        body = await self._store.read(topic, offset, wait_s)
+        if self.faults.down:
+            return json_response({}, HTTPStatus.SERVICE_UNAVAILABLE)
+        return HttpResponse(HTTPStatus.OK, body)
+
+    async def _append(self, request: HttpRequest) -> HttpResponse:
+        topic = request.query['topic']
+        if topic in {OPERATOR_TOPIC, TARGETS_TOPIC}:
+            return json_response({}, HTTPStatus.FORBIDDEN)
+        offset = self._store.append(topic, request.body[LENGTH.size :])
+        if self.faults.lose_appends:
+            self.faults.lose_appends -= 1
+            await asyncio.Event().wait()
+        return json_response({'offset': offset, 'end': offset + 1})
+
+
+def _encode_key(key: str) -> bytes:
+    name = key.encode()
+    return bytes((len(name),)) + name
+
+
+def _split(record: bytes) -> tuple[str, bytes]:
+    key_end = 1 + record[0]
+    return record[1:key_end].decode(), record[key_end:]
--- /dev/null
+++ b/borageyard/standins/served_target.py
@@ -0,0 +1,228 @@
+"""Stand-ins of the users' targets: plain, engine and batching."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator, Mapping
+from http import HTTPStatus
+from typing import Any
+
+from ..border import parse_json
+from ..clock import MS_PER_S
+from ..http_messages import (
+    EVENT_STREAM_TYPE,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    json_response,
+)
+from ..http_server import ConnectionAbortError, HttpServer
+from .keyed_store import TARGETS_TOPIC, KeyedStore
+
+HEALTH_PATH = '/healthz'
+LOOPBACK = '127.0.0.1:0'
+NOT_RUN: Mapping[str, str] = {'x-not-executed': '1'}
+STEP_MS = 1
+
+
+@dataclasses.dataclass(slots=True)
+class TargetFaults:
+    """How a target misbehaves; counts apply to the next requests."""
+
+    fail: int = 0
+    reject: int = 0
+    reset: int = 0
+    # Events after which a stream breaks off; none if it does not.
+    break_after: int | None = None
+    silent: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetPlan:
+    """What a target is."""
+
+    target_id: str
+    service: str
+    failure_domain: str
+    kind: str = 'plain'
+    work_ms: float = 1
+    events: int = 5
+    room: int = 100
+
+
+class ServedTarget:
+    """One target; it remembers what it ran."""
+
+    def __init__(
+        self,
+        plan: TargetPlan,
+        store: KeyedStore,
+        results: dict[str, str],
+    ) -> None:
+        """Prepares a target that does not listen yet.
+
+        Args:
+            plan: What it is.
+            store: Where it announces itself.
+            results: Results of all batching targets, by handle.
+        """
+        self.plan = plan
+        self.faults = TargetFaults()
+        self.runs: list[str] = []
+        self.pieces: list[str] = []
+        self.tenants: list[str] = []
+        self.address = ''
+        self._store = store
+        self._results = results
+        self._beat = 0
+        self._made = 0
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Listens and is announced while the scope lasts."""
+        async with HttpServer(self._handle, HttpLimits()) as server:
+            await server.start(LOOPBACK)
+            self.address = server.address
+            self.announce('ready')
+            yield
+
+    def announce(self, state: str) -> None:
+        """Writes its record.
+
+        Args:
+            state: What it says of itself.
+        """
+        self._beat += 1
+        row = {
+            'service': self.plan.service,
+            'address': self.address,
+            'zone': self.plan.failure_domain,
+            'version': 'v1',
+            'slots': 8,
+            'state': state,
+            'coldLeftMs': 0,
+            'sequence': self._beat,
+            'born': 1,
+        }
+        self._store.put(TARGETS_TOPIC, self.plan.target_id, row)
+
+    def withdraw(self) -> None:
+        """Removes its record."""
+        self._store.put(TARGETS_TOPIC, self.plan.target_id, None)
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        if self.faults.silent:
+            await asyncio.Event().wait()
+        if request.path == '/report':
+            return json_response({'freeMb': 1, 'waiting': 0, 'busy': 0})
+        if request.path == '/stage-run':
+            return await self._run_pieces(request)
+        if request.path == '/stage-free':
+            return self._free(request)
+        return await self._run(request)
+
+    async def _run(self, request: HttpRequest) -> HttpResponse:
+        headers = {'x-attempt-id': request.header('x-attempt-id')}
+        expected = request.header('x-expect-instance')
+        if expected and expected != self.plan.target_id:
+            return HttpResponse(
+                HTTPStatus.MISDIRECTED_REQUEST,
+                headers={'x-instance-id': self.plan.target_id},
+            )
+        if self.faults.reject:
+            self.faults.reject -= 1
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            return HttpResponse(status, headers={**headers, **NOT_RUN})
+        if self.plan.kind == 'engine' and not self._has_inputs(request):
+            return HttpResponse(
+                HTTPStatus.CONFLICT,
+                headers={**headers, **NOT_RUN},
+            )
+        return await self._work(request, headers)
+
+    async def _work(
+        self,
+        request: HttpRequest,
+        headers: dict[str, str],
+    ) -> HttpResponse:
+        request_id = request.header('x-attempt-id')
+        self.runs.append(request_id)
+        self.tenants.append(request.header('x-tenant'))
+        await asyncio.sleep(self.plan.work_ms / MS_PER_S)
+        if self.faults.reset:
+            self.faults.reset -= 1
+            raise ConnectionAbortError
+        headers['x-server-stamp'] = f'{self.plan.target_id}.{request_id}'
+        if self.faults.fail:
+            self.faults.fail -= 1
+            status = HTTPStatus.INTERNAL_SERVER_ERROR
+            return HttpResponse(status, b'failed', headers=headers)
+        if self.plan.kind != 'engine':
+            body = f'{request.method} {request.target} {request_id}'.encode()
+            return HttpResponse(HTTPStatus.OK, body, headers=headers)
+        return HttpResponse(
+            HTTPStatus.OK,
+            content_type=EVENT_STREAM_TYPE,
+            headers=headers,
+            chunks=self._events(request),
+        )
+
+    async def _events(self, request: HttpRequest) -> AsyncIterator[bytes]:
+        after = int(request.header('last-event-id', '0'))
+        request_id = request.header('x-attempt-id')
+        for number in range(after + 1, self.plan.events + 1):
+            if self.faults.break_after == number - 1:
+                self.faults.break_after = None
+                yield f'id: {number}\ndata: half'.encode()
+                raise ConnectionAbortError
+            yield f'id: {number}\ndata: {request_id}/{number}\n\n'.encode()
+            await asyncio.sleep(STEP_MS / MS_PER_S)
+
+    def _has_inputs(self, request: HttpRequest) -> bool:
+        told = request.header('x-inputs')
+        request_id = request.header('x-attempt-id')
+        return all(
+            self._results.get(handle) == request_id
+            for handle in told.split(',')
+            if handle
+        )
+
+    async def _run_pieces(self, request: HttpRequest) -> HttpResponse:
+        body: Any = parse_json(request.body, 'pieces')
+        if self.faults.reject:
+            self.faults.reject -= 1
+            status = HTTPStatus.SERVICE_UNAVAILABLE
+            return HttpResponse(status, headers=NOT_RUN)
+        if self.faults.reset:
+            self.faults.reset -= 1
+            raise ConnectionAbortError
+        await asyncio.sleep(self.plan.work_ms / MS_PER_S)
+        return json_response(
+            {'items': [self._make(piece) for piece in body['items']]},
+        )
+
+    def _make(self, piece: Mapping[str, Any]) -> Mapping[str, str]:
+        request_id = piece['id']
+        stage = piece['stage']
+        number = piece['piece']
+        for handle in piece.get('inputs', ()):
+            if self._results.get(handle) != request_id:
+                return {'reason': 'gone'}
+        held = [
+            handle
+            for handle in self._results
+            if handle.startswith(f'{self.address}/')
+        ]
+        if len(held) >= self.plan.room:
+            return {'reason': 'room'}
+        self._made += 1
+        handle = f'{self.address}/{self._made}'
+        self._results[handle] = request_id
+        self.pieces.append(f'{request_id}/{stage}/{number}')
+        return {'handle': handle}
+
+    def _free(self, request: HttpRequest) -> HttpResponse:
+        body: Any = parse_json(request.body, 'handles')
+        for handle in body['handles']:
+            self._results.pop(handle, None)
+        return json_response({})
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,338 @@
+"""Tests of gateways on stand-ins of the users' platform, over sockets."""
+
+import asyncio
+import contextlib
+import json
+
+import pytest
+
+from borageyard.http_client import HttpCall, HttpCallError, HttpClient
+from borageyard.standins.gateway_deployment import (
+    HOST,
+    KEY,
+    ORGANISATION,
+    GatewayDeployment,
+    build_document,
+)
+
+TIMEOUT_S = 20
+
+
+@contextlib.asynccontextmanager
+async def deployment(gateways=2):
+    """Runs a deployment with a client of its own."""
+    async with (
+        asyncio.timeout(TIMEOUT_S),
+        GatewayDeployment(gateways).running() as running,
+        HttpClient() as client,
+    ):
+        yield Callers(running, client)
+
+
+class Callers:
+    """Sends requests as callers do."""
+
+    def __init__(self, running, client):
+        """Wraps a running deployment."""
+        self.running = running
+        self.client = client
+        self.sent = 0
+
+    async def call(self, path, method='GET', gateway=0, **headers):
+        """Sends a request and returns the reply."""
+        self.sent += 1
+        call = HttpCall(
+            self.running.gateways[gateway].address,
+            method,
+            path,
+            headers={
+                'host': HOST,
+                'x-attempt-id': f'attempt-{self.sent}',
+                'x-deadline-ms': '2500',
+                'authorization': f'Token {KEY}',
+                **{
+                    name.replace('_', '-'): text
+                    for name, text in headers.items()
+                },
+            },
+            timeout_ms=5000,
+            repeatable=False,
+        )
+        return await self.client.request(call)
+
+    async def stream(self, path='/brief/x', pieces='2,1', **headers):
+        """Sends a prompt."""
+        return await self.call(
+            path,
+            'POST',
+            x_pieces=pieces,
+            x_piece_key='abc',
+            x_model='m',
+            x_token_count='100,20',
+            x_prefix_hash='aa:60,bb:40',
+            **headers,
+        )
+
+    def targets(self, service):
+        """Returns the targets of a service."""
+        return [
+            target
+            for target in self.running.targets.values()
+            if target.plan.service == service
+        ]
+
+    def runs(self, service):
+        """Returns the ids that targets of a service ran."""
+        return [run for target in self.targets(service) for run in target.runs]
+
+    def fault(self, service, **faults):
+        """Sets the same faults at all targets of a service."""
+        for target in self.targets(service):
+            for name, count in faults.items():
+                setattr(target.faults, name, count)
+
+
+async def until(condition):
+    """Waits until a condition holds."""
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+def events(reply):
+    """Returns the numbers of the events of a stream."""
+    lines = reply.body.decode().split('\n')
+    return [int(line[4:]) for line in lines if line.startswith('id: ')]
+
+
+class TestPlain:
+    """Requests to plain services."""
+
+    async def test_answer_is_the_targets(self):
+        """Status, body and signature come back; path and query arrive."""
+        async with deployment() as callers:
+            reply = await callers.call('/read/a?b=c%20d')
+            assert reply.status == 200
+            assert reply.body == b'GET /read/a?b=c%20d attempt-1'
+            assert reply.headers['x-server-stamp'].endswith('attempt-1')
+            (target,) = [
+                target for target in callers.targets('desk') if target.runs
+            ]
+            assert target.tenants == [ORGANISATION]
+
+    @pytest.mark.parametrize(
+        ('path', 'headers', 'status'),
+        [
+            ('/none/a', {}, 404),
+            ('/read/a', {'authorization': 'Token wrong'}, 401),
+            ('/read/a', {'host': 'other.example'}, 404),
+        ],
+    )
+    async def test_what_no_configuration_allows(self, path, headers, status):
+        """Unknown routes and keys are refused and reach no target."""
+        async with deployment() as callers:
+            reply = await callers.call(path, **headers)
+            assert reply.status == status
+            assert not callers.runs('desk')
+
+    async def test_failure_of_an_idempotent_request_is_repeated(self):
+        """Another target answers in place of one that failed."""
+        async with deployment() as callers:
+            callers.targets('desk')[0].faults.fail = 1
+            replies = [await callers.call('/read/a') for _ in range(4)]
+            assert [reply.status for reply in replies] == [200] * 4
+            assert len(callers.runs('desk')) == 5
+
+    async def test_reset_of_a_non_idempotent_request_is_not(self):
+        """It may have run, so that it is not sent again."""
+        async with deployment() as callers:
+            callers.fault('desk', reset=1)
+            reply = await callers.call('/book/a', 'POST')
+            assert reply.status == 502
+            assert callers.runs('desk') == ['attempt-1']
+
+    async def test_rejection_is_sent_elsewhere(self):
+        """A target that ran nothing is passed over."""
+        async with deployment() as callers:
+            callers.targets('desk')[0].faults.reject = 1
+            replies = [await callers.call('/book/a', 'POST') for _ in range(4)]
+            assert [reply.status for reply in replies] == [200] * 4
+            assert len(callers.runs('desk')) == 4
+
+    async def test_rejection_by_all_is_a_true_refusal(self):
+        """The caller is told when to come back and that nothing ran."""
+        async with deployment() as callers:
+            callers.fault('desk', reject=9)
+            reply = await callers.call('/book/a', 'POST')
+            assert reply.status == 503
+            assert float(reply.headers['retry-after']) > 0
+            assert not callers.runs('desk')
+
+    async def test_target_at_a_reused_address_runs_nothing(self):
+        """A target that isn't the expected one is not used again."""
+        async with deployment() as callers:
+            desk = callers.targets('desk')
+            desk[0].address, desk[1].address = desk[1].address, desk[0].address
+            for target in desk:
+                target.announce('ready')
+            rosters = [
+                running.gateway.state.roster
+                for running in callers.running.gateways
+            ]
+            await until(
+                lambda: all(
+                    roster.find('desk-0').address == desk[0].address
+                    for roster in rosters
+                ),
+            )
+            reply = await callers.call('/read/a')
+            assert reply.status == 503
+            assert not callers.runs('desk')
+
+
+class TestStreams:
+    """Prompts with stages, and the streams that answer them."""
+
+    async def test_stages_run_before_the_engine(self):
+        """Pieces are made once each, and freed after the engine read them."""
+        async with deployment() as callers:
+            reply = await callers.stream()
+            assert events(reply) == [1, 2, 3, 4, 5]
+            made = [
+                piece
+                for target in callers.targets('planner')
+                for piece in target.pieces
+            ]
+            assert sorted(made) == [
+                'attempt-1/0/0',
+                'attempt-1/0/1',
+                'attempt-1/1/0',
+            ]
+            await until(lambda: not callers.running.results)
+
+    async def test_stream_goes_on_at_another_engine(self):
+        """No event is lost or comes twice, and the first headers stay."""
+        async with deployment() as callers:
+            callers.fault('model', break_after=2)
+            callers.targets('model')[0].faults.break_after = None
+            replies = [await callers.stream() for _ in range(4)]
+            assert [events(reply) for reply in replies] == [[1, 2, 3, 4, 5]] * 4
+
+    async def test_stream_that_may_not_be_resumed_breaks(self):
+        """Its end doesn't look complete."""
+        async with deployment() as callers:
+            callers.fault('model', break_after=2)
+            with pytest.raises(HttpCallError):
+                await callers.stream('/reply/x', '')
+            assert len(callers.runs('model')) == 1
+
+    async def test_caller_resumes_after_an_event(self):
+        """The last event that the caller has goes to the engine."""
+        async with deployment() as callers:
+            reply = await callers.stream(last_event_id='3')
+            assert events(reply) == [4, 5]
+
+    async def test_piece_call_that_fails_is_run_elsewhere(self):
+        """A lost call costs no request."""
+        async with deployment() as callers:
+            callers.targets('planner')[0].faults.reset = 2
+            replies = [await callers.stream() for _ in range(3)]
+            assert [reply.status for reply in replies] == [200] * 3
+
+    async def test_scheduler_that_stops_costs_no_request(self):
+        """Requests of a scheduler that is gone are taken over."""
+        async with deployment() as callers:
+            replies = asyncio.gather(*(callers.stream() for _ in range(3)))
+            await asyncio.sleep(0)
+            running = callers.running.gateways[1]
+            running.task.cancel()
+            assert [reply.status for reply in await replies] == [200] * 3
+
+
+class TestConfiguration:
+    """Changes of the configuration and of the targets."""
+
+    async def test_change_is_in_force_at_all(self):
+        """A route that is gone is refused, one that is new is served."""
+        async with deployment() as callers:
+            document = build_document(2)
+            document['routes'][0]['pathPrefix'] = '/moved/'
+            callers.running.configure(document)
+            await until(
+                lambda: all(
+                    running.gateway.state.configuration.version == 2
+                    for running in callers.running.gateways
+                ),
+            )
+            for gateway in range(2):
+                old = await callers.call('/read/a', gateway=gateway)
+                new = await callers.call('/moved/a', gateway=gateway)
+                assert (old.status, new.status) == (404, 200)
+
+    async def test_peers_carry_what_the_store_refuses(self):
+        """An entry that the store turns away learns from another one."""
+        async with deployment() as callers:
+            refused, served = callers.running.gateways
+            refused.store.faults.down = True
+            callers.running.configure(build_document(7))
+            callers.running.targets['desk-0'].announce('draining')
+            roster = refused.gateway.state.roster
+            await until(
+                lambda: refused.gateway.state.configuration.version == 7,
+            )
+            await until(lambda: len(roster.ready('desk')) == 1)
+            assert served.gateway.state.configuration.version == 7
+
+    async def test_forgotten_history_is_read_anew(self):
+        """Targets that left while the history was dropped are gone."""
+        async with deployment(1) as callers:
+            callers.running.targets['desk-0'].withdraw()
+            for topic in ('keyed.op', 'keyed.servers'):
+                callers.running.store.forget(topic)
+            roster = callers.running.gateways[0].gateway.state.roster
+            await until(lambda: len(roster.ready('desk')) == 1)
+
+    async def test_broken_records_name_no_target(self):
+        """The others hold."""
+        async with deployment(1) as callers:
+            store = callers.running.store
+            store.append('keyed.servers', b'\x05junk1not json')
+            store.put('keyed.servers', 'junk2', {'service': 'desk'})
+            store.put('keyed.servers', 'junk3', {'service': 5, 'state': 'up'})
+            end = store.end('keyed.servers')
+            state = callers.running.gateways[0].gateway.state
+            await until(lambda: state.roster.offset >= end)
+            assert len(state.roster.ready('desk')) == 2
+
+
+class TestAddresses:
+    """What callers are told of the entries."""
+
+    async def ask(self, callers, gateway=0):
+        """Returns the addresses that an entry names."""
+        address = callers.running.gateways[gateway].gateway.settings
+        call = HttpCall(address.directory_address, 'GET', '/resolve?name=x')
+        reply = await callers.client.request(call)
+        return json.loads(reply.body)['addresses']
+
+    async def test_all_entries_are_named(self):
+        """Each entry names itself and its peers."""
+        async with deployment() as callers:
+            expected = sorted(
+                running.address for running in callers.running.gateways
+            )
+            while await self.ask(callers) != expected:
+                await asyncio.sleep(0.05)
+
+    async def test_stopping_entry_is_left_out_and_still_answers(self):
+        """Its peers stop naming it; open connections are served."""
+        async with deployment() as callers:
+            stopping = callers.running.gateways[1]
+            stopping.stop.set()
+            others = [callers.running.gateways[0].address]
+            while await self.ask(callers) != others:
+                await asyncio.sleep(0.05)
+            assert not stopping.gateway.is_ready()
+            reply = await callers.call('/read/a', gateway=1)
+            assert reply.status == 200
+            assert reply.headers['connection'] == 'close'
+            await stopping.task
