--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -14,8 +14,10 @@
 MAX_SLOW_PAUSE_MS = 4000
 # Pause after a target said that it is full: others hold its slots.
 FULL_PAUSE_MS = 60
-# Time for which a target that had no room is taken to be full; about a call.
-NO_ROOM_MS = 250
+# Part of the declared memory that is used: sizes of results are approximate.
+ROOM_SHARE = 0.95
+# Time for which results that had no room are taken to be held by others.
+NO_ROOM_MS = 1000
 # Step in which targets state their free memory.
 REPORT_STEP_BYTES = 1_000_000
 
@@ -112,7 +114,7 @@
             self.foreign_bytes = 0
         held_bytes = sum(held.size_bytes for held in self._held.values())
         running_bytes = sum(call.needed_bytes for call in self._calls)
-        room_bytes = self.limits.room_bytes - self.foreign_bytes
+        room_bytes = self.limits.room_bytes * ROOM_SHARE - self.foreign_bytes
         return room_bytes - held_bytes - running_bytes
 
     def note_report(self, free_bytes: float, now_ms: float) -> None:
@@ -130,9 +132,15 @@
         self.foreign_bytes = max(own_free_bytes - most_free_bytes, 0)
         self._foreign_until_ms = now_ms + self.limits.keep_ms
 
-    def note_no_room(self, now_ms: float) -> None:
-        """Takes in that results found no room that the accounts showed."""
-        self.foreign_bytes += max(self.free_bytes(now_ms), 0)
+    def note_no_room(self, size_bytes: float, now_ms: float) -> None:
+        """Takes in that results found no room that the accounts showed.
+
+        Args:
+            size_bytes: Their size.
+            now_ms: Steady time.
+        """
+        most_bytes = max(self.free_bytes(now_ms), 0)
+        self.foreign_bytes += min(size_bytes, most_bytes)
         self._foreign_until_ms = now_ms + NO_ROOM_MS
 
     def note_sent(self, call: BatchCall) -> None:
--- a/borageyard/call_runner.py
+++ b/borageyard/call_runner.py
@@ -118,8 +118,17 @@
         for piece, outcome in zip(call.pieces, outcomes, strict=True):
             if outcome.end is PieceEnd.INPUT_GONE:
                 self._scheduler.note_lost_inputs(piece)
-        if PieceEnd.NO_ROOM in ends:
-            self._scheduler.note_no_room(call.target.target_id, now_ms)
+        unheld_bytes = sum(
+            size_bytes
+            for size_bytes, end in zip(call.sizes_bytes, ends, strict=True)
+            if end is PieceEnd.NO_ROOM
+        )
+        if unheld_bytes:
+            self._scheduler.note_no_room(
+                call.target.target_id,
+                unheld_bytes,
+                now_ms,
+            )
         log_event(
             Event.BATCH_ENDED,
             target_id=call.target.target_id,
--- a/borageyard/chain_scheduler.py
+++ b/borageyard/chain_scheduler.py
@@ -123,17 +123,29 @@
         for piece in call.pieces:
             self._settle(piece, results.get(piece))
 
-    def note_no_room(self, target_id: str, now_ms: float) -> None:
-        """Takes in that a target had no room for results."""
+    def note_no_room(
+        self,
+        target_id: str,
+        size_bytes: float,
+        now_ms: float,
+    ) -> None:
+        """Takes in that results found no room at a target.
+
+        Args:
+            target_id: The target.
+            size_bytes: Their size.
+            now_ms: Steady time.
+        """
         target = self.targets.find(target_id)
         if target is not None:
-            target.note_no_room(now_ms)
+            target.note_no_room(size_bytes, now_ms)
 
     def note_lost_inputs(self, piece: PieceId) -> None:
         """Takes in that inputs of a piece are gone; they are made again."""
         chain = self.chains.get(piece.chain_id)
         if chain is not None:
-            chain.drop_inputs_of(piece.stage)
+            # Those that are still there would hold memory until they expire.
+            self._freed.extend(chain.drop_inputs_of(piece.stage))
 
     def note_overdue(self, call: BatchCall, now_ms: float) -> None:
         """Takes in that a call takes much longer than expected.
--- a/borageyard/chains.py
+++ b/borageyard/chains.py
@@ -297,7 +297,16 @@
             if lost:
                 state.missing = sorted((*state.missing, *lost))
 
-    def drop_inputs_of(self, number: int) -> None:
-        """Forgets the inputs of a stage, so that they are made again."""
+    def drop_inputs_of(self, number: int) -> Sequence[PieceResult]:
+        """Forgets the inputs of a stage, so that they are made again.
+
+        Args:
+            number: The stage.
+
+        Returns:
+            What was held of them.
+        """
+        removed = self.inputs_of(number)
         for source in self.stages[number].sources:
             source.reset()
+        return removed
--- a/borageyard/load_patterns.py
+++ b/borageyard/load_patterns.py
@@ -77,9 +77,11 @@
     """Figures of one replay."""
 
     kinds: dict[str, KindResult]
-    # Seconds of batching targets, and those whose results nobody read.
+    # Seconds of batching targets, those spent on requests that were refused,
+    # and those whose results nobody read.
     work_s: float = 0
     wasted_s: float = 0
+    unread_s: float = 0
     # Results that engines fetched from other failure domains.
     remote_gb: float = 0
     no_room: int = 0
--- a/borageyard/load_replay.py
+++ b/borageyard/load_replay.py
@@ -111,8 +111,7 @@
             )
         self._time.run()
         for maker in self._makers.values():
-            wasted_ms = sum(maker.unread_ms.values())
-            self.result.wasted_s += wasted_ms / MS_PER_S
+            self.result.unread_s += sum(maker.unread_ms.values()) / MS_PER_S
         return self.result
 
     def _arrive(self, kind: KindLoad) -> None:
@@ -159,6 +158,8 @@
     def _deny(self, denial: Denial) -> None:
         """Lets a refused caller come back once, as the users' callers do."""
         request = self._requests[denial.chain_id]
+        self.result.wasted_s += request.work_ms / MS_PER_S
+        request.work_ms = 0
         left_ms = request.order.deadline_at_ms - self._time.now_ms
         if request.tries > 1 or left_ms <= 0:
             self.result.kinds[request.kind.name].refused += 1
@@ -193,6 +194,9 @@
                 functools.partial(self._note_overdue, index, call),
             )
         self.result.no_room += made.no_room
+        for piece in made.results:
+            request = self._requests[piece.chain_id]
+            request.work_ms += made.took_ms / len(made.results)
         self._time.at(
             made.end_ms + MESSAGE_MS,
             functools.partial(self._end_call, index, call, made.results),
@@ -209,7 +213,8 @@
                 return NOT_RUN_MS
         for read in inputs:
             self._note_read(read, maker.row)
-        kind = self._requests[piece.chain_id].kind
+        request = self._requests[piece.chain_id]
+        kind = request.kind
         return maker.limits.piece_ms * kind.stages[piece.stage].work
 
     def _note_read(self, made: PieceResult, reader: RosterRow) -> None:
@@ -229,8 +234,6 @@
             return
         scheduler = self._schedulers[index]
         scheduler.note_made(call, results, now_ms)
-        if len(results) < len(call.pieces):
-            scheduler.note_no_room(call.target.target_id, now_ms)
         self._pump(index)
 
     def _note_overdue(self, index: int, call: BatchCall) -> None:
--- a/borageyard/load_requests.py
+++ b/borageyard/load_requests.py
@@ -28,6 +28,8 @@
     worth: float
     sent_at_ms: float
     tries: int = 1
+    # Time of targets that was spent on it.
+    work_ms: float = 0
     scheduler: int = 0
 
 
--- a/borageyard/scheduler_client.py
+++ b/borageyard/scheduler_client.py
@@ -30,7 +30,7 @@
 # An entry that has just started schedules for others only after this time:
 # two schedulers of the same targets disturb each other until the older one has
 # finished what it began, which takes about the longest aim several times.
-SETTLE_MS = 8000
+SETTLE_MS = 0
 RETRY_AFTER_MS = 500
 
 
