Serve metrics; keep entries' addresses between two news

Ruled out: readiness (all were ready), lost streams (none). Change: a row without an address leaves the told one; a new start clears it. The metrics address is open.

--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -194,10 +194,12 @@
         limits = HttpLimits(max_connections=MAX_CONNECTIONS)
         directory = HttpServer(self.handlers.handle_directory, limits)
         ready = HttpServer(self.handlers.handle_ready, limits)
+        metrics = HttpServer(self.handlers.handle_metrics, limits)
         for server, address in (
             (directory, settings.directory_address),
             (ready, settings.ready_address),
             (self._callers, settings.caller_address),
+            (metrics, settings.metrics_address),
         ):
             await stack.enter_async_context(server)
             await server.start(address)
--- a/borageyard/gateway_handlers.py
+++ b/borageyard/gateway_handlers.py
@@ -16,6 +16,7 @@
 
 # Time in which an entry that starts usually becomes ready.
 NOT_READY_RETRY_MS = 300
+TEXT_TYPE = 'text/plain; version=0.0.4'
 
 
 class CallerBorder(Protocol):
@@ -109,6 +110,14 @@
             Refusal(ErrorKind.NOT_READY, retry_after_ms=NOT_READY_RETRY_MS),
         )
 
+    async def handle_metrics(self, request: HttpRequest) -> HttpResponse:
+        """Returns counters and histograms as text."""
+        now_ms = self._clock.steady_ms()
+        alive = len(self._membership.alive(now_ms))
+        self.metrics.entries.set({}, alive)
+        body = self.metrics.exposition()
+        return HttpResponse(HTTPStatus.OK, body, content_type=TEXT_TYPE)
+
     async def handle_directory(self, request: HttpRequest) -> HttpResponse:
         """Names the entries that are ready, as fresh news tells."""
         now_ms = self._clock.steady_ms()
--- a/borageyard/gateway_settings.py
+++ b/borageyard/gateway_settings.py
@@ -16,6 +16,8 @@
     ready_address: str
     directory_address: str
     peer_address: str
+    # Where counters and histograms are read.
+    metrics_address: str
     store_address: str
     retry_terms: RetryTerms
     # Time between the request to stop and the kill.
--- a/borageyard/membership.py
+++ b/borageyard/membership.py
@@ -117,6 +117,7 @@
         if incarnation > member.incarnation:
             member.incarnation = incarnation
             member.regular = False
+            member.address = ''
         member.contact_at_ms = now_ms
         member.replaced = False
         return True
@@ -256,7 +257,8 @@
             member.listed_leaving = False
             member.replaced = False
         member.listed_at_ms = now_ms
-        member.address = row.address
+        # A list without addresses for callers leaves them to the news.
+        member.address = row.address or member.address
         member.peer_address = row.peer_address
         member.failure_domain = row.failure_domain
         member.listed_leaving |= row.state == STATE_LEAVING
--- a/borageyard/platform/settings.py
+++ b/borageyard/platform/settings.py
@@ -10,6 +10,8 @@
 from ..retry_window import RetryTerms
 
 SETTINGS_VARIABLE = 'BORAGEYARD_BOOT'
+# As deploy/system.toml tells the platform.
+METRICS_PORT = 9102
 # Longest time that callers are told to keep addresses, below the platform's
 # bound: a leaving entry is asked for no longer than three times this.
 ADDRESS_TTL_S = 2
@@ -71,6 +73,7 @@
         ready_address=node.listen.ready,
         directory_address=node.listen.directory,
         peer_address=f'{node.ip}:{node.peer_ports[0]}',
+        metrics_address=f'{node.ip}:{METRICS_PORT}',
         store_address=node.store.address,
         retry_terms=RetryTerms(
             ratio=bounds.retry_ratio,
--- a/borageyard/standins/gateway_deployment.py
+++ b/borageyard/standins/gateway_deployment.py
@@ -32,6 +32,8 @@
 DOMAINS = ('north', 'south')
 READY_POLL_S = 0.01
 GRACE_MS = 3500
+# Addresses on which a gateway listens.
+LISTENERS = 5
 RETRY_RATIO = 0.2
 RETRY_EXTRA = 50
 RETRY_WINDOW_MS = 10_000
@@ -254,14 +256,15 @@
 
 
 def _settings(number: int, store_address: str) -> GatewaySettings:
-    caller, ready, directory, peer = free_addresses(4)
+    addresses = free_addresses(LISTENERS)
     return GatewaySettings(
         instance_id=f'gateway-{number}',
         failure_domain=DOMAINS[number % len(DOMAINS)],
-        caller_address=caller,
-        ready_address=ready,
-        directory_address=directory,
-        peer_address=peer,
+        caller_address=addresses[0],
+        ready_address=addresses[1],
+        directory_address=addresses[2],
+        peer_address=addresses[3],
+        metrics_address=addresses[4],
         store_address=store_address,
         retry_terms=RetryTerms(RETRY_RATIO, RETRY_EXTRA, RETRY_WINDOW_MS),
         grace_ms=GRACE_MS,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -198,6 +198,23 @@
             assert not callers.runs('desk')
 
 
+class TestMetrics:
+    """Counters and histograms."""
+
+    async def test_answers_are_counted(self):
+        """By status, and refusals by kind."""
+        async with deployment(1) as callers:
+            await callers.call('/read/a')
+            await callers.call('/none/a')
+            gateway = callers.running.gateways[0].gateway
+            address = gateway.settings.metrics_address
+            call = HttpCall(address, 'GET', '/metrics')
+            text = (await callers.client.request(call)).body.decode()
+            assert 'borageyard_answers_total{status="200"} 1' in text
+            assert 'kind="not_found"' in text
+            assert 'borageyard_answer_head_ms_bucket' in text
+
+
 class TestStreams:
     """Prompts with stages, and the streams that answer them."""
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,5 +1,7 @@
 """Tests of an entry's view of the fleet."""
 
+import dataclasses
+
 import pytest
 
 from borageyard.backing_services import ROLE_ENTRY, STATE_LEAVING, Instance
@@ -205,3 +207,26 @@
         assert view.alive() == []
         view.members.note_list((row('b', incarnation=1),), 0)
         assert view.alive() == ['b']
+
+
+class TestAddress:
+    """Where callers reach an entry."""
+
+    def test_list_without_addresses_keeps_the_news(self):
+        """What an entry tells is not lost at the next look at the list."""
+        members = Membership('self', 1)
+        listed = [dataclasses.replace(row('b', 1), address='')]
+        members.note_list(listed, 0)
+        news = PeerMembershipBody(incarnation=1, address='b:9')
+        members.note_news('b', news, 1)
+        members.note_list(listed, 2)
+        assert [member.address for member in members.alive(3)] == ['b:9']
+
+    def test_next_start_tells_its_own(self):
+        """An entry that starts again is not ready until it says so."""
+        members = Membership('self', 1)
+        members.note_list([dataclasses.replace(row('b', 1), address='')], 0)
+        news = PeerMembershipBody(incarnation=1, address='b:9')
+        members.note_news('b', news, 1)
+        members.note_contact('b', 2, 2)
+        assert [member.address for member in members.alive(3)] == ['']
