--- a/borageyard/roster.py
+++ b/borageyard/roster.py
@@ -128,16 +128,16 @@
         return row
 
     def _index(self) -> None:
-        by_address: dict[str, tuple[int, RosterRow]] = {}
+        by_address: dict[str, RosterRow] = {}
         for change in self._changes.values():
             row = change.row
             if row is None:
                 continue
             held = by_address.get(row.address)
             # An address that was assigned anew belongs to the later start.
-            if held is None or held[1].incarnation <= row.incarnation:
-                by_address[row.address] = (change.offset, row)
-        rows = [row for _, row in by_address.values() if self._usable(row)]
+            if held is None or held.incarnation <= row.incarnation:
+                by_address[row.address] = row
+        rows = [row for row in by_address.values() if self._usable(row)]
         rows.sort(key=lambda row: row.target_id)
         grouped: dict[str, list[RosterRow]] = {}
         for row in rows:
--- a/borageyard/shared_table.py
+++ b/borageyard/shared_table.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import enum
-from collections.abc import Sequence
 from typing import Protocol
 
 from .clock import MS_PER_S
@@ -143,16 +142,3 @@
     def _require_up(self) -> None:
         if self.down:
             raise StoreError('down')
-
-
-def latest(page: TablePage, key: str) -> TableRecord | None:
-    """Returns the last record of a key on a page.
-
-    Args:
-        page: Records in the order of their offsets.
-        key: The key.
-    """
-    found: Sequence[TableRecord] = [
-        record for record in page.records if record.key == key
-    ]
-    return found[-1] if found else None
