Move benches, commands, fault matrix and stand-ins into rooms of their own

Cause: the flat package held 150 modules, a third of which serve no request; a newcomer could not see the path of a request. Ruled out: facades at the old names; nothing outside imports them.

--- a/borageyard/__main__.py
+++ b/borageyard/__main__.py
@@ -2,6 +2,6 @@
 
 import sys
 
-from .cli import main
+from .commands.main import main
 
 sys.exit(main())
--- /dev/null
+++ b/borageyard/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches of borageyard, each against its bounds and baselines."""
--- a/borageyard/baseline_routers.py
+++ b/borageyard/bench/baseline_routers.py
@@ -4,9 +4,9 @@
 import random
 from collections.abc import Mapping, Sequence
 
-from .routing import Route, RouteQuery
+from ..routing import Route, RouteQuery
+from ..targets import TargetState
 from .sized_target import SizedTarget
-from .targets import TargetState
 
 
 class RandomRouter:
--- a/borageyard/caller_load.py
+++ b/borageyard/bench/caller_load.py
@@ -9,13 +9,13 @@
 from types import TracebackType
 from typing import Self
 
-from .client import CallerRequest, EntryClient, build_call
-from .client_stream import Outcome, decode_reply
-from .clock import MS_PER_S, SystemClock
-from .deployment import Deployment
-from .errors import ErrorKind, Ran, Refusal
-from .http_client import HttpCallError, HttpClient
-from .requests import Answer
+from ..client import CallerRequest, EntryClient, build_call
+from ..client_stream import Outcome, decode_reply
+from ..clock import MS_PER_S, SystemClock
+from ..errors import ErrorKind, Ran, Refusal
+from ..http_client import HttpCallError, HttpClient
+from ..requests import Answer
+from ..standins.deployment import Deployment
 
 SendRequest = Callable[[CallerRequest], Awaitable[Outcome]]
 
--- a/borageyard/bench_capacity.py
+++ b/borageyard/bench/capacity.py
@@ -9,22 +9,22 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from .backing_services import (
+from ..backing_services import (
     ROLE_ENTRY,
     ROLE_TARGET,
     Instance,
     LogPage,
     LogRecord,
 )
-from .bench_report import BenchReport, Bound
-from .claims import Claim, ClaimFold
-from .clock import MS_PER_S
-from .configuration_log import CONFIGURATION_STREAM, ConfigurationFold
-from .http_messages import encode_json
-from .identifiers import key_at
-from .membership import Membership
-from .target import LoadReport
-from .targets import TargetDirectory
+from ..claims import Claim, ClaimFold
+from ..clock import MS_PER_S
+from ..configuration_log import CONFIGURATION_STREAM, ConfigurationFold
+from ..http_messages import encode_json
+from ..identifiers import key_at
+from ..membership import Membership
+from ..target import LoadReport
+from ..targets import TargetDirectory
+from .report import BenchReport, Bound
 
 # The sizes of letter 1.
 NODES = 600
--- a/borageyard/bench_chain.py
+++ b/borageyard/bench/chain.py
@@ -6,19 +6,19 @@
 from collections.abc import AsyncIterator, Iterator, Sequence
 from typing import Any
 
-from .backing_services import ROLE_TARGET, Instance, MemoryInstances, MemoryLog
-from .bench_bare import BareClient, bare_server
-from .clock import SystemClock
-from .configuration_log import CONFIGURATION_STREAM
-from .entry import Entry
-from .generated.settings import EntrySettings
-from .http_messages import encode_event, encode_json
-from .http_server import HttpServer
-from .standins.platform_http import (
+from ..backing_services import ROLE_TARGET, Instance, MemoryInstances, MemoryLog
+from ..clock import SystemClock
+from ..configuration_log import CONFIGURATION_STREAM
+from ..entry import Entry
+from ..generated.settings import EntrySettings
+from ..http_messages import encode_event, encode_json
+from ..http_server import HttpServer
+from ..standins.platform_http import (
     InstancesHandler,
     LogHandler,
     WeightsHandler,
 )
+from .bare import BareClient, bare_server
 
 ANY_PORT = '127.0.0.1:0'
 KINDS = ('encoder', 'retriever', 'reranker', 'engine')
--- a/borageyard/bench_claims.py
+++ b/borageyard/bench/claims.py
@@ -11,18 +11,18 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-from .backing_services import MemoryLog
-from .bench_report import BenchReport, Bound
-from .claim_service import ClaimService, ClaimServicePorts
-from .clock import MS_PER_S, LoopClock
-from .configuration import Configuration, parse_configuration
-from .generated.settings import ClaimsSettings, EntrySettings
-from .identifiers import key_at
-from .memory_log import MemoryLogService
-from .peers import MemoryPeerNetwork
-from .requests import AdmittedRequest, Answer, PipelineRequest
-from .tasks import running_tasks
-from .virtual_time import run_virtual
+from ..backing_services import MemoryLog
+from ..claim_service import ClaimService, ClaimServicePorts
+from ..clock import MS_PER_S, LoopClock
+from ..configuration import Configuration, parse_configuration
+from ..generated.settings import ClaimsSettings, EntrySettings
+from ..identifiers import key_at
+from ..peers import MemoryPeerNetwork
+from ..requests import AdmittedRequest, Answer, PipelineRequest
+from ..standins.memory_log import MemoryLogService
+from ..standins.virtual_time import run_virtual
+from ..tasks import running_tasks
+from .report import BenchReport, Bound
 
 ENTRIES = 5
 EPOCH_MS = 1_790_000_000_000
--- a/borageyard/bench.py
+++ b/borageyard/bench/command.py
@@ -9,16 +9,16 @@
 
 from rich import console, table
 
-from .bench_capacity import run_capacity
-from .bench_claims import run_claims
-from .bench_config import run_config
-from .bench_entry_loss import run_entry_loss
-from .bench_load import run_load
-from .bench_overhead import run_overhead
-from .bench_peers import run_peers
-from .bench_policy import run_policy
-from .bench_report import BenchReport, Bound
-from .bench_rolling import run_rolling
+from .capacity import run_capacity
+from .claims import run_claims
+from .config import run_config
+from .entry_loss import run_entry_loss
+from .load import run_load
+from .overhead import run_overhead
+from .peers import run_peers
+from .policy import run_policy
+from .report import BenchReport, Bound
+from .rolling import run_rolling
 
 Experiment = Callable[[int], BenchReport]
 
--- a/borageyard/bench_config.py
+++ b/borageyard/bench/config.py
@@ -10,16 +10,16 @@
 from collections.abc import AsyncIterator, Sequence
 from typing import Any
 
-from .bench_report import BenchReport, Bound
-from .configuration_changes import ChangeOutcome
-from .core import EntryCore
-from .demo import HUNDAGANGA, load_plan
-from .generated.http_configuration import ProposalBody
-from .identifiers import new_identifier
-from .memory_deployment import MemoryDeployment
-from .permission import waiting_time_ms
-from .requests import PipelineRequest
-from .virtual_time import run_virtual
+from ..commands.demo import HUNDAGANGA, load_plan
+from ..configuration_changes import ChangeOutcome
+from ..core import EntryCore
+from ..generated.http_configuration import ProposalBody
+from ..identifiers import new_identifier
+from ..permission import waiting_time_ms
+from ..requests import PipelineRequest
+from ..standins.memory_deployment import MemoryDeployment
+from ..standins.virtual_time import run_virtual
+from .report import BenchReport, Bound
 
 EXAMPLES = pathlib.Path('examples')
 ENTRIES = 5
--- a/borageyard/bench_entry_loss.py
+++ b/borageyard/bench/entry_loss.py
@@ -6,7 +6,8 @@
 from collections.abc import Mapping
 from typing import Any
 
-from .bench_report import BenchReport, Bound
+from ..commands.demo import HUNDAGANGA, load_plan
+from ..standins.deployment import Deployment
 from .caller_load import (
     CallerFleet,
     CallerLoad,
@@ -15,8 +16,7 @@
     pause,
     shape_of,
 )
-from .demo import HUNDAGANGA, load_plan
-from .deployment import Deployment
+from .report import BenchReport, Bound
 
 EXAMPLES = pathlib.Path('examples')
 ENTRIES = 5
--- a/borageyard/bench_load.py
+++ b/borageyard/bench/load.py
@@ -5,13 +5,13 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
-from .bench_report import BenchReport, Bound
-from .chain_scheduler import ChainScheduler
-from .chains import ChainOrder
+from ..chain_scheduler import ChainScheduler
+from ..chains import ChainOrder
+from ..plans import Denial
 from .load_patterns import Burst, LoadPattern, ReplayResult, Trouble
 from .load_replay import LoadReplay
 from .load_sheets import SHEETS, SheetLoad
-from .plans import Denial
+from .report import BenchReport, Bound
 
 # Entries of the users' deployments; apart, each sees a part of the requests.
 ENTRIES = 4
--- a/borageyard/load_generator.py
+++ b/borageyard/bench/load_generator.py
@@ -4,8 +4,8 @@
 import random
 from collections.abc import Mapping, Sequence
 
-from .clock import MS_PER_S
-from .generated.load_profile import LoadProfileDocument
+from ..clock import MS_PER_S
+from ..generated.load_profile import LoadProfileDocument
 
 PREFIXES_PER_ORGANISATION = 12
 PREFIX_TOKENS = 400
--- a/borageyard/load_models.py
+++ b/borageyard/bench/load_models.py
@@ -4,12 +4,12 @@
 import random
 from collections.abc import Callable, Sequence
 
-from .batch_targets import BatchCall
-from .chains import PieceId, PieceResult
-from .clock import MS_PER_S
-from .engine_board import PREFILL_TOKENS_PER_MS, Prompt
-from .roster import RosterRow
-from .serving import BatchLimits
+from ..batch_targets import BatchCall
+from ..chains import PieceId, PieceResult
+from ..clock import MS_PER_S
+from ..engine_board import PREFILL_TOKENS_PER_MS, Prompt
+from ..roster import RosterRow
+from ..serving import BatchLimits
 
 # Time of an engine from the end of reading a prompt to the first token.
 FIRST_TOKEN_MS = 64
--- a/borageyard/load_replay.py
+++ b/borageyard/bench/load_replay.py
@@ -6,18 +6,18 @@
 import random
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
-from .batch_targets import BatchCall
-from .call_runner import overdue_ms
-from .chain_scheduler import ChainScheduler
-from .chains import PieceId, PieceResult
-from .clock import MS_PER_S
+from ..batch_targets import BatchCall
+from ..call_runner import overdue_ms
+from ..chain_scheduler import ChainScheduler
+from ..chains import PieceId, PieceResult
+from ..clock import MS_PER_S
+from ..plans import Denial, FleetView, Grant
+from ..roster import RosterRow, TargetPhase
+from ..serving import BatchLimits
 from .load_models import EngineModel, MakerModel, gigabytes
 from .load_patterns import KindResult, LoadPattern, ReplayResult, Trouble
 from .load_requests import LoadRequest, LoadRequests
 from .load_sheets import KindLoad, SheetLoad
-from .plans import Denial, FleetView, Grant
-from .roster import RosterRow, TargetPhase
-from .serving import BatchLimits
 
 # Time in which an engine makes a token.
 TOKEN_MS = 8
--- a/borageyard/load_requests.py
+++ b/borageyard/bench/load_requests.py
@@ -4,9 +4,9 @@
 import random
 from collections.abc import Iterator, Sequence
 
-from .chains import ChainOrder, ChainStage
-from .clock import MS_PER_S
-from .engine_board import Prompt, PromptPart
+from ..chains import ChainOrder, ChainStage
+from ..clock import MS_PER_S
+from ..engine_board import Prompt, PromptPart
 from .load_patterns import LoadPattern
 from .load_sheets import KindLoad, SheetLoad, StageLoad
 
--- a/borageyard/load_sheets.py
+++ b/borageyard/bench/load_sheets.py
@@ -6,7 +6,7 @@
 import types
 from collections.abc import Mapping
 
-from .serving import BatchLimits
+from ..serving import BatchLimits
 
 MS_PER_S = 1000
 BYTES_PER_MB = 1_000_000
--- a/borageyard/bench_overhead.py
+++ b/borageyard/bench/overhead.py
@@ -24,11 +24,11 @@
 import time
 from collections.abc import Awaitable, Callable, Sequence
 
-from .bench_chain import Chain, running
-from .bench_report import BenchReport, Bound
-from .clock import MS_PER_S
-from .http_messages import encode_json
-from .loop_lag import LoopLag
+from ..clock import MS_PER_S
+from ..http_messages import encode_json
+from ..loop_lag import LoopLag
+from .chain import Chain, running
+from .report import BenchReport, Bound
 
 WARM_UP_REQUESTS = 50
 REQUESTS = 400
--- a/borageyard/peer_fleet.py
+++ b/borageyard/bench/peer_fleet.py
@@ -6,24 +6,24 @@
 from types import TracebackType
 from typing import Self
 
-from .backing_services import (
+from ..backing_services import (
     ROLE_ENTRY,
     ROLE_TARGET,
     Instance,
     MemoryInstances,
     MemoryLog,
 )
-from .clock import MS_PER_S, SystemClock
-from .configuration_log import CONFIGURATION_STREAM
-from .core import EntryCore, EntryPorts
-from .deployment import DeploymentPlan
-from .generated.settings import EntrySettings, PeerSettings
-from .memory_log import MemoryLogService
-from .memory_orders import MemoryOrderClient, MemoryWeights
-from .memory_target import MemoryTargetClient
-from .peer_link import TcpPeerLink
-from .peer_stream import PeerContext, PeerCounters, PeerIdentity
-from .standins.orders import DEFAULT_RATE_BYTES_PER_S
+from ..clock import MS_PER_S, SystemClock
+from ..configuration_log import CONFIGURATION_STREAM
+from ..core import EntryCore, EntryPorts
+from ..generated.settings import EntrySettings, PeerSettings
+from ..peer_link import TcpPeerLink
+from ..peer_stream import PeerContext, PeerCounters, PeerIdentity
+from ..standins.deployment import DeploymentPlan
+from ..standins.memory_log import MemoryLogService
+from ..standins.memory_orders import MemoryOrderClient, MemoryWeights
+from ..standins.memory_target import MemoryTargetClient
+from ..standins.orders import DEFAULT_RATE_BYTES_PER_S
 
 ANY_PORT = '127.0.0.1:0'
 NO_ADDRESS = '127.0.0.1:1'
--- a/borageyard/bench_peers.py
+++ b/borageyard/bench/peers.py
@@ -9,10 +9,10 @@
 from collections.abc import Sequence
 from typing import Any
 
-from .bench_report import BenchReport, Bound
-from .clock import MS_PER_S
-from .demo import HUNDAGANGA, load_plan
+from ..clock import MS_PER_S
+from ..commands.demo import HUNDAGANGA, load_plan
 from .peer_fleet import FleetEntry, FleetSize, PeerFleet
+from .report import BenchReport, Bound
 
 EXAMPLES = pathlib.Path('examples')
 SETTLE_S = 2.0
--- a/borageyard/bench_policy.py
+++ b/borageyard/bench/policy.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-from .bench_report import BenchReport, Bound
+from ..standins.virtual_time import run_virtual
 from .policy_experiment import (
     ExperimentRun,
     PolicyBuilder,
@@ -27,7 +27,7 @@
     ScenarioBook,
 )
 from .policy_slopes import decision_slopes
-from .virtual_time import run_virtual
+from .report import BenchReport, Bound
 
 EXAMPLES = pathlib.Path('examples')
 SHIPPED = 'policy'
--- a/borageyard/policy_experiment.py
+++ b/borageyard/bench/policy_experiment.py
@@ -7,22 +7,22 @@
 import random
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 
+from ..clock import MS_PER_S
+from ..core import EntryCore
+from ..errors import Refusal
+from ..gates import Outcome
+from ..identifiers import new_identifier
+from ..policy import PolicyOptions
+from ..requests import Answer, PipelineRequest
+from ..standins.deployment import DeploymentPlan
+from ..standins.memory_deployment import MemoryDeployment
 from .baseline_routers import (
     ClairvoyantRouter,
     LeastInFlightRouter,
     RandomRouter,
     RoundRobinRouter,
 )
-from .clock import MS_PER_S
-from .core import EntryCore
-from .deployment import DeploymentPlan
-from .errors import Refusal
-from .gates import Outcome
-from .identifiers import new_identifier
 from .load_generator import Arrival
-from .memory_deployment import MemoryDeployment
-from .policy import PolicyOptions
-from .requests import Answer, PipelineRequest
 from .sized_target import SizedTarget, Work
 
 SETTLE_MS = 500
--- a/borageyard/policy_figures.py
+++ b/borageyard/bench/policy_figures.py
@@ -4,8 +4,8 @@
 import dataclasses
 from collections.abc import Sequence
 
-from .clock import MS_PER_S
-from .errors import ErrorKind, Refusal
+from ..clock import MS_PER_S
+from ..errors import ErrorKind, Refusal
 from .policy_experiment import CallerRecord, ExperimentRun
 
 LIMIT_WINDOW_MS = 10_000
--- a/borageyard/policy_scenarios.py
+++ b/borageyard/bench/policy_scenarios.py
@@ -8,10 +8,10 @@
 from collections.abc import Iterator, Mapping, Sequence
 from typing import Any
 
-from .border import check_document
-from .clock import MS_PER_S
-from .deployment import DeploymentPlan
-from .generated.load_profile import LoadProfileDocument
+from ..border import check_document
+from ..clock import MS_PER_S
+from ..generated.load_profile import LoadProfileDocument
+from ..standins.deployment import DeploymentPlan
 from .load_generator import Arrival, LoadGenerator, RatePhase
 from .policy_experiment import CallerHabits, ExperimentRun, Scenario
 
--- a/borageyard/policy_slopes.py
+++ b/borageyard/bench/policy_slopes.py
@@ -5,20 +5,20 @@
 from collections.abc import Callable, Mapping
 from typing import TypeVar
 
-from .admission import decide_admission
-from .backing_services import ROLE_TARGET, Instance
-from .clock import ManualClock
-from .configuration import (
+from ..admission import decide_admission
+from ..backing_services import ROLE_TARGET, Instance
+from ..clock import ManualClock
+from ..configuration import (
     Configuration,
     Organisation,
     Pipeline,
     Service,
     Stage,
 )
-from .policy import EntryPolicy, PolicyOptions, PolicyPlace
-from .requests import AdmittedRequest, PipelineRequest, StageRequest
-from .target import LoadReport
-from .targets import TargetDirectory
+from ..policy import EntryPolicy, PolicyOptions, PolicyPlace
+from ..requests import AdmittedRequest, PipelineRequest, StageRequest
+from ..target import LoadReport
+from ..targets import TargetDirectory
 
 TARGET_COUNTS = (10, 100, 1000)
 ORGANISATION_COUNTS = (5, 100, 1000)
--- a/borageyard/bench_rolling.py
+++ b/borageyard/bench/rolling.py
@@ -5,7 +5,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from .bench_report import BenchReport, Bound
+from ..commands.demo import HUNDAGANGA, load_plan
+from ..standins.deployment import Deployment
 from .caller_load import (
     CallerFleet,
     CallerLoad,
@@ -14,8 +15,7 @@
     pause,
     shape_of,
 )
-from .demo import HUNDAGANGA, load_plan
-from .deployment import Deployment
+from .report import BenchReport, Bound
 
 EXAMPLES = pathlib.Path('examples')
 RATE_PER_S = 25
--- a/borageyard/sized_target.py
+++ b/borageyard/bench/sized_target.py
@@ -5,14 +5,14 @@
 from collections.abc import AsyncGenerator, Mapping
 from typing import Any
 
-from .clock import Clock
-from .standins.target import (
+from ..clock import Clock
+from ..standins.target import (
     BATCH_SLOWDOWN,
     KIND_ENGINE,
     StandinTarget,
     TargetProfile,
 )
-from .target import TargetCall, TokenEvent
+from ..target import TargetCall, TokenEvent
 
 PREFILL_TOKEN_MS = 0.2
 OUTPUT_TOKEN_MS = 10.0
--- /dev/null
+++ b/borageyard/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the command line."""
--- a/borageyard/demo.py
+++ b/borageyard/commands/demo.py
@@ -11,13 +11,13 @@
 
 from rich import console, table
 
-from .caller_load import count_double_runs
-from .clock import MS_PER_S
-from .deployment import Deployment, DeploymentPlan
-from .http_client import HttpCall, HttpCallError, HttpClient
-from .http_messages import encode_json
-from .identifiers import new_identifier
-from .wire import (
+from ..bench.caller_load import count_double_runs
+from ..clock import MS_PER_S
+from ..http_client import HttpCall, HttpCallError, HttpClient
+from ..http_messages import encode_json
+from ..identifiers import new_identifier
+from ..standins.deployment import Deployment, DeploymentPlan
+from ..wire import (
     DEADLINE_HEADER,
     KEY_HEADER,
     ORGANISATION_HEADER,
--- a/borageyard/cli_faults.py
+++ b/borageyard/commands/faults.py
@@ -8,8 +8,8 @@
 from collections.abc import Iterator
 from typing import Any
 
-from .fault_table import Cell, Fault, Step, fault_pairs, fault_table
-from .faults import CellReport, run_cell, summarise
+from ..faults.matrix import CellReport, run_cell, summarise
+from ..faults.table import Cell, Fault, Step, fault_pairs, fault_table
 
 PROGRESS_EVERY = 50
 
--- a/borageyard/cli.py
+++ b/borageyard/commands/main.py
@@ -7,22 +7,22 @@
 from collections.abc import Sequence
 from typing import Any
 
-from .bench import add_bench_command
-from .border import DocumentError
-from .cli_call import add_call_command
-from .cli_config import add_config_commands
-from .cli_explain import add_explain_command
-from .cli_faults import add_faults_command
-from .cli_replay import add_replay_command
-from .cli_report import add_report_commands
-from .cli_settings import add_settings_command
-from .cli_status import add_status_command
+from ..bench.command import add_bench_command
+from ..border import DocumentError
+from ..entry import serve_entry
+from ..events import open_log
+from ..generated.settings import TelemetrySettings
+from ..settings import load_entry_settings, load_standin_settings
+from ..standins.command import STANDIN_KINDS, serve_standin
+from .call import add_call_command
+from .config import add_config_commands
 from .demo import print_demo, run_demo
-from .entry import serve_entry
-from .events import open_log
-from .generated.settings import TelemetrySettings
-from .settings import load_entry_settings, load_standin_settings
-from .standins.command import STANDIN_KINDS, serve_standin
+from .explain import add_explain_command
+from .faults import add_faults_command
+from .replay import add_replay_command
+from .report import add_report_commands
+from .settings import add_settings_command
+from .status import add_status_command
 
 EXIT_GOOD = 0
 EXIT_USAGE = 2
--- a/borageyard/cli_replay.py
+++ b/borageyard/commands/replay.py
@@ -7,8 +7,8 @@
 import sys
 from typing import Any
 
-from .replay import replay
-from .trace import read_trace
+from ..faults.replay import replay
+from ..faults.trace import read_trace
 
 
 def add_replay_command(commands: Any) -> None:
--- a/borageyard/cli_report.py
+++ b/borageyard/commands/report.py
@@ -5,8 +5,8 @@
 import pathlib
 from typing import Any
 
-from .bench import EXPERIMENTS
-from .measurements_page import build_page
+from ..bench.command import EXPERIMENTS
+from ..bench.measurements_page import build_page
 
 
 def add_report_commands(commands: Any) -> None:
--- a/borageyard/cli_settings.py
+++ b/borageyard/commands/settings.py
@@ -59,7 +59,7 @@
 
 
 def _load(name: str) -> Schema:
-    folder = resources.files(__package__).joinpath('schema')
+    folder = resources.files('borageyard').joinpath('schema')
     text = folder.joinpath(f'{name}.json').read_text(encoding='utf-8')
     schema: Schema = json.loads(text)
     return schema
--- a/borageyard/cli_status.py
+++ b/borageyard/commands/status.py
@@ -9,8 +9,8 @@
 
 from rich import console, table
 
-from .border import DocumentError, parse_json
-from .http_client import HttpCall, HttpCallError, HttpClient
+from ..border import DocumentError, parse_json
+from ..http_client import HttpCall, HttpCallError, HttpClient
 
 EXIT_GOOD = 0
 EXIT_NOT_MET = 1
--- /dev/null
+++ b/borageyard/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Fault matrix and replay of recorded traces."""
--- a/borageyard/fault_actions.py
+++ b/borageyard/faults/actions.py
@@ -4,11 +4,11 @@
 import collections
 from typing import Any
 
-from .clock import MS_PER_S
-from .fault_table import Fault
-from .gates import Outcome
+from ..clock import MS_PER_S
+from ..gates import Outcome
+from ..standins.memory_deployment import MemoryDeployment
 from .life import Life
-from .memory_deployment import MemoryDeployment
+from .table import Fault
 
 FAULT_LASTS_MS = 2000
 PAUSE_LASTS_MS = 6000
--- a/borageyard/fault_beside.py
+++ b/borageyard/faults/beside.py
@@ -4,10 +4,10 @@
 import copy
 from typing import Any
 
-from .configuration_changes import ChangeOutcome, ChangeReport
-from .fault_table import CHANGE_STEPS, DRAIN_STEPS, Step
-from .fault_world import FaultWorld
-from .generated.http_configuration import ProposalBody
+from ..configuration_changes import ChangeOutcome, ChangeReport
+from ..generated.http_configuration import ProposalBody
+from .table import CHANGE_STEPS, DRAIN_STEPS, Step
+from .world import FaultWorld
 
 FIRST_VERSION = 1
 CHANGE_ID = 'change'
--- a/borageyard/fault_caller.py
+++ b/borageyard/faults/caller.py
@@ -4,14 +4,14 @@
 import dataclasses
 from typing import Any, Protocol
 
-from .clock import MS_PER_S
-from .errors import Ran
-from .fault_actions import FaultActions
-from .fault_table import Ending, Fault, Step
-from .gates import Outcome
-from .memory_deployment import MemoryDeployment
-from .requests import Answer, PipelineRequest
-from .target import TokenEvent
+from ..clock import MS_PER_S
+from ..errors import Ran
+from ..gates import Outcome
+from ..requests import Answer, PipelineRequest
+from ..standins.memory_deployment import MemoryDeployment
+from ..target import TokenEvent
+from .actions import FaultActions
+from .table import Ending, Fault, Step
 
 RETRY_AFTER_MS = 300
 # Faults under which a request does not reach its entry.
--- a/borageyard/life.py
+++ b/borageyard/faults/life.py
@@ -7,14 +7,14 @@
 
 import pydantic
 
-from .backing_services import (
+from ..backing_services import (
     Instance,
     InstanceList,
     LogPage,
     LogService,
     Record,
 )
-from .peers import NewsSection, PeerAddress, PeerHandler, PeerLink
+from ..peers import NewsSection, PeerAddress, PeerHandler, PeerLink
 
 ReplyT = TypeVar('ReplyT', bound=pydantic.BaseModel)
 
--- a/borageyard/faults.py
+++ b/borageyard/faults/matrix.py
@@ -6,24 +6,24 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
-from .clock import MS_PER_S
-from .deployment import DeploymentPlan
-from .fault_beside import FaultBeside
-from .fault_caller import (
+from ..clock import MS_PER_S
+from ..requests import PipelineRequest
+from ..standins.deployment import DeploymentPlan
+from ..standins.virtual_time import run_virtual
+from .beside import FaultBeside
+from .caller import (
     RETRY_AFTER_MS,
     CallerView,
     FaultCaller,
 )
-from .fault_table import (
+from .table import (
     DRAIN_STEPS,
     RETRY_STEPS,
     Cell,
     Ending,
     Step,
 )
-from .fault_world import FaultWorld
-from .requests import PipelineRequest
-from .virtual_time import run_virtual
+from .world import FaultWorld
 
 WARM_UP_MS = 1500
 SETTLE_MS = 8000
--- a/borageyard/fault_ports.py
+++ b/borageyard/faults/ports.py
@@ -7,16 +7,14 @@
 from collections.abc import AsyncGenerator, Mapping, Sequence
 from typing import Protocol
 
-from .backing_services import (
+from ..backing_services import (
     AppendRefusedError,
     LogPage,
     LogService,
     Record,
 )
-from .clock import MS_PER_S
-from .fault_table import Fault, Step
-from .life import Life, LivingLog
-from .target import (
+from ..clock import MS_PER_S
+from ..target import (
     CacheEvent,
     FailureKind,
     LoadReport,
@@ -26,6 +24,8 @@
     TargetError,
     TokenEvent,
 )
+from .life import Life, LivingLog
+from .table import Fault, Step
 
 SLOW_MS = 400
 # How an exchange with a target ends under a fault; others go on.
--- a/borageyard/replay.py
+++ b/borageyard/faults/replay.py
@@ -5,10 +5,10 @@
 import pathlib
 from typing import Any
 
-from .clock import MS_PER_S
-from .configuration_changes import ChangeOutcome
-from .demo import load_plan
-from .generated.trace import (
+from ..clock import MS_PER_S
+from ..commands.demo import load_plan
+from ..configuration_changes import ChangeOutcome
+from ..generated.trace import (
     TraceApplyRecord,
     TraceCrashesRecord,
     TraceEndingRecord,
@@ -17,9 +17,9 @@
     TraceShareRecord,
     TraceVersionRecord,
 )
+from ..standins.virtual_time import run_virtual
 from .replay_world import WARM_UP_MS, ReplayWorld
 from .trace import Trace
-from .virtual_time import run_virtual
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/borageyard/replay_world.py
+++ b/borageyard/faults/replay_world.py
@@ -6,27 +6,27 @@
 import random
 from typing import Any
 
-from .clock import MS_PER_S, LoopClock
-from .configuration_changes import ChangeOutcome
-from .core import EntryPorts
-from .deployment import DeploymentPlan
-from .fault_actions import FaultActions
-from .fault_caller import CallerView, FaultCaller
-from .fault_ports import FaultyTargets
-from .fault_table import Ending, Fault, Step
-from .fault_world import EPOCH_MS, KEY_RANDOM_BITS
-from .generated.http_configuration import ProposalBody
-from .generated.trace import (
+from ..clock import MS_PER_S, LoopClock
+from ..configuration_changes import ChangeOutcome
+from ..core import EntryPorts
+from ..generated.http_configuration import ProposalBody
+from ..generated.trace import (
     TraceApplyRecord,
     TraceFaultRecord,
     TraceHeaderRecord,
     TraceRequestRecord,
 )
-from .identifiers import key_at
+from ..identifiers import key_at
+from ..requests import PipelineRequest
+from ..standins.deployment import DeploymentPlan
+from ..standins.memory_deployment import MemoryDeployment
+from ..standins.target import StandinTarget
+from .actions import FaultActions
+from .caller import CallerView, FaultCaller
 from .life import Life, LivingLog, LivingPeers
-from .memory_deployment import MemoryDeployment
-from .requests import PipelineRequest
-from .standins.target import StandinTarget
+from .ports import FaultyTargets
+from .table import Ending, Fault, Step
+from .world import EPOCH_MS, KEY_RANDOM_BITS
 
 WARM_UP_MS = 2000
 
--- a/borageyard/trace.py
+++ b/borageyard/faults/trace.py
@@ -8,8 +8,8 @@
 
 import pydantic
 
-from .border import DocumentError, Problem, check_document, parse_json, shown
-from .generated.trace import (
+from ..border import DocumentError, Problem, check_document, parse_json, shown
+from ..generated.trace import (
     TraceApplyRecord,
     TraceCrashesRecord,
     TraceEndingRecord,
--- a/borageyard/fault_world.py
+++ b/borageyard/faults/world.py
@@ -5,16 +5,16 @@
 import random
 from typing import Any
 
-from .clock import LoopClock
-from .core import EntryPorts
-from .deployment import DeploymentPlan
-from .fault_actions import FaultActions
-from .fault_ports import FaultyLog, FaultyTargets
-from .fault_table import ANSWER_FAULTS, GENERATE_STEPS, Cell, Fault, Step
-from .identifiers import key_at
+from ..clock import LoopClock
+from ..core import EntryPorts
+from ..identifiers import key_at
+from ..requests import PipelineRequest
+from ..standins.deployment import DeploymentPlan
+from ..standins.memory_deployment import MemoryDeployment
+from .actions import FaultActions
 from .life import Life, LivingInstances, LivingPeers
-from .memory_deployment import MemoryDeployment
-from .requests import PipelineRequest
+from .ports import FaultyLog, FaultyTargets
+from .table import ANSWER_FAULTS, GENERATE_STEPS, Cell, Fault, Step
 
 # Wall time at which every world starts.
 EPOCH_MS = 1_790_000_000_000
--- a/borageyard/deployment.py
+++ b/borageyard/standins/deployment.py
@@ -6,27 +6,27 @@
 from types import TracebackType
 from typing import Any, Self
 
-from .backing_services import (
+from ..backing_services import (
     ROLE_ENTRY,
     ROLE_TARGET,
     Instance,
     MemoryInstances,
     MemoryLog,
 )
-from .clock import Clock, SystemClock
-from .configuration import Configuration, parse_configuration
-from .configuration_log import CONFIGURATION_STREAM
-from .entry import Entry
-from .generated.settings import EntrySettings
-from .http_server import Handler, HttpServer
-from .standins.orders import preload
-from .standins.platform_http import (
+from ..clock import Clock, SystemClock
+from ..configuration import Configuration, parse_configuration
+from ..configuration_log import CONFIGURATION_STREAM
+from ..entry import Entry
+from ..generated.settings import EntrySettings
+from ..http_server import Handler, HttpServer
+from .orders import preload
+from .platform_http import (
     InstancesHandler,
     LogHandler,
     WeightsHandler,
 )
-from .standins.target import StandinTarget, TargetProfile
-from .standins.target_http import TargetServer
+from .target import StandinTarget, TargetProfile
+from .target_http import TargetServer
 
 ANY_PORT = '127.0.0.1:0'
 WEIGHT_RATE_BYTES_PER_S = 1e9
--- a/borageyard/memory_deployment.py
+++ b/borageyard/standins/memory_deployment.py
@@ -8,30 +8,30 @@
 from types import TracebackType
 from typing import Self
 
-from .backing_services import (
+from ..backing_services import (
     ROLE_ENTRY,
     ROLE_TARGET,
     Instance,
     MemoryInstances,
     MemoryLog,
 )
-from .clock import MS_PER_S, Clock, LoopClock
-from .configuration import Configuration, parse_configuration
-from .configuration_log import CONFIGURATION_STREAM
-from .core import EntryCore, EntryPorts
+from ..clock import MS_PER_S, Clock, LoopClock
+from ..configuration import Configuration, parse_configuration
+from ..configuration_log import CONFIGURATION_STREAM
+from ..core import EntryCore, EntryPorts
+from ..generated.settings import EntrySettings
+from ..peers import MemoryPeerNetwork
+from ..policy import PolicyOptions
 from .deployment import DeploymentPlan
-from .generated.settings import EntrySettings
 from .memory_log import MemoryLogService
 from .memory_orders import MemoryOrderClient, MemoryWeights
 from .memory_target import MemoryTargetClient
-from .peers import MemoryPeerNetwork
-from .policy import PolicyOptions
-from .standins.orders import (
+from .orders import (
     DEFAULT_RATE_BYTES_PER_S,
     StandinOrders,
     preload,
 )
-from .standins.target import StandinTarget, TargetProfile
+from .target import StandinTarget, TargetProfile
 
 # How far virtual time starts ahead of the machine's, so that identifiers that
 # are made in a test are never in its future.
--- a/borageyard/memory_log.py
+++ b/borageyard/standins/memory_log.py
@@ -3,8 +3,8 @@
 import asyncio
 import contextlib
 
-from .backing_services import LogPage, MemoryLog, PlatformError, Record
-from .clock import MS_PER_S
+from ..backing_services import LogPage, MemoryLog, PlatformError, Record
+from ..clock import MS_PER_S
 
 # How often a waiting read looks for faults of the log.
 POLL_MS = 50
--- a/borageyard/memory_orders.py
+++ b/borageyard/standins/memory_orders.py
@@ -3,10 +3,10 @@
 import dataclasses
 from collections.abc import Mapping
 
-from .backing_services import PlatformError
-from .generated.log_leases import OrderBody
-from .orders import Order, OrderError
-from .standins.orders import StaleOrderError, StandinOrders
+from ..backing_services import PlatformError
+from ..generated.log_leases import OrderBody
+from ..orders import Order, OrderError
+from .orders import StaleOrderError, StandinOrders
 
 
 class MemoryOrderClient:
--- a/borageyard/memory_target.py
+++ b/borageyard/standins/memory_target.py
@@ -4,13 +4,8 @@
 import contextlib
 from collections.abc import AsyncGenerator, Mapping, Sequence
 
-from .clock import MS_PER_S
-from .standins.target import (
-    StandinTarget,
-    TargetCrashError,
-    TargetRefusedError,
-)
-from .target import (
+from ..clock import MS_PER_S
+from ..target import (
     CacheEvent,
     FailureKind,
     LoadReport,
@@ -19,6 +14,11 @@
     TargetError,
     TokenEvent,
 )
+from .target import (
+    StandinTarget,
+    TargetCrashError,
+    TargetRefusedError,
+)
 
 
 class MemoryTargetClient:
--- a/borageyard/standins/platform_http.py
+++ b/borageyard/standins/platform_http.py
@@ -15,8 +15,8 @@
 from ..border import parse_json
 from ..clock import MS_PER_S
 from ..http_messages import HttpRequest, HttpResponse, json_response
-from ..memory_log import MemoryLogService
 from .faults import set_faults
+from .memory_log import MemoryLogService
 
 STREAM_PATH_PARTS = 5
 # How long a call whose answer is lost stays open.
--- a/tests/claim_cluster.py
+++ b/tests/claim_cluster.py
@@ -5,11 +5,11 @@
 import dataclasses
 import pathlib
 
-from borageyard.demo import load_plan
+from borageyard.commands.demo import load_plan
 from borageyard.errors import Ran, Refusal
 from borageyard.identifiers import new_identifier
-from borageyard.memory_deployment import MemoryDeployment
 from borageyard.requests import PipelineRequest
+from borageyard.standins.memory_deployment import MemoryDeployment
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 STREAM = 'claims-0'
--- a/tests/claim_model.py
+++ b/tests/claim_model.py
@@ -13,16 +13,16 @@
 )
 from borageyard.claim_service import ClaimService, ClaimServicePorts
 from borageyard.clock import MS_PER_S, LoopClock
+from borageyard.commands.demo import load_plan
 from borageyard.configuration import parse_configuration
-from borageyard.demo import load_plan
 from borageyard.detached import DetachedRuns
 from borageyard.errors import ErrorKind, Ran, Refusal, RefusalError
 from borageyard.generated.settings import EntrySettings
-from borageyard.memory_log import MemoryLogService
 from borageyard.peers import MemoryPeerNetwork
 from borageyard.requests import AdmittedRequest, Answer, PipelineRequest
+from borageyard.standins.memory_log import MemoryLogService
+from borageyard.standins.virtual_time import VirtualTimeLoop
 from borageyard.tasks import running_tasks
-from borageyard.virtual_time import VirtualTimeLoop
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 NOW_MS = 1_790_000_000_000
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -1,7 +1,7 @@
 """Tests of reports of experiments."""
 
-from borageyard.bench import print_report
-from borageyard.bench_report import BenchReport, Bound
+from borageyard.bench.command import print_report
+from borageyard.bench.report import BenchReport, Bound
 
 
 class TestBounds:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -15,12 +15,12 @@
     RetryAfter,
 )
 from borageyard.client_stream import StreamRestart
-from borageyard.demo import load_plan
-from borageyard.deployment import Deployment
+from borageyard.commands.demo import load_plan
 from borageyard.errors import ErrorKind, Ran, Refusal
 from borageyard.http_messages import HttpResponse, encode_event
 from borageyard.http_server import HttpServer
 from borageyard.requests import Answer
+from borageyard.standins.deployment import Deployment
 from borageyard.target import TokenEvent
 from borageyard.wire import encode_outcome, outcome_payload
 
--- a/tests/test_cli_config.py
+++ b/tests/test_commands_config.py
@@ -5,9 +5,9 @@
 import json
 import pathlib
 
-from borageyard.cli import main
-from borageyard.demo import load_plan
-from borageyard.deployment import Deployment
+from borageyard.commands.demo import load_plan
+from borageyard.commands.main import main
+from borageyard.standins.deployment import Deployment
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 
--- a/tests/test_cli_explain.py
+++ b/tests/test_commands_explain.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from borageyard.cli import main
-from borageyard.cli_explain import deciding, gather
+from borageyard.commands.explain import deciding, gather
+from borageyard.commands.main import main
 
 
 def line(kind, request_id='r1', at_s=0, prefix='', **fields):
--- a/tests/test_configuration_sync.py
+++ b/tests/test_configuration_sync.py
@@ -8,14 +8,14 @@
 import pytest
 
 from borageyard.backing_services import MemoryLog
+from borageyard.commands.demo import load_plan
 from borageyard.configuration_changes import ChangeOutcome, EntryState
 from borageyard.configuration_log import CONFIGURATION_STREAM
-from borageyard.demo import load_plan
 from borageyard.errors import ErrorKind
 from borageyard.generated.http_configuration import ProposalBody
 from borageyard.identifiers import new_identifier
-from borageyard.memory_deployment import MemoryDeployment
 from borageyard.requests import PipelineRequest
+from borageyard.standins.memory_deployment import MemoryDeployment
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 PERMISSION_MS = 2000
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from borageyard.demo import load_plan
+from borageyard.commands.demo import load_plan
 from borageyard.draining import SPREAD_MS, DrainPhase, DrainPlan
 from borageyard.errors import ErrorKind
 from borageyard.identifiers import new_identifier
-from borageyard.memory_deployment import MemoryDeployment
 from borageyard.requests import Answer, PipelineRequest
+from borageyard.standins.memory_deployment import MemoryDeployment
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 SETTLE_S = 2
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -8,11 +8,11 @@
 
 import pytest
 
-from borageyard.demo import load_plan
-from borageyard.deployment import Deployment
+from borageyard.commands.demo import load_plan
 from borageyard.http_client import HttpCall, HttpClient, read_events
 from borageyard.http_messages import encode_json
 from borageyard.identifiers import new_identifier
+from borageyard.standins.deployment import Deployment
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -5,10 +5,11 @@
 
 import pytest
 
-from borageyard.cli_faults import render_table
+from borageyard.commands.faults import render_table
 from borageyard.configuration_changes import ChangeOutcome, ChangeReport
-from borageyard.fault_beside import FaultBeside
-from borageyard.fault_table import (
+from borageyard.faults.beside import FaultBeside
+from borageyard.faults.matrix import run_cell, summarise
+from borageyard.faults.table import (
     Cell,
     Ending,
     Fault,
@@ -16,7 +17,6 @@
     fault_pairs,
     fault_table,
 )
-from borageyard.faults import run_cell, summarise
 
 DOCS = pathlib.Path(__file__).parent.parent / 'docs'
 SEED = 1
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from borageyard.demo import load_plan
+from borageyard.commands.demo import load_plan
 from borageyard.errors import Refusal
 from borageyard.generated.peer_handover import (
     HandoverEndBody,
@@ -22,8 +22,8 @@
     possible_keepers,
 )
 from borageyard.identifiers import new_identifier
-from borageyard.memory_deployment import MemoryDeployment
 from borageyard.requests import Answer, PipelineRequest
+from borageyard.standins.memory_deployment import MemoryDeployment
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 SETTLE_S = 2
--- a/tests/test_load_replay.py
+++ b/tests/test_load_replay.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+from borageyard.bench.load_patterns import Burst, LoadPattern, Trouble
+from borageyard.bench.load_replay import LoadReplay
+from borageyard.bench.load_sheets import HUNDAGANGA, SHEETS
 from borageyard.chain_scheduler import ChainScheduler
-from borageyard.load_patterns import Burst, LoadPattern, Trouble
-from borageyard.load_replay import LoadReplay
-from borageyard.load_sheets import HUNDAGANGA, SHEETS
 
 LENGTH_S = 8
 NEARLY_ALL = 0.9
--- a/tests/test_log_reader.py
+++ b/tests/test_log_reader.py
@@ -3,7 +3,7 @@
 from borageyard.backing_services import MemoryLog
 from borageyard.clock import ManualClock
 from borageyard.log_reader import FIRST_BACK_RECORDS, StreamReader
-from borageyard.memory_log import MemoryLogService
+from borageyard.standins.memory_log import MemoryLogService
 
 STREAM = 'claims-0'
 RECORDS = 200
--- a/tests/test_measurements_page.py
+++ b/tests/test_measurements_page.py
@@ -2,7 +2,7 @@
 
 import json
 
-from borageyard.cli import main
+from borageyard.commands.main import main
 
 
 def build_summary():
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from borageyard.cli import build_parser
+from borageyard.commands.main import build_parser
 
 ROOT = pathlib.Path(__file__).parent.parent
 PAGES = (ROOT / 'README.md', *sorted((ROOT / 'docs').rglob('*.md')))
--- a/tests/test_policy_faults.py
+++ b/tests/test_policy_faults.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from borageyard.demo import load_plan
+from borageyard.commands.demo import load_plan
 from borageyard.errors import ErrorKind
 from borageyard.identifiers import new_identifier
-from borageyard.memory_deployment import MemoryDeployment
 from borageyard.requests import Answer, PipelineRequest
+from borageyard.standins.memory_deployment import MemoryDeployment
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 CRASHER = 'crash me'
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -12,7 +12,7 @@
 from urllib import request as urlrequest
 from urllib.error import URLError
 
-from borageyard.cli_settings import settings_page
+from borageyard.commands.settings import settings_page
 
 ROOT = pathlib.Path(__file__).parent.parent
 START_S = 30
--- a/tests/test_reconciler.py
+++ b/tests/test_reconciler.py
@@ -8,14 +8,14 @@
 
 import pytest
 
+from borageyard.commands.demo import load_plan
 from borageyard.configuration import parse_configuration
-from borageyard.demo import load_plan
 from borageyard.generated.http_configuration import ProposalBody
 from borageyard.generated.log_leases import OrderBody
 from borageyard.identifiers import new_identifier
-from borageyard.memory_deployment import MemoryDeployment
 from borageyard.orders import ObservedTarget, OrderPlanner
 from borageyard.requests import Answer, PipelineRequest
+from borageyard.standins.memory_deployment import MemoryDeployment
 from borageyard.standins.orders import StaleOrderError
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -6,8 +6,8 @@
 import pytest
 
 from borageyard.border import DocumentError
-from borageyard.replay import replay
-from borageyard.trace import read_trace
+from borageyard.faults.replay import replay
+from borageyard.faults.trace import read_trace
 
 ROOT = pathlib.Path(__file__).parent.parent
 EXAMPLES = ROOT / 'examples'
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,7 +5,7 @@
 import pytest
 import trustme
 
-from borageyard.cli import main
+from borageyard.commands.main import main
 from borageyard.generated.settings import TlsSettings
 from borageyard.http_client import HttpCall, HttpCallError, HttpClient
 from borageyard.http_messages import json_response
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -11,10 +11,10 @@
 )
 
 from borageyard import tracing
-from borageyard.demo import load_plan
-from borageyard.deployment import Deployment
+from borageyard.commands.demo import load_plan
 from borageyard.http_client import HttpCall, HttpClient
 from borageyard.http_messages import encode_json
+from borageyard.standins.deployment import Deployment
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 TRACE_ID = '0af7651916cd43dd8448eb211c80319c'
--- a/tests/test_virtual_time.py
+++ b/tests/test_virtual_time.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from borageyard.virtual_time import DeadlockError, run_virtual
+from borageyard.standins.virtual_time import DeadlockError, run_virtual
 
 
 async def sleep_and_tell(duration_s):
