Show gateways in the demo and keep deployments running on request

Cause: the demo showed nothing of the gateway, and a newcomer had no deployment to send a request to and no settings file to start from. Ruled out: a second copy of the callers for the demo; the stand-ins hold one.

--- a/borageyard/commands/demo.py
+++ b/borageyard/commands/demo.py
@@ -1,4 +1,4 @@
-"""The main job in one process: both deployments, a crash and a stop."""
+"""The main job in one process: all deployments, a crash and a stop."""
 
 import asyncio
 import dataclasses
@@ -23,9 +23,13 @@
     ORGANISATION_HEADER,
     REQUEST_ID_HEADER,
 )
+from .demo_totals import DemoTotals
+from .gateway_demo import run_gateway_demo
 
 HUNDAGANGA = 'hundaganga'
 VEMBANAD = 'vembanad'
+# The row of the gateways on stand-ins of the users' platform.
+GATEWAYS = 'gateways'
 REQUESTS_PER_DEPLOYMENT = 120
 ARRIVAL_MS = 15
 CRASH_AT = 40
@@ -47,43 +51,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class DemoTotals:
-    """What the callers saw and what the targets recorded."""
-
-    requests: int = 0
-    whole_answers: int = 0
-    refused_not_run: int = 0
-    refused_ran: int = 0
-    unknown: int = 0
-    double_runs: int = 0
-    wrong_answers: int = 0
-
-    @property
-    def attainment(self) -> float:
-        """Returns the share of requests with a whole answer in time."""
-        return self.whole_answers / max(self.requests, 1)
-
-    def add(self, other: 'DemoTotals') -> None:
-        """Adds the counts of another deployment."""
-        for name, count in dataclasses.asdict(other).items():
-            setattr(self, name, getattr(self, name) + count)
-
-    def note(self, status: int, body: Mapping[str, Any], sent_id: str) -> None:
-        """Counts what one caller saw."""
-        self.requests += 1
-        if body.get('request_id') != sent_id:
-            self.wrong_answers += 1
-        if status == STATUS_OK:
-            self.whole_answers += 1
-        elif body.get('not_run') is True:
-            self.refused_not_run += 1
-        elif body.get('not_run') is False:
-            self.refused_ran += 1
-        else:
-            self.unknown += 1
-
-
 def load_plan(name: str, examples: pathlib.Path) -> DeploymentPlan:
     """Returns the plan of a shipped example.
 
@@ -159,13 +126,28 @@
         try:
             reply = await self._client.request(call)
         except HttpCallError:
-            self.totals.note(0, {'request_id': request_id}, request_id)
+            self.totals.requests += 1
+            self.totals.unknown += 1
             return
-        self.totals.note(reply.status, json.loads(reply.body), request_id)
+        self._note(reply.status, json.loads(reply.body), request_id)
+
+    def _note(self, status: int, body: Mapping[str, Any], sent_id: str) -> None:
+        """Counts what one caller saw."""
+        totals = self.totals
+        totals.requests += 1
+        totals.wrong_answers += int(body.get('request_id') != sent_id)
+        if status == STATUS_OK:
+            totals.whole_answers += 1
+        elif body.get('not_run') is True:
+            totals.refused_not_run += 1
+        elif body.get('not_run') is False:
+            totals.refused_ran += 1
+        else:
+            totals.unknown += 1
 
 
 async def run_demo(examples: pathlib.Path) -> Sequence[tuple[str, DemoTotals]]:
-    """Runs both deployments one after the other.
+    """Runs all deployments one after the other.
 
     Args:
         examples: Directory of the example configurations.
@@ -181,6 +163,7 @@
         ):
             totals = await DemoRun(deployment, client).run(CRASHES[name])
         rows.append((name, totals))
+    rows.append((GATEWAYS, await run_gateway_demo()))
     return rows
 
 
--- /dev/null
+++ b/borageyard/commands/demo_totals.py
@@ -0,0 +1,26 @@
+"""What the callers of the demo saw."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class DemoTotals:
+    """What the callers saw and what the targets recorded."""
+
+    requests: int = 0
+    whole_answers: int = 0
+    refused_not_run: int = 0
+    refused_ran: int = 0
+    unknown: int = 0
+    double_runs: int = 0
+    wrong_answers: int = 0
+
+    @property
+    def attainment(self) -> float:
+        """Returns the share of requests with a whole answer in time."""
+        return self.whole_answers / max(self.requests, 1)
+
+    def add(self, other: 'DemoTotals') -> None:
+        """Adds the counts of another deployment."""
+        for name, count in dataclasses.asdict(other).items():
+            setattr(self, name, getattr(self, name) + count)
--- a/borageyard/commands/main.py
+++ b/borageyard/commands/main.py
@@ -17,6 +17,7 @@
 from .call import add_call_command
 from .config import add_config_commands
 from .demo import print_demo, run_demo
+from .demo_service import serve_demo
 from .explain import add_explain_command
 from .faults import add_faults_command
 from .replay import add_replay_command
@@ -77,9 +78,7 @@
     )
     commands = parser.add_subparsers(required=True, metavar='COMMAND')
     _add_daemons(commands)
-    demo = commands.add_parser('demo', help='run the main job once')
-    demo.add_argument('--examples', default='examples', metavar='DIR')
-    demo.set_defaults(run=_run_demo)
+    _add_demo(commands)
     add_call_command(commands)
     add_status_command(commands)
     add_settings_command(commands)
@@ -112,6 +111,17 @@
     standin.set_defaults(run=_run_standin)
 
 
+def _add_demo(commands: Any) -> None:
+    demo = commands.add_parser('demo', help='run the main job once')
+    demo.add_argument('--examples', default='examples', metavar='DIR')
+    demo.add_argument(
+        '--serve',
+        action='store_true',
+        help='keep the deployments running and print how to call them',
+    )
+    demo.set_defaults(run=_run_demo)
+
+
 def _add_settings(command: argparse.ArgumentParser) -> None:
     command.add_argument(
         '--settings',
@@ -136,5 +146,9 @@
 
 
 def _run_demo(arguments: argparse.Namespace) -> int:
-    rows = asyncio.run(run_demo(pathlib.Path(arguments.examples)))
+    examples = pathlib.Path(arguments.examples)
+    if arguments.serve:
+        asyncio.run(serve_demo(examples))
+        return EXIT_GOOD
+    rows = asyncio.run(run_demo(examples))
     return print_demo(rows)
--- /dev/null
+++ b/borageyard/standins/gateway_caller.py
@@ -0,0 +1,111 @@
+"""Callers of gateways, as the users' clients are."""
+
+import dataclasses
+import enum
+import shlex
+
+from ..http_client import HttpCall, HttpReply
+from ..identifiers import new_identifier
+from .gateway_deployment import HOST, KEY
+
+# Time that a request may take; the stand-ins answer within milliseconds.
+DEADLINE_MS = 2500
+CALL_TIMEOUT_MS = 5000
+STATUS_OK = 200
+# Statuses that promise that nothing was run.
+NOT_RUN_STATUSES = frozenset((429, 503))
+# The last event of a whole stream of the stand-ins' engine.
+LAST_EVENT = b'id: 5\n'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestSort:
+    """One sort of request that the stand-ins' targets serve."""
+
+    method: str
+    path: str
+    # Pieces of each stage; empty without stages.
+    pieces: str = ''
+    repeatable: bool = True
+
+
+READ = RequestSort('GET', '/read/menu')
+BOOK = RequestSort('POST', '/book/walk', repeatable=False)
+BRIEF = RequestSort('POST', '/brief/walk', '2,1')
+SORTS = (READ, BOOK, BRIEF)
+
+
+class Seen(enum.Enum):
+    """What a caller makes of a reply."""
+
+    WHOLE = 'whole'
+    WRONG = 'wrong'
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewayCall:
+    """One attempt of a caller."""
+
+    sort: RequestSort
+    attempt_id: str = dataclasses.field(default_factory=new_identifier)
+
+    def to(self, address: str) -> HttpCall:
+        """Returns the call to a gateway.
+
+        Args:
+            address: Where the gateway answers callers.
+        """
+        headers = {
+            'host': HOST,
+            'x-attempt-id': self.attempt_id,
+            'x-deadline-ms': str(DEADLINE_MS),
+            'authorization': f'Token {KEY}',
+        }
+        if self.sort.pieces:
+            headers |= {
+                'x-pieces': self.sort.pieces,
+                'x-piece-key': self.attempt_id,
+                'x-model': 'm',
+                'x-token-count': '100,20',
+                'x-prefix-hash': 'aa:60,bb:40',
+            }
+        return HttpCall(
+            address=address,
+            method=self.sort.method,
+            path=self.sort.path,
+            headers=headers,
+            timeout_ms=CALL_TIMEOUT_MS,
+            repeatable=False,
+        )
+
+    def judge(self, reply: HttpReply) -> Seen:
+        """Returns what the caller makes of a reply.
+
+        Args:
+            reply: The reply to the call.
+        """
+        if reply.status in NOT_RUN_STATUSES:
+            return Seen.NOT_RUN
+        if reply.status != STATUS_OK:
+            return Seen.UNKNOWN
+        stamp = reply.headers.get('x-server-stamp', '')
+        whole = not self.sort.pieces or LAST_EVENT in reply.body
+        right = whole and stamp.endswith(self.attempt_id)
+        return Seen.WHOLE if right else Seen.WRONG
+
+
+def curl_line(call: HttpCall) -> str:
+    """Returns a command line that sends a call.
+
+    Args:
+        call: The call.
+    """
+    url = f'http://{call.address}{call.path}'
+    headers = [
+        word
+        for name, text in call.headers.items()
+        for word in ('-H', f'{name}: {text}')
+    ]
+    return shlex.join(['curl', '-sS', '-N', '-X', call.method, *headers, url])
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,104 @@
+"""Tests of the demo and of what it leaves running."""
+
+import asyncio
+import pathlib
+import shlex
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from borageyard.commands.gateway_demo import REQUESTS, run_gateway_demo
+from borageyard.http_client import HttpCall, HttpClient
+from borageyard.settings import load_entry_settings
+
+ROOT = pathlib.Path(__file__).parent.parent
+EXAMPLES = ROOT / 'examples'
+CALL_S = 30
+
+
+@pytest.fixture
+def served():
+    """Runs the served demo; yields its two command lines."""
+    command = [sys.executable, '-m', 'borageyard', 'demo', '--serve']
+    with subprocess.Popen(
+        [*command, '--examples', str(EXAMPLES)],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as process:
+        lines = []
+        while len(lines) < 2:
+            line = process.stdout.readline()
+            assert line, 'the demo ended'
+            if line.startswith('    '):
+                lines.append(line.strip())
+        yield lines
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(CALL_S) == 0
+
+
+def parse_curl(line):
+    """Returns the call that a curl line sends."""
+    words = shlex.split(line)
+    headers = [
+        words[index + 1] for index, word in enumerate(words) if word == '-H'
+    ]
+    address, _, path = words[-1].removeprefix('http://').partition('/')
+    return HttpCall(
+        address,
+        words[words.index('-X') + 1],
+        f'/{path}',
+        headers=dict(header.split(': ', 1) for header in headers),
+        timeout_ms=5000,
+    )
+
+
+async def send(call):
+    """Returns the reply to a call."""
+    async with HttpClient() as client:
+        return await client.request(call)
+
+
+class TestGatewayDemo:
+    """The part on stand-ins of the users' platform."""
+
+    async def test_every_request_is_answered_or_refused_truly(self):
+        """A faulty target and a stopping gateway lose and double nothing."""
+        totals = await run_gateway_demo()
+        assert totals.requests == REQUESTS
+        assert totals.wrong_answers == 0
+        assert totals.double_runs == 0
+        assert totals.unknown == 0
+
+
+class TestServe:
+    """Deployments that are kept running."""
+
+    def test_printed_lines_work(self, served):
+        """Both commands get a whole answer."""
+        call, curl = served
+        body, _, command = call.partition(' | ')
+        ended = subprocess.run(
+            [sys.executable, '-m', *shlex.split(command)],
+            cwd=ROOT,
+            input=shlex.split(body)[1],
+            capture_output=True,
+            text=True,
+            timeout=CALL_S,
+            check=False,
+        )
+        assert ended.returncode == 0, ended.stdout + ended.stderr
+        reply = asyncio.run(send(parse_curl(curl)))
+        assert reply.status == 200
+        assert b'id: 5' in reply.body
+
+
+class TestExamples:
+    """The settings file that is shipped."""
+
+    def test_settings_of_an_entry_are_valid(self):
+        """It starts an entry once its addresses are adapted."""
+        path = EXAMPLES / 'entry.settings.json'
+        assert load_entry_settings(str(path)).instance_id == 'entry-0'
