Let the entry that runs longest schedule

Ruled out: a time before it takes scheduling back (8 s was worse, and it must come at some time); a lease in the store (one more call each, and none while the store is away). Change: entries that started together choose by hash, later ones do not take part. Start times come with the peers' greeting, so all see the same.

--- a/borageyard/scheduler_client.py
+++ b/borageyard/scheduler_client.py
@@ -21,8 +21,8 @@
 from .membership import Membership
 from .peers import PeerError, PeerLink
 from .plans import ChainRefusal, Denial, Grant
-from .rendezvous import choose
 from .scheduler_service import SchedulerService
+from .succession import choose_scheduler
 
 # Time in which a peer takes in a report; losing one only wastes memory.
 EVENT_TIMEOUT_MS = 1000
@@ -31,7 +31,7 @@
 
 
 class SchedulerClient:
-    """Asks the scheduler of a group; the members agree on it by hashing."""
+    """Asks the scheduler of a group, on which the entries agree."""
 
     def __init__(
         self,
@@ -125,16 +125,16 @@
     def _owner_of(self, service: str, passed: set[str]) -> str:
         group = self._state.groups.get(service, service)
         now_ms = self._clock.steady_ms()
-        names = {
-            member.instance_id
+        started = {
+            member.instance_id: member.incarnation
             for member in self._membership.alive(now_ms)
             # Those without an address are not ready: they know no targets.
             if member.address and member.instance_id not in passed
         }
         ready = bool(self._state.roster.services) and not self.leaving
-        if ready or not names:
-            names.add(self._instance_id)
-        return choose(group, names) or self._instance_id
+        if ready or not started:
+            started[self._instance_id] = self._membership.incarnation
+        return choose_scheduler(group, started) or self._instance_id
 
     async def _ask(
         self,
