Hand requests over with what was made for them

Cause: a scheduler that died or stopped took all results along: the next one made all pieces again, while the first held their memory until they expired. An entry that started scheduled beside the others before it had heard them. Ruled out: telling a deputy (the entry that received a request outlives none of its requests, so it is the right keeper). Change: the scheduler tells the receiving entry what was made; asked next, a scheduler takes it over. One that is no longer chosen gives its requests up once their calls have ended. A new entry waits until the listed ones were heard, a second at most.

--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -168,6 +168,20 @@
             held = _HeldResult(made.size_bytes, expires_at_ms)
             self._held[made.handle] = held
 
+    def note_adopted(self, made: PieceResult) -> None:
+        """Takes in a result that another scheduler had made.
+
+        Its memory may have been counted among that of others already.
+
+        Args:
+            made: The result.
+        """
+        self._held[made.handle] = _HeldResult(
+            made.size_bytes,
+            made.expires_at_ms,
+        )
+        self.foreign_bytes = max(self.foreign_bytes - made.size_bytes, 0)
+
     def note_failed(self, now_ms: float) -> None:
         """Pauses a target that failed; its results may be lost."""
         self.paused_until_ms = now_ms + FAILURE_PAUSE_MS
--- a/borageyard/call_runner.py
+++ b/borageyard/call_runner.py
@@ -1,6 +1,6 @@
 """Sends calls with pieces to targets and takes in their outcomes."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from .batch_targets import BatchCall
 from .chain_scheduler import ChainScheduler
@@ -24,6 +24,9 @@
 CALL_TIME_FACTOR = 7
 CALL_EXTRA_MS = 300
 
+# Takes in results as calls end.
+MadeListener = Callable[[Mapping[PieceId, PieceResult]], None]
+
 
 def overdue_ms(call: BatchCall) -> float:
     """Returns the time after which a call is taken to be on a slow target."""
@@ -38,6 +41,7 @@
         scheduler: ChainScheduler,
         runner: PieceRunner,
         clock: Clock,
+        note_made: MadeListener,
     ) -> None:
         """Composes a runner.
 
@@ -45,7 +49,9 @@
             scheduler: Knows the requests.
             runner: The way to the targets.
             clock: Source of steady time.
+            note_made: Is told all results.
         """
+        self._note_made = note_made
         self._scheduler = scheduler
         self._runner = runner
         self._clock = clock
@@ -114,6 +120,7 @@
             if outcomes[index].end is PieceEnd.MADE
         }
         self._scheduler.note_made(call, made, now_ms)
+        self._note_made(made)
         ends = [outcome.end for outcome in outcomes]
         for piece, outcome in zip(call.pieces, outcomes, strict=True):
             if outcome.end is PieceEnd.INPUT_GONE:
--- /dev/null
+++ b/borageyard/chain_messages.py
@@ -0,0 +1,138 @@
+"""What entries tell each other of requests, as messages."""
+
+from collections.abc import Iterable
+
+from .chains import ChainOrder, ChainStage, HandedResult
+from .engine_board import Prompt, PromptPart
+from .generated.peer_chains import (
+    ChainRequestBody,
+    ChainResultBody,
+    ChainStageBody,
+    PromptBody,
+    PromptPartBody,
+)
+
+
+def encode_order(
+    order: ChainOrder,
+    excluded: frozenset[str],
+    now_ms: float,
+) -> ChainRequestBody:
+    """Returns the message that asks for an engine.
+
+    Args:
+        order: What the request needs.
+        excluded: Engines that failed it.
+        now_ms: Steady time here.
+    """
+    return ChainRequestBody(
+        chain_id=order.chain_id,
+        piece_key=order.piece_key,
+        stages=[
+            ChainStageBody(
+                service=stage.service,
+                pieces=stage.pieces,
+                after=list(stage.after),
+                result_bytes=stage.result_bytes,
+                work=stage.work,
+            )
+            for stage in order.stages
+        ],
+        engine_service=order.engine_service,
+        prompt=PromptBody(
+            model=order.prompt.model,
+            parts=[
+                PromptPartBody(id=part.part_id, tokens=part.tokens)
+                for part in order.prompt.parts
+            ],
+            prompt_tokens=order.prompt.prompt_tokens,
+            output_tokens=order.prompt.output_tokens,
+        ),
+        priority=order.priority,
+        aim_left_ms=order.aim_at_ms - now_ms,
+        deadline_left_ms=order.deadline_at_ms - now_ms,
+        excluded=sorted(excluded),
+        passed_over=order.passed_over,
+        results=encode_results(order.results, now_ms),
+    )
+
+
+def decode_order(request: ChainRequestBody, now_ms: float) -> ChainOrder:
+    """Returns what a request of a peer needs.
+
+    Args:
+        request: What the peer asks.
+        now_ms: Steady time here.
+    """
+    prompt = request.prompt
+    return ChainOrder(
+        chain_id=request.chain_id,
+        piece_key=request.piece_key,
+        stages=tuple(
+            ChainStage(
+                stage.service,
+                stage.pieces,
+                tuple(stage.after),
+                stage.result_bytes,
+                stage.work,
+            )
+            for stage in request.stages
+        ),
+        engine_service=request.engine_service,
+        prompt=Prompt(
+            prompt.model,
+            tuple(PromptPart(part.id, part.tokens) for part in prompt.parts),
+            prompt.prompt_tokens,
+            prompt.output_tokens,
+        ),
+        priority=request.priority,
+        aim_at_ms=now_ms + request.aim_left_ms,
+        deadline_at_ms=now_ms + request.deadline_left_ms,
+        received_at_ms=now_ms,
+        results=decode_results(request.results, now_ms),
+        passed_over=request.passed_over,
+    )
+
+
+def encode_results(
+    results: Iterable[HandedResult],
+    now_ms: float,
+) -> list[ChainResultBody]:
+    """Returns results as they are told to a peer.
+
+    Args:
+        results: Where each is held.
+        now_ms: Steady time here.
+    """
+    return [
+        ChainResultBody(
+            stage=handed.stage,
+            number=handed.number,
+            handle=handed.handle,
+            target_id=handed.target_id,
+            left_ms=handed.expires_at_ms - now_ms,
+        )
+        for handed in results
+    ]
+
+
+def decode_results(
+    told: Iterable[ChainResultBody],
+    now_ms: float,
+) -> tuple[HandedResult, ...]:
+    """Returns results that a peer tells of.
+
+    Args:
+        told: What it tells.
+        now_ms: Steady time here.
+    """
+    return tuple(
+        HandedResult(
+            body.stage,
+            body.number,
+            body.handle,
+            body.target_id,
+            now_ms + body.left_ms,
+        )
+        for body in told
+    )
--- a/borageyard/chain_scheduler.py
+++ b/borageyard/chain_scheduler.py
@@ -10,8 +10,15 @@
     NO_TARGET_RETRY_MS,
     ChainAdmission,
 )
+from .chain_handover import ChainHandover, handed_results
 from .chain_times import ChainTimes
-from .chains import Chain, ChainOrder, PieceId, PieceResult
+from .chains import (
+    Chain,
+    ChainOrder,
+    HandedResult,
+    PieceId,
+    PieceResult,
+)
 from .engine_board import EngineBoard
 from .plans import ChainRefusal, Denial, FleetView, Grant, Plan
 from .roster import RosterRow
@@ -44,6 +51,7 @@
         self.board = board or EngineBoard()
         self.targets = BatchTargets()
         self.chains: dict[str, Chain] = {}
+        self.handover = ChainHandover(self.targets)
         self._times = ChainTimes(self.targets)
         self._planner = CallPlanner(self.targets, self._times.work)
         self._admission = ChainAdmission(self.targets, self.board, self._times)
@@ -82,10 +90,15 @@
             known.granted = False
             return None
         chain = Chain(order)
+        if self.handover.is_released(chain):
+            return _moved(order.chain_id, order.results)
+        self.handover.adopt(chain)
         denial = self._admission.admit(chain, self.chains.values(), now_ms)
         if denial is None:
             self.chains[order.chain_id] = chain
             self._next_expiry_ms = now_ms
+        else:
+            self._freed.extend(chain.results)
         return denial
 
     def remove(self, chain_id: str) -> None:
@@ -215,12 +228,17 @@
         """
         plan = Plan()
         self._expire(plan, now_ms)
+        for leaving in self.handover.movable(self.chains):
+            chain_id = leaving.order.chain_id
+            plan.denials.append(_moved(chain_id, handed_results(leaving)))
+            self.chains.pop(chain_id)
         for chain in tuple(self.chains.values()):
             if not chain.granted and chain.complete:
                 self._grant(chain, plan, now_ms)
         self._drop_read(plan, now_ms)
+        kept = self.handover.kept(self.chains)
         for service in self._times.view.batching:
-            self._planner.plan_service(service, self.chains, plan, now_ms)
+            self._planner.plan_service(service, kept, plan, now_ms)
         for call in plan.calls:
             self._reads.append((now_ms + READ_MS, call))
             plan.wake(now_ms + READ_MS)
@@ -302,3 +320,7 @@
         self.board.note_sent(order.chain_id, order.prompt, placement, now_ms)
         handles = tuple(made.handle for made in results)
         plan.grants.append(Grant(order.chain_id, placement, handles))
+
+
+def _moved(chain_id: str, results: tuple[HandedResult, ...]) -> Denial:
+    return Denial(chain_id, ChainRefusal.MOVED, 0, results)
--- a/borageyard/chains.py
+++ b/borageyard/chains.py
@@ -26,6 +26,18 @@
     work: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HandedResult:
+    """A result that another scheduler had made for a request."""
+
+    stage: int
+    number: int
+    handle: str
+    target_id: str
+    # Steady time at which its maker drops it.
+    expires_at_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ChainOrder:
     """What a request needs before and from an engine."""
@@ -40,6 +52,9 @@
     aim_at_ms: float
     deadline_at_ms: float
     received_at_ms: float
+    results: tuple[HandedResult, ...] = ()
+    # Whether the entry that should schedule it did not.
+    passed_over: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -172,7 +172,7 @@
         clock = self.ports.clock
         began_ms = clock.steady_ms()
         self.sync.leaving = True
-        self.scheduler.leaving = True
+        self.scheduler.leave()
         self.link.send_news()
         self._callers.begin_closing()
         log_event(
@@ -205,8 +205,10 @@
             await server.start(address)
 
     def _note_table(self, table: Table) -> None:
-        if self.is_ready():
+        if self.is_ready() and not self.sync.address:
             self.sync.address = self.settings.caller_address
+            # The others may be waiting to know who schedules.
+            self.link.send_news()
         known = self.sync.entries_known()
         self._plain.entries_known = known
         self._prompts.entries_known = known
--- a/borageyard/plans.py
+++ b/borageyard/plans.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping, Sequence
 
 from .batch_targets import BatchCall
-from .chains import PieceResult
+from .chains import HandedResult, PieceResult
 from .engine_board import Placement
 from .roster import RosterRow
 from .serving import BatchLimits
@@ -17,6 +17,8 @@
     NO_TIME = 'no_time'
     NO_TARGET = 'no_target'
     FAILING = 'failing'
+    # Another entry schedules it from now on.
+    MOVED = 'moved'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +37,8 @@
     chain_id: str
     reason: ChainRefusal
     retry_after_ms: float
+    # What was made for a request that another entry schedules from now on.
+    results: tuple[HandedResult, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
--- a/borageyard/scheduler_client.py
+++ b/borageyard/scheduler_client.py
@@ -1,12 +1,20 @@
 """Finds the entry that schedules a group of services and asks it."""
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any
+import dataclasses
+from collections.abc import Coroutine, Mapping
+from typing import Any, TypeGuard
 
-from .chains import ChainOrder, ChainStage
-from .clock import Clock
-from .engine_board import Placement, Prompt, PromptPart
+from .chain_handover import hand_over
+from .chain_messages import (
+    decode_order,
+    decode_results,
+    encode_order,
+    encode_results,
+)
+from .chains import ChainOrder, HandedResult, PieceId, PieceResult
+from .clock import MS_PER_S, Clock
+from .engine_board import Placement
 from .events import Event, log_event
 from .fleet_state import FleetState
 from .generated.peer_chains import (
@@ -14,19 +22,20 @@
     ChainEventReplyBody,
     ChainReplyBody,
     ChainRequestBody,
-    ChainStageBody,
-    PromptBody,
-    PromptPartBody,
+    ChainResultsBody,
+    ChainResultsReplyBody,
 )
 from .membership import Membership
 from .peers import PeerError, PeerLink
 from .plans import ChainRefusal, Denial, Grant
+from .scheduler_finder import SETTLE_MS, SchedulerFinder
 from .scheduler_service import SchedulerService
-from .succession import choose_scheduler
 
 # Time in which a peer takes in a report; losing one only wastes memory.
 EVENT_TIMEOUT_MS = 1000
 MAX_OWNERS = 4
+# Pause between looks whether the other entries were heard after the start.
+SETTLE_POLL_MS = 20
 RETRY_AFTER_MS = 500
 
 
@@ -52,17 +61,22 @@
             service: The scheduler of this entry.
             clock: Source of steady time.
         """
-        self.leaving = False
         self._instance_id = instance_id
+        self._finder = SchedulerFinder(instance_id, state, membership, clock)
         self._state = state
-        self._membership = membership
         self._peers = peers
         self._service = service
         self._clock = clock
+        # By request: who schedules it, and what was made for it there.
         self._owners: dict[str, str] = {}
+        self._results: dict[str, tuple[HandedResult, ...]] = {}
+        # Peers that wait for an engine, by request.
+        self._askers: dict[str, str] = {}
         self._telling: set[asyncio.Task[None]] = set()
         peers.register(ChainRequestBody, self._handle_chain)
         peers.register(ChainEventBody, self._handle_event)
+        peers.register(ChainResultsBody, self._handle_results)
+        service.made_listener = self._note_made
 
     async def place(
         self,
@@ -78,24 +92,40 @@
             order: What the request needs.
             excluded: Engines that failed it.
         """
-        passed: set[str] = set()
+        await self._settle()
+        passed: frozenset[str] = frozenset()
         while len(passed) < MAX_OWNERS:
-            owner_id = self._owner_of(order.engine_service, passed)
+            owner_id = self._finder.find(order.engine_service, passed)
+            passed |= {owner_id}
             self._owners[order.chain_id] = owner_id
-            if owner_id == self._instance_id:
-                return await self._service.place(order, excluded)
             try:
-                return await self._ask(owner_id, order, excluded)
+                settled = await self._place_at(owner_id, order, excluded)
             except PeerError as error:
-                passed.add(owner_id)
                 log_event(
                     Event.PEER_UNANSWERED,
                     peer_id=owner_id,
                     request_id=order.chain_id,
                     reason=str(error),
                 )
+            else:
+                if not _is_moved(settled):
+                    return settled
+                self._results[order.chain_id] = settled.results
+                log_event(
+                    Event.CHAIN_MOVED,
+                    request_id=order.chain_id,
+                    scheduler_id=owner_id,
+                    results=len(settled.results),
+                )
+            known = self._results.get(order.chain_id, ())
+            order = dataclasses.replace(order, results=known, passed_over=True)
         return Denial(order.chain_id, ChainRefusal.FAILING, RETRY_AFTER_MS)
 
+    def leave(self) -> None:
+        """Leaves scheduling to others, with all that is under way."""
+        self._finder.leaving = True
+        self._review()
+
     def note_started(self, chain_id: str) -> None:
         """Tells the scheduler that the engine has read the inputs."""
         owner_id = self._owners.get(chain_id, self._instance_id)
@@ -114,6 +144,7 @@
 
     def note_ended(self, chain_id: str) -> None:
         """Tells the scheduler that a request is over."""
+        self._results.pop(chain_id, None)
         owner_id = self._owners.pop(chain_id, None)
         if owner_id is None:
             return
@@ -122,19 +153,27 @@
             return
         self._tell(owner_id, chain_id, 'ended', '')
 
-    def _owner_of(self, service: str, passed: set[str]) -> str:
-        group = self._state.groups.get(service, service)
-        now_ms = self._clock.steady_ms()
-        started = {
-            member.instance_id: member.incarnation
-            for member in self._membership.alive(now_ms)
-            # Those without an address are not ready: they know no targets.
-            if member.address and member.instance_id not in passed
-        }
-        ready = bool(self._state.roster.services) and not self.leaving
-        if ready or not started:
-            started[self._instance_id] = self._membership.incarnation
-        return choose_scheduler(group, started) or self._instance_id
+    async def _settle(self) -> None:
+        """Waits until the others had the time to be heard after the start."""
+        for _ in range(SETTLE_MS // SETTLE_POLL_MS):
+            if self._finder.is_settled():
+                return
+            await asyncio.sleep(SETTLE_POLL_MS / MS_PER_S)
+
+    def _review(self) -> None:
+        """Gives up requests that another entry schedules by now."""
+        self._service.release(self._finder.foreign_services())
+
+    async def _place_at(
+        self,
+        owner_id: str,
+        order: ChainOrder,
+        excluded: frozenset[str],
+    ) -> Grant | Denial:
+        self._review()
+        if owner_id == self._instance_id:
+            return await self._service.place(order, excluded)
+        return await self._ask(owner_id, order, excluded)
 
     async def _ask(
         self,
@@ -145,13 +184,19 @@
         now_ms = self._clock.steady_ms()
         reply = await self._peers.request(
             owner_id,
-            _encode_order(order, excluded, now_ms),
+            encode_order(order, excluded, now_ms),
             ChainReplyBody,
             max(order.deadline_at_ms - now_ms, 1),
         )
         if reply.refusal:
             reason = ChainRefusal(reply.refusal)
-            return Denial(order.chain_id, reason, reply.retry_after_ms)
+            results = decode_results(reply.results, self._clock.steady_ms())
+            return Denial(
+                order.chain_id,
+                reason,
+                reply.retry_after_ms,
+                results,
+            )
         engine = self._state.roster.find(reply.engine_id)
         if engine is None:
             raise PeerError(f'engine {reply.engine_id} is not known')
@@ -164,13 +209,22 @@
         request: ChainRequestBody,
     ) -> ChainReplyBody:
         now_ms = self._clock.steady_ms()
-        order = _decode_order(request, now_ms)
+        order = decode_order(request, now_ms)
         excluded = frozenset(request.excluded)
-        settled = await self._service.place(order, excluded)
+        self._review()
+        self._askers[order.chain_id] = peer_id
+        try:
+            settled = await self._service.place(order, excluded)
+        finally:
+            self._askers.pop(order.chain_id, None)
         if isinstance(settled, Denial):
             return ChainReplyBody(
                 refusal=settled.reason.value,
                 retry_after_ms=settled.retry_after_ms,
+                results=encode_results(
+                    settled.results,
+                    self._clock.steady_ms(),
+                ),
             )
         return ChainReplyBody(
             engine_id=settled.placement.engine.target_id,
@@ -191,6 +245,58 @@
             self._service.note_ended(told.chain_id)
         return ChainEventReplyBody()
 
+    def _note_made(self, made: Mapping[PieceId, PieceResult]) -> None:
+        """Tells those who asked what was made for their requests."""
+        told: dict[str, dict[str, list[HandedResult]]] = {}
+        for piece, held in made.items():
+            peer_id = self._askers.get(piece.chain_id)
+            if peer_id is not None:
+                by_chain = told.setdefault(peer_id, {})
+                handed = by_chain.setdefault(piece.chain_id, [])
+                handed.append(hand_over(piece, held))
+        now_ms = self._clock.steady_ms()
+        for asker_id, by_chain in told.items():
+            message = ChainResultsBody(
+                results={
+                    chain_id: encode_results(handed, now_ms)
+                    for chain_id, handed in by_chain.items()
+                },
+            )
+            self._spawn(self._send_results(asker_id, message))
+
+    async def _send_results(
+        self,
+        asker_id: str,
+        message: ChainResultsBody,
+    ) -> None:
+        try:
+            await self._peers.request(
+                asker_id,
+                message,
+                ChainResultsReplyBody,
+                EVENT_TIMEOUT_MS,
+            )
+        except PeerError as error:
+            log_event(
+                Event.PEER_UNANSWERED,
+                peer_id=asker_id,
+                request_id='',
+                reason=str(error),
+            )
+
+    async def _handle_results(
+        self,
+        peer_id: str,
+        told: ChainResultsBody,
+    ) -> ChainResultsReplyBody:
+        now_ms = self._clock.steady_ms()
+        for chain_id, results in told.results.items():
+            if self._owners.get(chain_id) == peer_id:
+                known = self._results.get(chain_id, ())
+                handed = decode_results(results, now_ms)
+                self._results[chain_id] = (*known, *handed)
+        return ChainResultsReplyBody()
+
     def _tell(
         self,
         owner_id: str,
@@ -229,65 +335,8 @@
         task.add_done_callback(self._telling.discard)
 
 
-def _encode_order(
-    order: ChainOrder,
-    excluded: frozenset[str],
-    now_ms: float,
-) -> ChainRequestBody:
-    return ChainRequestBody(
-        chain_id=order.chain_id,
-        piece_key=order.piece_key,
-        stages=[
-            ChainStageBody(
-                service=stage.service,
-                pieces=stage.pieces,
-                after=list(stage.after),
-                result_bytes=stage.result_bytes,
-                work=stage.work,
-            )
-            for stage in order.stages
-        ],
-        engine_service=order.engine_service,
-        prompt=PromptBody(
-            model=order.prompt.model,
-            parts=[
-                PromptPartBody(id=part.part_id, tokens=part.tokens)
-                for part in order.prompt.parts
-            ],
-            prompt_tokens=order.prompt.prompt_tokens,
-            output_tokens=order.prompt.output_tokens,
-        ),
-        priority=order.priority,
-        aim_left_ms=order.aim_at_ms - now_ms,
-        deadline_left_ms=order.deadline_at_ms - now_ms,
-        excluded=sorted(excluded),
-    )
-
-
-def _decode_order(request: ChainRequestBody, now_ms: float) -> ChainOrder:
-    prompt = request.prompt
-    return ChainOrder(
-        chain_id=request.chain_id,
-        piece_key=request.piece_key,
-        stages=tuple(
-            ChainStage(
-                stage.service,
-                stage.pieces,
-                tuple(stage.after),
-                stage.result_bytes,
-                stage.work,
-            )
-            for stage in request.stages
-        ),
-        engine_service=request.engine_service,
-        prompt=Prompt(
-            prompt.model,
-            tuple(PromptPart(part.id, part.tokens) for part in prompt.parts),
-            prompt.prompt_tokens,
-            prompt.output_tokens,
-        ),
-        priority=request.priority,
-        aim_at_ms=now_ms + request.aim_left_ms,
-        deadline_at_ms=now_ms + request.deadline_left_ms,
-        received_at_ms=now_ms,
-    )
+def _is_moved(settled: Grant | Denial) -> TypeGuard[Denial]:
+    """Tells whether another entry schedules a request from now on."""
+    if isinstance(settled, Denial):
+        return settled.reason is ChainRefusal.MOVED
+    return False
--- a/borageyard/scheduler_service.py
+++ b/borageyard/scheduler_service.py
@@ -2,13 +2,19 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Coroutine, Sequence
+from collections.abc import (
+    AsyncIterator,
+    Collection,
+    Coroutine,
+    Mapping,
+    Sequence,
+)
 from typing import Any
 
 from .batch_targets import BatchCall
-from .call_runner import CallRunner, overdue_ms
+from .call_runner import CallRunner, MadeListener, overdue_ms
 from .chain_scheduler import ChainScheduler
-from .chains import ChainOrder
+from .chains import ChainOrder, PieceId, PieceResult
 from .clock import MS_PER_S, Clock
 from .events import Event, log_event
 from .fleet_state import FleetState
@@ -39,10 +45,17 @@
             runner: The way to the targets.
             clock: Source of steady time.
         """
+        # Is told the results of all calls.
+        self.made_listener: MadeListener | None = None
         self.scheduler = ChainScheduler()
         self._state = state
         self._runner = runner
-        self._calls = CallRunner(self.scheduler, runner, clock)
+        self._calls = CallRunner(
+            self.scheduler,
+            runner,
+            clock,
+            self._note_made,
+        )
         self._clock = clock
         self._waiting: dict[str, asyncio.Future[Grant | Denial]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -97,6 +110,20 @@
                 self._waiting.pop(order.chain_id)
             self._pump()
 
+    def release(self, services: Collection[str]) -> None:
+        """Gives up the requests for some services of engines.
+
+        They are settled as moved, as soon as no call for them is under way.
+
+        Args:
+            services: Services that another entry schedules; those named
+                before and not now are scheduled here again.
+        """
+        handover = self.scheduler.handover
+        if handover.released != frozenset(services):
+            handover.release(services)
+            self._pump()
+
     def note_started(self, chain_id: str) -> None:
         """Takes in that the engine has read the inputs of a request."""
         self.scheduler.note_started(chain_id)
@@ -149,6 +176,10 @@
         if target is not None:
             target.note_report(free_bytes, self._clock.steady_ms())
 
+    def _note_made(self, made: Mapping[PieceId, PieceResult]) -> None:
+        if self.made_listener is not None:
+            self.made_listener(made)
+
     def _note_freed(self, target_id: str, handles: Sequence[str]) -> None:
         self.scheduler.note_freed(target_id, handles)
         self._pump()
