Trial: believe memory to be taken until a scheduler's results have expired

Cause: after a takeover calls found no room again and again, as a shortage was believed for 1 s and only in the size of what was missed. Change: less than the smallest missed result counts as free, for 4 s.

--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -62,6 +62,8 @@
         self.paused_until_ms: float = 0
         self.foreign_bytes: float = 0
         self._foreign_until_ms: float = 0
+        # When results that another scheduler left behind have expired.
+        self._orphans_until_ms: float = 0
         self._slow_calls = 0
         self._slow_until_ms: float = 0
         self._calls: list[BatchCall] = []
@@ -134,15 +136,24 @@
         self._foreign_until_ms = now_ms + self.limits.keep_ms
 
     def note_no_room(self, size_bytes: float, now_ms: float) -> None:
-        """Takes in that results found no room that the accounts showed.
+        """Takes in that a result found no room that the accounts showed.
+
+        Less than its size was free, then: the rest is held by results that
+        are larger than stated, or that another scheduler has left behind.
 
         Args:
-            size_bytes: Their size.
+            size_bytes: Size of the smallest such result.
             now_ms: Steady time.
         """
-        most_bytes = max(self.free_bytes(now_ms), 0)
-        self.foreign_bytes += min(size_bytes, most_bytes)
-        self._foreign_until_ms = now_ms + NO_ROOM_MS
+        self.foreign_bytes += max(self.free_bytes(now_ms) - size_bytes + 1, 0)
+        self._foreign_until_ms = max(
+            now_ms + NO_ROOM_MS,
+            self._orphans_until_ms,
+        )
+
+    def note_takeover(self, now_ms: float) -> None:
+        """Takes in that another scheduler had results made until now."""
+        self._orphans_until_ms = now_ms + self.limits.keep_ms
 
     def note_sent(self, call: BatchCall) -> None:
         """Takes in that a call was sent."""
@@ -215,28 +226,35 @@
     def update(
         self,
         services: Mapping[str, tuple[BatchLimits, Sequence[RosterRow]]],
-    ) -> Sequence[RosterRow]:
+    ) -> None:
         """Takes in which targets there are.
 
         Args:
             services: Limits and targets of each service with pieces.
-
-        Returns:
-            The targets that are new or have started anew.
         """
-        fresh: list[RosterRow] = []
         kept: dict[str, BatchTarget] = {}
         for limits, rows in services.values():
             for row in rows:
                 target = self._targets.get(row.target_id)
                 if target is None or _is_restart(target.row, row):
                     target = BatchTarget(row, limits)
-                    fresh.append(row)
                 target.row = row
                 target.limits = limits
                 kept[row.target_id] = target
         self._targets = kept
-        return fresh
+
+    def note_takeover(self, now_ms: float) -> Sequence[RosterRow]:
+        """Takes in that another scheduler used the targets until now.
+
+        Args:
+            now_ms: Steady time.
+
+        Returns:
+            The targets.
+        """
+        for known in self._targets.values():
+            known.note_takeover(now_ms)
+        return [target.row for target in self._targets.values()]
 
     def find(self, target_id: str) -> BatchTarget | None:
         """Returns the account of a target."""
--- a/borageyard/call_runner.py
+++ b/borageyard/call_runner.py
@@ -41,7 +41,6 @@
         scheduler: ChainScheduler,
         runner: PieceRunner,
         clock: Clock,
-        note_made: MadeListener,
     ) -> None:
         """Composes a runner.
 
@@ -49,9 +48,9 @@
             scheduler: Knows the requests.
             runner: The way to the targets.
             clock: Source of steady time.
-            note_made: Is told all results.
         """
-        self._note_made = note_made
+        # Is told the results of all calls.
+        self.made_listener: MadeListener | None = None
         self._scheduler = scheduler
         self._runner = runner
         self._clock = clock
@@ -120,15 +119,19 @@
             if outcomes[index].end is PieceEnd.MADE
         }
         self._scheduler.note_made(call, made, now_ms)
-        self._note_made(made)
+        if self.made_listener is not None:
+            self.made_listener(made)
         ends = [outcome.end for outcome in outcomes]
         for piece, outcome in zip(call.pieces, outcomes, strict=True):
             if outcome.end is PieceEnd.INPUT_GONE:
                 self._scheduler.note_lost_inputs(piece)
-        unheld_bytes = sum(
-            size_bytes
-            for size_bytes, end in zip(call.sizes_bytes, ends, strict=True)
-            if end is PieceEnd.NO_ROOM
+        unheld_bytes = min(
+            (
+                size_bytes
+                for size_bytes, end in zip(call.sizes_bytes, ends, strict=True)
+                if end is PieceEnd.NO_ROOM
+            ),
+            default=0,
         )
         if unheld_bytes:
             self._scheduler.note_no_room(
--- a/borageyard/chain_scheduler.py
+++ b/borageyard/chain_scheduler.py
@@ -1,7 +1,7 @@
 """Schedules the stages of requests on batching targets and engines."""
 
 import collections
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 
 from .batch_targets import BatchCall, BatchTargets
 from .call_planner import CallPlanner
@@ -21,7 +21,6 @@
 )
 from .engine_board import EngineBoard
 from .plans import ChainRefusal, Denial, FleetView, Grant, Plan
-from .roster import RosterRow
 
 # Time after its deadline at which a request is forgotten in any case.
 FORGET_MS = 3000
@@ -62,17 +61,14 @@
             collections.deque()
         )
 
-    def update_fleet(self, view: FleetView) -> Sequence[RosterRow]:
+    def update_fleet(self, view: FleetView) -> None:
         """Takes in which targets there are.
 
         Args:
             view: Targets that take new work.
-
-        Returns:
-            Batching targets that are new or have started anew.
         """
         self._times.view = view
-        return self.targets.update(view.batching)
+        self.targets.update(view.batching)
 
     def submit(self, order: ChainOrder, now_ms: float) -> Denial | None:
         """Takes in a request, or refuses it at once.
@@ -146,7 +142,7 @@
 
         Args:
             target_id: The target.
-            size_bytes: Their size.
+            size_bytes: Size of the smallest of them.
             now_ms: Steady time.
         """
         target = self.targets.find(target_id)
--- a/borageyard/scheduler_client.py
+++ b/borageyard/scheduler_client.py
@@ -1,8 +1,9 @@
 """Finds the entry that schedules a group of services and asks it."""
 
 import asyncio
+import contextlib
 import dataclasses
-from collections.abc import Coroutine, Mapping
+from collections.abc import Coroutine, Mapping, Sequence
 from typing import Any, TypeGuard
 
 from .chain_handover import hand_over
@@ -76,7 +77,7 @@
         peers.register(ChainRequestBody, self._handle_chain)
         peers.register(ChainEventBody, self._handle_event)
         peers.register(ChainResultsBody, self._handle_results)
-        service.made_listener = self._note_made
+        service.calls.made_listener = self._note_made
 
     async def place(
         self,
@@ -212,11 +213,10 @@
         order = decode_order(request, now_ms)
         excluded = frozenset(request.excluded)
         self._review()
-        self._askers[order.chain_id] = peer_id
-        try:
+        with contextlib.ExitStack() as stack:
+            self._askers[order.chain_id] = peer_id
+            stack.callback(self._askers.pop, order.chain_id, None)
             settled = await self._service.place(order, excluded)
-        finally:
-            self._askers.pop(order.chain_id, None)
         if isinstance(settled, Denial):
             return ChainReplyBody(
                 refusal=settled.reason.value,
@@ -249,29 +249,29 @@
         """Tells those who asked what was made for their requests."""
         told: dict[str, dict[str, list[HandedResult]]] = {}
         for piece, held in made.items():
-            peer_id = self._askers.get(piece.chain_id)
-            if peer_id is not None:
-                by_chain = told.setdefault(peer_id, {})
+            asker_id = self._askers.get(piece.chain_id)
+            if asker_id is not None:
+                by_chain = told.setdefault(asker_id, {})
                 handed = by_chain.setdefault(piece.chain_id, [])
                 handed.append(hand_over(piece, held))
-        now_ms = self._clock.steady_ms()
-        for asker_id, by_chain in told.items():
-            message = ChainResultsBody(
-                results={
-                    chain_id: encode_results(handed, now_ms)
-                    for chain_id, handed in by_chain.items()
-                },
-            )
-            self._spawn(self._send_results(asker_id, message))
+        for peer_id, results in told.items():
+            self._spawn(self._send_results(peer_id, results))
 
     async def _send_results(
         self,
-        asker_id: str,
-        message: ChainResultsBody,
+        peer_id: str,
+        results: Mapping[str, Sequence[HandedResult]],
     ) -> None:
+        now_ms = self._clock.steady_ms()
+        message = ChainResultsBody(
+            results={
+                chain_id: encode_results(handed, now_ms)
+                for chain_id, handed in results.items()
+            },
+        )
         try:
             await self._peers.request(
-                asker_id,
+                peer_id,
                 message,
                 ChainResultsReplyBody,
                 EVENT_TIMEOUT_MS,
@@ -279,7 +279,7 @@
         except PeerError as error:
             log_event(
                 Event.PEER_UNANSWERED,
-                peer_id=asker_id,
+                peer_id=peer_id,
                 request_id='',
                 reason=str(error),
             )
--- a/borageyard/scheduler_service.py
+++ b/borageyard/scheduler_service.py
@@ -6,22 +6,21 @@
     AsyncIterator,
     Collection,
     Coroutine,
-    Mapping,
     Sequence,
 )
 from typing import Any
 
 from .batch_targets import BatchCall
-from .call_runner import CallRunner, MadeListener, overdue_ms
+from .call_runner import CallRunner, overdue_ms
 from .chain_scheduler import ChainScheduler
-from .chains import ChainOrder, PieceId, PieceResult
+from .chains import ChainOrder
 from .clock import MS_PER_S, Clock
 from .events import Event, log_event
 from .fleet_state import FleetState
-from .piece_runner import CallFailedError, PieceRunner, PieceWork
+from .piece_runner import PieceRunner, PieceWork
 from .plans import Denial, Grant
 from .result_freer import ResultFreer
-from .roster import RosterRow
+from .room_probe import RoomProbe
 from .shared_table import Table
 from .wake_timer import WakeTimer
 
@@ -45,17 +44,10 @@
             runner: The way to the targets.
             clock: Source of steady time.
         """
-        # Is told the results of all calls.
-        self.made_listener: MadeListener | None = None
         self.scheduler = ChainScheduler()
         self._state = state
-        self._runner = runner
-        self._calls = CallRunner(
-            self.scheduler,
-            runner,
-            clock,
-            self._note_made,
-        )
+        self.calls = CallRunner(self.scheduler, runner, clock)
+        self._rooms = RoomProbe(self.scheduler.targets, runner, clock)
         self._clock = clock
         self._waiting: dict[str, asyncio.Future[Grant | Denial]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -120,9 +112,13 @@
                 before and not now are scheduled here again.
         """
         handover = self.scheduler.handover
-        if handover.released != frozenset(services):
-            handover.release(services)
-            self._pump()
+        before = handover.released
+        if before == frozenset(services):
+            return
+        handover.release(services)
+        if not handover.released >= before:
+            self._take_over()
+        self._pump()
 
     def note_started(self, chain_id: str) -> None:
         """Takes in that the engine has read the inputs of a request."""
@@ -152,34 +148,20 @@
             return
         self._used = True
         self._note_fleet(Table.TARGETS)
+        self._take_over()
+
+    def _take_over(self) -> None:
+        """Learns what another scheduler has left at the targets."""
+        now_ms = self._clock.steady_ms()
+        for row in self.scheduler.targets.note_takeover(now_ms):
+            self._spawn(self._rooms.ask(row))
 
     def _note_fleet(self, table: Table) -> None:
         if not self._used or table is Table.ENTRIES:
             return
-        fresh = self.scheduler.update_fleet(self._state.view())
-        for row in fresh:
-            self._spawn(self._ask_room(row))
+        self.scheduler.update_fleet(self._state.view())
         self._pump()
 
-    async def _ask_room(self, row: RosterRow) -> None:
-        """Asks a target how much room another scheduler's work has left."""
-        try:
-            free_bytes = await self._runner.free_bytes(row)
-        except CallFailedError as error:
-            log_event(
-                Event.REPORT_FAILED,
-                target_id=row.target_id,
-                reason=str(error),
-            )
-            return
-        target = self.scheduler.targets.find(row.target_id)
-        if target is not None:
-            target.note_report(free_bytes, self._clock.steady_ms())
-
-    def _note_made(self, made: Mapping[PieceId, PieceResult]) -> None:
-        if self.made_listener is not None:
-            self.made_listener(made)
-
     def _note_freed(self, target_id: str, handles: Sequence[str]) -> None:
         self.scheduler.note_freed(target_id, handles)
         self._pump()
@@ -193,9 +175,10 @@
         now_ms = self._clock.steady_ms()
         plan = self.scheduler.plan(now_ms)
         for call in plan.calls:
-            self._spawn(self._run(call, self._calls.describe(call)))
+            self._spawn(self._run(call, self.calls.describe(call)))
         for grant in plan.grants:
-            self._log_grant(grant, now_ms)
+            order = self.scheduler.chains[grant.chain_id].order
+            _log_grant(grant, now_ms - order.received_at_ms)
             self._settle(grant)
         for denial in plan.denials:
             self._settle(denial)
@@ -203,17 +186,6 @@
         if plan.wake_at_ms is not None:
             self._timer.set((plan.wake_at_ms - now_ms) / MS_PER_S)
 
-    def _log_grant(self, grant: Grant, now_ms: float) -> None:
-        order = self.scheduler.chains[grant.chain_id].order
-        log_event(
-            Event.CHAIN_GRANTED,
-            request_id=grant.chain_id,
-            engine_id=grant.placement.engine.target_id,
-            cost_ms=round(grant.placement.cost_ms),
-            waited_ms=round(now_ms - order.received_at_ms),
-            inputs=len(grant.handles),
-        )
-
     def _settle(self, settled: Grant | Denial) -> None:
         waiting = self._waiting.get(settled.chain_id)
         if waiting is not None and not waiting.done():
@@ -232,7 +204,7 @@
                 call,
             )
             stack.callback(overdue.cancel)
-            await self._calls.run(call, pieces)
+            await self.calls.run(call, pieces)
         self._pump()
 
     def _note_overdue(self, call: BatchCall) -> None:
@@ -249,3 +221,14 @@
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _log_grant(grant: Grant, waited_ms: float) -> None:
+    log_event(
+        Event.CHAIN_GRANTED,
+        request_id=grant.chain_id,
+        engine_id=grant.placement.engine.target_id,
+        cost_ms=round(grant.placement.cost_ms),
+        waited_ms=round(waited_ms),
+        inputs=len(grant.handles),
+    )
--- a/tests/test_chain_scheduler.py
+++ b/tests/test_chain_scheduler.py
@@ -314,3 +314,90 @@
         (denial,) = plan.denials
         assert denial.reason is ChainRefusal.NO_TIME
         assert not scheduler.chains
+
+
+class TestHandover:
+    """Requests that go from one scheduler to the next."""
+
+    def give_up(self, scheduler, now_ms):
+        """Has a scheduler release its requests; returns what it settles."""
+        scheduler.handover.release({'model'})
+        return scheduler.plan(now_ms).denials
+
+    def next_scheduler(self):
+        """Returns a scheduler that knows the targets and nothing else."""
+        known = ChainScheduler()
+        known.update_fleet(VIEW)
+        return known
+
+    def begin(self, scheduler):
+        """Has the first stage of a request made."""
+        scheduler.submit(order(), 0)
+        scheduler.plan(0)
+        (call,) = scheduler.plan(LATER_MS).calls
+        return call
+
+    def test_results_go_along(self, scheduler):
+        """The next scheduler goes on with the second stage."""
+        finish(scheduler, self.begin(scheduler), 350)
+        (moved,) = self.give_up(scheduler, 350)
+        assert moved.reason is ChainRefusal.MOVED
+        assert len(moved.results) == 2
+        following = self.next_scheduler()
+        following.submit(order(results=moved.results), 360)
+        following.plan(360)
+        (call,) = following.plan(360 + LATER_MS).calls
+        assert [piece.stage for piece in call.pieces] == [1, 1, 1]
+
+    def test_nothing_is_freed_by_the_one_that_gives_up(self, scheduler):
+        """The results are needed by the next one."""
+        finish(scheduler, self.begin(scheduler), 350)
+        self.give_up(scheduler, 350)
+        assert not scheduler.chains
+        assert not scheduler.plan(360).freed
+
+    def test_call_under_way_is_waited_for(self, scheduler):
+        """Its results would be lost; new calls are not formed."""
+        call = self.begin(scheduler)
+        assert not self.give_up(scheduler, LATER_MS)
+        finish(scheduler, call, 350)
+        plan = scheduler.plan(350)
+        assert plan.denials[0].results
+        assert not plan.calls
+
+    def test_new_request_is_sent_on(self, scheduler):
+        """With what came with it."""
+        scheduler.handover.release({'model'})
+        denial = scheduler.submit(order(), 0)
+        assert denial.reason is ChainRefusal.MOVED
+
+    def test_request_that_has_no_better_scheduler_stays(self, scheduler):
+        """The one that asks was turned away elsewhere."""
+        scheduler.handover.release({'model'})
+        assert scheduler.submit(order(passed_over=True), 0) is None
+        scheduler.plan(0)
+        assert scheduler.plan(LATER_MS).calls
+
+    def test_results_of_targets_that_are_gone_are_made_again(self, scheduler):
+        """The rest is kept."""
+        finish(scheduler, self.begin(scheduler), 350)
+        (moved,) = self.give_up(scheduler, 350)
+        results = (
+            dataclasses.replace(moved.results[0], target_id='gone'),
+            moved.results[1],
+        )
+        following = self.next_scheduler()
+        following.submit(order(results=results), 360)
+        following.plan(360)
+        (call,) = following.plan(360 + LATER_MS).calls
+        assert [piece.number for piece in call.pieces] == [0]
+
+    def test_memory_of_results_is_taken_over(self, scheduler):
+        """It counts at the next scheduler until it frees them."""
+        finish(scheduler, self.begin(scheduler), 350)
+        (moved,) = self.give_up(scheduler, 350)
+        following = self.next_scheduler()
+        target = following.targets.find(moved.results[0].target_id)
+        before_bytes = target.free_bytes(360)
+        following.submit(order(results=moved.results), 360)
+        assert target.free_bytes(360) == before_bytes - 2000
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
+import re
 
 import pytest
 
@@ -274,6 +276,64 @@
             assert {reply.status for reply in await replies} == {200}
 
 
+class TestSchedulers:
+    """Entries that schedule for others, and stop."""
+
+    def owner(self, callers):
+        """Returns the number of the gateway that schedules."""
+        gateways = [running.gateway for running in callers.running.gateways]
+        (number,) = [
+            number
+            for number, gateway in enumerate(gateways)
+            if gateway.service.scheduler.chains
+        ]
+        return number
+
+    def made(self, callers):
+        """Returns all pieces that were made."""
+        return [
+            piece
+            for target in callers.targets('planner')
+            for piece in target.pieces
+        ]
+
+    async def begin(self, callers):
+        """Sends prompts; returns the scheduler once one stage was made."""
+        replies = asyncio.gather(
+            *(callers.stream(gateway=number) for number in (0, 1, 0, 1)),
+        )
+        for target in callers.targets('planner'):
+            target.plan = dataclasses.replace(target.plan, work_ms=150)
+        await until(lambda: len(self.made(callers)) >= 8)
+        return replies, self.owner(callers)
+
+    async def test_stopping_scheduler_hands_over_what_was_made(self):
+        """No piece is made twice, no request is lost."""
+        async with deployment() as callers:
+            replies, owner = await self.begin(callers)
+            callers.running.gateways[owner].stop.set()
+            assert {reply.status for reply in await replies} == {200}
+            pieces = self.made(callers)
+            assert len(pieces) == len(set(pieces))
+
+    async def test_what_a_dead_scheduler_had_made_is_used(self):
+        """Requests of the other entry keep their results."""
+        async with deployment() as callers:
+            replies, owner = await self.begin(callers)
+            ended = asyncio.gather(replies, return_exceptions=True)
+            callers.running.gateways[owner].task.cancel()
+            await ended
+            (kept,) = {0, 1} - {owner}
+            # Attempts count from 1 and go to the gateways in turn.
+            odd = not kept
+            made = [
+                piece
+                for piece in self.made(callers)
+                if re.search('[13]/0/' if odd else '[24]/0/', piece)
+            ]
+            assert len(made) == len(set(made)) == 4
+
+
 class TestConfiguration:
     """Changes of the configuration and of the targets."""
 
