Let the memory that others hold shrink evenly

Cause: believing it for 4 s stops work, for 1 s makes calls fail in whole. Change: what is taken by others shrinks evenly, over 1 s after a call without room, over the results' lifetime after a report.

--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -14,7 +14,8 @@
 MAX_SLOW_PAUSE_MS = 4000
 # Pause after a target said that it is full: others hold its slots.
 FULL_PAUSE_MS = 60
-# Time for which results that had no room are taken to be held by others.
+# Time in which what had no room is taken to find some again: longer hides
+# memory that is free, shorter has calls fail (days with a lost scheduler).
 NO_ROOM_MS = 1000
 # Part of the declared memory that is used: stated sizes are approximate, and
 # six results of 1.5 MB do not fit into 9 MB.
@@ -47,6 +48,23 @@
     expires_at_ms: float
 
 
+@dataclasses.dataclass(slots=True)
+class _ForeignResults:
+    """Memory that is taken by what the own accounts don't hold.
+
+    Its results expire one after the other, so that it shrinks evenly.
+    """
+
+    bytes_at_first: float = 0
+    since_ms: float = 0
+    span_ms: float = 1
+
+    def left_bytes(self, now_ms: float) -> float:
+        """Returns how much is still taken."""
+        passed = (now_ms - self.since_ms) / self.span_ms
+        return self.bytes_at_first * max(1 - passed, 0)
+
+
 class BatchTarget:
     """What is known of one target that runs pieces."""
 
@@ -60,10 +78,7 @@
         self.row = row
         self.limits = limits
         self.paused_until_ms: float = 0
-        self.foreign_bytes: float = 0
-        self._foreign_until_ms: float = 0
-        # When results that another scheduler left behind have expired.
-        self._orphans_until_ms: float = 0
+        self._foreign = _ForeignResults()
         self._slow_calls = 0
         self._slow_until_ms: float = 0
         self._calls: list[BatchCall] = []
@@ -113,12 +128,11 @@
         ]
         for handle in expired:
             self._held.pop(handle)
-        if self._foreign_until_ms <= now_ms:
-            self.foreign_bytes = 0
         held_bytes = sum(held.size_bytes for held in self._held.values())
         running_bytes = sum(call.needed_bytes for call in self._calls)
-        room_bytes = self.limits.room_bytes * ROOM_SHARE - self.foreign_bytes
-        return room_bytes - held_bytes - running_bytes
+        room_bytes = self.limits.room_bytes * ROOM_SHARE
+        foreign_bytes = self._foreign.left_bytes(now_ms)
+        return room_bytes - foreign_bytes - held_bytes - running_bytes
 
     def note_report(self, free_bytes: float, now_ms: float) -> None:
         """Takes in the memory that the target itself states as free.
@@ -131,9 +145,13 @@
             now_ms: Steady time.
         """
         most_free_bytes = free_bytes + REPORT_STEP_BYTES
-        own_free_bytes = self.free_bytes(now_ms)
-        self.foreign_bytes = max(own_free_bytes - most_free_bytes, 0)
-        self._foreign_until_ms = now_ms + self.limits.keep_ms
+        known_bytes = self._foreign.left_bytes(now_ms)
+        own_free_bytes = self.free_bytes(now_ms) + known_bytes
+        self._foreign = _ForeignResults(
+            max(own_free_bytes - most_free_bytes, 0),
+            now_ms,
+            self.limits.keep_ms,
+        )
 
     def note_no_room(self, size_bytes: float, now_ms: float) -> None:
         """Takes in that a result found no room that the accounts showed.
@@ -145,16 +163,14 @@
             size_bytes: Size of the smallest such result.
             now_ms: Steady time.
         """
-        self.foreign_bytes += max(self.free_bytes(now_ms) - size_bytes + 1, 0)
-        self._foreign_until_ms = max(
-            now_ms + NO_ROOM_MS,
-            self._orphans_until_ms,
+        known_bytes = self._foreign.left_bytes(now_ms)
+        more_bytes = max(self.free_bytes(now_ms) - size_bytes + 1, 0)
+        self._foreign = _ForeignResults(
+            known_bytes + more_bytes,
+            now_ms,
+            NO_ROOM_MS,
         )
 
-    def note_takeover(self, now_ms: float) -> None:
-        """Takes in that another scheduler had results made until now."""
-        self._orphans_until_ms = now_ms + self.limits.keep_ms
-
     def note_sent(self, call: BatchCall) -> None:
         """Takes in that a call was sent."""
         self._calls.append(call)
@@ -191,7 +207,10 @@
             made.size_bytes,
             made.expires_at_ms,
         )
-        self.foreign_bytes = max(self.foreign_bytes - made.size_bytes, 0)
+        self._foreign.bytes_at_first = max(
+            self._foreign.bytes_at_first - made.size_bytes,
+            0,
+        )
 
     def note_failed(self, now_ms: float) -> None:
         """Pauses a target that failed; its results may be lost."""
@@ -243,17 +262,8 @@
                 kept[row.target_id] = target
         self._targets = kept
 
-    def note_takeover(self, now_ms: float) -> Sequence[RosterRow]:
-        """Takes in that another scheduler used the targets until now.
-
-        Args:
-            now_ms: Steady time.
-
-        Returns:
-            The targets.
-        """
-        for known in self._targets.values():
-            known.note_takeover(now_ms)
+    def rows(self) -> Sequence[RosterRow]:
+        """Returns all targets."""
         return [target.row for target in self._targets.values()]
 
     def find(self, target_id: str) -> BatchTarget | None:
--- a/borageyard/scheduler_service.py
+++ b/borageyard/scheduler_service.py
@@ -152,8 +152,7 @@
 
     def _take_over(self) -> None:
         """Learns what another scheduler has left at the targets."""
-        now_ms = self._clock.steady_ms()
-        for row in self.scheduler.targets.note_takeover(now_ms):
+        for row in self.scheduler.targets.rows():
             self._spawn(self._rooms.ask(row))
 
     def _note_fleet(self, table: Table) -> None:
