Pause a target that has no room for a whole call

Cause: such a call ends at once, so that the target was asked again at once. Change: the pause of a full target, 60 ms.

--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -12,7 +12,8 @@
 # First and longest pause of a target whose calls take much too long.
 SLOW_PAUSE_MS = 800
 MAX_SLOW_PAUSE_MS = 4000
-# Pause after a target said that it is full: others hold its slots.
+# Pause after a target had no slot or no room for a whole call: it says so at
+# once, and would be asked again and again.
 FULL_PAUSE_MS = 60
 # Time in which what had no room is taken to find some again: longer hides
 # memory that is free, shorter has calls fail (days with a lost scheduler).
@@ -227,7 +228,7 @@
         self._slow_calls = 0
 
     def note_full(self, now_ms: float) -> None:
-        """Pauses a target whose slots others hold."""
+        """Pauses a target whose slots or memory others hold."""
         self.paused_until_ms = now_ms + FULL_PAUSE_MS
 
     def release(self, handle: str) -> None:
--- a/borageyard/call_runner.py
+++ b/borageyard/call_runner.py
@@ -138,6 +138,7 @@
                 call.target.target_id,
                 unheld_bytes,
                 now_ms,
+                none_made=not made,
             )
         log_event(
             Event.BATCH_ENDED,
--- a/borageyard/chain_scheduler.py
+++ b/borageyard/chain_scheduler.py
@@ -137,6 +137,8 @@
         target_id: str,
         size_bytes: float,
         now_ms: float,
+        *,
+        none_made: bool,
     ) -> None:
         """Takes in that results found no room at a target.
 
@@ -144,10 +146,13 @@
             target_id: The target.
             size_bytes: Size of the smallest of them.
             now_ms: Steady time.
+            none_made: Whether the whole call found none.
         """
         target = self.targets.find(target_id)
         if target is not None:
             target.note_no_room(size_bytes, now_ms)
+            if none_made:
+                target.note_full(now_ms)
 
     def note_lost_inputs(self, piece: PieceId) -> None:
         """Takes in that inputs of a piece are gone; they are made again."""
--- a/tests/test_batch_targets.py
+++ b/tests/test_batch_targets.py
@@ -94,7 +94,7 @@
         target.note_ended(build_call(), [build_result('h', 1_000_000)], 0)
         target.note_no_room(60_000, 0)
         target.release('h')
-        assert 1_000_000 <= target.free_bytes(1) < 1_060_000
+        assert 1_000_000 <= target.free_bytes(0) < 1_060_000
 
     def test_what_others_hold_shrinks_evenly(self):
         """Its results expire one after the other."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -303,7 +303,7 @@
             *(callers.stream(gateway=number) for number in (0, 1, 0, 1)),
         )
         for target in callers.targets('planner'):
-            target.plan = dataclasses.replace(target.plan, work_ms=150)
+            target.plan = dataclasses.replace(target.plan, work_ms=60)
         await until(lambda: len(self.made(callers)) >= 8)
         return replies, self.owner(callers)
 
