Keep requests that crash their targets away from the others

Change: a sender around the sender to targets notes what was lost at a target and whether that target then turns out to be down, gone or new; two such targets suspend the request at all entries, told at once and with the news. Refused as 503 with the time that is left: it is true that it has not run, and a 4xx would deny what the configuration allows.

--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -9,9 +9,9 @@
 from .fleet_state import FleetState, RecordDecoder
 from .fleet_sync import FleetSync
 from .gateway_handlers import CallerBorder, GatewayHandlers
-from .gateway_settings import GatewaySettings
+from .gateway_settings import PEER_SETTINGS, GatewaySettings
 from .generated.peer_fleet import EntryPresenceBody
-from .generated.settings import PeerSettings
+from .guarded_sender import GuardedSender
 from .http_messages import HttpLimits
 from .http_server import HttpServer
 from .inbound import TargetSender
@@ -27,23 +27,6 @@
 from .scheduler_service import SchedulerService
 from .shared_table import SharedTables, Table
 
-# Bounds of streams between entries: a silent peer is passed over before most
-# requests that it schedules are late.
-PEER_BEAT_MS = 300
-PEER_SILENCE_MS = 1000
-# Budget of news for all peers together, from the users' bound on a node.
-PEER_NEWS_BYTES_PER_S = 3000
-# Requests that one peer may have at the scheduler of a group.
-PEER_REQUESTS = 2048
-PEER_SETTINGS = PeerSettings(
-    news_interval_ms=PEER_BEAT_MS,
-    heartbeat_ms=PEER_BEAT_MS,
-    silence_ms=PEER_SILENCE_MS,
-    connect_timeout_ms=PEER_BEAT_MS,
-    news_bytes_per_s=PEER_NEWS_BYTES_PER_S,
-    max_requests=PEER_REQUESTS,
-    max_queued_frames=PEER_REQUESTS,
-)
 MAX_CONNECTIONS = 2000
 # Time for which an entry that stops takes new requests: callers keep its
 # address for a while, and what they send later could not be finished.
@@ -106,16 +89,22 @@
             clock,
         )
         retries = RetryWindow(settings.retry_terms)
+        self.sender = GuardedSender(
+            ports.sender,
+            self.state,
+            self.link,
+            clock,
+        )
         self._plain = PlainRelay(
             self.state,
-            ports.sender,
+            self.sender,
             retries,
             settings.failure_domain,
             clock,
         )
         self._prompts = PromptRelay(
             self.state,
-            ports.sender,
+            self.sender,
             self.scheduler,
             retries,
             clock,
@@ -128,6 +117,7 @@
             clock,
             settings.instance_id,
         )
+        self.relay.check = self.sender.check
         self.handlers = GatewayHandlers(
             settings,
             ports.border,
--- a/borageyard/gateway_settings.py
+++ b/borageyard/gateway_settings.py
@@ -2,8 +2,27 @@
 
 import dataclasses
 
+from .generated.settings import PeerSettings
 from .retry_window import RetryTerms
 
+# Bounds of streams between entries: a silent peer is passed over before most
+# requests that it schedules are late.
+PEER_BEAT_MS = 300
+PEER_SILENCE_MS = 1000
+# Budget of news for all peers together, from the users' bound on a node.
+PEER_NEWS_BYTES_PER_S = 3000
+# Requests that one peer may have at the scheduler of a group.
+PEER_REQUESTS = 2048
+PEER_SETTINGS = PeerSettings(
+    news_interval_ms=PEER_BEAT_MS,
+    heartbeat_ms=PEER_BEAT_MS,
+    silence_ms=PEER_SILENCE_MS,
+    connect_timeout_ms=PEER_BEAT_MS,
+    news_bytes_per_s=PEER_NEWS_BYTES_PER_S,
+    max_requests=PEER_REQUESTS,
+    max_queued_frames=PEER_REQUESTS,
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewaySettings:
--- /dev/null
+++ b/borageyard/guarded_sender.py
@@ -0,0 +1,183 @@
+"""Sends to targets, and tells all entries which requests crash them."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from .clock import Clock
+from .crash_watch import CrashWatch, digest_of
+from .errors import ErrorKind, Refusal, RefusalError
+from .events import Event, log_event
+from .fleet_state import FleetState
+from .generated.peer_policy import (
+    CrashNotedBody,
+    CrashNoticeBody,
+)
+from .inbound import (
+    InboundRequest,
+    SendError,
+    SendFailure,
+    TargetAnswer,
+    TargetSend,
+    TargetSender,
+)
+from .peer_link import TcpPeerLink
+from .peers import NewsSection, PeerError
+from .policy_news import known_crashes
+from .shared_table import Table
+
+# Time in which a peer takes in a notice; the regular news repeats it.
+NOTICE_TIMEOUT_MS = 1000
+FIRST_SERVER_ERROR = 500
+
+
+class GuardedSender:
+    """A sender that keeps requests which crash targets away from them."""
+
+    def __init__(
+        self,
+        sender: TargetSender,
+        state: FleetState,
+        link: TcpPeerLink,
+        clock: Clock,
+    ) -> None:
+        """Wraps a sender.
+
+        Args:
+            sender: The way to the targets.
+            state: Tells which targets there are.
+            link: The streams to the other entries.
+            clock: Source of steady time.
+        """
+        self.watch = CrashWatch()
+        self._sender = sender
+        self._state = state
+        self._link = link
+        self._clock = clock
+        self._incarnations: dict[str, int] = {}
+        self._telling: set[asyncio.Task[None]] = set()
+        link.register(CrashNoticeBody, self._handle_notice)
+        link.add_news(
+            NewsSection(
+                CrashNoticeBody,
+                self._tell_crashes,
+                self._note_crashes,
+                urgent=True,
+            ),
+        )
+        state.add_listener(self._note_table)
+
+    def check(self, request: InboundRequest) -> None:
+        """Refuses a request that has crashed targets.
+
+        Args:
+            request: The caller's request.
+
+        Raises:
+            RefusalError: If it may not run now; it has not.
+        """
+        now_ms = self._clock.steady_ms()
+        suspended_ms = self.watch.suspended_ms(digest_of(request), now_ms)
+        if suspended_ms:
+            raise RefusalError(
+                Refusal(
+                    ErrorKind.NO_TARGET,
+                    detail='it has crashed its targets',
+                    retry_after_ms=round(suspended_ms),
+                ),
+            )
+
+    @contextlib.asynccontextmanager
+    async def send(self, send: TargetSend) -> AsyncIterator[TargetAnswer]:
+        """Sends a request; leaving the context early cancels it."""
+        target = send.target
+        digest = digest_of(send.request)
+        self._incarnations[target.target_id] = target.incarnation
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                answer = await stack.enter_async_context(
+                    self._sender.send(send),
+                )
+            except SendError as error:
+                self._note_error(digest, target.target_id, error)
+                raise
+            try:
+                yield answer
+            except SendError as error:
+                if error.failure is SendFailure.UNKNOWN:
+                    self._note_error(digest, target.target_id, error)
+                raise
+            if answer.status < FIRST_SERVER_ERROR:
+                self.watch.note_answered(digest, self._clock.steady_ms())
+
+    def _note_error(
+        self,
+        digest: str,
+        target_id: str,
+        error: SendError,
+    ) -> None:
+        now_ms = self._clock.steady_ms()
+        if error.failure is SendFailure.UNKNOWN:
+            self.watch.note_lost(digest, target_id, now_ms)
+        else:
+            self._note_down(target_id)
+
+    def _note_table(self, table: Table) -> None:
+        """Looks for targets that went or started anew after a loss."""
+        if table is not Table.TARGETS:
+            return
+        for target_id in self.watch.lost_targets():
+            row = self._state.roster.find(target_id)
+            known = self._incarnations.get(target_id)
+            if row is None or row.incarnation != known:
+                self._note_down(target_id)
+
+    def _note_down(self, target_id: str) -> None:
+        crashed = self.watch.note_down(target_id, self._clock.steady_ms())
+        for digest in crashed:
+            log_event(
+                Event.TARGET_CRASHED,
+                target_id=target_id,
+                digest=digest,
+            )
+        notice = self._tell_crashes()
+        if not crashed or notice is None:
+            return
+        for peer_id in self._link.connected_ids():
+            task = asyncio.ensure_future(self._tell(peer_id, notice))
+            self._telling.add(task)
+            task.add_done_callback(self._telling.discard)
+
+    async def _tell(self, peer_id: str, notice: CrashNoticeBody) -> None:
+        try:
+            await self._link.request(
+                peer_id,
+                notice,
+                CrashNotedBody,
+                NOTICE_TIMEOUT_MS,
+            )
+        except PeerError as error:
+            log_event(
+                Event.PEER_UNANSWERED,
+                peer_id=peer_id,
+                request_id='',
+                reason=str(error),
+            )
+
+    async def _handle_notice(
+        self,
+        peer_id: str,
+        notice: CrashNoticeBody,
+    ) -> CrashNotedBody:
+        self._note_crashes(peer_id, notice)
+        return CrashNotedBody()
+
+    def _tell_crashes(self) -> CrashNoticeBody | None:
+        now_ms = self._clock.steady_ms()
+        crashes = known_crashes(self.watch.quarantine, now_ms)
+        return CrashNoticeBody(crashes=crashes) if crashes else None
+
+    def _note_crashes(self, peer_id: str, notice: CrashNoticeBody) -> None:
+        now_ms = self._clock.steady_ms()
+        for told in notice.crashes:
+            self.watch.merge(told.digest, told.crashes, told.left_ms, now_ms)
--- a/borageyard/policy_news.py
+++ b/borageyard/policy_news.py
@@ -5,6 +5,7 @@
 from .generated.peer_policy import CrashSuspicionRecord, PolicyNewsBody
 from .peers import NewsSection, PeerLink
 from .policy import EntryPolicy
+from .quarantine import CrashQuarantine
 
 
 class PolicyNews:
@@ -40,7 +41,7 @@
         return PolicyNewsBody(
             in_flight=in_flight,
             demand_per_s=self._policy.limits.tell_demand(now_ms),
-            crashes=known_crashes(self._policy),
+            crashes=known_crashes(self._policy.quarantine, now_ms),
         )
 
     def consume(self, peer_id: str, news: PolicyNewsBody) -> None:
@@ -57,20 +58,23 @@
         take_in_crashes(self._policy, news.crashes)
 
 
-def known_crashes(policy: EntryPolicy) -> list[CrashSuspicionRecord]:
+def known_crashes(
+    quarantine: CrashQuarantine,
+    now_ms: float,
+) -> list[CrashSuspicionRecord]:
     """Returns the suspicions that peers should know.
 
     Args:
-        policy: What knows them.
+        quarantine: What knows them.
+        now_ms: Steady time.
     """
-    now_ms = policy.clock.steady_ms()
     return [
         CrashSuspicionRecord(
             digest=record.digest,
             crashes=record.crashes,
             left_ms=record.expires_at_ms - now_ms,
         )
-        for record in policy.quarantine.records(now_ms)
+        for record in quarantine.records(now_ms)
     ]
 
 
--- a/borageyard/request_relay.py
+++ b/borageyard/request_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from .clock import MS_PER_S, Clock
 from .errors import ErrorKind, Ran, Refusal, RefusalError
@@ -22,6 +23,9 @@
 # Part of the deadline's time that is kept for the answer's way back.
 RETURN_MS = 10
 
+# Raises RefusalError for a request that may not run now.
+RequestCheck = Callable[[InboundRequest], None]
+
 
 class RequestRelay:
     """The path of a request from its head to its answer."""
@@ -46,6 +50,8 @@
             seed: Seed for the choice among weighted services.
         """
         self.refusing = False
+        # Refuses what may not run for other reasons than its route.
+        self.check: RequestCheck | None = None
         self._state = state
         self._plain = plain
         self._prompts = prompts
@@ -109,6 +115,8 @@
         if route is None:
             raise RefusalError(Refusal(ErrorKind.NOT_FOUND))
         organisation = _authorise(configuration, route, request)
+        if self.check is not None:
+            self.check(request)
         return self._terms(request, route, organisation)
 
     def _terms(
--- a/borageyard/standins/served_target.py
+++ b/borageyard/standins/served_target.py
@@ -36,6 +36,8 @@
     # Events after which a stream breaks off; none if it does not.
     break_after: int | None = None
     silent: bool = False
+    # Part of the path of requests that crash it; empty if none does.
+    crashed_by: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +77,7 @@
         self.address = ''
         self._store = store
         self._results = results
+        self._born = 1
         self._beat = 0
         self._made = 0
 
@@ -103,10 +106,15 @@
             'state': state,
             'coldLeftMs': 0,
             'sequence': self._beat,
-            'born': 1,
+            'born': self._born,
         }
         self._store.put(TARGETS_TOPIC, self.plan.target_id, row)
 
+    def restart(self) -> None:
+        """Starts anew, as after a crash; what it ran stays known."""
+        self._born += 1
+        self.announce('ready')
+
     def withdraw(self) -> None:
         """Removes its record."""
         self._store.put(TARGETS_TOPIC, self.plan.target_id, None)
@@ -150,6 +158,9 @@
         self.runs.append(request_id)
         self.tenants.append(request.header('x-tenant'))
         await asyncio.sleep(self.plan.work_ms / MS_PER_S)
+        if self.faults.crashed_by and self.faults.crashed_by in request.path:
+            self.withdraw()
+            raise ConnectionAbortError
         if self.faults.reset:
             self.faults.reset -= 1
             raise ConnectionAbortError
--- a/borageyard/suspects.py
+++ b/borageyard/suspects.py
@@ -171,7 +171,12 @@
             return None
 
     async def _tell_crashes(self) -> None:
-        notice = CrashNoticeBody(crashes=known_crashes(self._policy))
+        notice = CrashNoticeBody(
+            crashes=known_crashes(
+                self._policy.quarantine,
+                self._policy.clock.steady_ms(),
+            )
+        )
         calls = [
             self._tell(peer_id, notice) for peer_id in self._peers.peer_ids()
         ]
--- /dev/null
+++ b/tests/test_crash_watch.py
@@ -0,0 +1,118 @@
+"""Tests of finding requests that crash their targets."""
+
+import dataclasses
+
+import pytest
+
+from borageyard.crash_watch import (
+    ANSWERED_MS,
+    CONFIRM_MS,
+    CrashWatch,
+    digest_of,
+)
+from borageyard.inbound import InboundRequest
+from borageyard.quarantine import QUARANTINE_MS
+
+REQUEST = InboundRequest(
+    request_id='r1',
+    host='walks.example',
+    method='POST',
+    path='/book/1',
+    target='/book/1?a=b',
+    headers={},
+    body=b'walk',
+    received_at_ms=0,
+    wait_ms=1000,
+    api_key='key',
+)
+
+
+@pytest.fixture
+def watch():
+    """Returns a watch without suspects."""
+    return CrashWatch()
+
+
+def crash(watch, target_id, now_ms, digest='d'):
+    """Has a target go down with a request on it."""
+    watch.note_lost(digest, target_id, now_ms)
+    return watch.note_down(target_id, now_ms + 100)
+
+
+class TestDigest:
+    """What makes two requests the same."""
+
+    def test_next_attempt_is_the_same(self):
+        """Its id and times differ."""
+        again = dataclasses.replace(
+            REQUEST,
+            request_id='r2',
+            received_at_ms=500,
+        )
+        assert digest_of(again) == digest_of(REQUEST)
+
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'target': '/book/1'},
+            {'body': b'walks'},
+            {'api_key': 'other'},
+            {'method': 'GET'},
+            {'host': 'other'},
+        ],
+    )
+    def test_another_request_is_not(self, change):
+        """Path, caller and body count."""
+        other = dataclasses.replace(REQUEST, **change)
+        assert digest_of(other) != digest_of(REQUEST)
+
+
+class TestCrashes:
+    """Lost sends and targets that are down."""
+
+    def test_second_target_is_the_last(self, watch):
+        """It is kept away from all others for a while."""
+        assert crash(watch, 't1', 0) == ('d',)
+        assert not watch.suspended_ms('d', 200)
+        assert crash(watch, 't2', 1000) == ('d',)
+        assert watch.suspended_ms('d', 1100) == QUARANTINE_MS
+        assert not watch.suspended_ms('d', 1100 + QUARANTINE_MS)
+
+    def test_lost_answer_is_no_crash(self, watch):
+        """The target goes on."""
+        for number in range(9):
+            watch.note_lost('d', f't{number}', 0)
+        assert not watch.suspended_ms('d', 1)
+
+    def test_target_that_goes_down_later_was_not_crashed_by_it(self, watch):
+        """A loss is forgotten."""
+        watch.note_lost('d', 't1', 0)
+        assert not watch.note_down('t1', CONFIRM_MS)
+
+    def test_request_that_is_answered_is_cleared(self, watch):
+        """It was there by chance."""
+        crash(watch, 't1', 0)
+        watch.note_answered('d', 200)
+        crash(watch, 't2', 200 + ANSWERED_MS)
+        assert not watch.suspended_ms('d', 500 + ANSWERED_MS)
+
+    def test_request_that_many_send_is_not_suspected(self, watch):
+        """Others of its kind were answered while two targets went down."""
+        watch.note_answered('d', 0)
+        assert not crash(watch, 't1', 100)
+        assert not crash(watch, 't2', 100)
+        watch.merge('d', 2, QUARANTINE_MS, 300)
+        assert not watch.suspended_ms('d', 300)
+
+    def test_many_at_one_target_count_once(self, watch):
+        """One target that dies says no more than once."""
+        watch.note_lost('d', 't1', 0)
+        watch.note_lost('d', 't1', 1)
+        watch.note_down('t1', 2)
+        watch.note_down('t1', 3)
+        assert not watch.suspended_ms('d', 4)
+
+    def test_peers_tell_each_other(self, watch):
+        """One crash here and what a peer knows."""
+        watch.merge('d', 2, 5000, 0)
+        assert watch.suspended_ms('d', 1000) == 4000
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -200,6 +200,49 @@
             assert not callers.runs('desk')
 
 
+class TestCrashingRequests:
+    """Requests that crash the targets that run them."""
+
+    async def crash_both(self, callers):
+        """Has a request crash both targets; they come back."""
+        callers.fault('desk', crashed_by='/read/bad')
+        await callers.call('/read/bad')
+        desk = callers.targets('desk')
+        assert [len(target.runs) for target in desk] == [1, 1]
+        watches = [
+            running.gateway.sender.watch for running in callers.running.gateways
+        ]
+        await until(
+            lambda: all(watch.quarantine.records(0) for watch in watches),
+        )
+        for target in desk:
+            target.restart()
+        await until(
+            lambda: all(
+                len(callers.state(number).roster.ready('desk')) == 2
+                for number in range(2)
+            ),
+        )
+
+    async def test_no_entry_sends_it_again(self):
+        """Peers hear of it at once, and the refusal is true."""
+        async with deployment() as callers:
+            await self.crash_both(callers)
+            for number in range(2):
+                reply = await callers.call('/read/bad', gateway=number)
+                assert reply.status == 503
+                assert float(reply.headers['retry-after']) > 10
+            assert len(callers.runs('desk')) == 2
+
+    async def test_others_are_served(self):
+        """Also on the same route."""
+        async with deployment() as callers:
+            await self.crash_both(callers)
+            for number in range(2):
+                reply = await callers.call('/read/good', gateway=number)
+                assert reply.status == 200
+
+
 class TestMetrics:
     """Counters and histograms."""
 
