--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,6 +1,9 @@
 """Tests of the HTTP client against servers that misbehave."""
 
 import asyncio
+import contextlib
+import socket
+import struct
 
 import pytest
 
@@ -16,6 +19,14 @@
 OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n'
 
 
+@contextlib.asynccontextmanager
+async def listening(handler):
+    """Runs a server with a handler of raw connections."""
+    server = await asyncio.start_server(handler, '127.0.0.1', 0)
+    async with server:
+        yield f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+
+
 def call_to(address, timeout_ms=2000):
     """Returns a call that may use kept connections."""
     return HttpCall(address, 'GET', '/', timeout_ms=timeout_ms)
@@ -93,6 +104,73 @@
         assert second.body == b'22'
 
 
+class TestStrayBytes:
+    """Answers at places where none is due."""
+
+    async def test_late_second_answer_is_no_answer(self):
+        """One that arrives while the connection waits ends its use."""
+        release = asyncio.Event()
+
+        async def answer(reader, writer):
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(OK + b'11')
+                await writer.drain()
+                await release.wait()
+                writer.write(OK + b'99')
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(OK + b'22')
+            writer.close()
+
+        async with listening(answer) as address, HttpClient() as client:
+            first = await client.request(call_to(address))
+            release.set()
+            await asyncio.sleep(0.05)
+            second = await client.request(call_to(address))
+        assert (first.body, second.body) == (b'11', b'11')
+
+    async def test_answer_before_a_long_body_was_read(self):
+        """The connection is given up: the rest would be read as a request."""
+        heads = []
+
+        async def answer(reader, writer):
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                heads.append(await reader.readuntil(b'\r\n\r\n'))
+                writer.write(OK + b'11')
+                await writer.drain()
+                await asyncio.Event().wait()
+
+        async with listening(answer) as address, HttpClient() as client:
+            for _ in range(2):
+                body = b'x' * 8_000_000
+                call = HttpCall(address, 'POST', '/', body, timeout_ms=2000)
+                reply = await client.request(call)
+                assert reply.body == b'11'
+        assert len(heads) == 2
+        assert all(head.startswith(b'POST / HTTP/1.1') for head in heads)
+
+    async def test_answer_without_a_length_ends_with_its_connection(self):
+        """A whole one is an answer, one that is reset is not."""
+        unframed = b'HTTP/1.1 200 OK\r\n\r\nwalk'
+        async with answering(unframed) as address, HttpClient() as client:
+            reply = await client.request(call_to(address))
+        assert reply.body == b'walk'
+
+        async def reset(reader, writer):
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(unframed)
+            await writer.drain()
+            opened = writer.transport.get_extra_info('socket')
+            linger = struct.pack('ii', 1, 0)
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+        async with listening(reset) as address, HttpClient() as client:
+            with pytest.raises(HttpCallError) as caught:
+                await client.request(call_to(address))
+        assert caught.value.sent
+
+
 class TestReadEvents:
     """Events are found however their bytes are cut."""
 
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -123,6 +123,87 @@
         assert status == 413
 
 
+INNER = b'POST /inner HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n'
+
+
+class TestSmuggling:
+    """One request never hides another one."""
+
+    async def handled(self, sent):
+        """Returns the paths that were handled, and all that came back."""
+        paths = []
+
+        async def note(request):
+            paths.append(request.path)
+            return json_response({})
+
+        async with serving(note) as server, connected(server) as streams:
+            reader, writer = streams
+            writer.write(sent)
+            replies = await reader.read()
+        return paths, replies
+
+    @pytest.mark.parametrize(
+        'head',
+        [
+            b'content-length: 0\r\ncontent-length: %d\r\n',
+            b'content-length: 0, %d\r\n',
+            b'content-length: +%d\r\n',
+            b'content-length : %d\r\n',
+            b'content-length: 0\r\n content-length: %d\r\n',
+            b'transfer-encoding: chunked\r\ncontent-length: %d\r\n',
+            b'transfer-encoding: xchunked\r\ncontent-length: %d\r\n',
+            b'transfer-encoding: chunked, identity\r\ncontent-length: %d\r\n',
+            b'transfer-encoding: identity\r\ncontent-length: %d\r\n',
+            b'x: y\rcontent-length: %d\r\n',
+        ],
+    )
+    async def test_two_readings_of_a_length(self, head):
+        """What others may read as two requests is not taken as two."""
+        paths, replies = await self.handled(
+            HEAD + head % len(INNER) + b'\r\n' + INNER,
+        )
+        assert '/inner' not in paths
+        assert replies.count(b'HTTP/1.1') == 1
+
+    async def test_chunks_that_end_twice(self):
+        """A size that is no number ends the connection."""
+        sent = HEAD + b'transfer-encoding: chunked\r\n\r\n0x1\r\nx\r\n0\r\n\r\n'
+        paths, _ = await self.handled(sent + INNER)
+        assert not paths
+
+    async def test_body_that_looks_like_a_request(self):
+        """It is a body."""
+        length = b'content-length: %d\r\n\r\n' % len(INNER)
+        paths, replies = await self.handled(HEAD + length + INNER)
+        assert paths == ['/echo']
+        assert replies.count(b'HTTP/1.1') == 1
+
+    async def test_half_a_request_after_a_whole_one(self):
+        """The first is answered, the second is never run."""
+        whole = HEAD + b'content-length: 0\r\n\r\n'
+        paths, replies = await self.handled(whole + INNER[:-4])
+        assert paths == ['/echo']
+        assert replies.startswith(b'HTTP/1.1 200')
+
+    async def test_sender_that_is_slow_but_in_time_is_served(self):
+        """A request may come in pieces."""
+        paths = []
+
+        async def note(request):
+            paths.append(request.body)
+            return json_response({})
+
+        sent = HEAD + b'content-length: 4\r\n\r\nwalk'
+        async with serving(note) as server, connected(server) as streams:
+            reader, writer = streams
+            for start in range(0, len(sent), 8):
+                writer.write(sent[start : start + 8])
+                await asyncio.sleep(0)
+            status, _ = await read_response(reader)
+        assert (status, paths) == (200, [b'walk'])
+
+
 class TestConnections:
     """Kept, pipelined, idle and abandoned connections."""
 
