--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -5,11 +5,10 @@
 
 import pytest
 
-DAYS = sorted(
-    (pathlib.Path(__file__).parent.parent / 'deploy' / 'days').glob('*.toml'),
-)
+FOLDER = pathlib.Path(__file__).parent.parent / 'deploy' / 'days'
+DAYS = sorted(FOLDER.glob('*.toml'))
 KINDS = frozenset(
-    {
+    (
         'add_nodes', 'after_ack_kill', 'answer_lost', 'big_config', 'burst',
         'clock_step', 'config_change', 'config_storm', 'core_cut', 'garble',
         'give_up', 'herd_kill', 'hot_key', 'hup', 'lossy', 'node_cut',
@@ -18,7 +17,7 @@
         'replace_with_reuse', 'reset_conns', 'retry_abuse', 'revoke',
         'roll_term', 'scale_in', 'scale_out', 'shift', 'srv_crash',
         'srv_cut', 'srv_grey', 'srv_slow',
-    },
+    ),
 )  # fmt: skip
 
 
