Measure steady time by the clock that counts suspension

Cause: a machine may be suspended for seconds, which the monotonic clock leaves out; a woken entry took deadlines, peers and budgets to be seconds younger. Change: CLOCK_BOOTTIME where the system has it; the membership then sees the gap as it sees a paused process.

--- a/borageyard/clock.py
+++ b/borageyard/clock.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 MS_PER_S = 1000
+STEADY_CLOCK = getattr(time, 'CLOCK_BOOTTIME', time.CLOCK_MONOTONIC)
 
 
 class Clock(Protocol):
@@ -25,8 +26,12 @@
         return time.time() * MS_PER_S
 
     def steady_ms(self) -> float:
-        """Returns milliseconds of a clock that never goes back."""
-        return time.monotonic() * MS_PER_S
+        """Returns milliseconds of a clock that never goes back.
+
+        It counts the time for which the machine was suspended, where the
+        system has such a clock: deadlines go on meanwhile.
+        """
+        return time.clock_gettime(STEADY_CLOCK) * MS_PER_S
 
 
 class LoopClock:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -24,7 +24,7 @@
     """Runs a server with a handler of raw connections."""
     server = await asyncio.start_server(handler, '127.0.0.1', 0)
     async with server:
-        yield f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+        yield ':'.join(map(str, server.sockets[0].getsockname()))
 
 
 def call_to(address, timeout_ms=2000):
