End reads of the configuration within the time for changes

Ruled out: a lost history that was not noticed; peers (none had read further). Change: the read waits 0.8 s; entries are still read with 10 s.

--- a/borageyard/fleet_sync.py
+++ b/borageyard/fleet_sync.py
@@ -32,9 +32,13 @@
 )
 from .tasks import running_tasks
 
-# Wait of a read for a change of the configuration or of the entries; calls
-# of the store are priced.
-LONG_POLL_MS = 10_000
+# Wait of a read for a change of the entries; calls of the store are priced,
+# and entries that are new make themselves known to the others.
+ENTRIES_POLL_MS = 10_000
+# Wait of a read for a change of the configuration: a read that hears nothing
+# of a change must end within the time in which changes are to be in force (3 s
+# by the users' letter, two seconds on their sites).
+CONFIGURATION_POLL_MS = 800
 # Pause between reads of the targets, half of the least bound after which a
 # leaving target gets no new work.
 TARGETS_INTERVAL_MS = 1000
@@ -111,9 +115,9 @@
     async def running(self) -> AsyncIterator[None]:
         """Keeps the view up to date while the scope lasts."""
         async with running_tasks(
-            self._follow(Table.CONFIGURATION, LONG_POLL_MS, 0),
+            self._follow(Table.CONFIGURATION, CONFIGURATION_POLL_MS, 0),
             self._follow(Table.TARGETS, 0, TARGETS_INTERVAL_MS),
-            self._follow(Table.ENTRIES, LONG_POLL_MS, 0),
+            self._follow(Table.ENTRIES, ENTRIES_POLL_MS, 0),
             self._announce(),
             self._catch_up(),
             self._tick(),
--- a/borageyard/standins/keyed_store.py
+++ b/borageyard/standins/keyed_store.py
@@ -26,6 +26,8 @@
     delay_ms: float = 0
     # Appends that are done and not answered.
     lose_appends: int = 0
+    # Whether reads that wait hear nothing until their wait ends.
+    deaf: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -56,6 +58,11 @@
         content = b'' if document is None else json.dumps(document).encode()
         return self.append(topic, _encode_key(key) + content)
 
+    def bounds(self, topic: str) -> bytes:
+        """Returns the bounds of a topic without any record."""
+        known = self._topic(topic)
+        return BOUNDS.pack(len(known.records), known.first)
+
     def append(self, topic: str, record: bytes) -> int:
         """Appends a record; returns its offset."""
         records = self._topic(topic).records
@@ -86,8 +93,7 @@
             await self._wait(wait_s)
         records = known.records[offset:]
         framed = [LENGTH.pack(len(record)) + record for record in records]
-        bounds = BOUNDS.pack(len(known.records), known.first)
-        return bounds + b''.join(framed)
+        return self.bounds(topic) + b''.join(framed)
 
     def first(self, topic: str) -> int:
         """Returns the oldest offset that is kept."""
@@ -118,6 +124,8 @@
             store: Where records are kept.
         """
         self.faults = StoreFaults()
+        # Topics and waits in ms of the reads that heard nothing.
+        self.deaf_topics: list[tuple[str, int]] = []
         self._store = store
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -157,6 +165,10 @@
             first = {'first': self._store.first(topic)}
             return json_response(first, HTTPStatus.GONE)
         wait_s = int(request.query.get('waitMs', '0')) / MS_PER_S
+        if self.faults.deaf and offset >= self._store.end(topic):
+            self.deaf_topics.append((topic, round(wait_s * MS_PER_S)))
+            await asyncio.sleep(wait_s)
+            return HttpResponse(HTTPStatus.OK, self._store.bounds(topic))
         body = await self._store.read(topic, offset, wait_s)
         if self.faults.down:
             return json_response({}, HTTPStatus.SERVICE_UNAVAILABLE)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -377,6 +377,14 @@
 class TestConfiguration:
     """Changes of the configuration and of the targets."""
 
+    def deaf_waits_ms(self, running):
+        """Returns the waits of reads of the configuration in vain."""
+        return [
+            wait_ms
+            for topic, wait_ms in running.store.deaf_topics
+            if topic == 'keyed.op'
+        ]
+
     async def test_change_is_in_force_at_all(self):
         """A route that is gone is refused, one that is new is served."""
         async with deployment() as callers:
@@ -394,6 +402,20 @@
                 new = await callers.call('/moved/a', gateway=gateway)
                 assert (old.status, new.status) == (404, 200)
 
+    async def test_reads_that_hear_nothing_end_soon(self):
+        """A change is in force in time though nobody was told of it."""
+        async with deployment(1) as callers:
+            (running,) = callers.running.gateways
+            running.store.faults.deaf = True
+            # Ends the reads that wait already, and begins deaf ones.
+            callers.running.configure(build_document(2))
+            await until(lambda: self.deaf_waits_ms(running))
+            callers.running.configure(build_document(3))
+            state = running.gateway.state
+            await until(lambda: state.configuration.version == 3)
+            # Two seconds on the users' sites, less the read itself.
+            assert max(self.deaf_waits_ms(running)) < 1500
+
     async def test_peers_carry_what_the_store_refuses(self):
         """An entry that the store turns away learns from another one."""
         async with deployment() as callers:
