Refuse what is left when an entry must end

Ruled out: refusing them earlier; what waits may still be served in time. Change: shortly before the kill their limits are brought forward, so that each gets its refusal; as not run only where nothing was sent. Measured: the test fails with a closed connection without the change.

--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -33,6 +33,8 @@
 ACCEPT_AFTER_STOP_MS = 2800
 # Time before the kill at which an entry that stops ends in any case.
 STOP_MARGIN_MS = 400
+# Time of that in which requests that are given up get their refusals.
+LAST_ANSWERS_MS = 150
 STOP_POLL_MS = 50
 
 
@@ -175,6 +177,8 @@
         end_ms = began_ms + self.settings.grace_ms - STOP_MARGIN_MS
         while self._callers.active or self.service.scheduler.chains:
             if clock.steady_ms() >= end_ms:
+                self.relay.give_up()
+                await asyncio.sleep(LAST_ANSWERS_MS / MS_PER_S)
                 break
             await asyncio.sleep(STOP_POLL_MS / MS_PER_S)
 
--- a/borageyard/request_relay.py
+++ b/borageyard/request_relay.py
@@ -1,8 +1,9 @@
 """Admits requests of callers and relays them to the right service."""
 
 import asyncio
+import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 from .clock import MS_PER_S, Clock
 from .errors import ErrorKind, Ran, Refusal, RefusalError
@@ -58,6 +59,7 @@
         self._retries = retries
         self._clock = clock
         self._random = random.Random(seed)
+        self._limits: set[asyncio.Timeout] = set()
 
     async def answer(self, request: InboundRequest) -> HttpResponse:
         """Returns the answer to a request.
@@ -73,8 +75,9 @@
         self._retries.note_request(terms.service, now_ms)
         tally = SendTally()
         left_s = (terms.deadline_at_ms - now_ms) / MS_PER_S
+        limit = asyncio.timeout(max(left_s, 0))
         try:
-            async with asyncio.timeout(max(left_s, 0)):
+            async with self._limited(limit):
                 response = await self._dispatch(request, terms, tally)
         except TimeoutError as error:
             raise RefusalError(_timed_out(tally)) from error
@@ -88,6 +91,29 @@
         )
         return response
 
+    @property
+    def open_requests(self) -> int:
+        """Returns how many requests have no answer yet."""
+        return len(self._limits)
+
+    def give_up(self) -> None:
+        """Ends the wait of all requests that have no answer yet.
+
+        Each one is refused, as not run where that is true.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for limit in self._limits:
+            limit.reschedule(now_s)
+
+    @contextlib.asynccontextmanager
+    async def _limited(self, limit: asyncio.Timeout) -> AsyncIterator[None]:
+        """Applies a limit that can be brought forward."""
+        with contextlib.ExitStack() as stack:
+            self._limits.add(limit)
+            stack.callback(self._limits.discard, limit)
+            async with limit:
+                yield
+
     async def _dispatch(
         self,
         request: InboundRequest,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -319,6 +319,31 @@
             assert {reply.status for reply in await replies} == {200}
 
 
+class TestStopping:
+    """Requests that are open when the time to stop is over."""
+
+    @pytest.mark.parametrize(
+        ('path', 'service', 'status'),
+        [('/brief/x', 'planner', 503), ('/read/x', 'desk', 504)],
+    )
+    async def test_last_ones_are_refused(self, path, service, status):
+        """As not run where nothing was sent; none is left unanswered."""
+        async with deployment(1) as callers:
+            document = build_document(2)
+            for route in document['routes']:
+                route['timeoutMs'] = 9000
+            callers.running.configure(document)
+            await until(lambda: callers.state(0).configuration.version == 2)
+            callers.fault(service, silent=True)
+            send = callers.stream if 'brief' in path else callers.call
+            waiting = asyncio.ensure_future(send(path, x_deadline_ms='9000'))
+            (running,) = callers.running.gateways
+            await until(lambda: running.gateway.relay.open_requests)
+            running.stop.set()
+            reply = await waiting
+            assert reply.status == status
+
+
 class TestSchedulers:
     """Entries that schedule for others, and stop."""
 
