Ask a scheduler again whose stream broke off

Ruled out: passing over only after a silence (a killed entry would hold requests for a second). Change: the scheduler keeps a request for 0.6 s after its peer's stream is gone; the peer asks it once more after 0.12 s before it passes it over, unless that failed for an earlier request. What is told of results is a class now.

--- /dev/null
+++ b/borageyard/result_keeper.py
@@ -0,0 +1,128 @@
+"""Keeps, at the entry that received a request, what was made for it."""
+
+import asyncio
+import contextlib
+from collections.abc import Iterator, Mapping, Sequence
+
+from .chain_handover import hand_over
+from .chain_messages import decode_results, encode_results
+from .chains import HandedResult, PieceId, PieceResult
+from .clock import Clock
+from .events import Event, log_event
+from .generated.peer_chains import ChainResultsBody, ChainResultsReplyBody
+from .peers import PeerError, PeerLink
+
+# Time in which a peer takes in results; losing them has them made again.
+TELL_TIMEOUT_MS = 1000
+
+
+class ResultKeeper:
+    """Tells those who asked what was made, and keeps what is told.
+
+    An entry that received a request lives as long as the request does, so
+    that it is the one to hand results to the next scheduler.
+    """
+
+    def __init__(self, peers: PeerLink, clock: Clock) -> None:
+        """Registers what peers may tell.
+
+        Args:
+            peers: The streams to the other entries.
+            clock: Source of steady time.
+        """
+        self._peers = peers
+        self._clock = clock
+        # Peers that wait for an engine, by request.
+        self._askers: dict[str, str] = {}
+        # Schedulers of own requests, and what these had made.
+        self._schedulers: dict[str, str] = {}
+        self._results: dict[str, tuple[HandedResult, ...]] = {}
+        self._telling: set[asyncio.Task[None]] = set()
+        peers.register(ChainResultsBody, self._handle_results)
+
+    @contextlib.contextmanager
+    def asked(self, chain_id: str, peer_id: str) -> Iterator[None]:
+        """Tells a peer what is made for a request while the scope lasts.
+
+        Args:
+            chain_id: Id of the request.
+            peer_id: The peer that received it.
+        """
+        with contextlib.ExitStack() as stack:
+            self._askers[chain_id] = peer_id
+            stack.callback(self._askers.pop, chain_id, None)
+            yield
+
+    def expect(self, chain_id: str, scheduler_id: str) -> None:
+        """Names the entry that schedules an own request from now on."""
+        self._schedulers[chain_id] = scheduler_id
+
+    def keep(self, chain_id: str, results: tuple[HandedResult, ...]) -> None:
+        """Replaces what was made for an own request."""
+        self._results[chain_id] = results
+
+    def known(self, chain_id: str) -> tuple[HandedResult, ...]:
+        """Returns what was made for an own request."""
+        return self._results.get(chain_id, ())
+
+    def forget(self, chain_id: str) -> None:
+        """Drops what was kept for a request that is over."""
+        self._schedulers.pop(chain_id, None)
+        self._results.pop(chain_id, None)
+
+    def note_made(self, made: Mapping[PieceId, PieceResult]) -> None:
+        """Tells those who asked what a call has made.
+
+        Args:
+            made: Results of a call.
+        """
+        told: dict[str, dict[str, list[HandedResult]]] = {}
+        for piece, held in made.items():
+            asker_id = self._askers.get(piece.chain_id)
+            if asker_id is not None:
+                by_chain = told.setdefault(asker_id, {})
+                handed = by_chain.setdefault(piece.chain_id, [])
+                handed.append(hand_over(piece, held))
+        for peer_id, results in told.items():
+            task = asyncio.ensure_future(self._tell(peer_id, results))
+            self._telling.add(task)
+            task.add_done_callback(self._telling.discard)
+
+    async def _tell(
+        self,
+        peer_id: str,
+        results: Mapping[str, Sequence[HandedResult]],
+    ) -> None:
+        now_ms = self._clock.steady_ms()
+        message = ChainResultsBody(
+            results={
+                chain_id: encode_results(handed, now_ms)
+                for chain_id, handed in results.items()
+            },
+        )
+        try:
+            await self._peers.request(
+                peer_id,
+                message,
+                ChainResultsReplyBody,
+                TELL_TIMEOUT_MS,
+            )
+        except PeerError as error:
+            log_event(
+                Event.PEER_UNANSWERED,
+                peer_id=peer_id,
+                request_id='',
+                reason=str(error),
+            )
+
+    async def _handle_results(
+        self,
+        peer_id: str,
+        told: ChainResultsBody,
+    ) -> ChainResultsReplyBody:
+        now_ms = self._clock.steady_ms()
+        for chain_id, results in told.results.items():
+            if self._schedulers.get(chain_id) == peer_id:
+                handed = decode_results(results, now_ms)
+                self.keep(chain_id, (*self.known(chain_id), *handed))
+        return ChainResultsReplyBody()
--- a/borageyard/scheduler_client.py
+++ b/borageyard/scheduler_client.py
@@ -1,19 +1,17 @@
 """Finds the entry that schedules a group of services and asks it."""
 
 import asyncio
-import contextlib
 import dataclasses
-from collections.abc import Coroutine, Mapping, Sequence
+from collections.abc import Coroutine
 from typing import Any, TypeGuard
 
-from .chain_handover import hand_over
 from .chain_messages import (
     decode_order,
     decode_results,
     encode_order,
     encode_results,
 )
-from .chains import ChainOrder, HandedResult, PieceId, PieceResult
+from .chains import ChainOrder
 from .clock import MS_PER_S, Clock
 from .engine_board import Placement
 from .events import Event, log_event
@@ -23,18 +21,23 @@
     ChainEventReplyBody,
     ChainReplyBody,
     ChainRequestBody,
-    ChainResultsBody,
-    ChainResultsReplyBody,
 )
 from .membership import Membership
 from .peers import PeerError, PeerLink
 from .plans import ChainRefusal, Denial, Grant
+from .result_keeper import ResultKeeper
 from .scheduler_finder import SETTLE_MS, SchedulerFinder
 from .scheduler_service import SchedulerService
 
 # Time in which a peer takes in a report; losing one only wastes memory.
 EVENT_TIMEOUT_MS = 1000
 MAX_OWNERS = 4
+# Time in which a stream that broke off is open again (shortest pause of the
+# link and a way there and back), how often one entry is asked, and the time
+# for which the entry asked keeps the request.
+RECONNECT_MS = 120
+TRIES = 2
+LINGER_MS = 600
 # Pause between looks whether the other entries were heard after the start.
 SETTLE_POLL_MS = 20
 RETRY_AFTER_MS = 500
@@ -68,16 +71,14 @@
         self._peers = peers
         self._service = service
         self._clock = clock
-        # By request: who schedules it, and what was made for it there.
         self._owners: dict[str, str] = {}
-        self._results: dict[str, tuple[HandedResult, ...]] = {}
-        # Peers that wait for an engine, by request.
-        self._askers: dict[str, str] = {}
+        self._keeper = ResultKeeper(peers, clock)
+        # Entries that did not answer when they were asked again.
+        self._doubted: set[str] = set()
         self._telling: set[asyncio.Task[None]] = set()
         peers.register(ChainRequestBody, self._handle_chain)
         peers.register(ChainEventBody, self._handle_event)
-        peers.register(ChainResultsBody, self._handle_results)
-        service.calls.made_listener = self._note_made
+        service.calls.made_listener = self._keeper.note_made
 
     async def place(
         self,
@@ -97,28 +98,13 @@
         passed: frozenset[str] = frozenset()
         while len(passed) < MAX_OWNERS:
             owner_id = self._finder.find(order.engine_service, passed)
-            passed |= {owner_id}
             self._owners[order.chain_id] = owner_id
-            try:
-                settled = await self._place_at(owner_id, order, excluded)
-            except PeerError as error:
-                log_event(
-                    Event.PEER_UNANSWERED,
-                    peer_id=owner_id,
-                    request_id=order.chain_id,
-                    reason=str(error),
-                )
-            else:
-                if not _is_moved(settled):
-                    return settled
-                self._results[order.chain_id] = settled.results
-                log_event(
-                    Event.CHAIN_MOVED,
-                    request_id=order.chain_id,
-                    scheduler_id=owner_id,
-                    results=len(settled.results),
-                )
-            known = self._results.get(order.chain_id, ())
+            self._keeper.expect(order.chain_id, owner_id)
+            settled = await self._try(owner_id, order, excluded)
+            if settled is not None and not _is_moved(settled):
+                return settled
+            passed |= {owner_id}
+            known = self._keeper.known(order.chain_id)
             order = dataclasses.replace(order, results=known, passed_over=True)
         return Denial(order.chain_id, ChainRefusal.FAILING, RETRY_AFTER_MS)
 
@@ -145,7 +131,7 @@
 
     def note_ended(self, chain_id: str) -> None:
         """Tells the scheduler that a request is over."""
-        self._results.pop(chain_id, None)
+        self._keeper.forget(chain_id)
         owner_id = self._owners.pop(chain_id, None)
         if owner_id is None:
             return
@@ -154,6 +140,48 @@
             return
         self._tell(owner_id, chain_id, 'ended', '')
 
+    async def _try(
+        self,
+        owner_id: str,
+        order: ChainOrder,
+        excluded: frozenset[str],
+    ) -> Grant | Denial | None:
+        """Returns what an entry settles, or none if it does not answer.
+
+        A stream that broke off is opened again at once if its peer lives,
+        which has kept the request meanwhile.
+        """
+        for _ in range(TRIES):
+            try:
+                settled = await self._place_at(owner_id, order, excluded)
+            except PeerError as error:
+                log_event(
+                    Event.PEER_UNANSWERED,
+                    peer_id=owner_id,
+                    request_id=order.chain_id,
+                    reason=str(error),
+                )
+            else:
+                self._doubted.discard(owner_id)
+                self._note_settled(owner_id, settled)
+                return settled
+            if owner_id in self._doubted:
+                return None
+            await asyncio.sleep(RECONNECT_MS / MS_PER_S)
+        self._doubted.add(owner_id)
+        return None
+
+    def _note_settled(self, owner_id: str, settled: Grant | Denial) -> None:
+        if not _is_moved(settled):
+            return
+        self._keeper.keep(settled.chain_id, settled.results)
+        log_event(
+            Event.CHAIN_MOVED,
+            request_id=settled.chain_id,
+            scheduler_id=owner_id,
+            results=len(settled.results),
+        )
+
     async def _settle(self) -> None:
         """Waits until the others had the time to be heard after the start."""
         for _ in range(SETTLE_MS // SETTLE_POLL_MS):
@@ -213,10 +241,8 @@
         order = decode_order(request, now_ms)
         excluded = frozenset(request.excluded)
         self._review()
-        with contextlib.ExitStack() as stack:
-            self._askers[order.chain_id] = peer_id
-            stack.callback(self._askers.pop, order.chain_id, None)
-            settled = await self._service.place(order, excluded)
+        with self._keeper.asked(order.chain_id, peer_id):
+            settled = await self._service.place(order, excluded, LINGER_MS)
         if isinstance(settled, Denial):
             return ChainReplyBody(
                 refusal=settled.reason.value,
@@ -245,58 +271,6 @@
             self._service.note_ended(told.chain_id)
         return ChainEventReplyBody()
 
-    def _note_made(self, made: Mapping[PieceId, PieceResult]) -> None:
-        """Tells those who asked what was made for their requests."""
-        told: dict[str, dict[str, list[HandedResult]]] = {}
-        for piece, held in made.items():
-            asker_id = self._askers.get(piece.chain_id)
-            if asker_id is not None:
-                by_chain = told.setdefault(asker_id, {})
-                handed = by_chain.setdefault(piece.chain_id, [])
-                handed.append(hand_over(piece, held))
-        for peer_id, results in told.items():
-            self._spawn(self._send_results(peer_id, results))
-
-    async def _send_results(
-        self,
-        peer_id: str,
-        results: Mapping[str, Sequence[HandedResult]],
-    ) -> None:
-        now_ms = self._clock.steady_ms()
-        message = ChainResultsBody(
-            results={
-                chain_id: encode_results(handed, now_ms)
-                for chain_id, handed in results.items()
-            },
-        )
-        try:
-            await self._peers.request(
-                peer_id,
-                message,
-                ChainResultsReplyBody,
-                EVENT_TIMEOUT_MS,
-            )
-        except PeerError as error:
-            log_event(
-                Event.PEER_UNANSWERED,
-                peer_id=peer_id,
-                request_id='',
-                reason=str(error),
-            )
-
-    async def _handle_results(
-        self,
-        peer_id: str,
-        told: ChainResultsBody,
-    ) -> ChainResultsReplyBody:
-        now_ms = self._clock.steady_ms()
-        for chain_id, results in told.results.items():
-            if self._owners.get(chain_id) == peer_id:
-                known = self._results.get(chain_id, ())
-                handed = decode_results(results, now_ms)
-                self._results[chain_id] = (*known, *handed)
-        return ChainResultsReplyBody()
-
     def _tell(
         self,
         owner_id: str,
--- a/borageyard/scheduler_service.py
+++ b/borageyard/scheduler_service.py
@@ -17,6 +17,7 @@
 from .clock import MS_PER_S, Clock
 from .events import Event, log_event
 from .fleet_state import FleetState
+from .lingering import LingeringRequests
 from .piece_runner import PieceRunner, PieceWork
 from .plans import Denial, Grant
 from .result_freer import ResultFreer
@@ -53,6 +54,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._freer = ResultFreer(runner, self._note_freed)
         self._timer = WakeTimer(self._pump)
+        self._lingering = LingeringRequests(self.scheduler.remove)
         self._used = False
         state.add_listener(self._note_fleet)
 
@@ -68,12 +70,15 @@
         self,
         order: ChainOrder,
         excluded: frozenset[str],
+        linger_ms: float = 0,
     ) -> Grant | Denial:
         """Has the stages of a request run and chooses its engine.
 
         Args:
             order: What it needs.
             excluded: Engines that failed it.
+            linger_ms: Time for which a request goes on that nobody waits for
+                any more, in case it is asked for again.
 
         Returns:
             The engine and the inputs, or why there are none.
@@ -82,6 +87,7 @@
         now_ms = self._clock.steady_ms()
         for engine_id in excluded:
             self._avoid_engine(engine_id)
+        self._lingering.claim(order.chain_id)
         denial = self.scheduler.submit(order, now_ms)
         if denial is not None:
             return denial
@@ -95,7 +101,8 @@
         try:
             return await waiting
         except asyncio.CancelledError:
-            self.scheduler.remove(order.chain_id)
+            if self._waiting.get(order.chain_id) is waiting:
+                self._lingering.hold(order.chain_id, linger_ms)
             raise
         finally:
             if self._waiting.get(order.chain_id) is waiting:
@@ -127,6 +134,7 @@
 
     def note_ended(self, chain_id: str) -> None:
         """Takes in that a request is over, whatever became of it."""
+        self._lingering.claim(chain_id)
         self.scheduler.remove(chain_id)
         self._pump()
 
@@ -137,6 +145,7 @@
 
     async def _close(self) -> None:
         self._timer.cancel()
+        self._lingering.close()
         tasks = tuple(self._tasks)
         for task in tasks:
             task.cancel()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -384,6 +384,18 @@
             pieces = self.made(callers)
             assert len(pieces) == len(set(pieces))
 
+    async def test_stream_to_the_scheduler_that_breaks_costs_nothing(self):
+        """It is asked again, and has kept the requests meanwhile."""
+        async with deployment() as callers:
+            replies, owner = await self.begin(callers)
+            gateways = callers.running.gateways
+            asker = gateways[1 - owner].gateway
+            asker.link._drop(gateways[owner].gateway.settings.instance_id)
+            assert {reply.status for reply in await replies} == {200}
+            pieces = self.made(callers)
+            assert len(pieces) == len(set(pieces))
+            assert not asker.service.scheduler.chains
+
     async def test_what_a_dead_scheduler_had_made_is_used(self):
         """Requests of the other entry keep their results."""
         async with deployment() as callers:
