Lose no wake-up to a timer that is early

Cause: a stream test failed once in some fifty runs, its request waited until its deadline with nothing sent. Traced with a log of plans: one batching target was paused after a failure, the other slow, so that no call was possible; the only timer was the look for hopeless requests, and if it came a little early by the steady clock, the look was left out and no timer was set any more. The two clocks differ since steady time counts suspension; rounding sufficed before. Ruled out: a lost reply of a peer (the request was taken in at the scheduler). Change: the next look is always asked for; a slow target is used while the quick ones are paused; the stand-ins choose ports that no outgoing connection takes (a second failure: an address was in use) and show what ended a gateway.

--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -91,11 +91,18 @@
         Args:
             now_ms: Steady time.
         """
-        return (
-            len(self._calls) < self.limits.slots
-            and self.paused_until_ms <= now_ms
+        return len(self._calls) < self.limits.slots and not self.is_paused(
+            now_ms,
         )
 
+    def is_paused(self, now_ms: float) -> bool:
+        """Tells whether it gets no calls because it failed or was full.
+
+        Args:
+            now_ms: Steady time.
+        """
+        return self.paused_until_ms > now_ms
+
     def is_slow(self, now_ms: float) -> bool:
         """Tells whether others go first because its calls took too long.
 
--- a/borageyard/call_planner.py
+++ b/borageyard/call_planner.py
@@ -157,7 +157,11 @@
         now_ms: float,
     ) -> Sequence[BatchTarget]:
         targets = self._targets.of_service(service)
-        quick = [target for target in targets if not target.is_slow(now_ms)]
+        quick = [
+            target
+            for target in targets
+            if not target.is_slow(now_ms) and not target.is_paused(now_ms)
+        ]
         # Slow targets are better than none.
         return [target for target in quick or targets if target.is_idle(now_ms)]
 
--- a/borageyard/chain_scheduler.py
+++ b/borageyard/chain_scheduler.py
@@ -284,11 +284,14 @@
         self._freed.extend(chain.drop_read())
 
     def _expire(self, plan: Plan, now_ms: float) -> None:
-        if now_ms < self._next_expiry_ms:
-            return
-        self._next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS
+        due = now_ms >= self._next_expiry_ms
+        if due:
+            self._next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS
         if self.chains:
+            # Also if a timer was early: no other one may be set.
             plan.wake(self._next_expiry_ms)
+        if not due:
+            return
         for chain in tuple(self.chains.values()):
             if chain.granted:
                 if chain.order.deadline_at_ms + FORGET_MS < now_ms:
--- a/borageyard/standins/gateway_deployment.py
+++ b/borageyard/standins/gateway_deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 import socket
 from collections.abc import AsyncIterator, Sequence
 from typing import Any
@@ -25,7 +26,10 @@
 )
 from .served_target import HEALTH_PATH, ServedTarget, TargetPlan
 
-LOOPBACK = '127.0.0.1:0'
+LOOPBACK_HOST = '127.0.0.1'
+LOOPBACK = f'{LOOPBACK_HOST}:0'
+# Ports of gateways: neither reserved nor given to outgoing connections.
+PORTS = (10_000, 30_000)
 HOST = 'walks.example'
 KEY = 'key-of-kennels'
 ORGANISATION = 'kennels'
@@ -179,6 +183,10 @@
     async def until_ready(self) -> None:
         """Waits until all gateways are ready and know each other."""
         async for _ in ticks():
+            for running in self.gateways:
+                if running.task.done():
+                    # Raises what ended it, which no wait would show.
+                    running.task.result()
             if all(map(self._is_settled, self.gateways)):
                 return
 
@@ -242,17 +250,20 @@
 def free_addresses(count: int) -> Sequence[str]:
     """Returns addresses of loopback that nobody listens on now.
 
+    Their ports are below those that systems give to outgoing connections,
+    which would else take them before a gateway listens.
+
     Args:
         count: How many.
     """
-    with contextlib.ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.create_server(('127.0.0.1', 0)))
-            for _ in range(count)
-        ]
-        return [
-            '{}:{}'.format(*listening.getsockname()) for listening in sockets
-        ]
+    free: list[str] = []
+    while len(free) < count:
+        port = random.randrange(*PORTS)
+        address = f'{LOOPBACK_HOST}:{port}'
+        with contextlib.suppress(OSError):
+            socket.create_server((LOOPBACK_HOST, port)).close()
+            free.append(address)
+    return free
 
 
 def _settings(number: int, store_address: str) -> GatewaySettings:
--- a/tests/test_chain_scheduler.py
+++ b/tests/test_chain_scheduler.py
@@ -316,6 +316,28 @@
         assert not scheduler.chains
 
 
+class TestWaking:
+    """When the scheduler wants to be asked again."""
+
+    def test_early_timer_loses_no_request(self, scheduler):
+        """Clocks differ a little; nothing else may come to wake it."""
+        scheduler.submit(order(), 0)
+        for name in ('p1', 'p2'):
+            scheduler.targets.find(name).note_failed(0)
+        first = scheduler.plan(0)
+        early = scheduler.plan(first.wake_at_ms - 0.001)
+        assert early.wake_at_ms == first.wake_at_ms
+
+    def test_slow_target_is_used_while_the_quick_one_is_paused(self, scheduler):
+        """Slow ones are better than none."""
+        scheduler.submit(order(), 0)
+        scheduler.targets.find('p1').note_failed(0)
+        scheduler.targets.find('p2').note_slow(0)
+        scheduler.plan(0)
+        (call,) = scheduler.plan(LATER_MS).calls
+        assert call.target.target_id == 'p2'
+
+
 class TestHandover:
     """Requests that go from one scheduler to the next."""
 
