Give the stand-in engine slots and a prefix cache

Change: it rejects what it has no slot for and reads each part of a prompt once, at a time for each token. Ruled out: cache events of the users' engines; no part of the gateway reads them yet, and the stand-in of the product's own engine tells them. Measured: two tests.

--- a/borageyard/standins/served_target.py
+++ b/borageyard/standins/served_target.py
@@ -51,6 +51,10 @@
     work_ms: float = 1
     events: int = 5
     room: int = 100
+    # Requests that it runs at once; it rejects further ones.
+    slots: int = 8
+    # Time in which an engine reads a token of a prompt that it does not hold.
+    token_ms: float = 0
 
 
 class ServedTarget:
@@ -74,6 +78,10 @@
         self.runs: list[str] = []
         self.pieces: list[str] = []
         self.tenants: list[str] = []
+        # Parts of prompts that an engine holds, and tokens that it has read.
+        self.cached_parts: set[str] = set()
+        self.read_tokens = 0
+        self._running = 0
         self.address = ''
         self._store = store
         self._results = results
@@ -138,8 +146,8 @@
                 HTTPStatus.MISDIRECTED_REQUEST,
                 headers={'x-instance-id': self.plan.target_id},
             )
-        if self.faults.reject:
-            self.faults.reject -= 1
+        if self.faults.reject or self._running >= self.plan.slots:
+            self.faults.reject = max(self.faults.reject - 1, 0)
             status = HTTPStatus.SERVICE_UNAVAILABLE
             return HttpResponse(status, headers={**headers, **NOT_RUN})
         if self.plan.kind == 'engine' and not self._has_inputs(request):
@@ -147,7 +155,13 @@
                 HTTPStatus.CONFLICT,
                 headers={**headers, **NOT_RUN},
             )
-        return await self._work(request, headers)
+        self._running += 1
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._end_run)
+            return await self._work(request, headers)
+
+    def _end_run(self) -> None:
+        self._running -= 1
 
     async def _work(
         self,
@@ -157,7 +171,8 @@
         request_id = request.header('x-attempt-id')
         self.runs.append(request_id)
         self.tenants.append(request.header('x-tenant'))
-        await asyncio.sleep(self.plan.work_ms / MS_PER_S)
+        prefill_ms = self._read_prompt(request) * self.plan.token_ms
+        await asyncio.sleep((self.plan.work_ms + prefill_ms) / MS_PER_S)
         if self.faults.crashed_by and self.faults.crashed_by in request.path:
             self.withdraw()
             raise ConnectionAbortError
@@ -190,6 +205,17 @@
             yield f'id: {number}\ndata: {request_id}/{number}\n\n'.encode()
             await asyncio.sleep(STEP_MS / MS_PER_S)
 
+    def _read_prompt(self, request: HttpRequest) -> int:
+        """Returns the tokens of a prompt's parts that it has to read."""
+        read_tokens = 0
+        for told in request.header('x-prefix-hash').split(','):
+            part_id, _, tokens = told.partition(':')
+            if part_id and part_id not in self.cached_parts:
+                self.cached_parts.add(part_id)
+                read_tokens += int(tokens)
+        self.read_tokens += read_tokens
+        return read_tokens
+
     def _has_inputs(self, request: HttpRequest) -> bool:
         told = request.header('x-inputs')
         request_id = request.header('x-attempt-id')
--- /dev/null
+++ b/tests/test_served_target.py
@@ -0,0 +1,56 @@
+"""Tests of the stand-ins of the users' targets."""
+
+import asyncio
+import contextlib
+
+from borageyard.http_client import HttpCall, HttpClient
+from borageyard.standins.keyed_store import KeyedStore
+from borageyard.standins.served_target import ServedTarget, TargetPlan
+
+
+@contextlib.asynccontextmanager
+async def engine(**fields):
+    """Runs an engine with a client."""
+    plan = TargetPlan('e1', 'model', 'a', 'engine', **fields)
+    target = ServedTarget(plan, KeyedStore(), {})
+    async with target.running(), HttpClient() as client:
+        yield target, client
+
+
+def prompt(target, number=0, parts='aa:60,bb:40'):
+    """Returns a call with a prompt."""
+    return HttpCall(
+        target.address,
+        'POST',
+        '/reply',
+        headers={
+            'x-attempt-id': f'attempt-{number}',
+            'x-prefix-hash': parts,
+        },
+        repeatable=False,
+    )
+
+
+class TestEngine:
+    """Slots and the prefix cache."""
+
+    async def test_parts_are_read_once(self):
+        """What is held is not read again."""
+        async with engine() as (target, client):
+            await client.request(prompt(target))
+            await client.request(prompt(target, parts='aa:60,cc:10'))
+            assert target.read_tokens == 110
+
+    async def test_full_engine_rejects(self):
+        """It says that it has run nothing."""
+        async with engine(slots=1, work_ms=50) as (target, client):
+            replies = await asyncio.gather(
+                *(
+                    client.request(prompt(target, number))
+                    for number in range(2)
+                ),
+            )
+            assert sorted(reply.status for reply in replies) == [200, 503]
+            assert len(target.runs) == 1
+            (full,) = [reply for reply in replies if reply.status == 503]
+            assert full.headers['x-not-executed']
