Use a slow target for a failed quick one only, not for a full one

Cause: while quick targets paused for the 60 ms of a full one, slow ones got the calls; after a lost scheduler most targets are full or short of memory.

--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -79,6 +79,7 @@
         self.row = row
         self.limits = limits
         self.paused_until_ms: float = 0
+        self._failed_until_ms: float = 0
         self._foreign = _ForeignResults()
         self._slow_calls = 0
         self._slow_until_ms: float = 0
@@ -91,17 +92,18 @@
         Args:
             now_ms: Steady time.
         """
-        return len(self._calls) < self.limits.slots and not self.is_paused(
-            now_ms,
+        return (
+            len(self._calls) < self.limits.slots
+            and self.paused_until_ms <= now_ms
         )
 
-    def is_paused(self, now_ms: float) -> bool:
-        """Tells whether it gets no calls because it failed or was full.
+    def has_failed(self, now_ms: float) -> bool:
+        """Tells whether it gets no calls because it failed one lately.
 
         Args:
             now_ms: Steady time.
         """
-        return self.paused_until_ms > now_ms
+        return self._failed_until_ms > now_ms
 
     def is_slow(self, now_ms: float) -> bool:
         """Tells whether others go first because its calls took too long.
@@ -223,6 +225,7 @@
     def note_failed(self, now_ms: float) -> None:
         """Pauses a target that failed; its results may be lost."""
         self.paused_until_ms = now_ms + FAILURE_PAUSE_MS
+        self._failed_until_ms = self.paused_until_ms
 
     def note_slow(self, now_ms: float) -> None:
         """Lets others go first, for longer each time."""
--- a/borageyard/call_planner.py
+++ b/borageyard/call_planner.py
@@ -160,9 +160,9 @@
         quick = [
             target
             for target in targets
-            if not target.is_slow(now_ms) and not target.is_paused(now_ms)
+            if not target.is_slow(now_ms) and not target.has_failed(now_ms)
         ]
-        # Slow targets are better than none.
+        # Slow targets are better than none; a pause of a full one is short.
         return [target for target in quick or targets if target.is_idle(now_ms)]
 
     def _start(self, draft: _Draft, plan: Plan, now_ms: float) -> None:
--- a/tests/test_chain_scheduler.py
+++ b/tests/test_chain_scheduler.py
@@ -355,7 +355,9 @@
         early = scheduler.plan(first.wake_at_ms - 0.001)
         assert early.wake_at_ms == first.wake_at_ms
 
-    def test_slow_target_is_used_while_the_quick_one_is_paused(self, scheduler):
+    def test_slow_target_is_used_while_the_quick_one_has_failed(
+        self, scheduler
+    ):
         """Slow ones are better than none."""
         scheduler.submit(order(), 0)
         scheduler.targets.find('p1').note_failed(0)
@@ -364,6 +366,17 @@
         (call,) = scheduler.plan(LATER_MS).calls
         assert call.target.target_id == 'p2'
 
+    def test_slow_target_is_not_used_while_the_quick_one_is_full(
+        self,
+        scheduler,
+    ):
+        """That is over soon."""
+        scheduler.submit(order(), 0)
+        scheduler.plan(0)
+        scheduler.targets.find('p1').note_full(LATER_MS)
+        scheduler.targets.find('p2').note_slow(LATER_MS)
+        assert not scheduler.plan(LATER_MS).calls
+
 
 class TestHandover:
     """Requests that go from one scheduler to the next."""
