--- a/borageyard/scheduler_client.py
+++ b/borageyard/scheduler_client.py
@@ -71,6 +71,7 @@
         self._peers = peers
         self._service = service
         self._clock = clock
+        # Who schedules each request.
         self._owners: dict[str, str] = {}
         self._keeper = ResultKeeper(peers, clock)
         # Entries that did not answer when they were asked again.
@@ -87,8 +88,8 @@
     ) -> Grant | Denial:
         """Has the stages of a request run and an engine chosen.
 
-        An owner that can't be reached is passed over: what it had begun is
-        done again by the next one.
+        An owner that can't be reached is passed over: the next one goes on
+        with what was told to be made.
 
         Args:
             order: What the request needs.
