Count the sends of a request in one place

Cause: plain_relay and prompt_relay each held the rule of when a request may be sent again, the counting of a failed send and the refusal after it. Change: SendTally, in a module of its own, holds them; what differs stays with the relays (which kind may run twice, the deadline, the retry budget). No change of behaviour. Ruled out: one relay for both; streams resume and plain answers are replaced.

--- a/borageyard/plain_relay.py
+++ b/borageyard/plain_relay.py
@@ -1,9 +1,7 @@
 """Relays requests to plain services, whose answers are whole."""
 
-import dataclasses
-
 from .clock import Clock
-from .errors import ErrorKind, Ran, Refusal, RefusalError
+from .errors import RefusalError
 from .events import Event, log_event
 from .fleet_state import FleetState
 from .http_messages import HttpResponse
@@ -18,23 +16,10 @@
 from .relay_terms import RelayTerms
 from .retry_window import RetryWindow
 from .roster import RosterRow
+from .send_tally import SendTally
 from .target_picker import TargetPicker
 
-# Sends that reached no target or that it did not run; each one is a repeat.
-MAX_UNRUN_SENDS = 3
 FIRST_SERVER_ERROR = 500
-# Time to come back after no target could take a request.
-RETRY_AFTER_MS = 300
-
-
-@dataclasses.dataclass(slots=True)
-class SendTally:
-    """What was sent of one request."""
-
-    ran: int = 0
-    unrun: int = 0
-    tried: set[str] = dataclasses.field(default_factory=set)
-    sent: bool = False
 
 
 class PlainRelay:
@@ -89,7 +74,7 @@
             answer = await self._try(request, terms, target, tally) or answer
         if answer is None:
             detail = f'no target of {terms.service}'
-            raise RefusalError(_refusal(tally, detail))
+            raise RefusalError(tally.refuse(detail))
         return answer
 
     async def _try(
@@ -109,7 +94,7 @@
         except SendError as error:
             self._note_failure(request, target, tally, error)
             if not self._may_go_on(terms, tally):
-                raise RefusalError(_refusal(tally, str(error))) from error
+                raise RefusalError(tally.refuse(str(error))) from error
         return None
 
     def _pick(self, terms: RelayTerms, tally: SendTally) -> RosterRow | None:
@@ -178,11 +163,7 @@
         error: SendError,
     ) -> None:
         self._picker.note_failure(target, self._clock.steady_ms())
-        if error.failure is SendFailure.NOT_SENT:
-            tally.unrun += 1
-            tally.sent = bool(tally.ran)
-        else:
-            tally.ran += 1
+        tally.note_failure(error.failure)
         log_event(
             Event.SEND_FAILED,
             request_id=request.request_id,
@@ -205,9 +186,10 @@
     def _may_go_on(self, terms: RelayTerms, tally: SendTally) -> bool:
         """Tells whether the request may be sent once more."""
         route = terms.route
-        if tally.ran and not route.repeatable:
-            return False
-        if tally.ran >= route.max_attempts or tally.unrun > MAX_UNRUN_SENDS:
+        if not tally.allows_another(
+            route.max_attempts,
+            may_rerun=route.repeatable,
+        ):
             return False
         now_ms = self._clock.steady_ms()
         return self._retries.take(terms.service, now_ms, self.entries_known)
@@ -215,18 +197,3 @@
 
 async def _read_body(answer: TargetAnswer) -> bytes:
     return b''.join([chunk async for chunk in answer.chunks])
-
-
-def _refusal(tally: SendTally, detail: str) -> Refusal:
-    """Returns how a request ends that got no answer."""
-    if tally.ran:
-        return Refusal(
-            ErrorKind.TARGET_FAILED,
-            ran=Ran.UNKNOWN,
-            detail=detail,
-        )
-    return Refusal(
-        ErrorKind.NO_TARGET,
-        detail=detail,
-        retry_after_ms=RETRY_AFTER_MS,
-    )
--- a/borageyard/prompt_relay.py
+++ b/borageyard/prompt_relay.py
@@ -10,7 +10,7 @@
 from .chains import ChainOrder, ChainStage
 from .clock import MS_PER_S, Clock
 from .engine_board import Prompt
-from .errors import ErrorKind, Ran, Refusal, RefusalError
+from .errors import ErrorKind, Refusal, RefusalError
 from .event_relay import EventRelay
 from .events import Event, log_event
 from .fleet_state import FleetState
@@ -24,11 +24,11 @@
     TargetSend,
     TargetSender,
 )
-from .plain_relay import MAX_UNRUN_SENDS, RETRY_AFTER_MS, SendTally
 from .plans import ChainRefusal, Denial, Grant
 from .relay_terms import RelayTerms
 from .retry_window import RetryWindow
 from .scheduler_client import SchedulerClient
+from .send_tally import SendTally
 
 STATUS_GOOD = 200
 EMPTY_PROMPT = Prompt('', (), 0, 0)
@@ -197,7 +197,7 @@
                 await scope.aclose()
                 self._note_failure(stream, grant, error)
                 if not self._may_go_on(stream):
-                    refusal = self._refuse(stream, str(error))
+                    refusal = stream.tally.refuse(str(error))
                     raise RefusalError(refusal) from error
 
     async def _open(
@@ -377,11 +377,7 @@
     ) -> None:
         engine_id = grant.placement.engine.target_id
         stream.excluded.add(engine_id)
-        if error.failure is SendFailure.NOT_SENT:
-            stream.tally.unrun += 1
-            stream.tally.sent = bool(stream.tally.ran)
-        else:
-            stream.tally.ran += 1
+        stream.tally.note_failure(error.failure)
         self._scheduler.note_failed(stream.request.request_id, engine_id)
         log_event(
             Event.SEND_FAILED,
@@ -393,10 +389,10 @@
 
     def _may_go_on(self, stream: StreamState) -> bool:
         route = stream.terms.route
-        tally = stream.tally
-        if tally.ran and not route.resumable:
-            return False
-        if tally.ran >= route.max_attempts or tally.unrun > MAX_UNRUN_SENDS:
+        if not stream.tally.allows_another(
+            route.max_attempts,
+            may_rerun=route.resumable,
+        ):
             return False
         now_ms = self._clock.steady_ms()
         if now_ms >= stream.terms.deadline_at_ms:
@@ -421,26 +417,11 @@
         )
         return min(left_ms, patience_ms * FIRST_EVENT_SHARE)
 
-    def _refuse(self, stream: StreamState, detail: str) -> Refusal:
-        if stream.tally.ran:
-            return Refusal(
-                ErrorKind.TARGET_FAILED,
-                ran=Ran.UNKNOWN,
-                detail=detail,
-            )
-        return Refusal(
-            ErrorKind.NO_TARGET, detail=detail, retry_after_ms=RETRY_AFTER_MS
-        )
-
 
 def _denied(stream: StreamState, denial: Denial) -> Refusal:
     """Returns the refusal of a request that gets no engine."""
     if stream.tally.ran:
-        return Refusal(
-            ErrorKind.TARGET_FAILED,
-            ran=Ran.UNKNOWN,
-            detail=denial.reason.value,
-        )
+        return stream.tally.refuse(denial.reason.value)
     return Refusal(
         REFUSALS[denial.reason],
         detail=denial.reason.value,
--- a/borageyard/request_relay.py
+++ b/borageyard/request_relay.py
@@ -11,10 +11,11 @@
 from .fleet_state import FleetState
 from .http_messages import HttpResponse
 from .inbound import InboundRequest
-from .plain_relay import PlainRelay, SendTally
+from .plain_relay import PlainRelay
 from .prompt_relay import PromptRelay
 from .relay_terms import RelayTerms
 from .retry_window import RetryWindow
+from .send_tally import SendTally
 from .serving import ServedOrganisation, ServiceRoute, ServingConfiguration
 
 # Time to come back to an entry that starts, and to another than one that
