Tell peers through one teller, and choose schedulers once a request

Cause: three modules spawned a request to a peer, kept its task and logged its failure in the same way; each request computed the start times of all entries once for every service, and hashed its body once more to look it up in an empty quarantine. Change: PeerTeller; the start times are read once and each group is chosen once; no digest is made while nothing is suspected. No change of behaviour. Ruled out: the telling of Suspects as well; it waits for all peers.

--- a/borageyard/guarded_sender.py
+++ b/borageyard/guarded_sender.py
@@ -1,6 +1,5 @@
 """Sends to targets, and tells all entries which requests crash them."""
 
-import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 
@@ -22,12 +21,11 @@
     TargetSender,
 )
 from .peer_link import TcpPeerLink
-from .peers import NewsSection, PeerError
+from .peer_teller import PeerTeller
+from .peers import NewsSection
 from .policy_news import known_crashes
 from .shared_table import Table
 
-# Time in which a peer takes in a notice; the regular news repeats it.
-NOTICE_TIMEOUT_MS = 1000
 FIRST_SERVER_ERROR = 500
 
 
@@ -55,7 +53,7 @@
         self._link = link
         self._clock = clock
         self._incarnations: dict[str, int] = {}
-        self._telling: set[asyncio.Task[None]] = set()
+        self._teller = PeerTeller(link)
         link.register(CrashNoticeBody, self._handle_notice)
         link.add_news(
             NewsSection(
@@ -76,6 +74,8 @@
         Raises:
             RefusalError: If it may not run now; it has not.
         """
+        if self.watch.quarantine.is_empty:
+            return
         now_ms = self._clock.steady_ms()
         suspended_ms = self.watch.suspended_ms(digest_of(request), now_ms)
         if suspended_ms:
@@ -144,25 +144,7 @@
         if not crashed or notice is None:
             return
         for peer_id in self._link.connected_ids():
-            task = asyncio.ensure_future(self._tell(peer_id, notice))
-            self._telling.add(task)
-            task.add_done_callback(self._telling.discard)
-
-    async def _tell(self, peer_id: str, notice: CrashNoticeBody) -> None:
-        try:
-            await self._link.request(
-                peer_id,
-                notice,
-                CrashNotedBody,
-                NOTICE_TIMEOUT_MS,
-            )
-        except PeerError as error:
-            log_event(
-                Event.PEER_UNANSWERED,
-                peer_id=peer_id,
-                request_id='',
-                reason=str(error),
-            )
+            self._teller.tell(peer_id, notice, CrashNotedBody)
 
     async def _handle_notice(
         self,
--- a/borageyard/result_keeper.py
+++ b/borageyard/result_keeper.py
@@ -1,19 +1,15 @@
 """Keeps, at the entry that received a request, what was made for it."""
 
-import asyncio
 import contextlib
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Iterator, Mapping
 
 from .chain_handover import hand_over
 from .chain_messages import decode_results, encode_results
 from .chains import HandedResult, PieceId, PieceResult
 from .clock import Clock
-from .events import Event, log_event
 from .generated.peer_chains import ChainResultsBody, ChainResultsReplyBody
-from .peers import PeerError, PeerLink
-
-# Time in which a peer takes in results; losing them has them made again.
-TELL_TIMEOUT_MS = 1000
+from .peer_teller import PeerTeller
+from .peers import PeerLink
 
 
 class ResultKeeper:
@@ -30,14 +26,13 @@
             peers: The streams to the other entries.
             clock: Source of steady time.
         """
-        self._peers = peers
+        self._teller = PeerTeller(peers)
         self._clock = clock
         # Peers that wait for an engine, by request.
         self._askers: dict[str, str] = {}
         # Schedulers of own requests, and what these had made.
         self._schedulers: dict[str, str] = {}
         self._results: dict[str, tuple[HandedResult, ...]] = {}
-        self._telling: set[asyncio.Task[None]] = set()
         peers.register(ChainResultsBody, self._handle_results)
 
     @contextlib.contextmanager
@@ -84,36 +79,20 @@
                 handed = by_chain.setdefault(piece.chain_id, [])
                 handed.append(hand_over(piece, held))
         for peer_id, results in told.items():
-            task = asyncio.ensure_future(self._tell(peer_id, results))
-            self._telling.add(task)
-            task.add_done_callback(self._telling.discard)
+            message = self._encode(results)
+            self._teller.tell(peer_id, message, ChainResultsReplyBody)
 
-    async def _tell(
+    def _encode(
         self,
-        peer_id: str,
-        results: Mapping[str, Sequence[HandedResult]],
-    ) -> None:
+        results: Mapping[str, list[HandedResult]],
+    ) -> ChainResultsBody:
         now_ms = self._clock.steady_ms()
-        message = ChainResultsBody(
+        return ChainResultsBody(
             results={
                 chain_id: encode_results(handed, now_ms)
                 for chain_id, handed in results.items()
             },
         )
-        try:
-            await self._peers.request(
-                peer_id,
-                message,
-                ChainResultsReplyBody,
-                TELL_TIMEOUT_MS,
-            )
-        except PeerError as error:
-            log_event(
-                Event.PEER_UNANSWERED,
-                peer_id=peer_id,
-                request_id='',
-                reason=str(error),
-            )
 
     async def _handle_results(
         self,
--- a/borageyard/scheduler_client.py
+++ b/borageyard/scheduler_client.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Coroutine
-from typing import Any, TypeGuard
+from typing import TypeGuard
 
 from .chain_messages import (
     decode_order,
@@ -23,14 +22,13 @@
     ChainRequestBody,
 )
 from .membership import Membership
+from .peer_teller import PeerTeller
 from .peers import PeerError, PeerLink
 from .plans import ChainRefusal, Denial, Grant
 from .result_keeper import ResultKeeper
 from .scheduler_finder import SETTLE_MS, SchedulerFinder
 from .scheduler_service import SchedulerService
 
-# Time in which a peer takes in a report; losing one only wastes memory.
-EVENT_TIMEOUT_MS = 1000
 MAX_OWNERS = 4
 # Time in which a stream that broke off is open again (shortest pause of the
 # link and a way there and back), how often one entry is asked, and the time
@@ -76,7 +74,7 @@
         self._keeper = ResultKeeper(peers, clock)
         # Entries that did not answer when they were asked again.
         self._doubted: set[str] = set()
-        self._telling: set[asyncio.Task[None]] = set()
+        self._teller = PeerTeller(peers)
         peers.register(ChainRequestBody, self._handle_chain)
         peers.register(ChainEventBody, self._handle_event)
         service.calls.made_listener = self._keeper.note_made
@@ -282,32 +280,7 @@
         message = ChainEventBody.model_validate(
             {'chain_id': chain_id, 'event': event, 'engine_id': engine_id},
         )
-        self._spawn(self._send_event(owner_id, message))
-
-    async def _send_event(
-        self,
-        owner_id: str,
-        message: ChainEventBody,
-    ) -> None:
-        try:
-            await self._peers.request(
-                owner_id,
-                message,
-                ChainEventReplyBody,
-                EVENT_TIMEOUT_MS,
-            )
-        except PeerError as error:
-            log_event(
-                Event.PEER_UNANSWERED,
-                peer_id=owner_id,
-                request_id=message.chain_id,
-                reason=str(error),
-            )
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._telling.add(task)
-        task.add_done_callback(self._telling.discard)
+        self._teller.tell(owner_id, message, ChainEventReplyBody, chain_id)
 
 
 def _is_moved(settled: Grant | Denial) -> TypeGuard[Denial]:
--- a/borageyard/scheduler_finder.py
+++ b/borageyard/scheduler_finder.py
@@ -60,17 +60,21 @@
         """
         group = self._state.groups.get(service, service)
         started = self._started(passed)
-        chosen = choose_scheduler(group, started) or self._instance_id
-        if not passed:
-            self._note_chosen(group, chosen, started)
-        return chosen
+        if passed:
+            return choose_scheduler(group, started) or self._instance_id
+        return self._choose(group, started)
 
     def foreign_services(self) -> frozenset[str]:
         """Returns the services of engines that another entry schedules."""
+        groups = self._state.groups
+        started = self._started(frozenset())
+        foreign = {
+            group
+            for group in set(groups.values())
+            if self._choose(group, started) != self._instance_id
+        }
         return frozenset(
-            service
-            for service in self._state.groups
-            if self.find(service, frozenset()) != self._instance_id
+            service for service, group in groups.items() if group in foreign
         )
 
     def _started(self, passed: frozenset[str]) -> Mapping[str, int]:
@@ -85,22 +89,18 @@
             started[self._instance_id] = self._membership.incarnation
         return started
 
-    def _note_chosen(
-        self,
-        group: str,
-        chosen: str,
-        started: Mapping[str, int],
-    ) -> None:
-        """Logs when another entry than before schedules a group."""
-        if self._chosen.get(group) == chosen:
-            return
-        self._chosen[group] = chosen
-        log_event(
-            Event.SCHEDULER_CHOSEN,
-            group=group,
-            scheduler_id=chosen,
-            started=dict(started),
-        )
+    def _choose(self, group: str, started: Mapping[str, int]) -> str:
+        """Returns who schedules a group; logs when it is another entry."""
+        chosen = choose_scheduler(group, started) or self._instance_id
+        if self._chosen.get(group) != chosen:
+            self._chosen[group] = chosen
+            log_event(
+                Event.SCHEDULER_CHOSEN,
+                group=group,
+                scheduler_id=chosen,
+                started=dict(started),
+            )
+        return chosen
 
 
 def _may_schedule(member: Member) -> bool:
