Log and count who schedules a group, and what held a full target

A selection of a scheduler doesn't say which entry made it, from whom it knows the chosen one, how old that is and how many entries it left out. A call that found its target full doesn't say whether calls of the same scheduler were there. No figure of an entry can be summed to the number of schedulers of a group.

Change: scheduler_chosen carries instance_id, unheard, source_id and age_ms; batch_failed carries took_ms, other_calls (of the same scheduler in flight) and load_calls (what the target reports). The gauge borageyard_group_scheduled_here is 1 at an entry that schedules a group. `borageyard schedulers` reads the logs of all entries and prints how many scheduled a group at once, and for how long. No event is logged more often than before.

--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -89,6 +89,11 @@
         self._calls: list[BatchCall] = []
         self._held: dict[str, _HeldResult] = {}
 
+    @property
+    def call_count(self) -> int:
+        """Returns the number of calls of this scheduler in flight."""
+        return len(self._calls)
+
     def is_idle(self, now_ms: float) -> bool:
         """Returns whether the target would run a call at once.
 
--- a/borageyard/call_runner.py
+++ b/borageyard/call_runner.py
@@ -81,18 +81,36 @@
             outcomes = await self._runner.run(call.target, pieces, timeout_ms)
         except (TargetFullError, CallFailedError) as error:
             full = isinstance(error, TargetFullError)
-            log_event(
-                Event.BATCH_FAILED,
-                target_id=call.target.target_id,
-                pieces=len(call.pieces),
-                full=full,
-                reason=str(error),
-            )
             now_ms = self._clock.steady_ms()
+            self._log_failure(call, error, now_ms)
             self._scheduler.note_call_failed(call, now_ms, full=full)
         else:
             self._handle_outcomes(call, outcomes)
 
+    def _log_failure(
+        self,
+        call: BatchCall,
+        error: TargetFullError | CallFailedError,
+        now_ms: float,
+    ) -> None:
+        """Logs a failed call with the calls that held the target.
+
+        A target that is full without own calls is held by another scheduler;
+        one that is full of own calls was given too many.
+        """
+        target = self._scheduler.targets.find(call.target.target_id)
+        load = error.load if isinstance(error, TargetFullError) else None
+        log_event(
+            Event.BATCH_FAILED,
+            target_id=call.target.target_id,
+            pieces=len(call.pieces),
+            full=isinstance(error, TargetFullError),
+            reason=str(error),
+            took_ms=round(now_ms - call.sent_at_ms),
+            other_calls=max(target.call_count - 1, 0) if target else 0,
+            load_calls=load.running + load.waiting if load else None,
+        )
+
     def _piece_request(self, piece: PieceId) -> PieceRequest:
         chain = self._scheduler.chains[piece.chain_id]
         stage = chain.stages[piece.stage].stage
--- a/borageyard/commands/explain.py
+++ b/borageyard/commands/explain.py
@@ -3,9 +3,11 @@
 import argparse
 import json
 import sys
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Sequence
 from typing import Any
 
+from .log_lines import LogEvent, event_time_s, parse_event
+
 EXIT_OK = 0
 EXIT_NOT_FOUND = 1
 # Events that decide the outcome of a request, in order of precedence.
@@ -27,7 +29,6 @@
         'request_id',
     ),
 )
-LogEvent = Mapping[str, Any]
 
 
 def add_explain_command(commands: Any) -> None:
@@ -54,10 +55,10 @@
     """
     found = [
         event
-        for event in map(_parse_line, lines)
+        for event in map(parse_event, lines)
         if event is not None and request_id == event.get('request_id')
     ]
-    return sorted(found, key=_time_s)
+    return sorted(found, key=event_time_s)
 
 
 def find_deciding_event(events: Sequence[LogEvent]) -> LogEvent | None:
@@ -82,19 +83,6 @@
     return events[max(at for rank, at in ranked if rank == strongest)]
 
 
-def _parse_line(line: str) -> LogEvent | None:
-    start = line.find('{')
-    if start < 0:
-        return None
-    try:
-        event = json.loads(line[start:])
-    except ValueError:
-        return None
-    if isinstance(event, dict) and 'message_type' in event:
-        return event
-    return None
-
-
 def _run_explain(arguments: argparse.Namespace) -> int:
     events = collect_events(arguments.request_id, sys.stdin)
     if not events:
@@ -105,16 +93,12 @@
     chosen = find_deciding_event(events)
     for event in events:
         mark = '>' if event is chosen else ' '
-        after_s = round(_time_s(event) - _time_s(events[0]), 3)
+        after_s = round(event_time_s(event) - event_time_s(events[0]), 3)
         shown = _describe(event)
         sys.stdout.write(f'{mark} +{after_s} s {shown}\n')
     return EXIT_OK
 
 
-def _time_s(event: LogEvent) -> float:
-    return float(event.get('timestamp', 0))
-
-
 def _describe(event: LogEvent) -> str:
     fields = {
         name: field_value
--- a/borageyard/commands/main.py
+++ b/borageyard/commands/main.py
@@ -22,6 +22,7 @@
 from .faults import add_faults_command
 from .replay import add_replay_command
 from .report import add_report_commands
+from .schedulers import add_schedulers_command
 from .settings import add_settings_command
 from .status import add_status_command
 
@@ -93,6 +94,7 @@
     add_faults_command(commands)
     add_replay_command(commands)
     add_explain_command(commands)
+    add_schedulers_command(commands)
     add_config_commands(commands)
     add_report_commands(commands)
     return parser
--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -131,6 +131,7 @@
             self.is_ready,
             clock,
         )
+        self.handlers.schedulers = lambda: self.scheduler.schedulers
         limits = HttpLimits(max_connections=MAX_CONNECTIONS)
         self._caller_server = HttpServer(self.handlers.handle_caller, limits)
         self.state.add_listener(self._on_table_change)
--- a/borageyard/gateway_handlers.py
+++ b/borageyard/gateway_handlers.py
@@ -1,6 +1,6 @@
 """HTTP handlers of a gateway for callers and for the platform."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import Protocol
 
@@ -67,6 +67,8 @@
             clock: Monotonic clock.
         """
         self.metrics = GatewayMetrics()
+        # Returns the id of the scheduling entry by group of services.
+        self.schedulers: Callable[[], Mapping[str, str]] = dict
         self._settings = settings
         self._codec = codec
         self._relay = relay
@@ -117,6 +119,9 @@
         now_ms = self._clock.steady_ms()
         alive = len(self._membership.alive(now_ms))
         self.metrics.entries.set({}, alive)
+        self.metrics.record_schedulers(
+            self._settings.instance_id, self.schedulers()
+        )
         body = self.metrics.exposition()
         return HttpResponse(HTTPStatus.OK, body, content_type=TEXT_TYPE)
 
--- a/borageyard/gateway_metrics.py
+++ b/borageyard/gateway_metrics.py
@@ -1,5 +1,7 @@
 """Metrics of a gateway in the Prometheus text format."""
 
+from collections.abc import Mapping
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from .errors import Refusal
@@ -44,12 +46,32 @@
             'Other entries that are alive.',
             registry=self.registry,
         )
+        self.scheduled_here = Gauge(
+            'borageyard_group_scheduled_here',
+            'Whether this entry schedules a group of services.',
+            registry=self.registry,
+        )
         self.version = Gauge(
             'borageyard_configuration_version',
             'Version of the configuration in force.',
             registry=self.registry,
         )
 
+    def record_schedulers(
+        self, instance_id: str, schedulers: Mapping[str, str]
+    ) -> None:
+        """Records which groups of services this entry schedules.
+
+        The sum over all entries is the number of schedulers of a group.
+
+        Args:
+            instance_id: Id of this entry.
+            schedulers: Id of the scheduling entry by group.
+        """
+        for group, scheduler_id in schedulers.items():
+            scheduled_here = int(scheduler_id == instance_id)
+            self.scheduled_here.set({'group': group}, scheduled_here)
+
     def record_response(self, status: int, took_ms: float) -> None:
         """Counts a response and records its latency.
 
--- a/borageyard/piece_runner.py
+++ b/borageyard/piece_runner.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+from .inbound import TargetLoad
 from .roster import RosterRow
 
 
@@ -22,6 +23,16 @@
 class TargetFullError(Exception):
     """The target had no free slot for a call and ran nothing."""
 
+    def __init__(self, reason: str, load: TargetLoad | None = None) -> None:
+        """Creates the error.
+
+        Args:
+            reason: What the target answered.
+            load: Load that the target reported with it, if any.
+        """
+        super().__init__(reason)
+        self.load = load
+
 
 class CallFailedError(Exception):
     """A call got no answer; its pieces may have run."""
--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -156,7 +156,8 @@
             raise CallFailedError(error.reason) from error
         if reply.status == HTTPStatus.SERVICE_UNAVAILABLE:
             raise TargetFullError(
-                f'target responded with status {reply.status}'
+                f'target responded with status {reply.status}',
+                _decode_load(reply.headers),
             )
         if reply.status != HTTPStatus.OK:
             raise CallFailedError(
--- a/borageyard/scheduler_client.py
+++ b/borageyard/scheduler_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Mapping
 from typing import TypeGuard
 
 from .chain_messages import (
@@ -83,6 +84,11 @@
         peers.register(ChainEventBody, self._handle_event)
         service.call_runner.results_listener = self._results.publish_results
 
+    @property
+    def schedulers(self) -> Mapping[str, str]:
+        """Returns the id of the scheduling entry by group of services."""
+        return self._finder.selected
+
     async def place(
         self,
         spec: ChainSpec,
--- a/borageyard/scheduler_finder.py
+++ b/borageyard/scheduler_finder.py
@@ -38,7 +38,8 @@
         self._membership = membership
         self._clock = clock
         self._started_at_ms = clock.steady_ms()
-        self._scheduler_by_group: dict[str, str] = {}
+        # Id of the selected entry by group.
+        self.selected: dict[str, str] = {}
 
     def is_discovery_over(self) -> bool:
         """Returns whether the other entries had time to be discovered.
@@ -97,16 +98,37 @@
     ) -> str:
         """Returns the scheduler of a group and logs when it changes."""
         chosen = choose_scheduler(group, start_times_ms) or self._instance_id
-        if self._scheduler_by_group.get(group) != chosen:
-            self._scheduler_by_group[group] = chosen
-            log_event(
-                Event.SCHEDULER_CHOSEN,
-                group=group,
-                scheduler_id=chosen,
-                started=dict(start_times_ms),
-            )
+        if self.selected.get(group) != chosen:
+            self.selected[group] = chosen
+            self._log_selection(group, chosen, start_times_ms)
         return chosen
 
+    def _log_selection(
+        self,
+        group: str,
+        chosen: str,
+        start_times_ms: Mapping[str, int],
+    ) -> None:
+        members = self._membership.members()
+        contacts_ms = {
+            member.instance_id: member.contact_at_ms for member in members
+        }
+        heard_at_ms = contacts_ms.get(chosen)
+        age_ms = None
+        if heard_at_ms is not None:
+            age_ms = round(self._clock.steady_ms() - heard_at_ms)
+        log_event(
+            Event.SCHEDULER_CHOSEN,
+            instance_id=self._instance_id,
+            group=group,
+            scheduler_id=chosen,
+            started=dict(start_times_ms),
+            unheard=len(contacts_ms.keys() - start_times_ms.keys()),
+            # Liveness comes from direct contact only.
+            source_id=chosen,
+            age_ms=age_ms,
+        )
+
 
 def _may_schedule(member: Member) -> bool:
     """Returns whether an entry is ready; until then it has no targets."""
