Elect the scheduler of a group with terms that reach all entries

Cause: each entry selected the scheduler of a group among the entries that it had heard gossip from, and gossip goes to 8 neighbours. Each scheduler knew only its own calls: all of the 2,268 calls that found a target full in the first 8 s of traffic had no other call of their scheduler there, and the target reported 3 calls. The class: a decision that all entries must take alike, taken from the part of the fleet that an entry is connected to.

Change: a scheduler holds a numbered term that it renews each 600 ms. Entries pass on terms that are news to them, and order them alike, so all follow the same one. A term ends when its scheduler leaves, restarts or its process is gone, else expires after 1.6 s; ready entries then poll five peers one after the other before they start the next term. An entry that reaches nobody schedules its own requests without a term; one that can't reach the scheduler has another entry pass its requests on, where it became a second scheduler before. Only groups of streaming routes have schedulers. Changes are logged with term, reason, source and age. The in-memory link has neighbours too.

--- a/borageyard/bench/claims.py
+++ b/borageyard/bench/claims.py
@@ -17,7 +17,7 @@
 from ..configuration import Configuration, parse_configuration
 from ..generated.settings import ClaimsSettings, EntrySettings
 from ..identifiers import identifier_at
-from ..peers import MemoryPeerNetwork
+from ..memory_peers import MemoryPeerNetwork
 from ..requests import AdmittedRequest, Answer, PipelineRequest
 from ..standins.memory_log import MemoryLogService
 from ..standins.virtual_time import run_virtual
--- a/borageyard/chain_handover.py
+++ b/borageyard/chain_handover.py
@@ -38,16 +38,8 @@
         self._released_services = frozenset(services)
 
     def is_released(self, chain: Chain) -> bool:
-        """Returns whether another entry is to schedule a request.
-
-        A request stays if its sender has already tried the entry that should
-        schedule it.
-        """
-        spec = chain.spec
-        return (
-            spec.engine_service in self._released_services
-            and not spec.passed_over
-        )
+        """Returns whether another entry is to schedule a request."""
+        return chain.spec.engine_service in self._released_services
 
     def scheduled_here(
         self, chains: Mapping[str, Chain]
--- a/borageyard/chain_messages.py
+++ b/borageyard/chain_messages.py
@@ -52,7 +52,6 @@
         aim_left_ms=spec.soft_deadline_at_ms - now_ms,
         deadline_left_ms=spec.deadline_at_ms - now_ms,
         excluded=sorted(excluded),
-        passed_over=spec.passed_over,
         results=encode_results(spec.results, now_ms),
     )
 
@@ -90,7 +89,6 @@
         deadline_at_ms=now_ms + request.deadline_left_ms,
         received_at_ms=now_ms,
         results=decode_results(request.results, now_ms),
-        passed_over=request.passed_over,
     )
 
 
--- a/borageyard/chains.py
+++ b/borageyard/chains.py
@@ -54,8 +54,6 @@
     deadline_at_ms: float
     received_at_ms: float
     results: tuple[HandoverResult, ...] = ()
-    # Whether the entry that should have scheduled it did not.
-    passed_over: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/borageyard/faults/entry_lifecycle.py
+++ b/borageyard/faults/entry_lifecycle.py
@@ -124,6 +124,14 @@
         """Sends gossip now, in addition to the regular rounds."""
         self._inner.send_gossip()
 
+    def send_section(self, model: type[pydantic.BaseModel]) -> None:
+        """Sends one section of the gossip to all neighbours now."""
+        self._inner.send_section(model)
+
+    def connected_ids(self) -> Sequence[str]:
+        """Returns the ids of the peers to which a stream is open."""
+        return self._inner.connected_ids()
+
     def peer_ids(self) -> Sequence[str]:
         """Returns the instance ids of the known peers."""
         return self._inner.peer_ids()
--- a/borageyard/fleet_state.py
+++ b/borageyard/fleet_state.py
@@ -187,7 +187,9 @@
             log_event(Event.CONFIGURATION_REJECTED, reason=str(error))
             return
         self.configuration = configuration
-        self.groups = group_services(configuration.routes)
+        self.groups = group_services(
+            route for route in configuration.routes if route.streams
+        )
         log_event(
             Event.SERVING_CHANGED,
             version=configuration.version,
--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -3,9 +3,11 @@
 import asyncio
 import contextlib
 import dataclasses
+import math
 
 from .buffered_relay import BufferedRelay
 from .clock import MS_PER_S, Clock
+from .election_service import ElectionService
 from .events import Event, log_event
 from .fleet_state import FleetState, RecordDecoder
 from .fleet_sync import FleetSync
@@ -23,6 +25,7 @@
 from .request_relay import RequestRelay
 from .retry_budget import RetryBudget
 from .scheduler_client import SchedulerClient
+from .scheduler_election import SchedulerElection
 from .scheduler_service import SchedulerService
 from .shared_table import SharedTables, Table
 from .streaming_relay import StreamingRelay
@@ -85,10 +88,18 @@
             clock,
         )
         self.service = SchedulerService(self.state, dependencies.runner, clock)
+        self.elections = ElectionService(
+            SchedulerElection(settings.instance_id, incarnation),
+            self.state,
+            membership,
+            self.link,
+            clock,
+            self.is_ready,
+        )
         self.scheduler = SchedulerClient(
             settings.instance_id,
             self.state,
-            membership,
+            self.elections,
             self.link,
             self.service,
             clock,
@@ -131,7 +142,7 @@
             self.is_ready,
             clock,
         )
-        self.handlers.schedulers = lambda: self.scheduler.schedulers
+        self.handlers.elections = self.elections
         limits = HttpLimits(max_connections=MAX_CONNECTIONS)
         self._caller_server = HttpServer(self.handlers.handle_caller, limits)
         self.state.add_listener(self._on_table_change)
@@ -154,6 +165,7 @@
             await self.link.start(settings.peer_address, stack)
             await stack.enter_async_context(self.service.running())
             await stack.enter_async_context(self.sync.running())
+            await stack.enter_async_context(self.elections.running())
             log_event(
                 Event.ENTRY_STARTED,
                 instance_id=settings.instance_id,
@@ -168,7 +180,7 @@
         clock = self.dependencies.clock
         started_at_ms = clock.steady_ms()
         self.sync.leaving = True
-        self.scheduler.leave()
+        self.elections.leave()
         self.link.send_gossip()
         self._caller_server.begin_closing()
         log_event(
@@ -235,11 +247,13 @@
             on_contact=self._on_contact,
             on_replaced=self._on_replaced,
             on_address=self._on_address,
+            on_refused=self._on_refused,
         )
 
     def _on_contact(self, peer_id: str, incarnation: int) -> None:
         now_ms = self.dependencies.clock.steady_ms()
         self.sync.membership.note_contact(peer_id, incarnation, now_ms)
+        self.elections.note_incarnation(peer_id, incarnation)
 
     def _on_address(
         self,
@@ -257,3 +271,7 @@
 
     def _on_replaced(self, peer_id: str) -> None:
         self.sync.membership.note_replaced(peer_id)
+        self.elections.note_gone(peer_id, math.inf)
+
+    def _on_refused(self, peer_id: str, incarnation: int) -> None:
+        self.elections.note_gone(peer_id, incarnation + 1)
--- a/borageyard/gateway_handlers.py
+++ b/borageyard/gateway_handlers.py
@@ -1,10 +1,11 @@
 """HTTP handlers of a gateway for callers and for the platform."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Protocol
 
 from .clock import Clock
+from .election_service import ElectionService
 from .errors import ErrorKind, Refusal, RefusalError
 from .events import Event, log_event
 from .gateway_metrics import GatewayMetrics
@@ -67,8 +68,7 @@
             clock: Monotonic clock.
         """
         self.metrics = GatewayMetrics()
-        # Returns the id of the scheduling entry by group of services.
-        self.schedulers: Callable[[], Mapping[str, str]] = dict
+        self.elections: ElectionService | None = None
         self._settings = settings
         self._codec = codec
         self._relay = relay
@@ -119,9 +119,12 @@
         now_ms = self._clock.steady_ms()
         alive = len(self._membership.alive(now_ms))
         self.metrics.entries.set({}, alive)
-        self.metrics.record_schedulers(
-            self._settings.instance_id, self.schedulers()
-        )
+        if self.elections is not None:
+            self.metrics.record_schedulers(
+                self._settings.instance_id,
+                self.elections.schedulers,
+                self.elections.renewal_ages_ms,
+            )
         body = self.metrics.exposition()
         return HttpResponse(HTTPStatus.OK, body, content_type=TEXT_TYPE)
 
--- a/borageyard/gateway_metrics.py
+++ b/borageyard/gateway_metrics.py
@@ -51,6 +51,11 @@
             'Whether this entry schedules a group of services.',
             registry=self.registry,
         )
+        self.renewal_age_ms = Gauge(
+            'borageyard_group_renewal_age_ms',
+            'Age of the last renewal by the scheduler of a group.',
+            registry=self.registry,
+        )
         self.version = Gauge(
             'borageyard_configuration_version',
             'Version of the configuration in force.',
@@ -58,7 +63,10 @@
         )
 
     def record_schedulers(
-        self, instance_id: str, schedulers: Mapping[str, str]
+        self,
+        instance_id: str,
+        schedulers: Mapping[str, str],
+        renewal_ages_ms: Mapping[str, float],
     ) -> None:
         """Records which groups of services this entry schedules.
 
@@ -67,7 +75,10 @@
         Args:
             instance_id: Id of this entry.
             schedulers: Id of the scheduling entry by group.
+            renewal_ages_ms: Age of the last renewal known here, by group.
         """
+        for renewed, age_ms in renewal_ages_ms.items():
+            self.renewal_age_ms.set({'group': renewed}, age_ms)
         for group, scheduler_id in schedulers.items():
             scheduled_here = int(scheduler_id == instance_id)
             self.scheduled_here.set({'group': group}, scheduled_here)
--- a/borageyard/peer_connection.py
+++ b/borageyard/peer_connection.py
@@ -80,6 +80,8 @@
         self._pending: dict[int, asyncio.Future[PeerFrameBody]] = {}
         self._last_id = 0
         self._first_attempt = asyncio.Event()
+        # Incarnation that greeted last on this connection.
+        self._incarnation = 0
 
     @property
     def connected(self) -> bool:
@@ -93,21 +95,25 @@
                 await self._session()
             except STREAM_ERRORS as error:
                 self._handle_disconnect(error)
+                self._report_refusal(error)
             await asyncio.sleep(self._backoff.next_ms() / MS_PER_S)
 
-    def send_gossip(self, encoded: bytes, *, urgent: bool) -> bool:
+    def send_gossip(
+        self, encoded: bytes, *, urgent: bool, topic: str = ''
+    ) -> bool:
         """Queues a gossip message if the stream is open.
 
         Args:
             encoded: The encoded frame with its length prefix.
             urgent: Whether to send it before other gossip.
+            topic: Section that is sent on its own; empty for a round.
 
         Returns:
             Whether it was queued.
         """
         if self._outbox is None:
             return False
-        self._outbox.put_gossip(encoded, urgent=urgent)
+        self._outbox.put_gossip(encoded, urgent=urgent, topic=topic)
         return True
 
     async def request(
@@ -190,6 +196,7 @@
                     f'{greeting.instance_id} answered at the address of '
                     f'{self._peer_id}',
                 )
+            self._incarnation = greeting.incarnation
             self._context.on_contact(
                 greeting.instance_id,
                 greeting.incarnation,
@@ -246,6 +253,16 @@
             return
         reply_future.set_result(frame)
 
+    def _report_refusal(self, error: Exception) -> None:
+        """Reports that the process of a peer that was connected is gone.
+
+        A machine refuses a connection only while no process listens.
+        """
+        listener = self._context.on_refused
+        refused = isinstance(error, ConnectionRefusedError)
+        if refused and self._incarnation and listener is not None:
+            listener(self._peer_id, self._incarnation)
+
     def _handle_disconnect(self, error: Exception) -> None:
         was_open = self._outbox is not None
         self._outbox = None
--- a/borageyard/peer_link.py
+++ b/borageyard/peer_link.py
@@ -146,6 +146,17 @@
         for receiver in self.fanout.choose(len(bulk), now_ms):
             self._send_to(receiver, bulk, urgent=False)
 
+    def send_section(self, model: type[pydantic.BaseModel]) -> None:
+        """Sends one urgent section to all neighbours now."""
+        topic = model.__name__
+        message = self._dispatcher.sections[topic].provide()
+        encoded = self._encode_messages([message] if message else [])
+        if encoded is None:
+            return
+        for neighbour in self.fanout.neighbours:
+            self._send_to(neighbour, encoded, urgent=True, topic=topic)
+            self.fanout.spend(len(encoded))
+
     def gossip_messages(self, *, urgent: bool) -> Sequence[pydantic.BaseModel]:
         """Returns the current gossip messages.
 
@@ -157,19 +168,26 @@
         provided = [
             section.provide()
             for section in self._dispatcher.sections.values()
-            if section.urgent is urgent
+            if section.urgent is urgent and section.periodic
         ]
         return [message for message in provided if message is not None]
 
-    def _send_to(self, peer_id: str, encoded: bytes, *, urgent: bool) -> None:
+    def _send_to(
+        self, peer_id: str, encoded: bytes, *, urgent: bool, topic: str = ''
+    ) -> None:
         connection = self._connections.get(peer_id)
         if connection is not None:
-            connection.send_gossip(encoded, urgent=urgent)
+            connection.send_gossip(encoded, urgent=urgent, topic=topic)
 
     def _encode_gossip(self, *, urgent: bool) -> bytes | None:
+        return self._encode_messages(self.gossip_messages(urgent=urgent))
+
+    def _encode_messages(
+        self, messages: Sequence[pydantic.BaseModel]
+    ) -> bytes | None:
         sections = {
             type(message).__name__: message.model_dump(exclude_defaults=True)
-            for message in self.gossip_messages(urgent=urgent)
+            for message in messages
         }
         if not sections:
             return None
--- a/borageyard/peer_stream.py
+++ b/borageyard/peer_stream.py
@@ -75,6 +75,8 @@
     on_contact: ContactListener
     on_replaced: ReplacementListener
     on_address: AddressListener | None = None
+    # Called when the process of a peer that was connected is gone.
+    on_refused: ContactListener | None = None
     client_tls: ssl.SSLContext | None = None
     server_tls: ssl.SSLContext | None = None
     tracer: trace.Tracer | None = None
@@ -83,7 +85,7 @@
 class FrameOutbox:
     """Bounded send queue of a stream.
 
-    Of gossip only the newest message of each urgency is kept.
+    Of gossip only the newest message of each urgency and topic is kept.
     """
 
     def __init__(self, context: PeerContext) -> None:
@@ -94,7 +96,7 @@
         """
         self._context = context
         self._frames: collections.deque[bytes] = collections.deque()
-        self._gossip: dict[bool, bytes] = {}
+        self._gossip: dict[tuple[bool, str], bytes] = {}
         self._ready = asyncio.Event()
 
     def put(self, frame: PeerFrameBody) -> bool:
@@ -116,16 +118,20 @@
         self._ready.set()
         return True
 
-    def put_gossip(self, encoded: bytes, *, urgent: bool) -> None:
-        """Queues gossip, replacing unsent gossip of the same urgency.
+    def put_gossip(
+        self, encoded: bytes, *, urgent: bool, topic: str = ''
+    ) -> None:
+        """Queues gossip, replacing unsent gossip of the same kind.
 
         Args:
             encoded: The encoded frame with its length prefix.
             urgent: Whether to send it before other gossip.
+            topic: Section that is sent on its own; empty for a round.
         """
-        if urgent in self._gossip:
+        kind = (urgent, topic)
+        if kind in self._gossip:
             self._context.counters.news_dropped += 1
-        self._gossip[urgent] = encoded
+        self._gossip[kind] = encoded
         self._ready.set()
 
     async def drain_to(self, writer: asyncio.StreamWriter) -> None:
@@ -149,8 +155,8 @@
             return self._frames.popleft()
         if not self._gossip:
             return None
-        urgent = max(self._gossip)
-        gossip = self._gossip.pop(urgent)
+        urgent, topic = max(self._gossip)
+        gossip = self._gossip.pop((urgent, topic))
         self._context.counters.news_bytes += len(gossip)
         self._context.counters.bulk_sent += int(not urgent)
         return gossip
--- a/borageyard/plans.py
+++ b/borageyard/plans.py
@@ -19,6 +19,8 @@
     FAILING = 'failing'
     # Another entry schedules the request from now on.
     MOVED = 'moved'
+    # The entry that was to pass the request on does not reach the scheduler.
+    UNREACHABLE = 'unreachable'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/borageyard/scheduler_client.py
+++ b/borageyard/scheduler_client.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-from collections.abc import Mapping
 from typing import TypeGuard
 
 from .chain_messages import (
@@ -13,6 +12,7 @@
 )
 from .chains import ChainSpec
 from .clock import MS_PER_S, Clock
+from .election_service import ElectionService
 from .engine_placer import Placement
 from .events import Event, log_event
 from .fleet_state import FleetState
@@ -22,38 +22,39 @@
     ChainReplyBody,
     ChainRequestBody,
 )
-from .membership import Membership
 from .peer_notifier import PeerNotifier
 from .peers import PeerError, PeerLink
 from .plans import ChainRefusal, Denial, Grant
+from .rendezvous import choose
 from .result_tracker import ResultTracker
-from .scheduler_finder import DISCOVERY_MS, SchedulerFinder
 from .scheduler_service import SchedulerService
 
-MAX_SCHEDULERS_TRIED = 4
+# Time for which a request that no scheduler takes waits for a new one: until
+# the term of a lost scheduler has expired and several candidates were lost.
+MAX_UNPLACED_MS = 3000
+# Pause before a request is sent again.
+RETRY_PAUSE_MS = 50
 # Time in which a broken stream is reopened: the minimum reconnect delay of the
 # peer link plus one round trip.
 RECONNECT_MS = 120
 ATTEMPTS_PER_SCHEDULER = 2
 # Time for which the scheduler keeps a request after its sender has gone.
 LINGER_MS = 600
-# Interval of the checks whether discovery of the other entries is over.
-DISCOVERY_POLL_MS = 20
 RETRY_AFTER_MS = 500
 
 
 class SchedulerClient:
-    """Sends requests to the scheduler of a group.
+    """Sends requests to the elected scheduler of a group.
 
-    All entries select the same scheduler for a group. If it does not answer or
-    has moved the request, the request is sent to the next one.
+    If it can't be reached, another entry passes the request on to it. If that
+    fails too or the request was moved, it waits for the next scheduler.
     """
 
     def __init__(
         self,
         instance_id: str,
         state: FleetState,
-        membership: Membership,
+        elections: ElectionService,
         peers: PeerLink,
         service: SchedulerService,
         clock: Clock,
@@ -63,13 +64,13 @@
         Args:
             instance_id: Id of this entry.
             state: Targets and configuration.
-            membership: The other entries.
+            elections: Elects the schedulers.
             peers: Streams to the other entries.
             service: The scheduler of this entry.
             clock: Source of monotonic time.
         """
         self._instance_id = instance_id
-        self._finder = SchedulerFinder(instance_id, state, membership, clock)
+        self._elections = elections
         self._state = state
         self._peers = peers
         self._service = service
@@ -83,11 +84,7 @@
         peers.register(ChainRequestBody, self._handle_chain)
         peers.register(ChainEventBody, self._handle_event)
         service.call_runner.results_listener = self._results.publish_results
-
-    @property
-    def schedulers(self) -> Mapping[str, str]:
-        """Returns the id of the scheduling entry by group of services."""
-        return self._finder.selected
+        elections.add_listener(self._release_foreign_services)
 
     async def place(
         self,
@@ -106,25 +103,25 @@
         Returns:
             The engine and the inputs, or why there are none.
         """
-        await self._wait_for_discovery()
-        tried: frozenset[str] = frozenset()
-        while len(tried) < MAX_SCHEDULERS_TRIED:
-            scheduler_id = self._finder.find(spec.engine_service, tried)
-            self._schedulers[spec.chain_id] = scheduler_id
-            self._results.assign_scheduler(spec.chain_id, scheduler_id)
-            outcome = await self._place_with_retry(scheduler_id, spec, excluded)
+        unplaced_since_ms = self._clock.steady_ms()
+        while True:
+            until_ms = min(
+                unplaced_since_ms + MAX_UNPLACED_MS, spec.deadline_at_ms
+            )
+            outcome = await self._place_once(spec, excluded, until_ms)
             if outcome is not None and not _is_moved(outcome):
                 return outcome
-            tried |= {scheduler_id}
+            now_ms = self._clock.steady_ms()
+            if outcome is not None:
+                unplaced_since_ms = now_ms
+                until_ms = spec.deadline_at_ms
+            if now_ms + RETRY_PAUSE_MS >= until_ms:
+                break
+            await asyncio.sleep(RETRY_PAUSE_MS / MS_PER_S)
             results = self._results.results_of(spec.chain_id)
-            spec = dataclasses.replace(spec, results=results, passed_over=True)
+            spec = dataclasses.replace(spec, results=results)
         return Denial(spec.chain_id, ChainRefusal.FAILING, RETRY_AFTER_MS)
 
-    def leave(self) -> None:
-        """Stops scheduling here and releases the requests in progress."""
-        self._finder.leaving = True
-        self._release_foreign_services()
-
     def note_started(self, chain_id: str) -> None:
         """Notifies the scheduler that the engine has started its answer."""
         scheduler_id = self._schedulers.get(chain_id, self._instance_id)
@@ -143,36 +140,105 @@
 
     def note_ended(self, chain_id: str) -> None:
         """Notifies the scheduler that a request has ended."""
+        scheduler_id = self._forget(chain_id)
+        if scheduler_id:
+            self._note_ended_at(scheduler_id, chain_id)
+
+    def _forget(self, chain_id: str) -> str:
+        """Forgets a request; returns the entry that it was sent to."""
         self._results.forget(chain_id)
-        scheduler_id = self._schedulers.pop(chain_id, None)
-        if scheduler_id is None:
-            return
+        return self._schedulers.pop(chain_id, '')
+
+    def _note_ended_at(self, scheduler_id: str, chain_id: str) -> None:
         if scheduler_id == self._instance_id:
             self._service.note_ended(chain_id)
             return
         self._notify_scheduler(scheduler_id, chain_id, 'ended', '')
 
+    async def _place_once(
+        self,
+        spec: ChainSpec,
+        excluded: frozenset[str],
+        until_ms: float,
+    ) -> Grant | Denial | None:
+        """Returns the outcome from the present scheduler, if there is one.
+
+        Args:
+            spec: The request.
+            excluded: Ids of the engines that failed it.
+            until_ms: Monotonic time until which to wait for a scheduler.
+        """
+        service = spec.engine_service
+        scheduler_id = await self._elections.wait_for(service, until_ms)
+        if not scheduler_id:
+            return None
+        if scheduler_id == self._instance_id:
+            self._assign(spec.chain_id, scheduler_id)
+            placed = await self._service.place(spec, excluded)
+            self._keep_moved_results(scheduler_id, placed)
+            return placed
+        outcome = await self._place_with_retry(scheduler_id, spec, excluded)
+        if outcome is None and self._elections.find(service) == scheduler_id:
+            outcome = await self._place_by_relay(scheduler_id, spec, excluded)
+        return outcome
+
+    async def _place_by_relay(
+        self,
+        scheduler_id: str,
+        spec: ChainSpec,
+        excluded: frozenset[str],
+    ) -> Grant | Denial | None:
+        """Returns the outcome from a scheduler that this entry can't reach.
+
+        Its renewals arrive through other entries, so one of those is asked to
+        pass the request on.
+        """
+        relays = [
+            peer_id
+            for peer_id in self._peers.connected_ids()
+            if peer_id != scheduler_id
+        ]
+        relay_id = choose(spec.chain_id, relays)
+        if relay_id is None:
+            return None
+        self._assign(spec.chain_id, relay_id)
+        try:
+            outcome = await self._place_at_peer(
+                relay_id, spec, excluded, relay=True
+            )
+        except PeerError as error:
+            _log_unanswered(relay_id, spec.chain_id, error)
+            return None
+        if isinstance(outcome, Denial):
+            if outcome.reason is ChainRefusal.UNREACHABLE:
+                return None
+            self._keep_moved_results(relay_id, outcome)
+        return outcome
+
+    def _assign(self, chain_id: str, scheduler_id: str) -> None:
+        """Records the entry that a request is sent to."""
+        self._schedulers[chain_id] = scheduler_id
+        self._results.assign_scheduler(chain_id, scheduler_id)
+
     async def _place_with_retry(
         self,
         scheduler_id: str,
         spec: ChainSpec,
         excluded: frozenset[str],
     ) -> Grant | Denial | None:
-        """Returns the outcome from a scheduler, or None if it does not answer.
+        """Returns the outcome from a peer, or None if it does not answer.
 
         The stream to a live peer is reopened at once after it breaks, and the
         peer keeps the request meanwhile, so a second attempt is worthwhile.
         """
+        self._assign(spec.chain_id, scheduler_id)
         for _ in range(ATTEMPTS_PER_SCHEDULER):
             try:
-                outcome = await self._place_at(scheduler_id, spec, excluded)
-            except PeerError as error:
-                log_event(
-                    Event.PEER_UNANSWERED,
-                    peer_id=scheduler_id,
-                    request_id=spec.chain_id,
-                    reason=str(error),
+                outcome = await self._place_at_peer(
+                    scheduler_id, spec, excluded
                 )
+            except PeerError as error:
+                _log_unanswered(scheduler_id, spec.chain_id, error)
             else:
                 self._unresponsive.discard(scheduler_id)
                 self._keep_moved_results(scheduler_id, outcome)
@@ -198,38 +264,29 @@
             results=len(outcome.results),
         )
 
-    async def _wait_for_discovery(self) -> None:
-        """Waits after startup until others had time to be discovered."""
-        for _ in range(DISCOVERY_MS // DISCOVERY_POLL_MS):
-            if self._finder.is_discovery_over():
-                return
-            await asyncio.sleep(DISCOVERY_POLL_MS / MS_PER_S)
-
     def _release_foreign_services(self) -> None:
         """Releases requests that another entry now schedules."""
-        self._service.release(self._finder.foreign_services())
-
-    async def _place_at(
-        self,
-        scheduler_id: str,
-        spec: ChainSpec,
-        excluded: frozenset[str],
-    ) -> Grant | Denial:
-        self._release_foreign_services()
-        if scheduler_id == self._instance_id:
-            return await self._service.place(spec, excluded)
-        return await self._place_at_peer(scheduler_id, spec, excluded)
+        foreign_services = [
+            service
+            for service in self._state.groups
+            if self._elections.find(service) != self._instance_id
+        ]
+        self._service.release(frozenset(foreign_services))
 
     async def _place_at_peer(
         self,
-        scheduler_id: str,
+        peer_id: str,
         spec: ChainSpec,
         excluded: frozenset[str],
+        *,
+        relay: bool = False,
     ) -> Grant | Denial:
         now_ms = self._clock.steady_ms()
+        message = encode_chain_spec(spec, excluded, now_ms)
+        message.relay = relay
         reply = await self._peers.request(
-            scheduler_id,
-            encode_chain_spec(spec, excluded, now_ms),
+            peer_id,
+            message,
             ChainReplyBody,
             max(spec.deadline_at_ms - now_ms, 1),
         )
@@ -260,7 +317,10 @@
         excluded = frozenset(request.excluded)
         self._release_foreign_services()
         with self._results.publishing_to(spec.chain_id, peer_id):
-            outcome = await self._service.place(spec, excluded, LINGER_MS)
+            if request.relay:
+                outcome = await self._relay(spec, excluded)
+            else:
+                outcome = await self._service.place(spec, excluded, LINGER_MS)
         if isinstance(outcome, Denial):
             return ChainReplyBody(
                 refusal=outcome.reason.value,
@@ -276,17 +336,39 @@
             cost_ms=outcome.placement.cost_ms,
         )
 
+    async def _relay(
+        self, spec: ChainSpec, excluded: frozenset[str]
+    ) -> Grant | Denial:
+        """Passes a request of a peer on to the scheduler."""
+        scheduler_id = self._elections.find(spec.engine_service)
+        if scheduler_id == self._instance_id:
+            return await self._service.place(spec, excluded, LINGER_MS)
+        outcome: Grant | Denial | None = None
+        if scheduler_id:
+            outcome = await self._place_with_retry(scheduler_id, spec, excluded)
+        if isinstance(outcome, Grant):
+            # Needed until the peer reports the end of the request.
+            return outcome
+        self._forget(spec.chain_id)
+        return outcome or Denial(
+            spec.chain_id, ChainRefusal.UNREACHABLE, RETRY_AFTER_MS
+        )
+
     async def _handle_event(
         self,
         peer_id: str,
         event_body: ChainEventBody,
     ) -> ChainEventReplyBody:
+        # The request is scheduled here, or was passed on by this entry.
         if event_body.event == 'started':
-            self._service.note_started(event_body.chain_id)
+            self.note_started(event_body.chain_id)
         elif event_body.event == 'failed':
-            self._service.note_failed(event_body.chain_id, event_body.engine_id)
+            self.note_failed(event_body.chain_id, event_body.engine_id)
         else:
-            self._service.note_ended(event_body.chain_id)
+            relayed_to = self._forget(event_body.chain_id)
+            self._note_ended_at(
+                relayed_to or self._instance_id, event_body.chain_id
+            )
         return ChainEventReplyBody()
 
     def _notify_scheduler(
@@ -304,6 +386,15 @@
         )
 
 
+def _log_unanswered(peer_id: str, chain_id: str, error: PeerError) -> None:
+    log_event(
+        Event.PEER_UNANSWERED,
+        peer_id=peer_id,
+        request_id=chain_id,
+        reason=str(error),
+    )
+
+
 def _is_moved(outcome: Grant | Denial) -> TypeGuard[Denial]:
     """Returns whether another entry schedules the request from now on."""
     if isinstance(outcome, Denial):
--- a/borageyard/standins/memory_deployment.py
+++ b/borageyard/standins/memory_deployment.py
@@ -20,7 +20,7 @@
 from ..configuration_log import CONFIGURATION_STREAM
 from ..core import EntryCore, EntryDependencies
 from ..generated.settings import EntrySettings
-from ..peers import MemoryPeerNetwork
+from ..memory_peers import MemoryPeerNetwork
 from ..policy import PolicyOptions
 from .deployment import DeploymentPlan
 from .memory_log import MemoryLogService
--- a/tests/claim_model.py
+++ b/tests/claim_model.py
@@ -18,7 +18,7 @@
 from borageyard.detached import DetachedRuns
 from borageyard.errors import ErrorKind, Refusal, RefusalError, RunStatus
 from borageyard.generated.settings import EntrySettings
-from borageyard.peers import MemoryPeerNetwork
+from borageyard.memory_peers import MemoryPeerNetwork
 from borageyard.requests import AdmittedRequest, Answer, PipelineRequest
 from borageyard.standins.memory_log import MemoryLogService
 from borageyard.standins.virtual_time import VirtualTimeLoop
--- a/tests/test_chain_scheduler.py
+++ b/tests/test_chain_scheduler.py
@@ -448,13 +448,22 @@
         denial = scheduler.submit(order(), 0)
         assert denial.reason is ChainRefusal.MOVED
 
-    def test_request_without_better_scheduler_stays(self, scheduler):
-        """A request that another scheduler passed over is scheduled here."""
+    def test_request_of_a_service_that_comes_back_stays(self, scheduler):
+        """A service that is scheduled here again is not released any more."""
         scheduler.handover.release({'model'})
-        assert scheduler.submit(order(passed_over=True), 0) is None
+        scheduler.handover.release(())
+        assert scheduler.submit(order(), 0) is None
         scheduler.plan(0)
         assert scheduler.plan(LATER_MS).calls
 
+    def test_no_entry_schedules_beside_the_elected_one(self, scheduler):
+        """A request is moved however often it was sent here."""
+        scheduler.handover.release({'model'})
+        for _ in range(3):
+            denial = scheduler.submit(order(), 0)
+            assert denial.reason is ChainRefusal.MOVED
+        assert not scheduler.plan(LATER_MS).calls
+
     def test_results_of_removed_targets_are_produced_again(self, scheduler):
         """Only the results of known targets are adopted."""
         finish(scheduler, self.begin(scheduler), 350)
--- a/tests/test_scheduler_agreement.py
+++ b/tests/test_scheduler_agreement.py
@@ -1,103 +1,196 @@
 """Tests that all entries of a fleet agree on the scheduler of a group."""
 
+import contextlib
+
 import pytest
 
-from borageyard.backing_services import ROLE_ENTRY, Instance
-from borageyard.clock import ManualClock
-from borageyard.generated.peer_membership import PeerMembershipBody
-from borageyard.gossip_fanout import GossipFanout
-from borageyard.membership import Membership
-from borageyard.peers import PeerAddress
-from borageyard.scheduler_finder import SchedulerFinder
-
-GROUP = 'model'
-NEIGHBOURS = 8
-ROUND_MS = 300
-START_MS = 1_000_000
-
-
-class Roster:
-    """Roster with targets of one service."""
-
-    services = {GROUP: ('m1',)}
-
-
-class Fleet:
-    """Fleet state with one target."""
-
-    roster = Roster()
-    groups = {GROUP: GROUP}
-
-
-class Entry:
-    """The decisions of one entry that are based on gossip."""
-
-    def __init__(self, number, clock):
-        """Creates an entry that knows no other one."""
-        self.name = f'entry-{number}'
-        # Entries of a deployment start within 0.3 s.
-        self.started_ms = START_MS + number
-        self.membership = Membership(self.name, self.started_ms)
-        self.fanout = GossipFanout(self.name, NEIGHBOURS, 3000)
-        self.finder = SchedulerFinder(
-            self.name, Fleet(), self.membership, clock
-        )
-
-    def list(self, names, now_ms):
-        """Reads the table of entries, which holds all of them."""
-        rows = [
-            Instance(name, ROLE_ENTRY, '', 'a', peer_address=f'{name}:1')
-            for name in names
-        ]
-        self.membership.note_list(rows, now_ms)
-        self.fanout.update(
-            PeerAddress(name, f'{name}:1')
-            for name in names
-            if name != self.name
-        )
-
-    def gossip(self):
-        """Returns the gossip of a ready entry."""
-        return PeerMembershipBody(
-            incarnation=self.started_ms, address=f'{self.name}:2'
-        )
-
-
-class Deployment:
-    """Entries that gossip to their neighbours only, as over TCP."""
-
-    def __init__(self, size):
-        """Starts all entries; each one knows the table of entries."""
-        self.clock = ManualClock()
-        entries = [Entry(number, self.clock) for number in range(size)]
-        self.entries = {entry.name: entry for entry in entries}
-        for entry in entries:
-            entry.list(self.entries, 0)
-
-    def run(self, span_ms):
-        """Delivers the gossip of all entries for some time."""
-        for _ in range(span_ms // ROUND_MS):
-            self.clock.advance(ROUND_MS)
-            for entry in self.entries.values():
-                for neighbour in entry.fanout.neighbours:
-                    self.entries[neighbour].membership.note_gossip(
-                        entry.name, entry.gossip(), self.clock.now_ms
-                    )
-
-    def schedulers(self):
-        """Returns the ids that the entries take for the scheduler."""
-        return {
-            entry.finder.find(GROUP, frozenset())
-            for entry in self.entries.values()
-        }
+from borageyard.scheduler_election import CANDIDATE_DELAY_MS, TERM_MS
+from tests.election_fleet import ElectingFleet, in_virtual_time
+
+SIZES = (5, 27, 35, 300)
+# Time in which the fleet agrees on a first scheduler.
+START_S = 4
+# Time in which a lost scheduler is replaced: its term expires, and a few
+# candidates may be lost too.
+REPLACEMENT_S = (TERM_MS + 8 * CANDIDATE_DELAY_MS + 1000) / 1000
+# Time in which all entries have heard of a change.
+SPREAD_MS = 200
+
+
+@contextlib.asynccontextmanager
+async def settled(size):
+    """Runs a fleet that has agreed on its scheduler."""
+    async with ElectingFleet(size).running() as fleet:
+        await fleet.run(START_S)
+        (scheduler,) = fleet.schedulers()
+        assert fleet.acting() == {scheduler}
+        yield fleet, scheduler
 
 
+@pytest.mark.parametrize('size', SIZES)
 class TestAgreement:
     """Each entry hears gossip from a part of the fleet only."""
 
-    @pytest.mark.parametrize('size', [5, 27, 35, 300])
-    def test_group_has_one_scheduler(self, size):
+    @in_virtual_time
+    async def test_group_has_one_scheduler(self, size):
         """Incident SHORT: each part of the fleet had its own scheduler."""
-        deployment = Deployment(size)
-        deployment.run(6000)
-        assert len(deployment.schedulers()) == 1
+        async with settled(size) as (fleet, scheduler):
+            assert await fleet.run(5) == 0
+            assert fleet.schedulers() == {scheduler}
+            assert fleet.changes() <= 2
+
+    @in_virtual_time
+    async def test_scheduler_that_dies(self, size):
+        """All entries agree on another one after its term has expired."""
+        async with settled(size) as (fleet, scheduler):
+            await fleet.kill(scheduler)
+            assert await fleet.run(REPLACEMENT_S) <= SPREAD_MS
+            (following,) = fleet.schedulers()
+            assert following in fleet.entries
+
+
+@pytest.mark.parametrize('size', [5, 35])
+class TestFaults:
+    """Faults of single entries and of the network."""
+
+    @in_virtual_time
+    async def test_scheduler_that_restarts(self, size):
+        """Its new incarnation does not schedule; another one does at once."""
+        async with settled(size) as (fleet, scheduler):
+            former = await fleet.kill(scheduler)
+            fleet.entries[scheduler] = former
+            await fleet.start(scheduler, former.incarnation + 100)
+            assert await fleet.run(1.5) <= SPREAD_MS
+            (following,) = fleet.schedulers()
+            assert following
+            assert fleet.changes() <= 4
+
+    @in_virtual_time
+    async def test_scheduler_that_leaves(self, size):
+        """It is replaced well before its term would have expired."""
+        async with settled(size) as (fleet, scheduler):
+            leaving = fleet.entries[scheduler]
+            leaving.ready = False
+            leaving.service.leave()
+            assert await fleet.run(1) <= SPREAD_MS
+            (following,) = fleet.schedulers()
+            assert following not in {'', scheduler}
+
+    @in_virtual_time
+    async def test_scheduler_that_freezes(self, size):
+        """It is replaced, and follows its successor when it wakes."""
+        async with settled(size) as (fleet, scheduler):
+            await fleet.freeze(scheduler, REPLACEMENT_S)
+            others = set(fleet.names) - {scheduler}
+            (following,) = fleet.schedulers(others)
+            assert following not in {'', scheduler}
+            assert await fleet.run(2) <= SPREAD_MS
+            assert fleet.schedulers() == {following}
+
+    @in_virtual_time
+    async def test_freeze_of_another_entry_changes_nothing(self, size):
+        """It polls when it wakes, and hears that the scheduler goes on."""
+        async with settled(size) as (fleet, scheduler):
+            other = next(name for name in fleet.names if name != scheduler)
+            await fleet.freeze(other, 5)
+            assert await fleet.run(2) == 0
+            assert fleet.schedulers() == {scheduler}
+
+    @in_virtual_time
+    async def test_entry_that_joins_changes_nothing(self, size):
+        """An entry that restarts takes nothing over."""
+        async with settled(size) as (fleet, scheduler):
+            other = next(name for name in fleet.names if name != scheduler)
+            former = await fleet.kill(other)
+            await fleet.run(1)
+            await fleet.start(other, former.incarnation + 100)
+            assert await fleet.run(2) == 0
+            assert fleet.schedulers() == {scheduler}
+
+    @in_virtual_time
+    async def test_entry_that_is_cut_off(self, size):
+        """It schedules its own requests, and comes back without a term."""
+        async with settled(size) as (fleet, scheduler):
+            alone = next(name for name in fleet.names if name != scheduler)
+            fleet.cut([alone])
+            await fleet.run(REPLACEMENT_S)
+            assert fleet.schedulers({alone}) == {alone}
+            others = set(fleet.names) - {alone}
+            assert fleet.schedulers(others) == {scheduler}
+            fleet.network.heal()
+            await fleet.run(1)
+            assert await fleet.run(2) == 0
+            assert fleet.schedulers() == {scheduler}
+
+    @in_virtual_time
+    async def test_scheduler_that_is_cut_off(self, size):
+        """The others replace it; it follows once it is back."""
+        async with settled(size) as (fleet, scheduler):
+            fleet.cut([scheduler])
+            await fleet.run(REPLACEMENT_S)
+            others = set(fleet.names) - {scheduler}
+            (following,) = fleet.schedulers(others)
+            assert following not in {'', scheduler}
+            fleet.network.heal()
+            await fleet.run(1)
+            assert fleet.schedulers() == {following}
+
+    @in_virtual_time
+    async def test_partition(self, size):
+        """Each side has one scheduler; afterwards there is one of all."""
+        async with settled(size) as (fleet, _):
+            half = fleet.names[: size // 2]
+            fleet.cut(half)
+            await fleet.run(REPLACEMENT_S)
+            other_half = fleet.names[size // 2 :]
+            assert len(fleet.schedulers(half)) == 1
+            assert len(fleet.schedulers(other_half)) == 1
+            fleet.network.heal()
+            await fleet.run(1)
+            (common,) = fleet.schedulers()
+            assert await fleet.run(2) == 0
+            assert fleet.schedulers() == {common}
+
+    @in_virtual_time
+    async def test_scheduler_that_some_entries_do_not_reach(self, size):
+        """Its renewals arrive through others, so nobody replaces it."""
+        async with settled(size) as (fleet, scheduler):
+            others = [name for name in fleet.names if name != scheduler]
+            for name in others[: size // 2]:
+                fleet.network.cut(name, scheduler)
+                fleet.network.cut(scheduler, name)
+            assert await fleet.run(5) == 0
+            assert fleet.schedulers() == {scheduler}
+
+    @in_virtual_time
+    async def test_entry_that_is_not_ready_is_not_chosen(self, size):
+        """Only ready entries start a term."""
+        async with settled(size) as (fleet, scheduler):
+            ready = [name for name in fleet.names if name != scheduler][-1]
+            for name, entry in fleet.entries.items():
+                entry.ready = name == ready
+            await fleet.kill(scheduler)
+            await fleet.run(REPLACEMENT_S)
+            assert fleet.schedulers() == {ready}
+
+    @in_virtual_time
+    async def test_half_of_the_entries_die(self, size):
+        """The survivors agree, although many candidates are gone."""
+        async with settled(size) as (fleet, scheduler):
+            survivors = [name for name in fleet.names if name != scheduler]
+            survivors = survivors[: size // 2]
+            for name in set(fleet.names) - set(survivors):
+                await fleet.kill(name)
+            await fleet.run(REPLACEMENT_S)
+            (following,) = fleet.schedulers()
+            assert following in survivors
+            assert await fleet.run(2) == 0
+
+    @in_virtual_time
+    async def test_last_entry_serves_alone(self, size):
+        """An entry whose peers are all gone schedules its own requests."""
+        async with settled(size) as (fleet, _):
+            for name in fleet.names[1:]:
+                await fleet.kill(name)
+            await fleet.run(REPLACEMENT_S)
+            assert fleet.schedulers() == {fleet.names[0]}
--- /dev/null
+++ b/tests/test_scheduler_client.py
@@ -0,0 +1,195 @@
+"""Tests of the client of the elected scheduler."""
+
+import asyncio
+
+import pytest
+
+from borageyard.chains import ChainSpec
+from borageyard.clock import LoopClock
+from borageyard.engine_placer import Placement, Prompt
+from borageyard.memory_peers import MemoryPeerNetwork
+from borageyard.plans import ChainRefusal, Denial, Grant
+from borageyard.roster import RosterRow, TargetPhase
+from borageyard.scheduler_client import MAX_UNPLACED_MS, SchedulerClient
+from borageyard.standins.gateway_deployment import poll_periodically
+from tests.election_fleet import in_virtual_time
+
+ENGINE = RosterRow('m1', 'model', 't:1', 'a', TargetPhase.READY)
+NAMES = ('requester', 'relay', 'scheduler')
+
+
+class Roster:
+    """Roster with one engine."""
+
+    def find(self, target_id):
+        """Returns the engine."""
+        return ENGINE
+
+
+class Fleet:
+    """Fleet state with one group."""
+
+    roster = Roster()
+    groups = {'model': 'model'}
+
+
+class Elections:
+    """Elections with a scheduler that the test sets."""
+
+    def __init__(self):
+        """Starts with one scheduler."""
+        self.scheduler_id = 'scheduler'
+
+    def add_listener(self, listener):
+        """Ignores the listener: nothing is released in these tests."""
+
+    def find(self, service):
+        """Returns the scheduler."""
+        return self.scheduler_id
+
+    async def wait_for(self, service, until_ms):
+        """Waits until there is a scheduler."""
+        async for _ in poll_periodically():
+            if self.scheduler_id or LoopClock().steady_ms() >= until_ms:
+                return self.scheduler_id
+
+
+class CallRunner:
+    """Call runner that has only the listener for results."""
+
+    results_listener = None
+
+
+class Service:
+    """Scheduler that grants each request and records what it is told."""
+
+    def __init__(self):
+        """Starts without requests."""
+        self.call_runner = CallRunner()
+        self.placed = []
+        self.ended = []
+
+    async def place(self, spec, excluded, linger_ms=0):
+        """Grants a request."""
+        self.placed.append(spec.chain_id)
+        return Grant(spec.chain_id, Placement(ENGINE, 1, 0), ())
+
+    def release(self, services):
+        """Ignores the services."""
+
+    def note_ended(self, chain_id):
+        """Records the end of a request."""
+        self.ended.append(chain_id)
+
+
+class Cluster:
+    """Three entries; the requester sends requests to the scheduler."""
+
+    def __init__(self):
+        """Connects the entries."""
+        self.network = MemoryPeerNetwork()
+        self.elections = Elections()
+        self.services = {name: Service() for name in NAMES}
+        self.clients = {
+            name: SchedulerClient(
+                name,
+                Fleet(),
+                self.elections,
+                self.network.join(name),
+                self.services[name],
+                LoopClock(),
+            )
+            for name in NAMES
+        }
+
+    def cut(self, one, other):
+        """Cuts two entries off from each other."""
+        self.network.cut(one, other)
+        self.network.cut(other, one)
+
+    async def place(self, deadline_ms=8000):
+        """Sends a request from the requester."""
+        now_ms = LoopClock().steady_ms()
+        spec = ChainSpec(
+            chain_id='r1',
+            piece_key='',
+            stages=(),
+            engine_service='model',
+            prompt=Prompt('', (), 0, 0),
+            priority=0,
+            soft_deadline_at_ms=now_ms + deadline_ms,
+            deadline_at_ms=now_ms + deadline_ms,
+            received_at_ms=now_ms,
+        )
+        return await self.clients['requester'].place(spec, frozenset())
+
+
+@pytest.fixture
+def cluster():
+    """Returns three connected entries."""
+    return Cluster()
+
+
+class TestPlace:
+    """Where a request is scheduled."""
+
+    @in_virtual_time
+    async def test_only_the_elected_entry_schedules(self, cluster):
+        """The requester sends it there."""
+        outcome = await cluster.place()
+        assert isinstance(outcome, Grant)
+        assert cluster.services['scheduler'].placed == ['r1']
+        assert not cluster.services['requester'].placed
+
+    @in_virtual_time
+    async def test_waits_for_the_next_scheduler(self, cluster):
+        """A request that finds no scheduler is placed at the next one."""
+        cluster.elections.scheduler_id = ''
+
+        placing = asyncio.ensure_future(cluster.place())
+        await asyncio.sleep(1)
+        cluster.elections.scheduler_id = 'relay'
+        assert isinstance(await placing, Grant)
+        assert cluster.services['relay'].placed == ['r1']
+
+    @in_virtual_time
+    async def test_wait_is_bounded(self, cluster):
+        """Without a scheduler the request is refused as not placed."""
+        cluster.elections.scheduler_id = ''
+        outcome = await cluster.place()
+        ended_ms = LoopClock().steady_ms()
+        assert isinstance(outcome, Denial)
+        assert outcome.reason is ChainRefusal.FAILING
+        assert ended_ms == pytest.approx(MAX_UNPLACED_MS, abs=200)
+
+
+class TestRelay:
+    """A scheduler that the requester does not reach."""
+
+    @in_virtual_time
+    async def test_request_goes_through_another_entry(self, cluster):
+        """Nobody schedules beside the elected entry."""
+        cluster.cut('requester', 'scheduler')
+        outcome = await cluster.place(deadline_ms=4000)
+        assert isinstance(outcome, Grant)
+        placed = {name: cluster.services[name].placed for name in NAMES}
+        assert placed == {'requester': [], 'relay': [], 'scheduler': ['r1']}
+
+    @in_virtual_time
+    async def test_end_of_the_request_reaches_the_scheduler(self, cluster):
+        """The relay passes it on and forgets the request."""
+        cluster.cut('requester', 'scheduler')
+        await cluster.place(deadline_ms=4000)
+        cluster.clients['requester'].note_ended('r1')
+        await asyncio.sleep(0.1)
+        assert cluster.services['scheduler'].ended == ['r1']
+        assert not cluster.clients['relay']._schedulers
+
+    @in_virtual_time
+    async def test_relay_that_does_not_reach_it_either(self, cluster):
+        """The request is refused; no other entry schedules it."""
+        cluster.cut('requester', 'scheduler')
+        cluster.cut('relay', 'scheduler')
+        outcome = await cluster.place(deadline_ms=4000)
+        assert isinstance(outcome, Denial)
+        assert not any(service.placed for service in cluster.services.values())
