Learn the table of entries from peers while the store is away

Cause: configuration and targets are requested from peers that are ahead, the table of entries was not.

Change: TableNewsBody carries the end of all tables. Entries are requested from a peer only after a failed read of the store, since a long poll hears of new entries by itself.

--- a/borageyard/fleet_sync.py
+++ b/borageyard/fleet_sync.py
@@ -275,7 +275,7 @@
                 async with asyncio.timeout(TICK_MS / MS_PER_S):
                     await self._catch_up_needed.wait()
             self._catch_up_needed.clear()
-            for table in (Table.CONFIGURATION, Table.TARGETS):
+            for table in Table:
                 if self._peers_ahead[table]:
                     await self._request_records(table)
 
@@ -354,25 +354,29 @@
     def _provide_offsets(self) -> TableNewsBody:
         return TableNewsBody(
             ends={
-                table.value: self._state.mirrors[table].end
-                for table in (Table.CONFIGURATION, Table.TARGETS)
+                table.value: self._state.mirrors[table].end for table in Table
             },
         )
 
     def _consume_offsets(self, peer_id: str, gossip: TableNewsBody) -> None:
-        now_ms = self._clock.steady_ms()
-        for table in (Table.CONFIGURATION, Table.TARGETS):
+        for table in Table:
             own_end = self._state.mirrors[table].end
-            if gossip.ends.get(table.value, 0) <= own_end:
-                continue
-            # Targets announce themselves continually, so an entry that reads
-            # the store itself is always slightly behind some peer.
-            read_at_ms = self._read_at_ms.get(table, 0)
-            stale = now_ms - read_at_ms > STALE_AFTER_MS
-            if table is Table.CONFIGURATION or stale:
+            ahead = gossip.ends.get(table.value, 0) > own_end
+            if ahead and self._needs_records(table):
                 self._peers_ahead[table].add(peer_id)
                 self._catch_up_needed.set()
 
+    def _needs_records(self, table: Table) -> bool:
+        """Returns whether to request the records of a peer that is ahead."""
+        if table is Table.CONFIGURATION:
+            return True
+        if table is Table.ENTRIES:
+            return not self._reachable.get(table, True)
+        # Targets announce themselves continually, so an entry that reads the
+        # store itself is always slightly behind some peer.
+        read_at_ms = self._read_at_ms.get(table, 0)
+        return self._clock.steady_ms() - read_at_ms > STALE_AFTER_MS
+
 
 def _instance_of(entry: EntryPresenceBody) -> Instance:
     return Instance(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -490,6 +490,14 @@
             reply = await callers.call('/read/a', gateway=1)
             assert reply.status == 200
 
+    async def test_entries_are_counted_while_the_store_is_away(self):
+        """Retry budgets are divided by all entries, also by silent ones."""
+        async with deployment(3) as callers:
+            await callers.running.gateways[2].kill()
+            await callers.running.restart(0, store_down=True)
+            sync = callers.running.gateways[0].gateway.sync
+            await wait_until(lambda: sync.count_entries() == 3)
+
     async def test_forgotten_history_is_read_anew(self):
         """Targets that left in a truncated part of the history are removed."""
         async with deployment(1) as callers:
