Soak the election with series of overlapping faults

Cause: the tests of the election have one fault each; restarts, freezes, cuts and leaving come in series and overlap.

--- a/tests/test_scheduler_agreement.py
+++ b/tests/test_scheduler_agreement.py
@@ -1,6 +1,9 @@
 """Tests that all entries of a fleet agree on the scheduler of a group."""
 
+import asyncio
 import contextlib
+import os
+import random
 
 import pytest
 
@@ -194,3 +197,89 @@
                 await fleet.kill(name)
             await fleet.run(REPLACEMENT_S)
             assert fleet.schedulers() == {fleet.names[0]}
+
+
+# Seeds of a long run by hand: SOAK_SEEDS=50 python -m pytest -k Soak
+SOAK_SEEDS = int(os.environ.get('SOAK_SEEDS', '4'))
+SOAK_FAULTS = 12
+
+
+class Soak:
+    """Faults in series that overlap, drawn from a seed."""
+
+    def __init__(self, fleet, seed):
+        """Creates a soak of a running fleet."""
+        self.fleet = fleet
+        self.random = random.Random(seed)
+        self.suspended = set()
+        self.incarnation = 1000
+
+    def pick(self):
+        """Returns the scheduler or, as often, any entry that runs."""
+        names = sorted(set(self.fleet.entries) - self.suspended)
+        schedulers = sorted(self.fleet.schedulers() & set(names))
+        return self.random.choice(
+            self.random.choice([schedulers, names]) or names
+        )
+
+    async def run(self):
+        """Injects the faults; each one starts while others may last."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(SOAK_FAULTS):
+                fault = self.random.choice(
+                    [self.restart, self.freeze, self.leave, self.cut]
+                )
+                group.create_task(fault(self.pick()))
+                await asyncio.sleep(self.random.uniform(0.1, 2))
+
+    async def restart(self, name):
+        """Kills an entry and starts it again."""
+        if len(self.fleet.entries) - len(self.suspended) < 3:
+            return
+        self.suspended.add(name)
+        await self.fleet.kill(name)
+        await asyncio.sleep(self.random.uniform(0.2, 3))
+        self.incarnation += 1
+        await self.fleet.start(name, self.incarnation)
+        self.suspended.discard(name)
+
+    async def leave(self, name):
+        """Lets an entry leave, then start again."""
+        leaving = self.fleet.entries[name]
+        leaving.ready = False
+        leaving.service.leave()
+        await asyncio.sleep(self.random.uniform(0.1, 2))
+        if self.fleet.entries.get(name) is leaving:
+            await self.restart(name)
+
+    async def freeze(self, name):
+        """Suspends an entry."""
+        if name in self.suspended:
+            return
+        self.suspended.add(name)
+        await self.fleet.freeze(name, self.random.uniform(0.5, 4))
+        self.suspended.discard(name)
+
+    async def cut(self, name):
+        """Cuts an entry and a few others off."""
+        count = self.random.randrange(1, len(self.fleet.names) // 2)
+        self.fleet.cut({name, *self.random.sample(self.fleet.names, count)})
+        await asyncio.sleep(self.random.uniform(0.5, 3))
+        self.fleet.network.heal()
+
+
+class TestSoak:
+    """Series of faults, after which the fleet agrees again."""
+
+    @pytest.mark.parametrize('seed', range(SOAK_SEEDS))
+    @pytest.mark.parametrize('size', [5, 27])
+    @in_virtual_time
+    async def test_fleet_agrees_after_the_last_fault(self, size, seed):
+        """One ready entry schedules, and all entries know it."""
+        async with settled(size) as (fleet, _):
+            await Soak(fleet, seed).run()
+            await fleet.run(REPLACEMENT_S + 1)
+            (scheduler,) = fleet.schedulers()
+            assert fleet.entries[scheduler].ready
+            assert await fleet.run(2) == 0
+            assert fleet.schedulers() == {scheduler}
