--- a/borageyard/election_service.py
+++ b/borageyard/election_service.py
@@ -71,7 +71,7 @@
         """Returns the age of the last known renewal by group."""
         now_ms = self._clock.steady_ms()
         return {
-            group: now_ms - self._election.explain(group).renewed_at_ms
+            group: now_ms - self._election.state_of(group).renewed_at_ms
             for group in self._election.groups
         }
 
@@ -227,7 +227,7 @@
             listener()
 
     def _log_change(self, group: str, now_ms: float) -> None:
-        election = self._election.explain(group)
+        election = self._election.state_of(group)
         log_event(
             Event.SCHEDULER_CHOSEN,
             instance_id=self._membership.instance_id,
--- a/borageyard/scheduler_election.py
+++ b/borageyard/scheduler_election.py
@@ -201,12 +201,12 @@
             group: Name of the group.
             now_ms: Monotonic time.
         """
-        election = self.explain(group)
+        election = self.state_of(group)
         if election.term is not None and election.is_in_force(now_ms):
             return election.term.scheduler_id
         return self._instance_id if election.isolated else ''
 
-    def explain(self, group: str) -> GroupElection:
+    def state_of(self, group: str) -> GroupElection:
         """Returns what is known of a group, and from whom.
 
         Args:
@@ -243,7 +243,7 @@
         Returns:
             Whether it was news, which is passed on to other peers.
         """
-        election = self.explain(report.term.group)
+        election = self.state_of(report.term.group)
         if not election.merge(report, source_id, now_ms):
             return False
         # Terms of earlier incarnations of this entry.
@@ -325,7 +325,7 @@
         return [
             group
             for group in sorted(self.groups)
-            if self.explain(group).update_vacancy(now_ms)
+            if self.state_of(group).update_vacancy(now_ms)
         ]
 
     def may_poll(
@@ -338,7 +338,7 @@
             candidates: Ids of the other entries that may start a term.
             now_ms: Monotonic time.
         """
-        election = self.explain(group)
+        election = self.state_of(group)
         since_ms = election.vacant_since_ms
         if not self.eligible or since_ms is None:
             return False
@@ -357,7 +357,7 @@
         Returns:
             Whether a term was started, which is passed on to peers.
         """
-        election = self.explain(group)
+        election = self.state_of(group)
         if election.is_in_force(now_ms) or not self.eligible:
             return False
         election.source_id = self._instance_id
@@ -386,7 +386,7 @@
 
     def _rank(self, group: str, candidates: Collection[str]) -> int:
         """Returns how many candidates come before this entry."""
-        term = self.explain(group).term
+        term = self.state_of(group).term
         former_id = term.scheduler_id if term else ''
         if former_id == self._instance_id:
             return 0
--- a/borageyard/term_exchange.py
+++ b/borageyard/term_exchange.py
@@ -101,7 +101,7 @@
     def _peers_to_poll(self, groups: Iterable[str]) -> Sequence[str]:
         last_ids = [
             election.term.scheduler_id
-            for election in map(self._election.explain, groups)
+            for election in map(self._election.state_of, groups)
             if election.term is not None
         ]
         peer_ids = self._link.peer_ids()
--- a/tests/test_scheduler_election.py
+++ b/tests/test_scheduler_election.py
@@ -57,7 +57,7 @@
             election = own_election()
             for reported in ordered:
                 report(election, reported)
-            known.add(election.explain('g').term)
+            known.add(election.state_of('g').term)
         assert len(known) == 1
 
     def test_higher_number_is_in_force(self):
@@ -139,7 +139,7 @@
         assert not election.end_terms('a', 5, 'peer')
         assert election.end_terms('a', 6, 'peer')
         assert not election.find('g', 0)
-        assert election.explain('g').reason is ElectionReason.ENDED
+        assert election.state_of('g').reason is ElectionReason.ENDED
 
     def test_term_of_an_earlier_incarnation_of_this_entry(self):
         """An entry that restarted does not schedule by its former term."""
