Announce again after an announcement was cancelled

No caller saw it: a service is closed only when its process ends; the soak closes and starts it again to suspend an entry.

Cause: close cancelled the pending announcement and kept its handle, and announce does nothing while there is one.

Change: close drops the handle.

--- a/borageyard/term_exchange.py
+++ b/borageyard/term_exchange.py
@@ -74,6 +74,7 @@
         """Cancels a pending announcement."""
         if self._announcement is not None:
             self._announcement.cancel()
+            self._announcement = None
 
     async def poll(self, groups: Iterable[str]) -> int:
         """Polls some peers, the last schedulers of the groups first.
--- a/tests/test_election_service.py
+++ b/tests/test_election_service.py
@@ -4,9 +4,13 @@
 
 import pytest
 
+from borageyard.clock import LoopClock
 from borageyard.election_service import DISCOVERY_MS
+from borageyard.memory_peers import MemoryPeerNetwork
+from borageyard.scheduler_election import SchedulerElection
 from borageyard.standins.electing_fleet import GROUP, ElectingFleet
 from borageyard.standins.virtual_time import in_virtual_time
+from borageyard.term_exchange import TermExchange
 
 
 class TestDiscovery:
@@ -75,3 +79,24 @@
                     entry.service.renewal_ages_ms[GROUP] < 1000
                     for entry in fleet.entries.values()
                 )
+
+
+class TestAnnouncement:
+    """Passing news on to the neighbours."""
+
+    @in_virtual_time
+    async def test_pending_announcement_at_a_suspension(self):
+        """Seeds 64 and 90 of the soak: a woken scheduler was never heard."""
+        network = MemoryPeerNetwork()
+        elections = [SchedulerElection(name, 1) for name in ('one', 'two')]
+        exchange, _ = (
+            TermExchange(election, network.join(name), LoopClock(), int)
+            for name, election in zip(('one', 'two'), elections, strict=True)
+        )
+        elections[0].eligible = True
+        elections[0].start_term(GROUP, 0, isolated=False)
+        exchange.announce()
+        exchange.close()
+        exchange.announce()
+        await asyncio.sleep(0.1)
+        assert elections[1].find(GROUP, 100) == 'one'
