Test when the process of a peer is reported as gone

Cause: the end of a scheduler's term after a refused connection was tested in the in-memory fleet only, not where a socket reports it.

Change: two tests on sockets: a process that was connected and is gone is reported with its incarnation; one that has not started yet is not.

--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -83,6 +83,7 @@
         self.contacts = []
         self.contacted = asyncio.Event()
         self.replaced = []
+        self.refused = asyncio.Queue()
         self.gossip = asyncio.Queue()
         context = PeerContext(
             identity=PeerIdentity(name, incarnation, token),
@@ -90,6 +91,7 @@
             counters=PeerCounters(),
             on_contact=self.note_contact,
             on_replaced=self.replaced.append,
+            on_refused=lambda *gone: self.refused.put_nowait(gone),
             client_tls=tls[0],
             server_tls=tls[1],
             tracer=tracer,
@@ -347,6 +349,28 @@
                 assert await one.probe(newer) == 7
         assert one.contacts[-1] == ('b', 2)
 
+    async def test_process_that_is_gone_is_reported(self):
+        """Its machine refuses new connections."""
+        one, two = LinkedEntry('a'), LinkedEntry('b', incarnation=3)
+        async with started(one):
+            async with started(two):
+                one.set_peers(two)
+                await one.probe(two)
+            async with asyncio.timeout(5):
+                assert await one.refused.get() == ('b', 3)
+
+    async def test_process_that_has_not_started_is_not_reported(self):
+        """An entry may be listed before it listens."""
+        one, two = LinkedEntry('a'), LinkedEntry('b')
+        async with started(two):
+            address = two.link.server.address
+        async with started(one):
+            one.set_peers(two, via=address)
+            for _ in range(2):
+                with pytest.raises(PeerError):
+                    await one.probe(two)
+            assert one.refused.empty()
+
     async def test_another_instance_at_the_address(self):
         """A stream is closed if another instance took the peer's address."""
         async with started(LinkedEntry('a'), LinkedEntry('c')) as (one, other):
