--- a/borageyard/scheduler_election.py
+++ b/borageyard/scheduler_election.py
@@ -8,8 +8,8 @@
 
 # Interval at which a scheduler renews its term.
 RENEWAL_MS = 600
-# Age of the last renewal at which a term expires: two renewals may be lost, and
-# the third may be late by the rest.
+# Age of the last renewal at which a term expires: one renewal may be lost, and
+# the next one may be late by the rest.
 TERM_MS = 1600
 # Delay between one candidate and the next, so that usually only one starts a
 # term: time for a poll and for its announcement.
