Log each answer that is cut, and the end of each stream

Cause: a connection that was aborted while a request was under way left no line for a broken stream, a cancelled wait, an error of the connection or a caller that left, and request_served is logged before the body is through.

Change: response_aborted with the reason and the bytes sent, stream_ended with the events of a body. A server is told how to read the request id. An idle connection that its caller closes logs nothing. No decision is changed.

Measured: tests of the server, the events and the gateway pass, four of them new.

--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -169,7 +169,11 @@
         self.handlers.limits = dependencies.limits
         self.handlers.announcer = self.sync.announcer
         limits = HttpLimits(max_connections=MAX_CONNECTIONS)
-        self._caller_server = HttpServer(self.handlers.handle_caller, limits)
+        self._caller_server = HttpServer(
+            self.handlers.handle_caller,
+            limits,
+            id_reader=dependencies.codec.request_id_of,
+        )
         self.state.add_listener(self._on_table_change)
 
     def is_ready(self) -> bool:
--- a/borageyard/gateway_handlers.py
+++ b/borageyard/gateway_handlers.py
@@ -1,6 +1,6 @@
 """HTTP handlers of a gateway for callers and for the platform."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 from typing import Protocol
 
@@ -32,6 +32,9 @@
     ) -> InboundRequest:
         """Decodes a caller's request; raises RefusalError if malformed."""
 
+    def request_id_of(self, headers: Mapping[str, str]) -> str:
+        """Returns the id of a caller's request; empty if it has none."""
+
     def encode_refusal(
         self,
         request_id: str,
--- a/borageyard/http_server.py
+++ b/borageyard/http_server.py
@@ -30,6 +30,8 @@
 from .wire import encode_refusal, request_id_of
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+# Returns the request id in the headers of a request.
+IdReader = Callable[[Mapping[str, str]], str]
 
 READ_SIZE_BYTES = 65536
 MAX_HEAD_BYTES = 32768
@@ -62,7 +64,8 @@
         self.request_id = request_id
 
 
-# Errors that end a connection without a fault of this process.
+# Errors that end a connection without a fault of this process. A request that
+# they cut has its own event.
 UNLOGGED_ERRORS = (
     OSError,
     h11.ProtocolError,
@@ -79,6 +82,7 @@
         handler: Handler,
         limits: HttpLimits | None = None,
         tls: ssl.SSLContext | None = None,
+        id_reader: IdReader = request_id_of,
     ) -> None:
         """Creates a server that is not yet listening.
 
@@ -86,8 +90,10 @@
             handler: Coroutine function that responds to each request.
             limits: Limits on body size, connections and time.
             tls: TLS context, or None for plain TCP.
+            id_reader: Returns the request id for the log.
         """
         self._handler = handler
+        self._id_reader = id_reader
         self._limits = limits or HttpLimits()
         self._tls = tls
         self._server: asyncio.Server | None = None
@@ -171,6 +177,7 @@
             writer,
             self._limits,
             self._activity,
+            self._id_reader,
         )
         excess = len(self._connections) - self._limits.max_connections
         try:
@@ -199,6 +206,7 @@
         writer: asyncio.StreamWriter,
         limits: HttpLimits,
         activity: Activity,
+        id_reader: IdReader = request_id_of,
     ) -> None:
         """Wraps both directions of an accepted connection.
 
@@ -207,8 +215,10 @@
             writer: Bytes to the caller.
             limits: Limits on body size and time.
             activity: Counts the requests in progress.
+            id_reader: Returns the request id for the log.
         """
         self._reader = reader
+        self._id_reader = id_reader
         self._writer = StreamWriter(writer, limits.send_timeout_ms)
         self._limits = limits
         self._activity = activity
@@ -236,7 +246,7 @@
                     return await self.refuse(error.refusal, error.request_id)
                 if request is None:
                     return None
-                with self._cancel_on_disconnect():
+                with self._log_abort(request), self._cancel_on_disconnect():
                     response = await self._call_handler(handler, request)
                     await self._send_response(response)
             if self._codec.our_state is not h11.DONE:
@@ -383,6 +393,28 @@
         refusal = Refusal(ErrorKind.INTERNAL, ran=RunStatus.UNKNOWN)
         return encode_refusal(request_id_of(request.headers), refusal)
 
+    @contextlib.contextmanager
+    def _log_abort(self, request: HttpRequest) -> Iterator[None]:
+        """Logs an error that ends a request without a complete response."""
+        sent_before = self._writer.sent_bytes
+        try:
+            yield
+        except (Exception, asyncio.CancelledError) as error:
+            log_event(
+                Event.RESPONSE_ABORTED,
+                request_id=self._id_reader(request.headers),
+                reason=self._abort_reason(error),
+                sent_bytes=self._writer.sent_bytes - sent_before,
+            )
+            raise
+
+    def _abort_reason(self, error: BaseException) -> str:
+        if not isinstance(error, asyncio.CancelledError):
+            return repr(error)
+        if self._reader.at_eof() or self._reader.exception() is not None:
+            return 'caller disconnected'
+        return 'server closed'
+
     @contextlib.contextmanager
     def _cancel_on_disconnect(self) -> Iterator[None]:
         """Cancels the current task when the caller disconnects."""
--- a/borageyard/http_streams.py
+++ b/borageyard/http_streams.py
@@ -92,6 +92,7 @@
         self._writer = writer
         self._transport = writer.transport
         self._timeout_s = timeout_ms / MS_PER_S
+        self.sent_bytes = 0
 
     async def send(self, encoded: bytes | None) -> None:
         """Writes bytes; waits if over ``HIGH_WATER_BYTES`` are unsent.
@@ -114,6 +115,7 @@
 
     def write(self, encoded: bytes) -> None:
         """Writes bytes without waiting; unsent bytes are kept in memory."""
+        self.sent_bytes += len(encoded)
         self._writer.write(encoded)
 
     @property
--- a/borageyard/platform/ingress.py
+++ b/borageyard/platform/ingress.py
@@ -65,7 +65,7 @@
     Raises:
         RefusalError: If the request id is missing or a header is malformed.
     """
-    request_id = request.header(ATTEMPT_ID_HEADER)
+    request_id = request_id_of(request.headers)
     if not request_id:
         raise _malformed_header(ATTEMPT_ID_HEADER)
     host = request.header('host').rpartition(':')[0] or request.header('host')
@@ -88,6 +88,15 @@
     )
 
 
+def request_id_of(headers: Mapping[str, str]) -> str:
+    """Returns the id of a caller's request; empty if it has none.
+
+    Args:
+        headers: Headers of the request.
+    """
+    return headers.get(ATTEMPT_ID_HEADER, '')
+
+
 def encode_refusal(request_id: str, refusal: Refusal) -> HttpResponse:
     """Returns the response to a request that is refused.
 
--- a/borageyard/streaming_relay.py
+++ b/borageyard/streaming_relay.py
@@ -83,6 +83,7 @@
             engines of this version may go on with it.
         engine_id: Id of the engine that was sent to last.
         broken_engine_ids: Ids of the engines that broke the stream off.
+        complete: Whether the last event was relayed.
     """
 
     request: InboundRequest
@@ -93,6 +94,7 @@
     software_version: str | None = None
     engine_id: str = ''
     broken_engine_ids: set[str] = dataclasses.field(default_factory=set)
+    complete: bool = False
 
     @property
     def origin_id(self) -> str:
@@ -357,6 +359,7 @@
         """Yields complete events; resumes at another engine on failure."""
         chunks = head.chunks
         pending = first
+        stack.callback(self._log_end, stream)
         while True:
             try:
                 async for chunk in self._complete_events(
@@ -368,8 +371,21 @@
                 await stack.enter_async_context(scope)
                 chunks = answer.chunks
             else:
+                stream.complete = True
                 return
 
+    def _log_end(self, stream: StreamState) -> None:
+        request = stream.request
+        log_event(
+            Event.STREAM_ENDED,
+            request_id=request.request_id,
+            complete=stream.complete,
+            events=stream.framer.event_count,
+            last_event_id=stream.last_event_id,
+            sends=stream.history.possible_runs + stream.history.sends_not_run,
+            took_ms=round(self._clock.steady_ms() - request.received_at_ms),
+        )
+
     async def _complete_events(
         self,
         stream: StreamState,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import gc
 
+import eliot
 import pytest
 
 
@@ -16,3 +17,16 @@
     yield
     gc.collect()
     gc.freeze()
+
+
+@pytest.fixture
+def logged_events():
+    """Returns a function that lists the events of one name logged so far."""
+    lines = []
+    eliot.add_destinations(lines.append)
+    # The first destination gets what was logged before.
+    lines.clear()
+    yield lambda name: [
+        line for line in lines if line.get('message_type') == name
+    ]
+    eliot.remove_destination(lines.append)
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -7,6 +7,8 @@
 import pytest
 
 from borageyard.http_messages import HttpResponse, json_response
+from borageyard.http_server import ConnectionAbortError
+from tests.test_gateway import wait_until
 
 from .raw_http import LIMITS, connected, read_response, serving
 
@@ -267,3 +269,60 @@
                 writer.write(b'x' * 64 * 1024 * 1024)
                 with pytest.raises(TimeoutError):
                     await asyncio.wait_for(writer.drain(), 0.3)
+
+
+class TestAbortedResponses:
+    """Connections that end while a request is under way are logged."""
+
+    async def run(self, handler, logged_events, *, leave=False):
+        """Sends a request and returns what the log says of it."""
+        async with serving(handler) as server, connected(server) as streams:
+            reader, writer = streams
+            writer.write(HEAD + b'content-length: 0\r\n\r\n')
+            if leave:
+                await asyncio.sleep(0.05)
+                writer.transport.abort()
+            else:
+                await reader.read()
+            async with asyncio.timeout(5):
+                await wait_until(lambda: logged_events('response_aborted'))
+        lines = logged_events('response_aborted')
+        assert len(lines) == 1
+        return lines[0]
+
+    async def test_abort_by_the_handler(self, logged_events):
+        """Nothing was sent."""
+
+        async def abort(request):
+            raise ConnectionAbortError('broken')
+
+        line = await self.run(abort, logged_events)
+        assert 'broken' in line['reason']
+        assert line['sent_bytes'] == 0
+
+    async def test_abort_within_the_body(self, logged_events):
+        """The line says how much was sent."""
+
+        async def respond(request):
+            return HttpResponse(200, chunks=broken_body())
+
+        async def broken_body():
+            yield b'x' * 100
+            raise ConnectionAbortError('broken')
+
+        line = await self.run(respond, logged_events)
+        assert line['sent_bytes'] > 100
+
+    async def test_caller_that_leaves(self, logged_events):
+        """A request that is given up by its caller is no silent end."""
+        line = await self.run(Recorder().handle, logged_events, leave=True)
+        assert line['reason'] == 'caller disconnected'
+
+    async def test_caller_that_closes_an_idle_connection(self, logged_events):
+        """No request was under way."""
+        async with serving(echo) as server:
+            async with connected(server) as (reader, writer):
+                writer.write(HEAD + b'content-length: 0\r\n\r\n')
+                await read_response(reader)
+            await asyncio.sleep(0.05)
+        assert not logged_events('response_aborted')
