--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -326,3 +326,22 @@
                 await read_response(reader)
             await asyncio.sleep(0.05)
         assert not logged_events('response_aborted')
+
+    async def test_wait_that_another_task_cancels_is_refused(
+        self, logged_events
+    ):
+        """Incident LOST: neither an answer nor a refusal was sent."""
+
+        async def wait(request):
+            future = asyncio.get_running_loop().create_future()
+            future.cancel()
+            await future
+
+        async with serving(wait) as server:
+            status, body, _ = await exchange(
+                server, HEAD + b'content-length: 0\r\n\r\n'
+            )
+        assert (status, body['kind']) == (500, 'internal')
+        reasons = [one['reason'] for one in logged_events('connection_failed')]
+        assert len(reasons) == 1
+        assert 'CancelledError' in reasons[0]
--- a/tests/test_scheduler_service.py
+++ b/tests/test_scheduler_service.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+from borageyard.chains import Chain, ChainSpec
 from borageyard.clock import LoopClock
+from borageyard.engine_placer import Placement, Prompt
 from borageyard.fleet_state import FleetState
-from borageyard.plans import Plan
+from borageyard.plans import Denial, Grant, Plan
 from borageyard.platform.documents import DocumentDecoder
+from borageyard.roster import RosterRow, TargetPhase
 from borageyard.scheduler_service import (
     MAX_PLAN_INTERVAL_MS,
     MAX_PLANNING_SHARE,
@@ -94,3 +97,90 @@
         # The pause after the last plan may lie ahead.
         planning_ms = (planner.plans - 1) * PLAN_MS
         assert planning_ms <= elapsed_ms * MAX_PLANNING_SHARE
+
+
+class Granter:
+    """Planner that grants each request once it is told to."""
+
+    def __init__(self, scheduler):
+        """Starts without permission to grant."""
+        self.granting = False
+        self._scheduler = scheduler
+
+    def submit(self, spec, now_ms):
+        """Admits each request."""
+        self._scheduler.chains[spec.chain_id] = Chain(spec)
+
+    def plan(self, now_ms):
+        """Grants all requests, or none yet."""
+        engine = RosterRow('m1', 'model', 't:1', 'a', TargetPhase.READY)
+        plan = Plan()
+        for chain in self._scheduler.chains.values():
+            if self.granting and not chain.granted:
+                chain.granted = True
+                grant = Grant(chain.spec.chain_id, Placement(engine, 1, 0), ())
+                plan.grants.append(grant)
+        return plan
+
+
+PROMPT = Prompt('', (), 0, 0)
+SPEC = ChainSpec('r1', '', (), 'model', PROMPT, 0, 900, 900, 0)
+
+
+class TestWaiters:
+    """Who waits for the engine of a request, and how the wait ends."""
+
+    def build(self, monkeypatch):
+        """Returns a service, and the planner that decides for it."""
+        service = SchedulerService(
+            FleetState(DocumentDecoder()),
+            None,
+            LoopClock(),
+            SendPermits(FixedLimits({})),
+        )
+        granter = Granter(service.scheduler)
+        monkeypatch.setattr(service.scheduler, 'plan', granter.plan)
+        monkeypatch.setattr(service.scheduler, 'submit', granter.submit)
+        return service, granter
+
+    async def wait(self, service, linger_ms=0):
+        """Starts to wait for the engine of the request."""
+        task = asyncio.ensure_future(
+            service.place(SPEC, frozenset(), linger_ms)
+        )
+        await asyncio.sleep(0.01)
+        return task
+
+    @in_virtual_time
+    async def test_later_wait_for_the_same_request_cancels_no_one(
+        self, monkeypatch
+    ):
+        """Incident LOST: the connection of a caller was aborted."""
+        service, granter = self.build(monkeypatch)
+        waits = [await self.wait(service) for _ in range(2)]
+        granter.granting = True
+        service.note_started('another')
+        async with asyncio.timeout(1):
+            outcomes = await asyncio.gather(*waits, return_exceptions=True)
+        assert [type(outcome) for outcome in outcomes] == [Grant, Grant]
+
+    @in_virtual_time
+    async def test_request_is_kept_while_someone_waits(self, monkeypatch):
+        """One of two waits is cancelled, as when a peer stream breaks."""
+        service, granter = self.build(monkeypatch)
+        waits = [await self.wait(service) for _ in range(2)]
+        waits[0].cancel()
+        await asyncio.sleep(0.01)
+        granter.granting = True
+        service.note_started('another')
+        async with asyncio.timeout(1):
+            assert isinstance(await waits[1], Grant)
+
+    @in_virtual_time
+    async def test_request_that_ends_wakes_its_wait(self, monkeypatch):
+        """Its caller left; the wait would count as work of a peer for ever."""
+        service, _ = self.build(monkeypatch)
+        wait = await self.wait(service)
+        service.note_ended('r1')
+        async with asyncio.timeout(1):
+            assert isinstance(await wait, Denial)
