Let each arrival of a request wait for its engine

Callers saw: a connection that was closed with neither an answer nor a refusal.

Cause: SchedulerService.place cancelled the future of an earlier place of the same request. A request comes to a scheduler twice when a peer relays it, or its message is late, while the entry already schedules it for its own caller; groups that move with a configuration make that likely. The CancelledError then rose in the handler of the caller, which aborts the connection.

Change: all who wait for a request get its outcome. It is removed, as before, when the last one has left.

The outcome goes to the same request, so nothing is sent twice: a relay's reply to an entry that no longer waits for it is dropped.

--- /dev/null
+++ b/borageyard/outcome_waiters.py
@@ -0,0 +1,50 @@
+"""Those who wait at a scheduler for the outcome of a request."""
+
+import asyncio
+
+from .plans import Denial, Grant
+
+OutcomeFuture = asyncio.Future[Grant | Denial]
+
+
+class OutcomeWaiters:
+    """Waiters by request; each of them gets the outcome.
+
+    A request may arrive again, from a relay, while an earlier arrival waits.
+    """
+
+    def __init__(self) -> None:
+        """Starts without waiters."""
+        self._futures: dict[str, list[OutcomeFuture]] = {}
+
+    def add(self, chain_id: str) -> OutcomeFuture:
+        """Returns a future that gets the outcome of a request.
+
+        Args:
+            chain_id: Id of the request.
+        """
+        future: OutcomeFuture = asyncio.get_running_loop().create_future()
+        self._futures.setdefault(chain_id, []).append(future)
+        return future
+
+    def remove(self, chain_id: str, future: OutcomeFuture) -> None:
+        """Removes a waiter.
+
+        Args:
+            chain_id: Id of the request.
+            future: The future that ``add`` returned.
+        """
+        futures = self._futures[chain_id]
+        futures.remove(future)
+        if not futures:
+            self._futures.pop(chain_id)
+
+    def count(self, chain_id: str) -> int:
+        """Returns the number of those who wait for a request."""
+        return len(self._futures.get(chain_id, ()))
+
+    def resolve(self, outcome: Grant | Denial) -> None:
+        """Passes an outcome to all who wait for its request."""
+        for future in self._futures.get(outcome.chain_id, ()):
+            if not future.done():
+                future.set_result(outcome)
--- a/borageyard/scheduler_service.py
+++ b/borageyard/scheduler_service.py
@@ -20,6 +20,7 @@
 from .events import Event, log_event
 from .fleet_state import FleetState
 from .memory_probe import MemoryProbe
+from .outcome_waiters import OutcomeWaiters
 from .piece_runner import PieceRequest, PieceRunner
 from .plans import Denial, Grant
 from .result_freer import ResultFreer
@@ -64,7 +65,7 @@
         self.call_runner = CallRunner(self.scheduler, runner, clock)
         self._memory_probe = MemoryProbe(self.scheduler.targets, runner, clock)
         self._clock = clock
-        self._futures: dict[str, asyncio.Future[Grant | Denial]] = {}
+        self._waiters = OutcomeWaiters()
         self._tasks: set[asyncio.Task[None]] = set()
         self._permits = AuxiliaryPermits(
             state, self.scheduler.permits, self.scheduler.handover, clock
@@ -110,22 +111,16 @@
         denial = self.scheduler.submit(spec, now_ms)
         if denial is not None:
             return denial
-        loop = asyncio.get_running_loop()
-        future: asyncio.Future[Grant | Denial] = loop.create_future()
-        previous = self._futures.pop(spec.chain_id, None)
-        if previous is not None:
-            previous.cancel()
-        self._futures[spec.chain_id] = future
+        future = self._waiters.add(spec.chain_id)
         self._apply_plan()
         try:
             return await future
         except asyncio.CancelledError:
-            if self._futures.get(spec.chain_id) is future:
+            if self._waiters.count(spec.chain_id) == 1:
                 self._delayed_removal.schedule(spec.chain_id, linger_ms)
             raise
         finally:
-            if self._futures.get(spec.chain_id) is future:
-                self._futures.pop(spec.chain_id)
+            self._waiters.remove(spec.chain_id, future)
             self._apply_plan()
 
     def release(self, services: Collection[str]) -> None:
@@ -218,9 +213,9 @@
         for grant in plan.grants:
             spec = self.scheduler.chains[grant.chain_id].spec
             _log_grant(grant, now_ms - spec.received_at_ms)
-            self._resolve(grant)
+            self._waiters.resolve(grant)
         for denial in plan.denials:
-            self._resolve(denial)
+            self._waiters.resolve(denial)
         self._freer.free_later(plan.results_to_free)
         if plan.wake_at_ms is not None:
             self._timer.set((plan.wake_at_ms - now_ms) / MS_PER_S)
@@ -229,11 +224,6 @@
             took_ms, min(took_ms / MAX_PLANNING_SHARE, MAX_PLAN_INTERVAL_MS)
         )
 
-    def _resolve(self, outcome: Grant | Denial) -> None:
-        future = self._futures.get(outcome.chain_id)
-        if future is not None and not future.done():
-            future.set_result(outcome)
-
     async def _run(
         self,
         call: BatchCall,
