End the waits for a request that its scheduler has removed

Callers saw: streams that went on only at their deadline, or not at all.

Cause: note_started and note_ended remove a request from the scheduler, but not those who wait for its engine. A caller that left while a remote scheduler worked for it left a wait there that never ended and counted towards the requests of that peer (2,048). News that arrive late, after the same request was placed again, left a wait that still had a caller.

Change: such waits get the outcome that the request has moved, so one that has a caller places it anew.

Measured: test_request_that_ends_wakes_its_wait failed and passes; tests of the scheduler service, its client and the gateway pass. The late news were not reproduced.

--- a/borageyard/outcome_waiters.py
+++ b/borageyard/outcome_waiters.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from .plans import Denial, Grant
+from .plans import ChainRefusal, Denial, Grant
 
 OutcomeFuture = asyncio.Future[Grant | Denial]
 
@@ -48,3 +48,14 @@
         for future in self._futures.get(outcome.chain_id, ()):
             if not future.done():
                 future.set_result(outcome)
+
+    def release(self, chain_id: str) -> None:
+        """Ends the waits for a request that is no longer scheduled here.
+
+        The news of its end may be older than a wait, so that a waiter that
+        still has a caller places it anew.
+
+        Args:
+            chain_id: Id of the request.
+        """
+        self.resolve(Denial(chain_id, ChainRefusal.MOVED, 0))
--- a/borageyard/scheduler_service.py
+++ b/borageyard/scheduler_service.py
@@ -145,12 +145,14 @@
     def note_started(self, chain_id: str) -> None:
         """Records that the engine of a request has started its answer."""
         self.scheduler.note_started(chain_id)
+        self._waiters.release(chain_id)
         self._apply_plan()
 
     def note_ended(self, chain_id: str) -> None:
         """Removes a request that has ended, with any outcome."""
         self._delayed_removal.cancel(chain_id)
         self.scheduler.remove(chain_id)
+        self._waiters.release(chain_id)
         self._apply_plan()
 
     def note_failed(self, chain_id: str, engine_id: str) -> None:
