Refuse a request whose handler awaits what another task cancels

Callers saw: a connection that was closed with neither an answer nor a refusal.

Cause: a CancelledError is also raised in a handler that awaits a future which another task cancels. The server took each one for its own cancellation (the caller left, or the server closes) and aborted the connection.

Change: if nobody has cancelled the task of the connection, the error is logged as connection_failed and the request refused as an internal error that may have run; within a body the connection is aborted with its line, response_aborted.

--- a/borageyard/http_server.py
+++ b/borageyard/http_server.py
@@ -388,7 +388,9 @@
             return await handler(request)
         except ConnectionAbortError:
             raise
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
+            if _is_cancelled(error):
+                raise
             log_event(Event.CONNECTION_FAILED, reason=repr(error))
         refusal = Refusal(ErrorKind.INTERNAL, ran=RunStatus.UNKNOWN)
         return encode_refusal(request_id_of(request.headers), refusal)
@@ -409,7 +411,7 @@
             raise
 
     def _abort_reason(self, error: BaseException) -> str:
-        if not isinstance(error, asyncio.CancelledError):
+        if not _is_cancelled(error):
             return repr(error)
         if self._reader.at_eof() or self._reader.exception() is not None:
             return 'caller disconnected'
@@ -476,3 +478,13 @@
         received = b'unread'
         while received:
             received = await self._reader.read(READ_SIZE_BYTES)
+
+
+def _is_cancelled(error: BaseException) -> bool:
+    """Returns whether an error is the cancellation of the current task.
+
+    A task that awaits a future which others cancel gets the same error.
+    """
+    task = asyncio.current_task()
+    is_cancellation = isinstance(error, asyncio.CancelledError)
+    return is_cancellation and task is not None and task.cancelling() > 0
