Let stand-in engines pause, crash on a part and answer without framing

Cause: The stand-in targets of the gateway never sent what the protocol now allows: a sound engine that is silent for a while, a part of a prompt under which each engine crashes after the head of its answer, and answers with neither a length nor chunks. Change: TargetFaults has silent_after/silence_ms (each stream of the engine is silent once), crashing_part with a CrashPlan (all connections break, the listener closes, the record goes at once or later, the engine comes back under a new id or a new incarnation, at the same address or another) and unframed, with the "connection" header to send and a reset midway. RegisteredTarget holds the server and the record; UnframedServer writes on the connection, so that the product's server needs no feature that only tests use.

--- a/borageyard/standins/gateway_deployment.py
+++ b/borageyard/standins/gateway_deployment.py
@@ -20,13 +20,14 @@
 from ..platform.targets import HttpPieceRunner, HttpTargetSender
 from ..retry_budget import RetryBudgetLimits
 from ..target_limits import TargetLimits
-from .gateway_target import HEALTH_PATH, GatewayTarget, TargetPlan
+from .gateway_target import HEALTH_PATH, GatewayTarget
 from .keyed_store import (
     OPERATOR_KEY,
     OPERATOR_TOPIC,
     KeyedStore,
     KeyedStoreHandler,
 )
+from .registered_target import TargetPlan
 
 LOOPBACK_HOST = '127.0.0.1'
 LOOPBACK = f'{LOOPBACK_HOST}:0'
--- a/borageyard/standins/gateway_target.py
+++ b/borageyard/standins/gateway_target.py
@@ -1,6 +1,7 @@
 """Stand-in targets of the gateway: plain, engine and batching."""
 
 import asyncio
+import collections
 import contextlib
 import dataclasses
 import time
@@ -13,16 +14,21 @@
 from ..document_validation import parse_json
 from ..http_messages import (
     EVENT_STREAM_TYPE,
-    HttpLimits,
     HttpRequest,
     HttpResponse,
     json_response,
 )
-from ..http_server import ConnectionAbortError, HttpServer
-from .keyed_store import TARGETS_TOPIC, KeyedStore
+from ..http_server import ConnectionAbortError
+from .keyed_store import KeyedStore
+from .registered_target import CrashPlan, RegisteredTarget, TargetPlan
+from .unframed_server import reset_on_close, send_unframed
 
 HEALTH_PATH = '/healthz'
-LOOPBACK = '127.0.0.1:0'
+REPORT_PATH = '/report'
+PIECES_PATH = '/stage-run'
+RESULTS_PATH = '/stage-free'
+# Paths of calls that are no requests of callers.
+FRAMED_PATHS = frozenset((REPORT_PATH, PIECES_PATH, RESULTS_PATH))
 NOT_RUN: Mapping[str, str] = types.MappingProxyType({'x-not-executed': '1'})
 EVENT_INTERVAL_MS = 1
 ENDLESS_CHUNK = b'x' * 1000
@@ -46,27 +52,25 @@
     crashed_by: str = ''
     # Limit that answers state, in requests a second; ``None`` for none.
     limit_per_s: float | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetPlan:
-    """Identity, kind and capacity of a target."""
-
-    target_id: str
-    service: str
-    failure_domain: str
-    kind: str = 'plain'
-    work_ms: float = 1
-    events: int = 5
-    max_results: int = 100
-    # Maximum number of concurrent requests; further ones are rejected.
-    slots: int = 8
-    # Time in ms in which an engine prefills a prompt token not in its cache.
-    token_ms: float = 0
-    software_version: str = 'v1'
-
-
-class GatewayTarget:
+    # Number of events of a run after which each stream is silent once for
+    # ``silence_ms`` and then goes on; 0 for after the head, ``None`` for never.
+    silent_after: int | None = None
+    silence_ms: float = 1500
+    # Prompt part under which an engine crashes when it begins to write, unless
+    # it is the last part of the prompt; empty for none.
+    crashing_part: str = ''
+    crash: CrashPlan = dataclasses.field(default_factory=CrashPlan)
+    # Whether answers to requests have neither a length nor chunks and end with
+    # their connection.
+    unframed: bool = False
+    # Value of the ``connection`` header of unframed answers.
+    unframed_connection: str = 'close'
+    # Unframed answers that are reset after half of their body, and streams
+    # whose break by ``break_after`` is a reset.
+    reset_midway: int = 0
+
+
+class GatewayTarget(RegisteredTarget):
     """Stand-in target that records the requests and pieces it ran."""
 
     def __init__(
@@ -83,7 +87,7 @@
             results: Attempt ids of the results of all batching targets, by
                 handle; shared between the targets and modified.
         """
-        self.plan = plan
+        super().__init__(plan, store)
         self.faults = TargetFaults()
         self.runs: list[str] = []
         self.pieces: list[str] = []
@@ -92,60 +96,15 @@
         # that it has prefilled.
         self.cached_parts: set[str] = set()
         self.prefilled_tokens = 0
+        # Number of requests that arrived with each prompt part, the last parts
+        # not counted.
+        self.part_arrivals: collections.Counter[str] = collections.Counter()
         # Monotonic times of all requests, also of those that were rejected.
         self.arrivals_s: list[float] = []
         self._running = 0
-        self.address = ''
-        self._store = store
         self._results = results
-        self._incarnation = 1
-        self._announcement_number = 0
         self._result_count = 0
 
-    @contextlib.asynccontextmanager
-    async def running(self) -> AsyncIterator[None]:
-        """Listens and announces the target as ready until the context exits.
-
-        The announcement stays in the store afterwards.
-        """
-        async with HttpServer(self._handle_limited, HttpLimits()) as server:
-            await server.start(LOOPBACK)
-            self.address = server.address
-            self.announce('ready')
-            yield
-
-    def announce(self, state: str) -> None:
-        """Writes the record of the target to the store.
-
-        Args:
-            state: State to announce.
-        """
-        self._announcement_number += 1
-        row = {
-            'service': self.plan.service,
-            'address': self.address,
-            'zone': self.plan.failure_domain,
-            'version': self.plan.software_version,
-            'slots': 8,
-            'state': state,
-            'coldLeftMs': 0,
-            'sequence': self._announcement_number,
-            'born': self._incarnation,
-        }
-        self._store.put(TARGETS_TOPIC, self.plan.target_id, row)
-
-    def restart(self) -> None:
-        """Announces a new incarnation, as after a crash.
-
-        The records of what the target ran are retained.
-        """
-        self._incarnation += 1
-        self.announce('ready')
-
-    def withdraw(self) -> None:
-        """Deletes the record of the target from the store."""
-        self._store.put(TARGETS_TOPIC, self.plan.target_id, None)
-
     def most_arrivals(self, window_s: float) -> int:
         """Returns the maximum number of requests in any window.
 
@@ -163,29 +122,45 @@
             default=0,
         )
 
-    async def _handle_limited(self, request: HttpRequest) -> HttpResponse:
+    def _forget(self) -> None:
+        self.cached_parts.clear()
+
+    async def _respond(self, request: HttpRequest) -> HttpResponse:
         self.arrivals_s.append(time.monotonic())
         response = await self._handle(request)
-        if self.faults.limit_per_s is None:
-            return response
-        headers = {
-            **response.headers,
-            'server-limit': str(self.faults.limit_per_s),
-        }
-        return dataclasses.replace(response, headers=headers)
+        if self.faults.limit_per_s is not None:
+            headers = {
+                **response.headers,
+                'server-limit': str(self.faults.limit_per_s),
+            }
+            response = dataclasses.replace(response, headers=headers)
+        if self.faults.unframed and request.path not in FRAMED_PATHS:
+            await self._send_unframed(response)
+        return response
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         if self.faults.silent:
             await asyncio.Event().wait()
-        if request.path == '/report':
+        if request.path == REPORT_PATH:
             return json_response({'freeMb': 1, 'waiting': 0, 'busy': 0})
-        if request.path == '/stage-run':
+        if request.path == PIECES_PATH:
             return await self._run_pieces(request)
-        if request.path == '/stage-free':
+        if request.path == RESULTS_PATH:
             return self._free_results(request)
         return await self._run(request)
 
+    async def _send_unframed(self, response: HttpResponse) -> None:
+        if self.faults.reset_midway and response.chunks is None:
+            self.faults.reset_midway -= 1
+            response = dataclasses.replace(
+                response,
+                body=b'',
+                chunks=_reset_after(response.body[: len(response.body) // 2]),
+            )
+        await send_unframed(response, self.faults.unframed_connection)
+
     async def _run(self, request: HttpRequest) -> HttpResponse:
+        self.part_arrivals.update(_shared_parts(request))
         headers = {'x-attempt-id': request.header('x-attempt-id')}
         expected = request.header('x-expect-instance')
         if expected and expected != self.plan.target_id:
@@ -245,15 +220,34 @@
         after = int(request.header('last-event-id', '0'))
         request_id = request.header('x-attempt-id')
         for number in range(after + 1, self.plan.events + 1):
+            await self._disturb(request, number - 1 - after)
             while self.faults.endless_after == number - 1:
                 yield ENDLESS_CHUNK
             if self.faults.break_after == number - 1:
                 self.faults.break_after = None
                 await self._leave()
                 yield f'id: {number}\ndata: half'.encode()
+                if self.faults.reset_midway:
+                    self.faults.reset_midway -= 1
+                    reset_on_close()
                 raise ConnectionAbortError
             yield f'id: {number}\ndata: {request_id}/{number}\n\n'.encode()
             await asyncio.sleep(EVENT_INTERVAL_MS / MS_PER_S)
+        await self._disturb(request, self.plan.events - after)
+
+    async def _disturb(self, request: HttpRequest, events: int) -> None:
+        """Crashes the engine, or is silent, as the faults demand.
+
+        Args:
+            request: Request that runs.
+            events: Number of events that the run has written.
+        """
+        crashing = self.faults.crashing_part in _shared_parts(request)
+        if crashing and events == self.faults.crash.after_events:
+            self.crash(self.faults.crash)
+            await asyncio.Event().wait()
+        if events == self.faults.silent_after:
+            await asyncio.sleep(self.faults.silence_ms / MS_PER_S)
 
     async def _leave(self) -> None:
         """Withdraws the record so that entries learn that it is gone."""
@@ -323,3 +317,15 @@
         for handle in body['handles']:
             self._results.pop(handle, None)
         return json_response({})
+
+
+def _shared_parts(request: HttpRequest) -> list[str]:
+    """Returns the ids of all prompt parts but the last one."""
+    parts = request.header('x-prefix-hash').split(',')
+    return [part.partition(':')[0] for part in parts[:-1]]
+
+
+async def _reset_after(body: bytes) -> AsyncIterator[bytes]:
+    yield body
+    reset_on_close()
+    raise ConnectionAbortError
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -7,7 +7,7 @@
     FAILURE_DOMAINS,
     TARGET_PLANS,
 )
-from borageyard.standins.gateway_target import TargetPlan
+from borageyard.standins.registered_target import TargetPlan
 from tests.test_gateway import ALL_EVENTS, deployment, events, wait_until
 
 VERSIONS = ('v1', 'v1.1')
