--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -314,6 +314,17 @@
                 await callers.stream('/reply/x', '')
             assert len(callers.runs('model')) == 1
 
+    @pytest.mark.parametrize('silent_after', [0, 1, 3])
+    async def test_stream_of_engines_that_fall_silent_is_whole(
+        self, silent_after
+    ):
+        """Incident LOST: it was given up, and cut in the next silence."""
+        async with deployment() as callers:
+            callers.set_faults('model', silent_after=silent_after)
+            reply = await callers.stream()
+            assert events(reply) == list(ALL_EVENTS)
+            assert len(callers.runs('model')) == 1
+
     async def test_caller_resumes_after_an_event(self):
         """The engine gets the id of the last event that the caller received."""
         async with deployment() as callers:
--- /dev/null
+++ b/tests/test_streaming_relay.py
@@ -0,0 +1,358 @@
+"""Tests of relayed streams whose engines fall silent, in virtual time."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from borageyard.answer_body import AnswerReader
+from borageyard.clock import LoopClock
+from borageyard.engine_placer import Placement
+from borageyard.errors import RefusalError
+from borageyard.http_server import ConnectionAbortError
+from borageyard.inbound import (
+    InboundRequest,
+    SendError,
+    SendFailure,
+    TargetAnswer,
+)
+from borageyard.plans import ChainRefusal, Denial, Grant
+from borageyard.request_context import RequestContext
+from borageyard.retry_budget import RetryBudget, RetryBudgetLimits
+from borageyard.roster import RosterRow, TargetPhase
+from borageyard.send_history import SendHistory
+from borageyard.serving_configuration import (
+    Backend,
+    RequestKind,
+    ServiceRoute,
+)
+from borageyard.standins.virtual_time import in_virtual_time
+from borageyard.streaming_relay import StreamingRelay
+
+EVENTS = 5
+EVENT_MS = 100
+TIMEOUT_MS = 8000
+# Silence after which callers give up: four times the target latency.
+CALLER_TIMEOUT_MS = 4000
+SHORT_MS = 1500
+LONG_MS = 7000
+RESET = SendError(SendFailure.UNKNOWN, 'reset')
+REJECTED = SendError(SendFailure.NOT_SENT, 'refused')
+
+
+class Engine:
+    """Engine that is silent once, before the event of a number."""
+
+    def __init__(self, name, silence_ms=0, before=2, fail=None):
+        """Sets how long it is silent and how it fails.
+
+        Args:
+            name: Id of the engine.
+            silence_ms: Time for which it is silent.
+            before: Number of the event that comes after the silence.
+            fail: Error that ends the stream after the silence.
+        """
+        self.row = RosterRow(name, 'model', 'h:1', 'a', TargetPhase.READY)
+        self.silence_ms = silence_ms
+        self.before = before
+        self.fail = fail
+        self.status = 200
+        self.split_events = False
+        self.runs = 0
+        self.running = 0
+
+    @contextlib.asynccontextmanager
+    async def run(self, send):
+        """Answers a send."""
+        if self.fail is REJECTED:
+            raise REJECTED
+        self.runs += 1
+        self.running += 1
+        with contextlib.ExitStack() as stack:
+            stack.callback(self.end)
+            yield TargetAnswer(
+                self.status,
+                {'x-engine': self.row.target_id},
+                not_run=False,
+                wrong_target=False,
+                load=None,
+                chunks=self.chunks(int(send.last_event_id or 0)),
+            )
+
+    def end(self):
+        """Ends a run."""
+        self.running -= 1
+
+    async def chunks(self, after):
+        """Yields the events after one."""
+        for number in range(after + 1, EVENTS + 1):
+            event = f'id: {number}\ndata: {number}\n\n'.encode()
+            if number == self.before:
+                if self.split_events:
+                    yield event[:5]
+                    event = event[5:]
+                await asyncio.sleep(self.silence_ms / 1000)
+                if self.fail is not None:
+                    raise self.fail
+            yield event
+            await asyncio.sleep(EVENT_MS / 1000)
+
+
+class Fleet:
+    """Engines, as roster, sender and scheduler see them."""
+
+    def __init__(self, *engines):
+        """Starts with all engines in the roster."""
+        self.engines = {one.row.target_id: one for one in engines}
+        # Time at which the record of an engine goes.
+        self.gone_after_ms = {}
+        self.denied = False
+        self.place_ms = 0
+        self.places = 0
+        self.started = 0
+
+    @property
+    def roster(self):
+        """Returns itself."""
+        return self
+
+    def find(self, target_id):
+        """Returns the row of an engine."""
+        rows = [row for row in self.ready('') if row.target_id == target_id]
+        return rows[0] if rows else None
+
+    def ready(self, service):
+        """Returns the rows of all engines."""
+        now_ms = LoopClock().steady_ms()
+        return [
+            one.row
+            for name, one in self.engines.items()
+            if now_ms < self.gone_after_ms.get(name, now_ms + 1)
+        ]
+
+    def send(self, send):
+        """Sends to an engine."""
+        return self.engines[send.target.target_id].run(send)
+
+    async def place(self, spec, excluded):
+        """Grants the first engine that is neither excluded nor avoided."""
+        self.places += 1
+        await asyncio.sleep(self.place_ms / 1000)
+        rows = [
+            row for row in self.ready('model') if row.target_id not in excluded
+        ]
+        rows = [
+            row for row in rows if row.target_id not in spec.avoided
+        ] or rows
+        if not rows or (self.denied and self.places > 1):
+            return Denial(spec.chain_id, ChainRefusal.NO_TIME, 100)
+        return Grant(spec.chain_id, Placement(rows[0], 1, 0), ())
+
+    def note_started(self, chain_id):
+        """Counts the news that an engine has started."""
+        self.started += 1
+
+    def note_failed(self, chain_id, engine_id):
+        """Ignores the news."""
+
+    def note_ended(self, chain_id):
+        """Ignores the news."""
+
+    def note_begun(self, origin):
+        """Ignores the origin of a stream."""
+
+
+class Relayed:
+    """A stream that was relayed to its caller."""
+
+    def __init__(self):
+        """Starts without events."""
+        self.text = b''
+        self.error = None
+        self.took_ms = 0
+
+    async def read(self, response):
+        """Reads a response to its end."""
+        assert response.status == 200
+        async with contextlib.aclosing(response.chunks) as chunks:
+            async for chunk in chunks:
+                self.text += chunk
+
+    @property
+    def events(self):
+        """Returns the numbers of the events."""
+        lines = self.text.decode().split('\n')
+        return [int(line[4:]) for line in lines if line.startswith('id: ')]
+
+
+async def relay(fleet, *, resumable=True, attempts=2, timeout_ms=TIMEOUT_MS):
+    """Relays one stream to its end."""
+    route = ServiceRoute(
+        name='brief',
+        host='h',
+        path_prefix='/',
+        kind=RequestKind.STREAMING,
+        timeout_ms=timeout_ms,
+        target_latency_ms=CALLER_TIMEOUT_MS / 4,
+        backends=(Backend('model'),),
+        max_attempts=attempts,
+        resumable=resumable,
+        target_event_gap_ms=400,
+    )
+    clock = LoopClock()
+    started_ms = clock.steady_ms()
+    streaming = StreamingRelay(
+        fleet,
+        fleet,
+        fleet,
+        RetryBudget(RetryBudgetLimits(1, 100, 10_000)),
+        clock,
+        fleet,
+        AnswerReader(),
+    )
+    request = InboundRequest(
+        'r1', 'h', 'POST', '/', '/', {}, b'', started_ms, timeout_ms
+    )
+    context = RequestContext(
+        route, 'model', '', 0, started_ms + 1000, started_ms + timeout_ms
+    )
+    relayed = Relayed()
+    try:
+        async with asyncio.timeout(timeout_ms / 1000):
+            response = await streaming.answer(request, context, SendHistory())
+        await relayed.read(response)
+    except (RefusalError, ConnectionAbortError, TimeoutError) as error:
+        relayed.error = error
+    relayed.took_ms = clock.steady_ms() - started_ms
+    await asyncio.sleep(0.1)
+    assert not any(one.running for one in fleet.engines.values())
+    return relayed
+
+
+def assert_whole(relayed):
+    """Asserts that a stream has each event once, in order."""
+    assert relayed.error is None
+    assert relayed.events == list(range(1, EVENTS + 1))
+
+
+def runs(fleet):
+    """Returns the number of runs at each engine."""
+    return [one.runs for one in fleet.engines.values()]
+
+
+class TestShortSilence:
+    """Engines that are silent for a second or so and go on."""
+
+    @pytest.mark.parametrize('before', range(1, EVENTS + 1))
+    def test_stream_is_not_cut(self, before):
+        """Incident LOST: it was resumed, and cut in the second silence."""
+        fleet = Fleet(
+            *(Engine(name, SHORT_MS, before) for name in ('m1', 'm2'))
+        )
+        assert_whole(in_virtual_time(relay)(fleet))
+        assert runs(fleet) == [1, 0]
+
+    @pytest.mark.parametrize('resumable', [False, True])
+    def test_lone_engine(self, resumable):
+        """There is no other engine to ask."""
+        fleet = Fleet(Engine('m1', SHORT_MS))
+        assert_whole(in_virtual_time(relay)(fleet, resumable=resumable))
+        assert runs(fleet) == [1]
+
+
+class TestLongSilence:
+    """Engines that are silent for about as long as callers wait."""
+
+    @pytest.mark.parametrize('before', range(1, EVENTS + 1))
+    @pytest.mark.parametrize('split_events', [False, True])
+    def test_other_engine_goes_on(self, before, split_events):
+        """Before the caller gives up; the silent run is cancelled."""
+        silent = Engine('m1', LONG_MS, before)
+        silent.split_events = split_events
+        fleet = Fleet(silent, Engine('m2'))
+        relayed = in_virtual_time(relay)(fleet)
+        assert_whole(relayed)
+        assert runs(fleet) == [1, 1]
+        assert relayed.took_ms < CALLER_TIMEOUT_MS + EVENTS * EVENT_MS
+
+    @pytest.mark.parametrize('before', range(1, EVENTS + 1))
+    @pytest.mark.parametrize('split_events', [False, True])
+    def test_engine_that_goes_on_first_wins(self, before, split_events):
+        """Incident LOST: it was given up for one that was as silent."""
+        silent = Engine('m1', 3500, before)
+        silent.split_events = split_events
+        fleet = Fleet(silent, Engine('m2', LONG_MS, before))
+        assert_whole(in_virtual_time(relay)(fleet))
+
+    @pytest.mark.parametrize('before', range(1, EVENTS + 1))
+    @pytest.mark.parametrize('fail', [RESET, REJECTED, 'status', 'denied'])
+    def test_other_engine_fails(self, before, fail):
+        """Incident LOST: the stream was cut, although its engine went on."""
+        other = Engine('m2', 0, before, fail)
+        fleet = Fleet(Engine('m1', 5000, before), other)
+        if fail == 'status':
+            other.fail = None
+            other.status = 500
+        if fail == 'denied':
+            other.fail = None
+            fleet.denied = True
+        assert_whole(in_virtual_time(relay)(fleet))
+        assert fleet.engines['m1'].runs == 1
+
+    @pytest.mark.parametrize('attempts', [1, 2])
+    def test_lone_engine(self, attempts):
+        """It does not run the same stream beside itself."""
+        fleet = Fleet(Engine('m1', 5000))
+        assert_whole(in_virtual_time(relay)(fleet, attempts=attempts))
+        assert runs(fleet) == [1]
+
+    def test_stream_that_may_not_be_resumed_waits(self):
+        """It is never sent twice."""
+        fleet = Fleet(Engine('m1', 5000), Engine('m2'))
+        assert_whole(in_virtual_time(relay)(fleet, resumable=False))
+        assert runs(fleet) == [1, 0]
+
+    @pytest.mark.parametrize('resumable', [False, True])
+    def test_all_engines_are_silent(self, resumable):
+        """The stream ends visibly, at its deadline."""
+        fleet = Fleet(*(Engine(name, 60_000) for name in ('m1', 'm2')))
+        relayed = in_virtual_time(relay)(fleet, resumable=resumable)
+        assert isinstance(relayed.error, ConnectionAbortError)
+        assert relayed.took_ms == pytest.approx(TIMEOUT_MS, abs=100)
+        assert runs(fleet) == [1, int(resumable)]
+
+
+class TestFailure:
+    """Engines that fail, which is more than silence."""
+
+    def test_reset_moves_at_once(self):
+        """Nothing is waited for."""
+        fleet = Fleet(Engine('m1', fail=RESET), Engine('m2'))
+        relayed = in_virtual_time(relay)(fleet)
+        assert_whole(relayed)
+        assert relayed.took_ms < 1000
+
+    @pytest.mark.parametrize('before', range(1, EVENTS + 1))
+    def test_engine_that_has_left_is_not_waited_for(self, before):
+        """Its record is gone, and it is silent."""
+        fleet = Fleet(Engine('m1', 60_000, before), Engine('m2'))
+        fleet.gone_after_ms['m1'] = 1000
+        relayed = in_virtual_time(relay)(fleet)
+        assert_whole(relayed)
+        assert relayed.took_ms < 2500
+
+    def test_reset_while_another_engine_is_asked(self):
+        """The other one goes on."""
+        fleet = Fleet(Engine('m1', 2200, fail=RESET), Engine('m2'))
+        fleet.place_ms = 400
+        assert_whole(in_virtual_time(relay)(fleet))
+        assert runs(fleet) == [1, 1]
+
+    def test_engine_that_refuses_the_rest_is_passed_over(self):
+        """Incident LOST: one refused connection cut the stream."""
+        fleet = Fleet(
+            Engine('m1', fail=RESET),
+            Engine('m2', fail=REJECTED),
+            Engine('m3'),
+        )
+        assert_whole(in_virtual_time(relay)(fleet))
