Keep a silent engine while another one is asked for its stream

Callers saw: a connection that was closed in the middle of a stream, 1.2 s after its last event.

Cause: three gaps of silence ended the exchange with the engine. The stream was sent to another one, which took an attempt, a retry and a grant; if one was missing, or the second engine was silent or failed too, the stream was cut though its engine went on. Engines that are replaced and services that move with a configuration make all of these likely.

Change: a task of its own reads each exchange, so that a wait for it can be given up and taken up again. After a silence of half the time for which callers wait, 1.5 s at least, another engine is asked beside the silent one (after three gaps if the roster no longer lists it). The one that delivers the next event first goes on, the other is cancelled. If no other engine takes the stream, the first one is waited for until the deadline. A first event is waited for as long as before, now beside the next engine. A lone engine is never asked beside itself. The sends and the state of a stream are modules of their own.

Measured: 39 tests of the relay in virtual time and two over sockets failed and pass; five new ones of callers that leave or read slowly pass, with those of gateways, versions, unframed and endless answers, and limits.

--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -252,7 +252,7 @@
         entry_count = self.sync.count_entries()
         self._buffered.entry_count = entry_count
         self.permits.entry_count = entry_count
-        self._streaming.entry_count = entry_count
+        self._streaming.sends.entry_count = entry_count
         configuration = self.state.configuration
         if configuration is None:
             return
--- /dev/null
+++ b/borageyard/standby.py
@@ -0,0 +1,179 @@
+"""Asks another engine for a stream while the present one is silent."""
+
+import asyncio
+import functools
+
+from .engine_exchange import EngineExchange
+from .engine_sends import EngineSends
+from .errors import RefusalError
+from .event_framer import EventFramer, EventTooLargeError
+from .inbound import SendError, SendFailure
+from .silence import ask_after_ms, unlisted_after_ms
+from .stream_state import Standby, StreamState
+
+# Interval of the checks of an engine that is silent.
+CHECK_INTERVAL_MS = 200
+# Pause after no other engine could take a stream.
+ASK_AGAIN_MS = 1500
+
+
+class StandbyEngines:
+    """Keeps a silent engine, and asks another one for the same events.
+
+    The engine that delivers the next event first goes on with the stream. A
+    sound engine may be silent for a while, so the present one is given up only
+    when another one has taken its place.
+    """
+
+    def __init__(self, sends: EngineSends) -> None:
+        """Stores the dependency.
+
+        Args:
+            sends: Sends requests to engines.
+        """
+        self._sends = sends
+
+    def ask_if_due(self, stream: StreamState) -> float:
+        """Asks another engine if the present one has been silent for long.
+
+        Args:
+            stream: A stream without an event to relay.
+
+        Returns:
+            Time until the next check, in ms.
+        """
+        left_ms = self._sends.left_ms(stream)
+        route = stream.context.route
+        if stream.standby is not None or not route.resumable:
+            return left_ms
+        due_ms = ask_after_ms(
+            route,
+            left_ms + stream.silent_ms,
+            begun=bool(stream.framer.event_count),
+            listed=self._sends.is_listed(stream.present.engine),
+        )
+        wait_ms = max(due_ms, stream.ask_again_after_ms) - stream.silent_ms
+        if wait_ms > 0:
+            # The engine may leave the roster meanwhile.
+            return min(wait_ms, self._until_check_ms(stream))
+        stream.ask_again_after_ms = stream.silent_ms + ASK_AGAIN_MS
+        if self._may_ask(stream):
+            standby = Standby()
+            stream.standby = standby
+            standby.task = asyncio.ensure_future(self._ask(stream, standby))
+            standby.task.add_done_callback(
+                functools.partial(_report, stream.progress)
+            )
+        return CHECK_INTERVAL_MS
+
+    async def take_over(self, stream: StreamState) -> bytes | None:
+        """Goes on with a standby that has delivered events.
+
+        Args:
+            stream: The stream.
+
+        Returns:
+            Its first events, empty if the stream has no further ones; None if
+            it has delivered nothing yet, or has failed.
+        """
+        standby = stream.standby
+        if standby is None or standby.task is None or not standby.task.done():
+            return None
+        try:
+            events = standby.task.result()
+        except (SendError, RefusalError) as error:
+            await self.release(stream, error)
+            return None
+        exchange = standby.sent
+        if not stream.fits(exchange.engine):
+            await self.release(stream)
+            return None
+        stream.standby = None
+        stream.resume_reason = f'no event for {round(stream.silent_ms)} ms'
+        stream.broken_engine_ids.add(stream.present.engine.target_id)
+        stream.framer.discard_partial()
+        await stream.replace(exchange)
+        self._sends.note_accepted(stream, exchange)
+        return events
+
+    async def release(
+        self, stream: StreamState, error: Exception | None = None
+    ) -> None:
+        """Cancels a standby that is not needed, or has failed.
+
+        Args:
+            stream: The stream.
+            error: How the standby has failed.
+        """
+        standby = stream.standby
+        if standby is None:
+            return
+        stream.standby = None
+        await standby.close()
+        exchange = standby.exchange
+        if exchange is not None and isinstance(error, SendError):
+            self._sends.record_failure(stream, exchange, error)
+            return
+        self._sends.release_inputs(stream)
+        if exchange is not None:
+            stream.note_run_ended(exchange, SendFailure.UNKNOWN)
+
+    def _may_ask(self, stream: StreamState) -> bool:
+        if not self._sends.has_other_engine(stream):
+            return False
+        stream.note_possible_run(stream.present)
+        return self._sends.may_send_again(stream)
+
+    async def _ask(self, stream: StreamState, standby: Standby) -> bytes:
+        """Sends to another engine and returns its first events.
+
+        Raises:
+            SendError: If the engine fails.
+            RefusalError: If no other engine is granted.
+        """
+        present = stream.present.engine
+        grant = await self._sends.place(stream, besides=present)
+        if grant.placement.engine.target_id == present.target_id:
+            raise RefusalError(stream.history.build_refusal('no other engine'))
+        progress = asyncio.Event()
+        exchange = self._sends.build(stream, grant, progress.set)
+        standby.exchange = exchange
+        exchange.start()
+        chunk = await _read(exchange, progress)
+        self._sends.check_head(stream, exchange, is_resume=True)
+        framer = EventFramer()
+        received = b''
+        while chunk:
+            received += chunk
+            _feed(framer, chunk)
+            if framer.event_count:
+                return received
+            chunk = await _read(exchange, progress)
+        if received:
+            raise SendError(SendFailure.UNKNOWN, 'answer ended within an event')
+        return b''
+
+    def _until_check_ms(self, stream: StreamState) -> float:
+        unlisted_ms = unlisted_after_ms(stream.context.route)
+        return max(unlisted_ms - stream.silent_ms, CHECK_INTERVAL_MS)
+
+
+async def _read(exchange: EngineExchange, progress: asyncio.Event) -> bytes:
+    """Returns the next chunk of an exchange; empty at its end."""
+    while True:
+        progress.clear()
+        chunk = exchange.take()
+        if chunk is not None:
+            return chunk
+        await progress.wait()
+
+
+def _feed(framer: EventFramer, chunk: bytes) -> None:
+    try:
+        framer.feed(chunk)
+    except EventTooLargeError as error:
+        raise SendError(SendFailure.UNKNOWN, str(error)) from error
+
+
+def _report(progress: asyncio.Event, task: asyncio.Task[bytes]) -> None:
+    progress.set()
--- /dev/null
+++ b/borageyard/stream_state.py
@@ -0,0 +1,183 @@
+"""State of one relayed stream across engines."""
+
+import asyncio
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator
+
+from .clock import MS_PER_S
+from .engine_exchange import EngineExchange
+from .event_framer import EventFramer
+from .inbound import InboundRequest, SendError, SendFailure
+from .request_context import RequestContext
+from .roster import RosterRow
+from .send_history import SendHistory
+
+
+class Standby:
+    """Another engine, asked while the present one is silent."""
+
+    def __init__(self) -> None:
+        """Creates a standby for which nothing was sent yet."""
+        self.exchange: EngineExchange | None = None
+        # Returns its first events; nothing if the stream has no further ones.
+        self.task: asyncio.Task[bytes] | None = None
+
+    @property
+    def sent(self) -> EngineExchange:
+        """Returns the exchange with the engine.
+
+        Raises:
+            SendError: If nothing was sent yet.
+        """
+        if self.exchange is None:
+            raise SendError(SendFailure.NOT_SENT, 'nothing was sent')
+        return self.exchange
+
+    async def close(self) -> None:
+        """Cancels its request."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+        if self.exchange is not None:
+            await self.exchange.close()
+
+
+@dataclasses.dataclass(slots=True)
+class StreamState:
+    """State of one streaming request across engines.
+
+    Attributes:
+        request: The caller's request.
+        context: Route and deadline of the request.
+        history: Updated with each send.
+        framer: Splits the answers at event boundaries.
+        failed_engine_ids: Ids of the engines that failed the request.
+        software_version: Version that began the stream; None before that. Only
+            engines of this version may go on with it.
+        broken_engine_ids: Ids of the engines that broke the stream off.
+        complete: Whether the last event was relayed.
+        relaying: Whether the head of the answer was passed on.
+        exchange: Exchange with the present engine.
+        standby: Another engine, asked while the present one is silent.
+        progress: Set when an exchange has something to read.
+        silent_ms: Time waited since the last complete event.
+        ask_again_after_ms: Silence before which no other engine is asked.
+        resume_reason: Why the stream goes on at the present engine.
+    """
+
+    request: InboundRequest
+    context: RequestContext
+    history: SendHistory
+    framer: EventFramer = dataclasses.field(default_factory=EventFramer)
+    failed_engine_ids: set[str] = dataclasses.field(default_factory=set)
+    software_version: str | None = None
+    broken_engine_ids: set[str] = dataclasses.field(default_factory=set)
+    complete: bool = False
+    relaying: bool = False
+    exchange: EngineExchange | None = None
+    standby: Standby | None = None
+    progress: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+    silent_ms: float = 0
+    ask_again_after_ms: float = 0
+    resume_reason: str = ''
+
+    @property
+    def origin_id(self) -> str:
+        """Returns the id of the request that brought the first event."""
+        return self.request.resumed_request_id or self.request.request_id
+
+    @property
+    def last_event_id(self) -> str:
+        """Returns the id of the last event that the caller has received."""
+        return self.framer.last_id or self.request.last_event_id
+
+    @property
+    def present(self) -> EngineExchange:
+        """Returns the exchange with the present engine.
+
+        Raises:
+            SendError: If nothing was sent yet.
+        """
+        if self.exchange is None:
+            raise SendError(SendFailure.NOT_SENT, 'nothing was sent')
+        return self.exchange
+
+    def fits(self, engine: RosterRow) -> bool:
+        """Returns whether an engine may go on with the stream."""
+        return self.software_version in {None, engine.software_version}
+
+    def require_no_partial(self) -> None:
+        """Raises SendError if an answer has ended within an event."""
+        if self.framer.has_partial:
+            raise SendError(SendFailure.UNKNOWN, 'answer ended within an event')
+
+    def note_possible_run(self, exchange: EngineExchange) -> None:
+        """Counts an exchange that may have run, though it goes on."""
+        if not exchange.counted:
+            exchange.counted = True
+            self.history.possible_runs += 1
+
+    def note_run_ended(
+        self, exchange: EngineExchange, failure: SendFailure
+    ) -> None:
+        """Counts an exchange that is given up.
+
+        Args:
+            exchange: The exchange.
+            failure: Whether it may have run.
+        """
+        if exchange.counted and failure is SendFailure.UNKNOWN:
+            return
+        if exchange.counted:
+            self.history.possible_runs -= 1
+        exchange.counted = True
+        self.history.note_failure(failure)
+
+    async def replace(self, exchange: EngineExchange) -> None:
+        """Makes an exchange the present one; closes the former one."""
+        former = self.exchange
+        self.exchange = exchange
+        exchange.on_progress = self.progress.set
+        self.note_event()
+        if former is not None:
+            await former.close()
+
+    def note_event(self) -> None:
+        """Ends the silence."""
+        self.silent_ms = 0
+        self.ask_again_after_ms = 0
+
+    async def wait(self, limit_ms: float) -> None:
+        """Waits until there is something to read, at most for a time.
+
+        Args:
+            limit_ms: Longest wait. A suspension of the process beyond it does
+                not count as silence of the engine.
+        """
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_ms / MS_PER_S):
+                await self.progress.wait()
+        waited_ms = (loop.time() - started_s) * MS_PER_S
+        self.silent_ms += min(waited_ms, limit_ms)
+
+    async def read_rest(self) -> AsyncIterator[bytes]:
+        """Yields the rest of the answer of the present engine."""
+        while True:
+            self.progress.clear()
+            chunk = self.present.take()
+            if chunk is None:
+                await self.progress.wait()
+            elif chunk:
+                yield chunk
+            else:
+                return
+
+    async def close(self) -> None:
+        """Cancels all exchanges that are under way."""
+        if self.standby is not None:
+            await self.standby.close()
+        if self.exchange is not None:
+            await self.exchange.close()
--- a/tests/test_streaming_relay.py
+++ b/tests/test_streaming_relay.py
@@ -171,12 +171,13 @@
         self.error = None
         self.took_ms = 0
 
-    async def read(self, response):
-        """Reads a response to its end."""
+    async def read(self, response, read_ms):
+        """Reads a response to its end; each chunk takes a time."""
         assert response.status == 200
         async with contextlib.aclosing(response.chunks) as chunks:
             async for chunk in chunks:
                 self.text += chunk
+                await asyncio.sleep(read_ms / 1000)
 
     @property
     def events(self):
@@ -185,7 +186,9 @@
         return [int(line[4:]) for line in lines if line.startswith('id: ')]
 
 
-async def relay(fleet, *, resumable=True, attempts=2, timeout_ms=TIMEOUT_MS):
+async def relay(
+    fleet, *, resumable=True, attempts=2, timeout_ms=TIMEOUT_MS, read_ms=0
+):
     """Relays one stream to its end."""
     route = ServiceRoute(
         name='brief',
@@ -220,7 +223,7 @@
     try:
         async with asyncio.timeout(timeout_ms / 1000):
             response = await streaming.answer(request, context, SendHistory())
-        await relayed.read(response)
+        await relayed.read(response, read_ms)
     except (RefusalError, ConnectionAbortError, TimeoutError) as error:
         relayed.error = error
     relayed.took_ms = clock.steady_ms() - started_ms
@@ -322,6 +325,34 @@
         assert runs(fleet) == [1, int(resumable)]
 
 
+class TestCallers:
+    """Callers that leave while their engine is silent."""
+
+    @pytest.mark.parametrize('before', [1, 3])
+    @pytest.mark.parametrize('after_ms', [500, 3300])
+    @in_virtual_time
+    async def test_all_runs_are_cancelled(self, before, after_ms):
+        """Also that of an engine that was asked beside the silent one."""
+        fleet = Fleet(*(Engine(name, LONG_MS, before) for name in 'ab'))
+        relaying = asyncio.ensure_future(relay(fleet))
+        await asyncio.sleep(after_ms / 1000)
+        assert [one.running for one in fleet.engines.values()] == [
+            1,
+            int(after_ms > 3000),
+        ]
+        relaying.cancel()
+        await asyncio.sleep(0.01)
+        assert not any(one.running for one in fleet.engines.values())
+
+    @in_virtual_time
+    async def test_slow_reader_is_not_silence(self):
+        """The time in which a caller doesn't read is not the engine's."""
+        fleet = Fleet(Engine('m1', 100), Engine('m2'))
+        relayed = await relay(fleet, read_ms=4500, timeout_ms=60_000)
+        assert_whole(relayed)
+        assert runs(fleet) == [1, 0]
+
+
 class TestFailure:
     """Engines that fail, which is more than silence."""
 
