Pass over an engine that refuses to go on with a stream

Callers saw: a stream that was cut though engines were ready.

Cause: a stream that broke off was sent once more, and cut if that send was refused or rejected as not run, as by an engine that just left or was full.

Change: a resume follows the same rule as the first sends: attempts that may have run are bounded by the route, those that did not run by three, and each one takes a retry.

--- a/borageyard/streaming_relay.py
+++ b/borageyard/streaming_relay.py
@@ -312,8 +312,7 @@
         stream.framer.discard_partial()
         stream.resume_reason = str(error)
         self.sends.record_failure(stream, stream.present, error)
-        is_second = not stream.present.accepted
-        if is_second or not self.sends.may_send_again(stream):
+        if not self.sends.may_send_again(stream):
             raise StreamBrokenError(str(error)) from error
         try:
             await self._send(stream)
