Test requests under way beside changes of the configuration

Change: tests with three changes 100 ms apart while stages, plain requests and streams with a silence of 500 ms are under way at two gateways.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -108,6 +108,26 @@
             return
 
 
+def changed_document(version, change):
+    """Returns a document that differs from the first one every second time."""
+    document = build_document(version)
+    if version % 2:
+        return document
+    if change == 'route dropped':
+        document['routes'] = document['routes'][1:2]
+    elif change == 'service dropped':
+        document['routes'] = document['routes'][:2]
+        document['services'] = document['services'][:1]
+    elif change == 'groups joined':
+        document['routes'][1]['stages'] = [
+            {'service': 'planner', 'after': [], 'bytes': 1000}
+        ]
+    else:
+        document['routes'][2]['service'] = 'desk'
+        document['routes'][0]['service'] = 'model'
+    return document
+
+
 def events(reply):
     """Returns the event ids of a stream, as numbers."""
     lines = reply.body.decode().split('\n')
@@ -495,6 +515,31 @@
                 new = await callers.call('/moved/a', gateway=gateway)
                 assert (old.status, new.status) == (404, 200)
 
+    @pytest.mark.parametrize(
+        'change',
+        ['route dropped', 'service dropped', 'groups joined', 'route moved'],
+    )
+    @pytest.mark.parametrize('path', ['/brief/x', '/read/x', '/reply/x'])
+    async def test_requests_under_way_get_an_answer(self, change, path):
+        """Incident LOST: none is cut, at the scheduler or elsewhere."""
+        async with deployment() as callers:
+            for target in callers.running.targets.values():
+                target.plan = dataclasses.replace(target.plan, work_ms=300)
+            callers.set_faults('model', silent_after=1, silence_ms=500)
+            send = callers.call if path == '/read/x' else callers.stream
+            waiting = [
+                asyncio.ensure_future(send(path, gateway=number % 2))
+                for number in range(6)
+            ]
+            for version in range(2, 5):
+                await asyncio.sleep(0.1)
+                callers.running.configure(changed_document(version, change))
+            replies = await asyncio.gather(*waiting)
+            assert {reply.status for reply in replies} <= {200, 503}
+            for reply in replies:
+                if reply.status == 200 and path != '/read/x':
+                    assert events(reply) == list(ALL_EVENTS)
+
     async def test_reads_that_hear_nothing_end_soon(self):
         """A change takes effect in time although a waiting read misses it."""
         async with deployment(1) as callers:
