Answer a peer whose request awaits what another task cancels

Callers saw: a request that was held until its deadline.

Cause: the same class as in the server for callers: a CancelledError that is not the cancellation of the task ended the handler of a peer's request without a reply, so the peer waited for its whole timeout.

Change: the peer is told that the handler failed, with its line. Both servers share the check.

Measured: test_wait_that_another_task_cancels_fails_the_request failed and passes; tests of the peer link, the server and the scheduler client pass.

--- a/borageyard/http_server.py
+++ b/borageyard/http_server.py
@@ -27,6 +27,7 @@
     split_request_target,
 )
 from .http_streams import DisconnectReader, StreamWriter, decode_headers
+from .tasks import is_own_cancellation
 from .wire import encode_refusal, request_id_of
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -389,7 +390,7 @@
         except ConnectionAbortError:
             raise
         except (Exception, asyncio.CancelledError) as error:
-            if _is_cancelled(error):
+            if is_own_cancellation(error):
                 raise
             log_event(Event.CONNECTION_FAILED, reason=repr(error))
         refusal = Refusal(ErrorKind.INTERNAL, ran=RunStatus.UNKNOWN)
@@ -411,7 +412,7 @@
             raise
 
     def _abort_reason(self, error: BaseException) -> str:
-        if not _is_cancelled(error):
+        if not is_own_cancellation(error):
             return repr(error)
         if self._reader.at_eof() or self._reader.exception() is not None:
             return 'caller disconnected'
@@ -478,13 +479,3 @@
         received = b'unread'
         while received:
             received = await self._reader.read(READ_SIZE_BYTES)
-
-
-def _is_cancelled(error: BaseException) -> bool:
-    """Returns whether an error is the cancellation of the current task.
-
-    A task that awaits a future which others cancel gets the same error.
-    """
-    task = asyncio.current_task()
-    is_cancellation = isinstance(error, asyncio.CancelledError)
-    return is_cancellation and task is not None and task.cancelling() > 0
--- a/borageyard/peer_server.py
+++ b/borageyard/peer_server.py
@@ -26,7 +26,7 @@
     send_greeting,
 )
 from .peers import GossipSection, PeerError, PeerHandler
-from .tasks import running_tasks
+from .tasks import is_own_cancellation, running_tasks
 from .trace_context import peer_span
 
 
@@ -70,7 +70,9 @@
         try:
             with peer_span(self._tracer, frame.kind, frame.trace_parent):
                 reply = await handler(peer_id, message)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
+            if is_own_cancellation(error):
+                raise
             log_event(
                 Event.PEER_HANDLER_FAILED,
                 peer_id=peer_id,
--- a/borageyard/tasks.py
+++ b/borageyard/tasks.py
@@ -22,3 +22,16 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def is_own_cancellation(error: BaseException) -> bool:
+    """Returns whether an error is the cancellation of the current task.
+
+    A task that awaits a future which others cancel gets the same error.
+
+    Args:
+        error: An error that was raised in the current task.
+    """
+    task = asyncio.current_task()
+    is_cancellation = isinstance(error, asyncio.CancelledError)
+    return is_cancellation and task is not None and task.cancelling() > 0
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -56,6 +56,12 @@
         self.released.set()
         return PeerProbeReplyBody(incarnation=number)
 
+    async def cancelled(self, peer_id, message):
+        """Awaits what another task has cancelled."""
+        future = asyncio.get_running_loop().create_future()
+        future.cancel()
+        await future
+
     async def block(self, peer_id, message):
         """Replies once released."""
         self.requested.set()
@@ -289,6 +295,14 @@
             two.link.register(PeerProbeBody, two.answer)
             assert await one.probe(two) == 7
 
+    async def test_wait_that_another_task_cancels_fails_the_request(self):
+        """Incident LOST: the sender waited for its whole timeout."""
+        async with started(LinkedEntry('a'), LinkedEntry('b')) as (one, two):
+            two.link.register(PeerProbeBody, BlockingHandler().cancelled)
+            one.set_peers(two)
+            with pytest.raises(PeerError, match='handler failed'):
+                await one.probe(two)
+
     async def test_slow_peer_times_out(self):
         """A reply after the timeout is dropped and counted."""
         async with started(LinkedEntry('a'), LinkedEntry('b')) as (one, two):
