Let stand-in targets leave and tell what they broke off

Cause: a test could not tell a run that an engine broke off from one that a gateway ended, and an unframed stream that a crash broke off between two events looked complete: nobody can tell that from its end. Change: OpenRuns holds the ids of the requests that a crash or a break ended; targets record the time of each arrival and crash, and leave by draining; a crash resets unframed answers. The grace of a deployment's gateways can be set.

--- a/borageyard/standins/gateway_deployment.py
+++ b/borageyard/standins/gateway_deployment.py
@@ -167,12 +167,14 @@
         self,
         gateways: int = 2,
         plans: Sequence[TargetPlan] = TARGET_PLANS,
+        grace_ms: int = GRACE_MS,
     ) -> None:
         """Initializes a deployment without starting it.
 
         Args:
             gateways: Number of gateways.
             plans: The targets.
+            grace_ms: Time that a stopped gateway has to end.
         """
         self.store = KeyedStore()
         self.results: dict[str, str] = {}
@@ -182,6 +184,7 @@
         }
         self.gateways: list[RunningGateway] = []
         self._gateway_count = gateways
+        self._grace_ms = grace_ms
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator['GatewayDeployment']:
@@ -261,7 +264,7 @@
         server = await stack.enter_async_context(HttpServer(handler.handle))
         await server.start(LOOPBACK)
         client = await stack.enter_async_context(HttpClient())
-        settings = _settings(number, server.address)
+        settings = _settings(number, server.address, self._grace_ms)
         gateway = Gateway(settings, _dependencies(settings, client))
         stop = asyncio.Event()
         task = asyncio.ensure_future(gateway.serve(stop))
@@ -297,7 +300,9 @@
     return free
 
 
-def _settings(number: int, store_address: str) -> GatewaySettings:
+def _settings(
+    number: int, store_address: str, grace_ms: int
+) -> GatewaySettings:
     addresses = free_addresses(ADDRESSES_PER_GATEWAY)
     return GatewaySettings(
         instance_id=f'gateway-{number}',
@@ -311,7 +316,7 @@
         retry_budget_limits=RetryBudgetLimits(
             RETRY_RATIO, RETRY_EXTRA, RETRY_WINDOW_MS
         ),
-        grace_ms=GRACE_MS,
+        grace_ms=grace_ms,
         address_ttl_s=2,
     )
 
--- a/borageyard/standins/gateway_target.py
+++ b/borageyard/standins/gateway_target.py
@@ -99,6 +99,8 @@
         # Number of requests that arrived with each prompt part, the last parts
         # not counted.
         self.part_arrivals: collections.Counter[str] = collections.Counter()
+        # Monotonic time and id of each caller's request that arrived.
+        self.received: list[tuple[float, str]] = []
         # Monotonic times of all requests, also of those that were rejected.
         self.arrivals_s: list[float] = []
         self._running = 0
@@ -160,8 +162,10 @@
         await send_unframed(response, self.faults.unframed_connection)
 
     async def _run(self, request: HttpRequest) -> HttpResponse:
+        request_id = request.header('x-attempt-id')
+        self.received.append((time.monotonic(), request_id))
         self.part_arrivals.update(_shared_parts(request))
-        headers = {'x-attempt-id': request.header('x-attempt-id')}
+        headers = {'x-attempt-id': request_id}
         expected = request.header('x-expect-instance')
         if expected and expected != self.plan.target_id:
             return HttpResponse(
@@ -180,6 +184,7 @@
         self._running += 1
         with contextlib.ExitStack() as stack:
             stack.callback(self._end_run)
+            stack.enter_context(self.open_runs.track(request_id))
             return await self._execute(request, headers)
 
     def _end_run(self) -> None:
@@ -213,7 +218,9 @@
             HTTPStatus.OK,
             content_type=EVENT_STREAM_TYPE,
             headers=headers,
-            chunks=self._events(request),
+            chunks=self.open_runs.track_chunks(
+                request_id, self._events(request)
+            ),
         )
 
     async def _events(self, request: HttpRequest) -> AsyncIterator[bytes]:
@@ -225,6 +232,7 @@
                 yield ENDLESS_CHUNK
             if self.faults.break_after == number - 1:
                 self.faults.break_after = None
+                self.open_runs.broken_ids.add(request_id)
                 await self._leave()
                 yield f'id: {number}\ndata: half'.encode()
                 if self.faults.reset_midway:
--- a/borageyard/standins/registered_target.py
+++ b/borageyard/standins/registered_target.py
@@ -4,12 +4,14 @@
 import asyncio
 import contextlib
 import dataclasses
+import time
 from collections.abc import AsyncIterator, Coroutine
 from typing import Any
 
 from ..clock import MS_PER_S
 from ..http_messages import HttpLimits, HttpRequest, HttpResponse
 from .keyed_store import TARGETS_TOPIC, KeyedStore
+from .open_runs import OpenRuns
 from .unframed_server import UnframedServer
 
 LOOPBACK = '127.0.0.1:0'
@@ -62,8 +64,12 @@
         self.plan = plan
         self.store = store
         self.address = ''
-        # Ids under which the target crashed, in order.
+        # Ids under which the target crashed, and monotonic times, in order.
         self.crashed_ids: list[str] = []
+        self.crash_times_s: list[float] = []
+        self.open_runs = OpenRuns()
+        # Whether the target drains or has left.
+        self.leaving = False
         self._incarnation = 1
         self._announcement_number = 0
         self._server: UnframedServer | None = None
@@ -118,12 +124,13 @@
         Args:
             crash: What follows. A target that has already crashed ignores it.
         """
-        server = self._server
-        if server is None:
+        if self._server is None:
             return
-        self._server = None
+        self.open_runs.break_off_all()
         self.crashed_ids.append(self.plan.target_id)
-        self._begin(server.close())
+        self.crash_times_s.append(time.monotonic())
+        self._begin(self._server.close())
+        self._server = None
         if crash.expire_ms:
             self._begin(self._expire(crash.expire_ms))
         else:
@@ -131,6 +138,23 @@
         if crash.restart_ms is not None:
             self._begin(self._come_back(crash, crash.restart_ms))
 
+    async def leave(self, drain_s: float) -> None:
+        """Drains the target, then ends it once nothing runs.
+
+        Args:
+            drain_s: Time from the announcement to the removal of the record.
+        """
+        self.leaving = True
+        self.announce('draining')
+        await asyncio.sleep(drain_s)
+        self.withdraw()
+        if self._server is not None:
+            await self._server.finish()
+        # It may have crashed meanwhile.
+        if self._server is not None:
+            await self._server.close()
+            self._server = None
+
     @abc.abstractmethod
     async def _respond(self, request: HttpRequest) -> HttpResponse:
         """Handles one request."""
@@ -166,6 +190,8 @@
 
     async def _come_back(self, crash: CrashPlan, after_ms: float) -> None:
         await asyncio.sleep(after_ms / MS_PER_S)
+        if self.leaving:
+            return
         self._incarnation += 1
         self._forget()
         if not crash.keeps_id:
--- a/borageyard/standins/unframed_server.py
+++ b/borageyard/standins/unframed_server.py
@@ -35,7 +35,8 @@
     """Sends a response that ends with the connection of its request.
 
     To be called by a handler of an ``UnframedServer``, whose own response is
-    not sent.
+    not sent. If the handler is cancelled, as in a crash, the connection is
+    reset; otherwise the response would look complete.
 
     Args:
         response: The response.
@@ -46,6 +47,23 @@
             connection; also if its source aborts the connection earlier.
     """
     writer = _WRITER.get()
+    try:
+        await _send(writer, response, connection)
+    except asyncio.CancelledError:
+        reset_on_close()
+        raise
+    raise ConnectionAbortError
+
+
+def reset_on_close() -> None:
+    """Lets the close of the current request's connection be a reset."""
+    connection = _WRITER.get().get_extra_info('socket')
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
+async def _send(
+    writer: asyncio.StreamWriter, response: HttpResponse, connection: str
+) -> None:
     # ``drain`` returns only after all bytes are passed to the OS, so that the
     # abort that follows does not discard any.
     writer.transport.set_write_buffer_limits(0)
@@ -55,13 +73,6 @@
     else:
         await _send_chunks(writer, response.chunks)
     await writer.drain()
-    raise ConnectionAbortError
-
-
-def reset_on_close() -> None:
-    """Lets the close of the current request's connection be a reset."""
-    connection = _WRITER.get().get_extra_info('socket')
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
 def _encode_head(response: HttpResponse, connection: str) -> bytes:
--- a/tests/test_gateway_target.py
+++ b/tests/test_gateway_target.py
@@ -242,6 +242,18 @@
             with pytest.raises(HttpCallError):
                 await client.request(prompt(target))
 
+    async def test_crash_resets_a_stream(self):
+        """A stream that a crash breaks off does not look complete."""
+        async with engine() as (target, client):
+            target.faults.unframed = True
+            target.faults.silent_after = 1
+            async with client.stream(prompt(target)) as (_, _, chunks):
+                assert await anext(chunks) == FIRST_EVENT
+                target.crash(CrashPlan())
+                with pytest.raises(HttpCallError):
+                    await anext(chunks)
+            assert target.open_runs.broken_ids == {'attempt-0'}
+
     async def test_plain_answer(self):
         """A plain answer is whole, or is reset after half of its body."""
         plan = TargetPlan('d1', 'desk', 'a')
