--- a/borageyard/engine_sends.py
+++ b/borageyard/engine_sends.py
@@ -223,18 +223,20 @@
             error: How it failed.
         """
         engine_id = exchange.engine.target_id
+        failure = error.failure
         if exchange.accepted:
             # It may be used again if there is no other one.
             stream.broken_engine_ids.add(engine_id)
+            failure = SendFailure.UNKNOWN
         else:
             stream.failed_engine_ids.add(engine_id)
             self._scheduler.note_failed(stream.request.request_id, engine_id)
-        stream.note_run_ended(exchange, error.failure)
+        stream.note_run_ended(exchange, failure)
         log_event(
             Event.SEND_FAILED,
             request_id=stream.request.request_id,
             target_id=engine_id,
-            failure=error.failure.value,
+            failure=failure.value,
             reason=str(error),
         )
 
