--- a/borageyard/commands/explain.py
+++ b/borageyard/commands/explain.py
@@ -12,6 +12,7 @@
 EXIT_NOT_FOUND = 1
 # Events that decide the outcome of a request, in order of precedence.
 DECIDING_EVENTS = (
+    'response_aborted',
     'request_unserved',
     'chain_denied',
     'send_failed',
