Test that inputs made for a second engine are freed

Cause: asking another engine runs the stages of a request again; results that stay hold memory of the targets.

Change: tests over sockets, at the scheduler and at another entry, in which the second engine or the first one goes on.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -345,6 +345,35 @@
             assert events(reply) == list(ALL_EVENTS)
             assert len(callers.runs('model')) == 1
 
+    @pytest.mark.parametrize('gateway', [0, 1])
+    @pytest.mark.parametrize(
+        ('silence_ms', 'other_ms'), [(2200, 1), (1800, 1000)]
+    )
+    async def test_what_was_made_for_another_engine_is_freed(
+        self, gateway, silence_ms, other_ms
+    ):
+        """Whichever engine goes on, wherever the request is scheduled."""
+        async with deployment() as callers:
+            await callers.stream(gateway=gateway)
+            for engine in callers.targets('model'):
+                if engine.runs:
+                    engine.faults.silent_after = 2
+                    engine.faults.silence_ms = silence_ms
+                else:
+                    engine.plan = dataclasses.replace(
+                        engine.plan, work_ms=other_ms
+                    )
+            reply = await callers.stream(gateway=gateway)
+            assert events(reply) == list(ALL_EVENTS)
+            assert callers.runs('model').count('attempt-2') == 2
+            await wait_until(lambda: not callers.running.results)
+            gateways = [one.gateway for one in callers.running.gateways]
+            await wait_until(
+                lambda: (
+                    not any(one.service.scheduler.chains for one in gateways)
+                )
+            )
+
     async def test_caller_resumes_after_an_event(self):
         """The engine gets the id of the last event that the caller received."""
         async with deployment() as callers:
