Give each request of the soak its own path; end its engines last

Cause: two faults of the soak. All prompts of a route had the same path and no body, so a sound one was the same request as one that crashes engines, and the quarantine of requests rightly refused it. Engines that the soak had started were closed while the last answers were under way. Change: the id of the request ends its path; the engines end with the context of the soak.

--- a/borageyard/standins/gateway_soak.py
+++ b/borageyard/standins/gateway_soak.py
@@ -6,6 +6,8 @@
 import random
 import time
 from collections.abc import Sequence
+from types import TracebackType
+from typing import Self
 
 from ..clock import MS_PER_S
 from ..gateway import ACCEPT_AFTER_STOP_MS
@@ -83,6 +85,19 @@
         self._until_s: float = 0
         self._stack = contextlib.AsyncExitStack()
 
+    async def __aenter__(self) -> Self:
+        """Returns the soak."""
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Ends the engines that the soak started."""
+        await self._stack.aclose()
+
     @property
     def engines(self) -> Sequence[GatewayTarget]:
         """All engines, also those that have left."""
@@ -129,7 +144,7 @@
             self._change_configuration,
             self._change_configuration,
         )
-        async with self._stack, asyncio.TaskGroup() as group:
+        async with asyncio.TaskGroup() as group:
             while time.monotonic() < until_s:
                 disturb = self._random.choice(disturbances)
                 group.create_task(disturb())
--- a/borageyard/standins/soak_callers.py
+++ b/borageyard/standins/soak_callers.py
@@ -39,7 +39,7 @@
 
     Attributes:
         request_id: Id of the request.
-        path: Path, which selects the route.
+        path: Path before the id of the request; it selects the route.
         parts: Parts of the prompt; empty if it has none.
         gateway: Number of the gateway that it was sent to.
         began_s: Monotonic time at which it was sent.
@@ -145,7 +145,7 @@
         call = HttpCall(
             self._deployment.gateways[gateway].address,
             method,
-            path,
+            f'{path}/{outcome.request_id}',
             headers=_headers(outcome, pieces),
             timeout_ms=TIMEOUT_MS,
             repeatable=False,
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -174,7 +174,8 @@
     """Returns whether the body is whole, or the begin of it if it was cut."""
     if outcome.path in {READ, BOOK}:
         method = 'GET' if outcome.path == READ else 'POST'
-        body = f'{method} {outcome.path} {outcome.request_id}'
+        request_id = outcome.request_id
+        body = f'{method} {outcome.path}/{request_id} {request_id}'
         return outcome.body.decode() == body
     known = (
         ALL_EVENTS[: len(outcome.event_ids)] if outcome.error else ALL_EVENTS
@@ -247,7 +248,9 @@
     """Runs a deployment for one run of the soak."""
     deployment = GatewayDeployment(GATEWAYS, PLANS, grace_ms=GRACE_MS)
     async with deployment.running():
-        yield SoakRun(deployment, seed)
+        run = SoakRun(deployment, seed)
+        async with run.soak:
+            yield run
 
 
 class TestSoak:
