Break a stream off if its resume is refused by the sender

Callers saw: nothing new; the abort was logged as a fault of the entry.

Cause: a sender may refuse a send, as for a quarantined request. Once the head of an answer was sent this error has to end the stream as others do.

Change: it is a StreamBrokenError; a standby that is refused leaves the silent engine in place.

Measured: test_refused_resume_breaks_the_stream failed and passes; tests of the relay pass.

--- a/borageyard/streaming_relay.py
+++ b/borageyard/streaming_relay.py
@@ -245,12 +245,18 @@
         return b''
 
     async def _read_on(self, stream: StreamState) -> bytes:
-        """Returns the next bytes, of another engine if this one fails."""
+        """Returns the next bytes, of another engine if this one fails.
+
+        Raises:
+            StreamBrokenError: If no engine can go on with the stream.
+        """
         while True:
             try:
                 return await self._next_chunk(stream)
             except SendError as error:
                 await self._resume(stream, error)
+            except RefusalError as refusal:
+                raise _broken(refusal) from refusal
 
     async def _next_chunk(self, stream: StreamState) -> bytes:
         """Returns the next bytes of a stream; empty at its end.
@@ -317,8 +323,7 @@
         try:
             await self._send(stream)
         except RefusalError as refusal:
-            reasons = (str(error), refusal.refusal.detail)
-            raise StreamBrokenError('; '.join(reasons)) from refusal
+            raise _broken(refusal, str(error)) from refusal
 
     def _log_end(self, stream: StreamState) -> None:
         request = stream.request
@@ -333,6 +338,11 @@
         )
 
 
+def _broken(error: RefusalError, reason: str = '') -> StreamBrokenError:
+    detail = error.refusal.detail or str(error)
+    return StreamBrokenError(': '.join(filter(None, (reason, detail))))
+
+
 def _longest_age_ms(stream: StreamState) -> float:
     """Returns for how long a stream that is taken up may have been running."""
     timeout_ms = stream.context.route.timeout_ms
--- a/tests/test_streaming_relay.py
+++ b/tests/test_streaming_relay.py
@@ -8,7 +8,7 @@
 from borageyard.answer_body import AnswerReader
 from borageyard.clock import LoopClock
 from borageyard.engine_placer import Placement
-from borageyard.errors import RefusalError
+from borageyard.errors import ErrorKind, Refusal, RefusalError
 from borageyard.http_server import ConnectionAbortError
 from borageyard.inbound import (
     InboundRequest,
@@ -38,6 +38,7 @@
 LONG_MS = 7000
 RESET = SendError(SendFailure.UNKNOWN, 'reset')
 REJECTED = SendError(SendFailure.NOT_SENT, 'refused')
+QUARANTINED = RefusalError(Refusal(ErrorKind.TARGET_FAILED))
 
 
 class Engine:
@@ -64,8 +65,8 @@
     @contextlib.asynccontextmanager
     async def run(self, send):
         """Answers a send."""
-        if self.fail is REJECTED:
-            raise REJECTED
+        if self.fail in {REJECTED, QUARANTINED}:
+            raise self.fail
         self.runs += 1
         self.running += 1
         with contextlib.ExitStack() as stack:
@@ -288,7 +289,9 @@
         assert_whole(in_virtual_time(relay)(fleet))
 
     @pytest.mark.parametrize('before', range(1, EVENTS + 1))
-    @pytest.mark.parametrize('fail', [RESET, REJECTED, 'status', 'denied'])
+    @pytest.mark.parametrize(
+        'fail', [RESET, REJECTED, QUARANTINED, 'status', 'denied']
+    )
     def test_other_engine_fails(self, before, fail):
         """Incident LOST: the stream was cut, although its engine went on."""
         other = Engine('m2', 0, before, fail)
@@ -379,6 +382,13 @@
         assert_whole(in_virtual_time(relay)(fleet))
         assert runs(fleet) == [1, 1]
 
+    def test_refused_resume_breaks_the_stream(self):
+        """Its head was sent, so that a refusal can't be."""
+        fleet = Fleet(Engine('m1', fail=RESET), Engine('m2', fail=QUARANTINED))
+        relayed = in_virtual_time(relay)(fleet)
+        assert isinstance(relayed.error, ConnectionAbortError)
+        assert relayed.events == [1]
+
     def test_engine_that_refuses_the_rest_is_passed_over(self):
         """Incident LOST: one refused connection cut the stream."""
         fleet = Fleet(
