Let a rejection stand while another engine is asked

Callers saw: a stream that waited until its deadline.

Cause: an engine that rejected a request while another one was asked was read on from, so that its rejection counted as silence if the other engine failed too.

Change: an answer that can't be relayed is an incomplete one from then on.

Measured: test_rejection_while_another_engine_is_asked failed and passes; tests of the relay pass.

--- a/borageyard/engine_exchange.py
+++ b/borageyard/engine_exchange.py
@@ -83,6 +83,16 @@
             raise self._error
         return b'' if self._ended else None
 
+    def fail(self, error: SendError) -> None:
+        """Makes an answer that can't be relayed an incomplete one.
+
+        Args:
+            error: Raised from now on.
+        """
+        self._error = error
+        while not self._chunks.empty():
+            self._chunks.get_nowait()
+
     async def close(self) -> None:
         """Cancels the request if it is under way."""
         if self._task is not None:
--- a/borageyard/streaming_relay.py
+++ b/borageyard/streaming_relay.py
@@ -298,9 +298,10 @@
                 self._accept(stream, exchange)
             if chunk == b'':
                 stream.require_no_partial()
-        except SendError:
+        except SendError as error:
             if stream.standby is None:
                 raise
+            exchange.fail(error)
             return None
         return chunk
 
--- a/tests/test_streaming_relay.py
+++ b/tests/test_streaming_relay.py
@@ -59,6 +59,9 @@
         self.fail = fail
         self.status = 200
         self.split_events = False
+        self.not_run = False
+        # Time before the head of the answer.
+        self.head_ms = 0
         self.runs = 0
         self.running = 0
 
@@ -71,10 +74,11 @@
         self.running += 1
         with contextlib.ExitStack() as stack:
             stack.callback(self.end)
+            await asyncio.sleep(self.head_ms / 1000)
             yield TargetAnswer(
                 self.status,
                 {'x-engine': self.row.target_id},
-                not_run=False,
+                not_run=self.not_run,
                 wrong_target=False,
                 load=None,
                 chunks=self.chunks(int(send.last_event_id or 0)),
@@ -382,6 +386,18 @@
         assert_whole(in_virtual_time(relay)(fleet))
         assert runs(fleet) == [1, 1]
 
+    def test_rejection_while_another_engine_is_asked(self):
+        """It is final, though the rejection has no end."""
+        rejecting = Engine('m1', LONG_MS, before=1)
+        rejecting.not_run = True
+        rejecting.split_events = True
+        rejecting.head_ms = 3200
+        fleet = Fleet(rejecting, Engine('m2', fail=REJECTED), Engine('m3'))
+        fleet.place_ms = 400
+        relayed = in_virtual_time(relay)(fleet)
+        assert_whole(relayed)
+        assert relayed.took_ms < CALLER_TIMEOUT_MS + 1000
+
     def test_refused_resume_breaks_the_stream(self):
         """Its head was sent, so that a refusal can't be."""
         fleet = Fleet(Engine('m1', fail=RESET), Engine('m2', fail=QUARANTINED))
