Serve a request that arrives at the idle timeout of its connection

Callers saw: a connection that was closed with neither an answer nor a refusal to a whole request that nothing was known of; it left no line.

Cause: a process that was busy while the timeout passed sees the timeout and the bytes at once. The timeout cancels the read, and the connection was closed with the request in its buffer. Changes of the configuration keep entries busy and may shorten the timeout.

Change: the server counts what it has read; bytes that have arrived are served.

Measured: test_request_that_arrives_at_the_idle_timeout_is_served failed and passes; tests of the server and the gateway pass.

--- a/borageyard/http_server.py
+++ b/borageyard/http_server.py
@@ -220,6 +220,7 @@
         """
         self._reader = reader
         self._id_reader = id_reader
+        self._read_bytes = 0
         self._writer = StreamWriter(writer, limits.send_timeout_ms)
         self._limits = limits
         self._activity = activity
@@ -308,12 +309,20 @@
         timeout_s = self._limits.idle_timeout_ms / MS_PER_S
         try:
             async with asyncio.timeout(timeout_s):
-                received = await self._reader.read(READ_SIZE_BYTES)
+                received = await self._read()
         except TimeoutError:
-            return False
+            # A busy process may see the timeout and a request at once.
+            if self._reader.received_bytes == self._read_bytes:
+                return False
+            received = await self._read()
         self._codec.receive_data(received)
         return bool(received)
 
+    async def _read(self) -> bytes:
+        received = await self._reader.read(READ_SIZE_BYTES)
+        self._read_bytes += len(received)
+        return received
+
     async def _receive_complete(self) -> HttpRequest | None:
         head = await self._next_event()
         if not isinstance(head, h11.Request):
@@ -376,7 +385,7 @@
                     status_code=100, headers=[]
                 )
                 await self._writer.send(self._codec.send(continue_response))
-            received = await self._reader.read(READ_SIZE_BYTES)
+            received = await self._read()
             self._codec.receive_data(received)
 
     async def _call_handler(
@@ -478,4 +487,4 @@
     async def _discard(self) -> None:
         received = b'unread'
         while received:
-            received = await self._reader.read(READ_SIZE_BYTES)
+            received = await self._read()
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import time
 
 import pytest
 
@@ -45,6 +46,11 @@
     return status, body, rest
 
 
+def keep_busy(duration_s):
+    """Blocks the event loop, as a long computation does."""
+    time.sleep(duration_s)
+
+
 class TestRefusals:
     """Each refusal of the server is complete and closes the connection."""
 
@@ -225,6 +231,16 @@
         async with serving(echo) as server, connected(server) as streams:
             assert await streams[0].read() == b''
 
+    async def test_request_that_arrives_at_the_idle_timeout_is_served(self):
+        """Incident LOST: a busy process saw both at once, and closed."""
+        async with serving(echo) as server, connected(server) as streams:
+            reader, writer = streams
+            await asyncio.sleep(LIMITS.idle_timeout_ms / 2000)
+            writer.write(HEAD + b'content-length: 0\r\n\r\n')
+            keep_busy(LIMITS.idle_timeout_ms / 1000)
+            status, _ = await read_response(reader)
+        assert status == 200
+
     async def test_caller_that_goes_away_cancels_its_work(self):
         """A handler is cancelled when its caller disconnects."""
         recorder = Recorder()
