--- a/tests/test_scheduler_service.py
+++ b/tests/test_scheduler_service.py
@@ -6,7 +6,7 @@
 from borageyard.clock import LoopClock
 from borageyard.engine_placer import Placement, Prompt
 from borageyard.fleet_state import FleetState
-from borageyard.plans import Denial, Grant, Plan
+from borageyard.plans import ChainRefusal, Denial, Grant, Plan
 from borageyard.platform.documents import DocumentDecoder
 from borageyard.roster import RosterRow, TargetPhase
 from borageyard.scheduler_service import (
@@ -176,6 +176,18 @@
         async with asyncio.timeout(1):
             assert isinstance(await waits[1], Grant)
 
+    @in_virtual_time
+    async def test_late_news_of_an_earlier_send_wake_the_wait(
+        self, monkeypatch
+    ):
+        """They remove the request, which is then placed anew."""
+        service, _ = self.build(monkeypatch)
+        wait = await self.wait(service)
+        service.note_started('r1')
+        async with asyncio.timeout(1):
+            outcome = await wait
+        assert outcome.reason is ChainRefusal.MOVED
+
     @in_virtual_time
     async def test_request_that_ends_wakes_its_wait(self, monkeypatch):
         """Its caller left; the wait would count as work of a peer for ever."""
