Keep what an engine may still read when another one is denied

Callers saw: a stream that failed, or whose stages all ran again, although its engine had only been silent before its first event.

Cause: a second request for an engine took back the grant of the first one. If no engine was to be had, the scheduler removed the request: it freed the results whose handles the first engine had been sent, and dropped that engine's load.

Change: a denial only ends the search for an engine. What was made is freed and the load dropped when the engine has started, has failed or the request ends.

--- a/borageyard/chain_scheduler.py
+++ b/borageyard/chain_scheduler.py
@@ -323,18 +323,19 @@
                 continue
             reason = self._admission.find_unservable_reason(chain, now_ms)
             if reason is not None:
-                self._deny(chain, reason, MIN_RETRY_AFTER_MS, plan)
+                denial = Denial(chain.spec.chain_id, reason, MIN_RETRY_AFTER_MS)
+                plan.denials.append(denial)
+                self._withdraw(chain)
 
-    def _deny(
-        self,
-        chain: Chain,
-        reason: ChainRefusal,
-        retry_after_ms: float,
-        plan: Plan,
-    ) -> None:
+    def _withdraw(self, chain: Chain) -> None:
+        """Ends the search for an engine, but not the run at an earlier one."""
         chain_id = chain.spec.chain_id
-        plan.denials.append(Denial(chain_id, reason, retry_after_ms))
-        self.remove(chain_id)
+        if chain.sent and self.placer.is_sent(chain_id):
+            # That engine may still have to read the results.
+            chain.granted = True
+            return
+        self.chains.pop(chain_id)
+        self._results_to_free.extend(chain.results)
 
     def _grant(
         self, chain: Chain, ahead: int, plan: Plan, now_ms: float
@@ -346,9 +347,10 @@
             denial = self._admission.deny_unplaced(spec, ahead, plan, now_ms)
             if denial is not None:
                 plan.denials.append(denial)
-                self.remove(spec.chain_id)
+                self._withdraw(chain)
             return
         chain.granted = True
+        chain.sent = True
         self.permits.take(placement.engine, now_ms)
         self.placer.note_sent(spec.chain_id, spec.prompt, placement, now_ms)
         handles = tuple(result.handle for result in results)
--- a/borageyard/chains.py
+++ b/borageyard/chains.py
@@ -201,6 +201,8 @@
         self.spec = spec
         self.failures = 0
         self.granted = False
+        # Whether an engine was granted and may read the results.
+        self.sent = False
         # Failure domain of the engine that will probably be chosen.
         self.expected_engine_domain = ''
         self.stages: Mapping[int, StageState] = {
--- a/borageyard/engine_placer.py
+++ b/borageyard/engine_placer.py
@@ -160,6 +160,10 @@
         for part in prompt.parts:
             self.note_cached(placement.engine, part.part_id, now_ms)
 
+    def is_sent(self, request_id: str) -> bool:
+        """Returns whether a request is at an engine, as far as is known."""
+        return request_id in self._requests
+
     def note_started(self, request_id: str) -> None:
         """Records that the engine of a request has started its answer."""
         request = self._requests.get(request_id)
--- a/tests/test_chain_scheduler.py
+++ b/tests/test_chain_scheduler.py
@@ -523,3 +523,54 @@
         before_bytes = target.free_bytes(360)
         following.submit(order(results=moved.results), 360)
         assert target.free_bytes(360) == before_bytes - 2000
+
+
+class TestSecondEngine:
+    """A second engine is asked for while the first one has not failed."""
+
+    def granted(self, scheduler):
+        """Has a request with one stage granted; returns what it needs."""
+        spec = order(stages=STAGES[:1])
+        assert scheduler.submit(spec, 0) is None
+        scheduler.plan(0)
+        calls = scheduler.plan(LATER_MS).calls
+        finish(scheduler, calls[0], 350)
+        assert scheduler.plan(350).grants[0].handles
+        return spec
+
+    def deny(self, scheduler, spec):
+        """Asks for an engine of a version that there is not."""
+        wanted = dataclasses.replace(spec, software_version='v9')
+        assert scheduler.submit(wanted, 2000) is None
+        plan = scheduler.plan(2000)
+        assert plan.denials
+        return plan
+
+    def running(self, scheduler):
+        """Returns the number of requests that run at engines."""
+        engines = scheduler.placer._engines.values()
+        return sum(engine.running for engine in engines)
+
+    def test_denial_keeps_the_inputs_of_the_first(self, scheduler):
+        """Incident LOST: it may still have to read them."""
+        plan = self.deny(scheduler, self.granted(scheduler))
+        assert not plan.results_to_free
+        assert self.running(scheduler) == 1
+        scheduler.note_started('c1')
+        assert scheduler.plan(2100).results_to_free
+
+    def test_denial_after_the_first_has_failed_frees_them(self, scheduler):
+        """Nobody will read them."""
+        spec = self.granted(scheduler)
+        scheduler.placer.note_ended('c1')
+        assert self.deny(scheduler, spec).results_to_free
+        assert not scheduler.chains
+
+    def test_denial_after_the_first_has_started(self, scheduler):
+        """The first one still runs the request."""
+        spec = self.granted(scheduler)
+        scheduler.note_started('c1')
+        assert scheduler.submit(spec, 400) is None
+        assert scheduler.plan(spec.deadline_at_ms + 1).denials
+        assert not scheduler.chains
+        assert self.running(scheduler) == 1
