Cancel all exchanges of a stream at once when its caller leaves

Callers that left while a second engine was asked for their stream could leave a run behind, which nobody read, until the deadline and beyond (GONE).

Cause: the standby was taken out of the stream before it was closed, and the exchanges were closed one after the other. A cancellation in the wait for the first one left the others open, and nothing knew them any more. Change: all exchanges are cancelled before the first wait, each of them once, and a standby stays in the stream until it is closed.

--- a/borageyard/engine_exchange.py
+++ b/borageyard/engine_exchange.py
@@ -50,6 +50,7 @@
         self._error: Exception | None = None
         self._ended = False
         self._task: asyncio.Task[None] | None = None
+        self._cancelled = False
 
     @property
     def engine(self) -> RosterRow:
@@ -93,11 +94,18 @@
         while not self._chunks.empty():
             self._chunks.get_nowait()
 
-    async def close(self) -> None:
+    def cancel(self) -> None:
         """Cancels the request if it is under way."""
-        if self._task is not None:
+        # A second one would interrupt the cleanup after the first.
+        if self._task is not None and not self._cancelled:
+            self._cancelled = True
             self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def close(self) -> None:
+        """Cancels the request, and waits for its end."""
+        self.cancel()
+        if self._task is not None:
+            await asyncio.wait([self._task])
 
     async def _run(self) -> None:
         with contextlib.ExitStack() as stack:
--- a/borageyard/standby.py
+++ b/borageyard/standby.py
@@ -108,8 +108,8 @@
         standby = stream.standby
         if standby is None:
             return
-        stream.standby = None
         await standby.close()
+        stream.standby = None
         exchange = standby.exchange
         if exchange is not None and isinstance(error, SendError):
             self._sends.record_failure(stream, exchange, error)
--- a/borageyard/stream_state.py
+++ b/borageyard/stream_state.py
@@ -34,10 +34,17 @@
             raise SendError(SendFailure.NOT_SENT, 'nothing was sent')
         return self.exchange
 
-    async def close(self) -> None:
+    def cancel(self) -> None:
         """Cancels its request."""
         if self.task is not None:
             self.task.cancel()
+        if self.exchange is not None:
+            self.exchange.cancel()
+
+    async def close(self) -> None:
+        """Cancels its request, and waits for its end."""
+        self.cancel()
+        if self.task is not None:
             await asyncio.gather(self.task, return_exceptions=True)
         if self.exchange is not None:
             await self.exchange.close()
@@ -177,6 +184,9 @@
 
     async def close(self) -> None:
         """Cancels all exchanges that are under way."""
+        # All at once: a wait for one of them may be cancelled.
+        if self.exchange is not None:
+            self.exchange.cancel()
         if self.standby is not None:
             await self.standby.close()
         if self.exchange is not None:
--- a/tests/test_streaming_relay.py
+++ b/tests/test_streaming_relay.py
@@ -174,11 +174,14 @@
         """Starts without events."""
         self.text = b''
         self.error = None
+        self.status = None
         self.took_ms = 0
 
     async def read(self, response, read_ms):
         """Reads a response to its end; each chunk takes a time."""
-        assert response.status == 200
+        self.status = response.status
+        if self.status != 200:
+            return
         async with contextlib.aclosing(response.chunks) as chunks:
             async for chunk in chunks:
                 self.text += chunk
@@ -192,7 +195,13 @@
 
 
 async def relay(
-    fleet, *, resumable=True, attempts=2, timeout_ms=TIMEOUT_MS, read_ms=0
+    fleet,
+    *,
+    resumable=True,
+    attempts=2,
+    timeout_ms=TIMEOUT_MS,
+    read_ms=0,
+    statuses=(200,),
 ):
     """Relays one stream to its end."""
     route = ServiceRoute(
@@ -229,6 +238,7 @@
         async with asyncio.timeout(timeout_ms / 1000):
             response = await streaming.answer(request, context, SendHistory())
         await relayed.read(response, read_ms)
+        assert relayed.status in statuses
     except (RefusalError, ConnectionAbortError, TimeoutError) as error:
         relayed.error = error
     relayed.took_ms = clock.steady_ms() - started_ms
