Let another engine take over a silent stream when its run begins

Cause: the standby took over at its first complete event. Change: it takes over when the head of its answer has arrived, and the present exchange is cancelled at that moment. An event of the present engine that arrives before that head cancels the standby; a standby that fails before its head is released, and the present engine goes on.

--- a/borageyard/engine_exchange.py
+++ b/borageyard/engine_exchange.py
@@ -84,6 +84,16 @@
             raise self._error
         return b'' if self._ended else None
 
+    def has_head(self) -> bool:
+        """Returns whether the head of the answer has arrived.
+
+        Raises:
+            SendError: If there will be none.
+        """
+        if self.head is None and self.take() is not None:
+            raise SendError(SendFailure.UNKNOWN, 'no head')
+        return self.head is not None
+
     def fail(self, error: SendError) -> None:
         """Makes an answer that can't be relayed an incomplete one.
 
@@ -123,6 +133,7 @@
     async def _exchange(self) -> None:
         async with self._sender.send(self._send) as answer:
             self.head = answer
+            self._report()
             try:
                 await self._read(answer.chunks)
             except SendError as error:
--- a/borageyard/standby.py
+++ b/borageyard/standby.py
@@ -3,10 +3,8 @@
 import asyncio
 import functools
 
-from .engine_exchange import EngineExchange
 from .engine_sends import EngineSends
 from .errors import RefusalError
-from .event_framer import EventFramer, EventTooLargeError
 from .inbound import SendError, SendFailure
 from .silence import ask_after_ms, unlisted_after_ms
 from .stream_state import Standby, StreamState
@@ -20,9 +18,9 @@
 class StandbyEngines:
     """Keeps a silent engine, and asks another one for the same events.
 
-    The engine that delivers the next event first goes on with the stream. A
-    sound engine may be silent for a while, so the present one is given up only
-    when another one has taken its place.
+    A sound engine may be silent for a while, so the present one is given up
+    only when another one has begun its run, which the head of its answer
+    shows. Two engines must not run the same request for long.
     """
 
     def __init__(self, sends: EngineSends) -> None:
@@ -66,35 +64,33 @@
             )
         return CHECK_INTERVAL_MS
 
-    async def take_over(self, stream: StreamState) -> bytes | None:
-        """Goes on with a standby that has delivered events.
+    async def take_over(self, stream: StreamState) -> bool:
+        """Goes on with a standby that has begun its run.
 
         Args:
-            stream: The stream.
+            stream: A stream whose present engine has delivered nothing.
 
         Returns:
-            Its first events, empty if the stream has no further ones; None if
-            it has delivered nothing yet, or has failed.
+            Whether there was a standby that has begun, or has failed.
         """
         standby = stream.standby
         if standby is None or standby.task is None or not standby.task.done():
-            return None
+            return False
         try:
-            events = standby.task.result()
+            standby.task.result()
         except (SendError, RefusalError) as error:
             await self.release(stream, error)
-            return None
+            return True
         exchange = standby.sent
         if not stream.fits(exchange.engine):
             await self.release(stream)
-            return None
+            return True
         stream.standby = None
         stream.resume_reason = f'no event for {round(stream.silent_ms)} ms'
         stream.broken_engine_ids.add(stream.present.engine.target_id)
         stream.framer.discard_partial()
         await stream.replace(exchange)
-        self._sends.note_accepted(stream, exchange)
-        return events
+        return True
 
     async def release(
         self, stream: StreamState, error: Exception | None = None
@@ -124,8 +120,8 @@
         stream.note_possible_run(stream.present)
         return self._sends.may_send_again(stream)
 
-    async def _ask(self, stream: StreamState, standby: Standby) -> bytes:
-        """Sends to another engine and returns its first events.
+    async def _ask(self, stream: StreamState, standby: Standby) -> None:
+        """Sends to another engine and waits for the head of its answer.
 
         Raises:
             SendError: If the engine fails.
@@ -139,41 +135,15 @@
         exchange = self._sends.build(stream, grant, progress.set)
         standby.exchange = exchange
         exchange.start()
-        chunk = await _read(exchange, progress)
+        while not exchange.has_head():
+            progress.clear()
+            await progress.wait()
         self._sends.check_head(stream, exchange, is_resume=True)
-        framer = EventFramer()
-        received = b''
-        while chunk:
-            received += chunk
-            _feed(framer, chunk)
-            if framer.event_count:
-                return received
-            chunk = await _read(exchange, progress)
-        if received:
-            raise SendError(SendFailure.UNKNOWN, 'answer ended within an event')
-        return b''
 
     def _until_check_ms(self, stream: StreamState) -> float:
         unlisted_ms = unlisted_after_ms(stream.context.route)
         return max(unlisted_ms - stream.silent_ms, CHECK_INTERVAL_MS)
 
 
-async def _read(exchange: EngineExchange, progress: asyncio.Event) -> bytes:
-    """Returns the next chunk of an exchange; empty at its end."""
-    while True:
-        progress.clear()
-        chunk = exchange.take()
-        if chunk is not None:
-            return chunk
-        await progress.wait()
-
-
-def _feed(framer: EventFramer, chunk: bytes) -> None:
-    try:
-        framer.feed(chunk)
-    except EventTooLargeError as error:
-        raise SendError(SendFailure.UNKNOWN, str(error)) from error
-
-
-def _report(progress: asyncio.Event, task: asyncio.Task[bytes]) -> None:
+def _report(progress: asyncio.Event, task: asyncio.Task[None]) -> None:
     progress.set()
--- a/borageyard/stream_state.py
+++ b/borageyard/stream_state.py
@@ -20,8 +20,8 @@
     def __init__(self) -> None:
         """Creates a standby for which nothing was sent yet."""
         self.exchange: EngineExchange | None = None
-        # Returns its first events; nothing if the stream has no further ones.
-        self.task: asyncio.Task[bytes] | None = None
+        # Ends when the engine has begun its run.
+        self.task: asyncio.Task[None] | None = None
 
     @property
     def sent(self) -> EngineExchange:
--- a/borageyard/streaming_relay.py
+++ b/borageyard/streaming_relay.py
@@ -261,8 +261,8 @@
     async def _next_chunk(self, stream: StreamState) -> bytes:
         """Returns the next bytes of a stream; empty at its end.
 
-        While the present engine is silent another one may be asked. The one
-        that delivers the next event first goes on.
+        While the present engine is silent another one may be asked. It goes
+        on if it begins its run before the present one delivers an event.
 
         Raises:
             SendError: If the answer is incomplete, and no other engine has
@@ -270,11 +270,11 @@
         """
         while True:
             stream.progress.clear()
-            chunk = await self._standbys.take_over(stream)
-            if chunk is None:
-                chunk = self._take(stream)
+            chunk = self._take(stream)
             if chunk is not None:
                 return chunk
+            if await self._standbys.take_over(stream):
+                continue
             left_ms = self.sends.left_ms(stream)
             if stream.relaying and left_ms <= 0:
                 raise SendError(
--- a/tests/test_streaming_relay_soak.py
+++ b/tests/test_streaming_relay_soak.py
@@ -11,9 +11,11 @@
 from borageyard.standins.virtual_time import in_virtual_time
 from tests.test_streaming_relay import (
     EVENTS,
+    MAX_OVERLAP_MS,
     TIMEOUT_MS,
     Engine,
     Fleet,
+    overlap_ms,
     relay,
 )
 
@@ -42,6 +44,7 @@
             percent = self.draw.randrange(100)
             if percent < 10:
                 raise SendError(SendFailure.NOT_SENT, 'refused')
+            stack.enter_context(self.spanned())
             yield TargetAnswer(
                 FAILED_STATUS if percent < 15 else 200,
                 {},
@@ -109,6 +112,7 @@
             )
             count = len(relayed.events)
             assert relayed.events == list(range(1, count + 1)), seed
+            assert overlap_ms(fleet) < MAX_OVERLAP_MS, seed
             assert relayed.text.count(b'\n\n') == count, seed
             # Placements of the stand-in don't end at the deadline.
             assert relayed.took_ms <= TIMEOUT_MS + fleet.place_ms + 1, seed
