Keep the inputs of an engine that has not begun

A request whose engine was silent before its first event could lose the results of its stages: the engine failed for lack of inputs, or the resend had to run all stages again and was refused for lack of time.

Cause: the request for another engine withdrew the grant of the first one, so a denial removed the request from the scheduler and freed its results; besides, the release of any standby reported that the engine had started. Change: before its first bytes an engine of a route with stages is waited for as long as the roster lists it. The release of a standby reports a start only if the present engine has delivered something.

--- a/borageyard/engine_sends.py
+++ b/borageyard/engine_sends.py
@@ -254,6 +254,22 @@
         row = self._state.roster.find(engine.target_id)
         return row is not None and row.incarnation == engine.incarnation
 
+    def holds_inputs(self, stream: StreamState) -> bool:
+        """Returns whether the present engine may still read its inputs.
+
+        The scheduler has one grant for each request, so it may free them when
+        another engine is asked for.
+
+        Args:
+            stream: The stream.
+        """
+        present = stream.present
+        return (
+            bool(stream.context.route.stages)
+            and not present.accepted
+            and self.is_listed(present.engine)
+        )
+
     def may_send_again(self, stream: StreamState) -> bool:
         """Returns whether another send is allowed; spends retry budget."""
         route = stream.context.route
--- a/borageyard/standby.py
+++ b/borageyard/standby.py
@@ -51,9 +51,12 @@
             listed=self._sends.is_listed(stream.present.engine),
         )
         wait_ms = max(due_ms, stream.ask_again_after_ms) - stream.silent_ms
+        # The engine may leave the roster meanwhile.
+        check_ms = self._until_check_ms(stream)
         if wait_ms > 0:
-            # The engine may leave the roster meanwhile.
-            return min(wait_ms, self._until_check_ms(stream))
+            return min(wait_ms, check_ms)
+        if self._sends.holds_inputs(stream):
+            return check_ms
         stream.ask_again_after_ms = stream.silent_ms + ASK_AGAIN_MS
         if self._may_ask(stream):
             standby = Standby()
@@ -110,7 +113,8 @@
         if exchange is not None and isinstance(error, SendError):
             self._sends.record_failure(stream, exchange, error)
             return
-        self._sends.release_inputs(stream)
+        if stream.present.accepted:
+            self._sends.release_inputs(stream)
         if exchange is not None:
             stream.note_run_ended(exchange, SendFailure.UNKNOWN)
 
--- a/tests/test_streaming_relay.py
+++ b/tests/test_streaming_relay.py
@@ -24,6 +24,7 @@
 from borageyard.serving_configuration import (
     Backend,
     RequestKind,
+    RouteStage,
     ServiceRoute,
 )
 from borageyard.standins.virtual_time import in_virtual_time
@@ -38,6 +39,7 @@
 LONG_MS = 7000
 # Longest time for which two engines may work on the same request.
 MAX_OVERLAP_MS = 50
+STAGES = (RouteStage('stage'),)
 RESET = SendError(SendFailure.UNKNOWN, 'reset')
 NO_HEAD = SendError(SendFailure.UNKNOWN, 'reset before the head')
 REJECTED = SendError(SendFailure.NOT_SENT, 'refused')
@@ -133,7 +135,8 @@
         self.denied = False
         self.place_ms = 0
         self.places = 0
-        self.started = 0
+        # Times of the news that an engine has started.
+        self.started_ms = []
 
     @property
     def roster(self):
@@ -173,8 +176,8 @@
         return Grant(spec.chain_id, Placement(rows[0], 1, 0), ())
 
     def note_started(self, chain_id):
-        """Counts the news that an engine has started."""
-        self.started += 1
+        """Notes the news that an engine has started."""
+        self.started_ms.append(LoopClock().steady_ms())
 
     def note_failed(self, chain_id, engine_id):
         """Ignores the news."""
@@ -221,6 +224,7 @@
     timeout_ms=TIMEOUT_MS,
     read_ms=0,
     statuses=(200,),
+    stages=(),
 ):
     """Relays one stream to its end."""
     route = ServiceRoute(
@@ -234,6 +238,7 @@
         max_attempts=attempts,
         resumable=resumable,
         target_event_gap_ms=400,
+        stages=stages,
     )
     clock = LoopClock()
     started_ms = clock.steady_ms()
@@ -404,6 +409,38 @@
         assert runs(fleet) == [1, int(resumable)]
 
 
+class TestInputs:
+    """Engines that may not have read the results of the stages yet."""
+
+    def test_inputs_are_kept_until_the_engine_begins(self):
+        """They were freed when another engine was denied."""
+        fleet = Fleet(Engine('m1', 5000, before=1), Engine('m2'))
+        fleet.denied = True
+        assert_whole(in_virtual_time(relay)(fleet))
+        assert fleet.places > 1
+        assert fleet.started_ms == [5000]
+
+    def test_grant_of_a_silent_engine_is_kept(self):
+        """A request for another engine withdrew it."""
+        fleet = Fleet(Engine('m1', 5000, before=1), Engine('m2'))
+        assert_whole(in_virtual_time(relay)(fleet, stages=STAGES))
+        assert fleet.places == 1
+
+    def test_inputs_of_an_engine_that_has_left_are_not_kept(self):
+        """Nothing reads them any more."""
+        fleet = Fleet(Engine('m1', 60_000, before=1), Engine('m2'))
+        fleet.gone_after_ms['m1'] = 1000
+        relayed = in_virtual_time(relay)(fleet, stages=STAGES)
+        assert_whole(relayed)
+        assert relayed.took_ms < 2500
+
+    def test_inputs_that_were_read_are_not_kept(self):
+        """Another engine is asked for the next event."""
+        fleet = Fleet(Engine('m1', LONG_MS), Engine('m2'))
+        assert_whole(in_virtual_time(relay)(fleet, stages=STAGES))
+        assert runs(fleet) == [1, 1]
+
+
 class TestCallers:
     """Callers that leave while their engine is silent."""
 
