Keep a stream when the request for another engine ends unexpectedly

A stream was cut, although its engine went on, if the placement of another engine ended with an error that is neither a refusal nor a failed send, or if another task cancelled its wait.

Cause: take_over passed every other result of that task on to the relay, where it aborted the caller's connection; a cancellation by another task looked like that of the caller. Change: any error of the standby releases it, with a line (send_failed). A standby that had failed by the time it wasn't needed is recorded by its error.

--- a/borageyard/standby.py
+++ b/borageyard/standby.py
@@ -5,6 +5,7 @@
 
 from .engine_sends import EngineSends
 from .errors import RefusalError
+from .events import Event, log_event
 from .inbound import SendError, SendFailure
 from .silence import ask_after_ms, unlisted_after_ms
 from .stream_state import Standby, StreamState
@@ -79,15 +80,10 @@
         standby = stream.standby
         if standby is None or standby.task is None or not standby.task.done():
             return False
-        try:
-            standby.task.result()
-        except (SendError, RefusalError) as error:
-            await self.release(stream, error)
-            return True
-        exchange = standby.sent
-        if not stream.fits(exchange.engine):
+        if standby.find_error() or not stream.fits(standby.sent.engine):
             await self.release(stream)
             return True
+        exchange = standby.sent
         stream.standby = None
         stream.resume_reason = f'no event for {round(stream.silent_ms)} ms'
         stream.broken_engine_ids.add(stream.present.engine.target_id)
@@ -95,24 +91,24 @@
         await stream.replace(exchange)
         return True
 
-    async def release(
-        self, stream: StreamState, error: Exception | None = None
-    ) -> None:
+    async def release(self, stream: StreamState) -> None:
         """Cancels a standby that is not needed, or has failed.
 
         Args:
             stream: The stream.
-            error: How the standby has failed.
         """
         standby = stream.standby
         if standby is None:
             return
+        error = standby.find_error()
         await standby.close()
         stream.standby = None
         exchange = standby.exchange
         if exchange is not None and isinstance(error, SendError):
             self._sends.record_failure(stream, exchange, error)
             return
+        if error is not None:
+            _log_failure(stream, standby, error)
         if stream.present.accepted:
             self._sends.release_inputs(stream)
         if exchange is not None:
@@ -149,5 +145,18 @@
         return max(unlisted_ms - stream.silent_ms, CHECK_INTERVAL_MS)
 
 
+def _log_failure(
+    stream: StreamState, standby: Standby, error: BaseException
+) -> None:
+    exchange = standby.exchange
+    log_event(
+        Event.SEND_FAILED,
+        request_id=stream.request.request_id,
+        target_id='' if exchange is None else exchange.engine.target_id,
+        failure=SendFailure.UNKNOWN.value,
+        reason=f'no standby: {error!r}',
+    )
+
+
 def _report(progress: asyncio.Event, task: asyncio.Task[None]) -> None:
     progress.set()
--- a/borageyard/stream_state.py
+++ b/borageyard/stream_state.py
@@ -34,6 +34,14 @@
             raise SendError(SendFailure.NOT_SENT, 'nothing was sent')
         return self.exchange
 
+    def find_error(self) -> BaseException | None:
+        """Returns how it has failed; None if it has not."""
+        if self.task is None or not self.task.done():
+            return None
+        if self.task.cancelled():
+            return asyncio.CancelledError('cancelled by another task')
+        return self.task.exception()
+
     def cancel(self) -> None:
         """Cancels its request."""
         if self.task is not None:
--- a/tests/test_streaming_relay.py
+++ b/tests/test_streaming_relay.py
@@ -9,6 +9,7 @@
 from borageyard.clock import LoopClock
 from borageyard.engine_placer import Placement
 from borageyard.errors import ErrorKind, Refusal, RefusalError
+from borageyard.events import open_log
 from borageyard.http_server import ConnectionAbortError
 from borageyard.inbound import (
     InboundRequest,
@@ -133,6 +134,8 @@
         # Time at which the record of an engine goes.
         self.gone_after_ms = {}
         self.denied = False
+        # Ends the second placement.
+        self.second_error = None
         self.place_ms = 0
         self.places = 0
         # Times of the news that an engine has started.
@@ -165,6 +168,8 @@
         """Grants the first engine that is neither excluded nor avoided."""
         self.places += 1
         await asyncio.sleep(self.place_ms / 1000)
+        if self.places == 2 and self.second_error is not None:
+            raise self.second_error
         rows = [
             row for row in self.ready('model') if row.target_id not in excluded
         ]
@@ -386,6 +391,22 @@
         assert_whole(in_virtual_time(relay)(fleet))
         assert fleet.engines['m1'].runs == 1
 
+    @pytest.mark.parametrize('before', [1, 3])
+    @pytest.mark.parametrize(
+        'error',
+        [RuntimeError('faulty'), KeyError('m2'), asyncio.CancelledError()],
+    )
+    def test_placement_of_the_other_engine_fails(self, before, error, tmp_path):
+        """Incident LOST: its error cut the stream."""
+        fleet = Fleet(Engine('m1', 5000, before), Engine('m2', LONG_MS, before))
+        fleet.engines['m2'].head_ms = LONG_MS
+        fleet.second_error = error
+        log = tmp_path / 'log'
+        with open_log(str(log)):
+            assert_whole(in_virtual_time(relay)(fleet))
+        assert fleet.engines['m1'].runs == 1
+        assert 'no standby' in log.read_text()
+
     @pytest.mark.parametrize('attempts', [1, 2])
     def test_lone_engine(self, attempts):
         """It does not run the same stream beside itself."""
