Spend a retry on another engine only once it is granted

Streams that broke off were cut for lack of retries after other engines had been asked for in vain.

Cause: each request for another engine spent a retry before the scheduler had answered. A denial gave nothing back, and a silent stream asks again every 1.5 s, so a shortage of engines drained the budget of the service. Change: the question whether a retry is left is separate from spending it, and a standby spends its retry between the grant and the send. Measured: test_denied_requests_for_another_engine_spend_none failed before (cut after the reset, though an engine was free) and passes now.

--- a/borageyard/engine_sends.py
+++ b/borageyard/engine_sends.py
@@ -272,6 +272,18 @@
 
     def may_send_again(self, stream: StreamState) -> bool:
         """Returns whether another send is allowed; spends retry budget."""
+        return self.may_ask_again(stream) and self.spend_retry(stream)
+
+    def spend_retry(self, stream: StreamState) -> bool:
+        """Spends retry budget; returns whether there was some."""
+        return self._retries.try_spend(
+            stream.context.service,
+            self._clock.steady_ms(),
+            self.entry_count,
+        )
+
+    def may_ask_again(self, stream: StreamState) -> bool:
+        """Returns whether another send would be allowed."""
         route = stream.context.route
         if not stream.history.allows_another_send(
             route.max_attempts,
@@ -281,7 +293,7 @@
         now_ms = self._clock.steady_ms()
         if now_ms >= stream.context.deadline_at_ms:
             return False
-        return self._retries.try_spend(
+        return self._retries.has_room(
             stream.context.service,
             now_ms,
             self.entry_count,
--- a/borageyard/retry_budget.py
+++ b/borageyard/retry_budget.py
@@ -57,6 +57,19 @@
         Returns:
             Whether the retry may be sent.
         """
+        if not self.has_room(service, now_ms, entry_count):
+            return False
+        self._retries[service].append(now_ms)
+        return True
+
+    def has_room(self, service: str, now_ms: float, entry_count: int) -> bool:
+        """Returns whether a retry could be spent.
+
+        Args:
+            service: Service that the retry goes to.
+            now_ms: Monotonic time.
+            entry_count: Number of entries that may share the budget.
+        """
         requests = self._requests.setdefault(service, collections.deque())
         retries = self._retries.setdefault(service, collections.deque())
         self._expire(requests, now_ms)
@@ -65,10 +78,7 @@
         allowed = (
             USABLE_BUDGET_SHARE * self._limits.ratio * len(requests) + extra
         )
-        if len(retries) + 1 > allowed:
-            return False
-        retries.append(now_ms)
-        return True
+        return len(retries) + 1 <= allowed
 
     def _expire(
         self,
--- a/borageyard/standby.py
+++ b/borageyard/standby.py
@@ -118,19 +118,21 @@
         if not self._sends.has_other_engine(stream):
             return False
         stream.note_possible_run(stream.present)
-        return self._sends.may_send_again(stream)
+        return self._sends.may_ask_again(stream)
 
     async def _ask(self, stream: StreamState, standby: Standby) -> None:
         """Sends to another engine and waits for the head of its answer.
 
         Raises:
             SendError: If the engine fails.
-            RefusalError: If no other engine is granted.
+            RefusalError: If no other engine is granted, or no retry is left.
         """
         present = stream.present.engine
         grant = await self._sends.place(stream, besides=present)
         if grant.placement.engine.target_id == present.target_id:
             raise RefusalError(stream.history.build_refusal('no other engine'))
+        if not self._sends.spend_retry(stream):
+            raise RefusalError(stream.history.build_refusal('no retry left'))
         progress = asyncio.Event()
         exchange = self._sends.build(stream, grant, progress.set)
         standby.exchange = exchange
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -42,6 +42,14 @@
         assert count_granted(budget, LIMITS.window_ms, 1) == 0
         assert count_granted(budget, LIMITS.window_ms + 1, 1) == allowed
 
+    def test_question_spends_nothing(self):
+        """The answer is the same until a retry is spent."""
+        budget = RetryBudget(LIMITS)
+        for _ in range(2 * LIMITS.extra):
+            assert budget.has_room('desk', 0, 1)
+        count_granted(budget, 0, 1)
+        assert not budget.has_room('desk', 0, 1)
+
     def test_services_have_budgets_of_their_own(self):
         """A failing service does not use the budget of another."""
         budget = RetryBudget(LIMITS)
--- a/tests/test_streaming_relay.py
+++ b/tests/test_streaming_relay.py
@@ -19,7 +19,11 @@
 )
 from borageyard.plans import ChainRefusal, Denial, Grant
 from borageyard.request_context import RequestContext
-from borageyard.retry_budget import RetryBudget, RetryBudgetLimits
+from borageyard.retry_budget import (
+    USABLE_BUDGET_SHARE,
+    RetryBudget,
+    RetryBudgetLimits,
+)
 from borageyard.roster import RosterRow, TargetPhase
 from borageyard.send_history import SendHistory
 from borageyard.serving_configuration import (
@@ -41,6 +45,8 @@
 # Longest time for which two engines may work on the same request.
 MAX_OVERLAP_MS = 50
 STAGES = (RouteStage('stage'),)
+MANY_RETRIES = RetryBudgetLimits(1, 100, 10_000)
+ONE_RETRY = RetryBudgetLimits(0, 1 / USABLE_BUDGET_SHARE, 60_000)
 RESET = SendError(SendFailure.UNKNOWN, 'reset')
 NO_HEAD = SendError(SendFailure.UNKNOWN, 'reset before the head')
 REJECTED = SendError(SendFailure.NOT_SENT, 'refused')
@@ -133,7 +139,8 @@
         self.engines = {one.row.target_id: one for one in engines}
         # Time at which the record of an engine goes.
         self.gone_after_ms = {}
-        self.denied = False
+        # Time until which all placements but the first are denied.
+        self.denied_until_ms = 0
         # Ends the second placement.
         self.second_error = None
         self.place_ms = 0
@@ -176,7 +183,8 @@
         rows = [
             row for row in rows if row.target_id not in spec.avoided
         ] or rows
-        if not rows or (self.denied and self.places > 1):
+        denied = LoopClock().steady_ms() < self.denied_until_ms
+        if not rows or (denied and self.places > 1):
             return Denial(spec.chain_id, ChainRefusal.NO_TIME, 100)
         return Grant(spec.chain_id, Placement(rows[0], 1, 0), ())
 
@@ -230,6 +238,7 @@
     read_ms=0,
     statuses=(200,),
     stages=(),
+    retries=MANY_RETRIES,
 ):
     """Relays one stream to its end."""
     route = ServiceRoute(
@@ -251,7 +260,7 @@
         fleet,
         fleet,
         fleet,
-        RetryBudget(RetryBudgetLimits(1, 100, 10_000)),
+        RetryBudget(retries),
         clock,
         fleet,
         AnswerReader(),
@@ -387,7 +396,7 @@
             other.status = 500
         if fail == 'denied':
             other.fail = None
-            fleet.denied = True
+            fleet.denied_until_ms = TIMEOUT_MS
         assert_whole(in_virtual_time(relay)(fleet))
         assert fleet.engines['m1'].runs == 1
 
@@ -436,7 +445,7 @@
     def test_inputs_are_kept_until_the_engine_begins(self):
         """They were freed when another engine was denied."""
         fleet = Fleet(Engine('m1', 5000, before=1), Engine('m2'))
-        fleet.denied = True
+        fleet.denied_until_ms = TIMEOUT_MS
         assert_whole(in_virtual_time(relay)(fleet))
         assert fleet.places > 1
         assert fleet.started_ms == [5000]
@@ -491,6 +500,30 @@
         assert runs(fleet) == [1, 0]
 
 
+class TestRetries:
+    """Retry budget of streams whose engine is silent."""
+
+    def test_denied_requests_for_another_engine_spend_none(self):
+        """None was left when the engine broke the stream off."""
+        fleet = Fleet(Engine('m1', 5500, fail=RESET), Engine('m2'))
+        fleet.denied_until_ms = 5500
+        relayed = in_virtual_time(relay)(fleet, retries=ONE_RETRY)
+        assert_whole(relayed)
+        assert fleet.places > 3
+        assert runs(fleet) == [1, 1]
+
+    def test_another_engine_takes_one(self):
+        """None is left when that one fails."""
+        fleet = Fleet(
+            Engine('m1', LONG_MS),
+            Engine('m2', fail=RESET),
+            Engine('m3'),
+        )
+        relayed = in_virtual_time(relay)(fleet, attempts=3, retries=ONE_RETRY)
+        assert isinstance(relayed.error, ConnectionAbortError)
+        assert runs(fleet) == [1, 1, 0]
+
+
 class TestFailure:
     """Engines that fail, which is more than silence."""
 
