Record an engine that fails while another one is asked

A stream whose engine broke off while the engine that was asked beside it was silent was held until its deadline and cut, though attempts were left and a third engine was free.

Cause: the failure was kept back as long as there was a standby. It was neither logged nor told to the scheduler, and the standby was waited for to the end. Change: the failure is recorded at once, and the standby is the present engine as soon as its request is sent. Its silence counts anew, so a third engine may be asked. Measured: test_third_engine_is_asked_if_two_fail and test_failure_beside_another_engine_is_recorded_at_once failed before and pass now.

--- a/borageyard/engine_exchange.py
+++ b/borageyard/engine_exchange.py
@@ -44,6 +44,8 @@
         self.accepted = False
         # Whether the history of the request counts it as a possible run.
         self.counted = False
+        # Whether its failure was recorded.
+        self.failed = False
         self._sender = sender
         self._send = send
         self._chunks: asyncio.Queue[bytes] = asyncio.Queue(MAX_CHUNKS_AHEAD)
@@ -100,6 +102,7 @@
         Args:
             error: Raised from now on.
         """
+        self.failed = True
         self._error = error
         while not self._chunks.empty():
             self._chunks.get_nowait()
--- a/borageyard/engine_sends.py
+++ b/borageyard/engine_sends.py
@@ -215,13 +215,16 @@
     def record_failure(
         self, stream: StreamState, exchange: EngineExchange, error: SendError
     ) -> None:
-        """Records that an engine did not complete the stream.
+        """Records once that an engine did not complete the stream.
 
         Args:
             stream: The stream.
             exchange: Exchange with the engine.
             error: How it failed.
         """
+        if exchange.failed:
+            return
+        exchange.fail(error)
         engine_id = exchange.engine.target_id
         failure = error.failure
         if exchange.accepted:
--- a/borageyard/standby.py
+++ b/borageyard/standby.py
@@ -71,21 +71,28 @@
     async def take_over(self, stream: StreamState) -> bool:
         """Goes on with a standby that has begun its run.
 
+        If the present engine has failed, the standby is the one to wait for
+        as soon as its request is sent.
+
         Args:
             stream: A stream whose present engine has delivered nothing.
 
         Returns:
-            Whether there was a standby that has begun, or has failed.
+            Whether the standby is the present engine now, or has failed.
         """
         standby = stream.standby
-        if standby is None or standby.task is None or not standby.task.done():
+        if standby is None or not standby.is_ready(
+            present_failed=stream.present.failed
+        ):
             return False
         if standby.find_error() or not stream.fits(standby.sent.engine):
             await self.release(stream)
             return True
         exchange = standby.sent
         stream.standby = None
-        stream.resume_reason = f'no event for {round(stream.silent_ms)} ms'
+        standby.stop_waiting()
+        if not stream.present.failed:
+            stream.resume_reason = f'no event for {round(stream.silent_ms)} ms'
         stream.broken_engine_ids.add(stream.present.engine.target_id)
         stream.framer.discard_partial()
         await stream.replace(exchange)
@@ -137,6 +144,7 @@
         exchange = self._sends.build(stream, grant, progress.set)
         standby.exchange = exchange
         exchange.start()
+        stream.progress.set()
         while not exchange.has_head():
             progress.clear()
             await progress.wait()
--- a/borageyard/stream_state.py
+++ b/borageyard/stream_state.py
@@ -34,6 +34,21 @@
             raise SendError(SendFailure.NOT_SENT, 'nothing was sent')
         return self.exchange
 
+    def is_ready(self, *, present_failed: bool) -> bool:
+        """Returns whether it can take over, or has failed.
+
+        Args:
+            present_failed: Whether there is no other engine to wait for.
+        """
+        if self.task is not None and self.task.done():
+            return True
+        return present_failed and self.exchange is not None
+
+    def stop_waiting(self) -> None:
+        """Leaves its exchange to the stream."""
+        if self.task is not None:
+            self.task.cancel()
+
     def find_error(self) -> BaseException | None:
         """Returns how it has failed; None if it has not."""
         if self.task is None or not self.task.done():
--- a/borageyard/streaming_relay.py
+++ b/borageyard/streaming_relay.py
@@ -301,7 +301,8 @@
         except SendError as error:
             if stream.standby is None:
                 raise
-            exchange.fail(error)
+            stream.resume_reason = str(error)
+            self.sends.record_failure(stream, exchange, error)
             return None
         return chunk
 
--- a/tests/test_streaming_relay.py
+++ b/tests/test_streaming_relay.py
@@ -147,6 +147,7 @@
         self.places = 0
         # Times of the news that an engine has started.
         self.started_ms = []
+        self.failed_ms = {}
 
     @property
     def roster(self):
@@ -193,7 +194,8 @@
         self.started_ms.append(LoopClock().steady_ms())
 
     def note_failed(self, chain_id, engine_id):
-        """Ignores the news."""
+        """Notes the news that an engine has failed."""
+        self.failed_ms[engine_id] = LoopClock().steady_ms()
 
     def note_ended(self, chain_id):
         """Ignores the news."""
@@ -550,6 +552,23 @@
         assert_whole(in_virtual_time(relay)(fleet))
         assert runs(fleet) == [1, 1]
 
+    def test_third_engine_is_asked_if_two_fail(self):
+        """One broke off, the one that was asked beside it is silent."""
+        silent = Engine('m2')
+        silent.head_ms = 60_000
+        fleet = Fleet(Engine('m1', 2500, fail=RESET), silent, Engine('m3'))
+        relayed = in_virtual_time(relay)(fleet, attempts=3)
+        assert_whole(relayed)
+        assert relayed.took_ms < 6000
+
+    def test_failure_beside_another_engine_is_recorded_at_once(self):
+        """It was never told to the scheduler."""
+        other = Engine('m2')
+        other.head_ms = 2000
+        fleet = Fleet(Engine('m1', 3500, before=1, fail=RESET), other)
+        assert_whole(in_virtual_time(relay)(fleet))
+        assert fleet.failed_ms == {'m1': 3500}
+
     def test_rejection_while_another_engine_is_asked(self):
         """It is final, though the rejection has no end."""
         rejecting = Engine('m1', LONG_MS, before=1)
