Count a refused send of a standby by what its refusal says

A stream whose engine broke off after the send to another engine had been refused was cut, though nothing had been sent and an attempt was left.

Cause: a refusal by the sender counted as a possible run. Change: it counts as a run only if the refusal doesn't promise that nothing was run. An engine whose send failed as a standby is avoided for that stream. The reason of a stream that breaks in a refused resume names the first failure too.

--- a/borageyard/standby.py
+++ b/borageyard/standby.py
@@ -4,7 +4,7 @@
 import functools
 
 from .engine_sends import EngineSends
-from .errors import RefusalError
+from .errors import RefusalError, RunStatus
 from .events import Event, log_event
 from .inbound import SendError, SendFailure
 from .silence import ask_after_ms, unlisted_after_ms
@@ -116,10 +116,11 @@
             return
         if error is not None:
             _log_failure(stream, standby, error)
+            stream.broken_engine_ids.update(standby.engine_ids)
         if stream.present.accepted:
             self._sends.release_inputs(stream)
         if exchange is not None:
-            stream.note_run_ended(exchange, SendFailure.UNKNOWN)
+            stream.note_run_ended(exchange, _failure_of(error))
 
     def _may_ask(self, stream: StreamState) -> bool:
         if not self._sends.has_other_engine(stream):
@@ -155,15 +156,22 @@
         return max(unlisted_ms - stream.silent_ms, CHECK_INTERVAL_MS)
 
 
+def _failure_of(error: BaseException | None) -> SendFailure:
+    """Returns whether a request that was sent may have run."""
+    if isinstance(error, RefusalError):
+        if error.refusal.ran is RunStatus.NOT_RUN:
+            return SendFailure.NOT_SENT
+    return SendFailure.UNKNOWN
+
+
 def _log_failure(
     stream: StreamState, standby: Standby, error: BaseException
 ) -> None:
-    exchange = standby.exchange
     log_event(
         Event.SEND_FAILED,
         request_id=stream.request.request_id,
-        target_id='' if exchange is None else exchange.engine.target_id,
-        failure=SendFailure.UNKNOWN.value,
+        target_id=''.join(standby.engine_ids),
+        failure=_failure_of(error).value,
         reason=f'no standby: {error!r}',
     )
 
--- a/borageyard/stream_state.py
+++ b/borageyard/stream_state.py
@@ -34,6 +34,13 @@
             raise SendError(SendFailure.NOT_SENT, 'nothing was sent')
         return self.exchange
 
+    @property
+    def engine_ids(self) -> tuple[str, ...]:
+        """Returns the id of its engine, if one was sent to."""
+        if self.exchange is None:
+            return ()
+        return (self.exchange.engine.target_id,)
+
     def is_ready(self, *, present_failed: bool) -> bool:
         """Returns whether it can take over, or has failed.
 
--- a/borageyard/streaming_relay.py
+++ b/borageyard/streaming_relay.py
@@ -256,7 +256,7 @@
             except SendError as error:
                 await self._resume(stream, error)
             except RefusalError as refusal:
-                raise _broken(refusal) from refusal
+                raise _broken(refusal, stream.resume_reason) from refusal
 
     async def _next_chunk(self, stream: StreamState) -> bytes:
         """Returns the next bytes of a stream; empty at its end.
@@ -340,7 +340,7 @@
         )
 
 
-def _broken(error: RefusalError, reason: str = '') -> StreamBrokenError:
+def _broken(error: RefusalError, reason: str) -> StreamBrokenError:
     detail = error.refusal.detail or str(error)
     return StreamBrokenError(': '.join(filter(None, (reason, detail))))
 
--- a/tests/test_streaming_relay.py
+++ b/tests/test_streaming_relay.py
@@ -8,7 +8,12 @@
 from borageyard.answer_body import AnswerReader
 from borageyard.clock import LoopClock
 from borageyard.engine_placer import Placement
-from borageyard.errors import ErrorKind, Refusal, RefusalError
+from borageyard.errors import (
+    ErrorKind,
+    Refusal,
+    RefusalError,
+    RunStatus,
+)
 from borageyard.events import open_log
 from borageyard.http_server import ConnectionAbortError
 from borageyard.inbound import (
@@ -50,7 +55,9 @@
 RESET = SendError(SendFailure.UNKNOWN, 'reset')
 NO_HEAD = SendError(SendFailure.UNKNOWN, 'reset before the head')
 REJECTED = SendError(SendFailure.NOT_SENT, 'refused')
-QUARANTINED = RefusalError(Refusal(ErrorKind.TARGET_FAILED))
+QUARANTINED = RefusalError(
+    Refusal(ErrorKind.TARGET_FAILED, detail='quarantined')
+)
 
 
 class Engine:
@@ -82,7 +89,7 @@
     @contextlib.asynccontextmanager
     async def run(self, send):
         """Answers a send."""
-        if self.fail in {REJECTED, QUARANTINED}:
+        if self.fail is REJECTED or isinstance(self.fail, RefusalError):
             raise self.fail
         self.runs += 1
         self.running += 1
@@ -586,8 +593,20 @@
         fleet = Fleet(Engine('m1', fail=RESET), Engine('m2', fail=QUARANTINED))
         relayed = in_virtual_time(relay)(fleet)
         assert isinstance(relayed.error, ConnectionAbortError)
+        assert str(relayed.error) == 'reset: quarantined'
         assert relayed.events == [1]
 
+    @pytest.mark.parametrize('ran', RunStatus)
+    def test_refused_send_to_another_engine_is_no_run(self, ran):
+        """The stream was cut for lack of an attempt when it broke off."""
+        refusal = Refusal(ErrorKind.NO_TARGET, ran=ran)
+        refusing = Engine('m2', fail=RefusalError(refusal))
+        fleet = Fleet(Engine('m1', 2500, fail=RESET), refusing, Engine('m3'))
+        relayed = in_virtual_time(relay)(fleet)
+        assert runs(fleet) == [1, 0, int(ran is RunStatus.NOT_RUN)]
+        if ran is RunStatus.NOT_RUN:
+            assert_whole(relayed)
+
     def test_engine_that_refuses_the_rest_is_passed_over(self):
         """Incident LOST: one refused connection cut the stream."""
         fleet = Fleet(
