Take a rejection as not run from the head of the answer

Callers of streams that may not be repeated got 502 when an engine rejected their request as not run and the body of that answer broke off; one without an end held the request until its deadline.

Cause: since a task of its own reads the answer, the head was checked only when the first chunk or the end had arrived. Change: the head is checked as soon as it is there. Measured: 4 of 4 tests of test_rejection_whose_body_breaks_off_has_not_run failed before and pass now.

--- a/borageyard/engine_sends.py
+++ b/borageyard/engine_sends.py
@@ -111,7 +111,7 @@
         *,
         is_resume: bool,
     ) -> None:
-        """Checks that an answer may be relayed, once its body has begun.
+        """Checks that an answer may be relayed, once its head has arrived.
 
         Args:
             stream: The stream.
--- a/borageyard/streaming_relay.py
+++ b/borageyard/streaming_relay.py
@@ -293,9 +293,10 @@
         """
         exchange = stream.present
         try:
+            self._check_head(stream, exchange)
             chunk = exchange.take()
             if chunk is not None and not exchange.accepted:
-                self._accept(stream, exchange)
+                self.sends.note_accepted(stream, exchange)
             if chunk == b'':
                 stream.require_no_partial()
         except SendError as error:
@@ -306,9 +307,13 @@
             return None
         return chunk
 
-    def _accept(self, stream: StreamState, exchange: EngineExchange) -> None:
-        self.sends.check_head(stream, exchange, is_resume=stream.relaying)
-        self.sends.note_accepted(stream, exchange)
+    def _check_head(
+        self, stream: StreamState, exchange: EngineExchange
+    ) -> None:
+        if exchange.accepted or exchange.failed:
+            return
+        if exchange.has_head():
+            self.sends.check_head(stream, exchange, is_resume=stream.relaying)
 
     async def _resume(self, stream: StreamState, error: SendError) -> None:
         """Resumes an interrupted stream at another engine.
--- a/tests/test_streaming_relay.py
+++ b/tests/test_streaming_relay.py
@@ -588,6 +588,19 @@
         assert_whole(relayed)
         assert relayed.took_ms < CALLER_TIMEOUT_MS + 1000
 
+    @pytest.mark.parametrize('silence_ms', [0, LONG_MS])
+    @pytest.mark.parametrize('resumable', [False, True])
+    def test_rejection_whose_body_breaks_off_has_not_run(
+        self, silence_ms, resumable
+    ):
+        """It counted as a run that may not be repeated."""
+        rejecting = Engine('m1', silence_ms, before=1, fail=RESET)
+        rejecting.not_run = True
+        fleet = Fleet(rejecting, Engine('m2'))
+        relayed = in_virtual_time(relay)(fleet, resumable=resumable, attempts=1)
+        assert_whole(relayed)
+        assert relayed.took_ms < 1000
+
     def test_refused_resume_breaks_the_stream(self):
         """Its head was sent, so that a refusal can't be."""
         fleet = Fleet(Engine('m1', fail=RESET), Engine('m2', fail=QUARANTINED))
