--- a/borageyard/engine_exchange.py
+++ b/borageyard/engine_exchange.py
@@ -44,12 +44,15 @@
         self.accepted = False
         # Whether the history of the request counts it as a possible run.
         self.counted = False
+        # Whether its failure was recorded.
+        self.failed = False
         self._sender = sender
         self._send = send
         self._chunks: asyncio.Queue[bytes] = asyncio.Queue(MAX_CHUNKS_AHEAD)
         self._error: Exception | None = None
         self._ended = False
         self._task: asyncio.Task[None] | None = None
+        self._cancelled = False
 
     @property
     def engine(self) -> RosterRow:
@@ -83,21 +86,39 @@
             raise self._error
         return b'' if self._ended else None
 
+    def has_head(self) -> bool:
+        """Returns whether the head of the answer has arrived.
+
+        Raises:
+            SendError: If there will be none.
+        """
+        if self.head is None and self.take() is not None:
+            raise SendError(SendFailure.UNKNOWN, 'no head')
+        return self.head is not None
+
     def fail(self, error: SendError) -> None:
         """Makes an answer that can't be relayed an incomplete one.
 
         Args:
             error: Raised from now on.
         """
+        self.failed = True
         self._error = error
         while not self._chunks.empty():
             self._chunks.get_nowait()
 
-    async def close(self) -> None:
+    def cancel(self) -> None:
         """Cancels the request if it is under way."""
-        if self._task is not None:
+        # A second one would interrupt the cleanup after the first.
+        if self._task is not None and not self._cancelled:
+            self._cancelled = True
             self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def close(self) -> None:
+        """Cancels the request, and waits for its end."""
+        self.cancel()
+        if self._task is not None:
+            await asyncio.wait([self._task])
 
     async def _run(self) -> None:
         with contextlib.ExitStack() as stack:
@@ -115,6 +136,7 @@
     async def _exchange(self) -> None:
         async with self._sender.send(self._send) as answer:
             self.head = answer
+            self._report()
             try:
                 await self._read(answer.chunks)
             except SendError as error:
--- a/borageyard/engine_sends.py
+++ b/borageyard/engine_sends.py
@@ -111,7 +111,7 @@
         *,
         is_resume: bool,
     ) -> None:
-        """Checks that an answer may be relayed, once its body has begun.
+        """Checks that an answer may be relayed, once its head has arrived.
 
         Args:
             stream: The stream.
@@ -215,13 +215,16 @@
     def record_failure(
         self, stream: StreamState, exchange: EngineExchange, error: SendError
     ) -> None:
-        """Records that an engine did not complete the stream.
+        """Records once that an engine did not complete the stream.
 
         Args:
             stream: The stream.
             exchange: Exchange with the engine.
             error: How it failed.
         """
+        if exchange.failed:
+            return
+        exchange.fail(error)
         engine_id = exchange.engine.target_id
         failure = error.failure
         if exchange.accepted:
@@ -254,8 +257,36 @@
         row = self._state.roster.find(engine.target_id)
         return row is not None and row.incarnation == engine.incarnation
 
+    def holds_inputs(self, stream: StreamState) -> bool:
+        """Returns whether the present engine may still read its inputs.
+
+        The scheduler has one grant for each request, so it may free them when
+        another engine is asked for.
+
+        Args:
+            stream: The stream.
+        """
+        present = stream.present
+        return (
+            bool(stream.context.route.stages)
+            and not present.accepted
+            and self.is_listed(present.engine)
+        )
+
     def may_send_again(self, stream: StreamState) -> bool:
         """Returns whether another send is allowed; spends retry budget."""
+        return self.may_ask_again(stream) and self.spend_retry(stream)
+
+    def spend_retry(self, stream: StreamState) -> bool:
+        """Spends retry budget; returns whether there was some."""
+        return self._retries.try_spend(
+            stream.context.service,
+            self._clock.steady_ms(),
+            self.entry_count,
+        )
+
+    def may_ask_again(self, stream: StreamState) -> bool:
+        """Returns whether another send would be allowed."""
         route = stream.context.route
         if not stream.history.allows_another_send(
             route.max_attempts,
@@ -265,7 +296,7 @@
         now_ms = self._clock.steady_ms()
         if now_ms >= stream.context.deadline_at_ms:
             return False
-        return self._retries.try_spend(
+        return self._retries.has_room(
             stream.context.service,
             now_ms,
             self.entry_count,
--- a/borageyard/stream_state.py
+++ b/borageyard/stream_state.py
@@ -20,8 +20,8 @@
     def __init__(self) -> None:
         """Creates a standby for which nothing was sent yet."""
         self.exchange: EngineExchange | None = None
-        # Returns its first events; nothing if the stream has no further ones.
-        self.task: asyncio.Task[bytes] | None = None
+        # Ends when the engine has begun its run.
+        self.task: asyncio.Task[None] | None = None
 
     @property
     def sent(self) -> EngineExchange:
@@ -34,10 +34,47 @@
             raise SendError(SendFailure.NOT_SENT, 'nothing was sent')
         return self.exchange
 
-    async def close(self) -> None:
+    @property
+    def engine_ids(self) -> tuple[str, ...]:
+        """Returns the id of its engine, if one was sent to."""
+        if self.exchange is None:
+            return ()
+        return (self.exchange.engine.target_id,)
+
+    def is_ready(self, *, present_failed: bool) -> bool:
+        """Returns whether it can take over, or has failed.
+
+        Args:
+            present_failed: Whether there is no other engine to wait for.
+        """
+        if self.task is not None and self.task.done():
+            return True
+        return present_failed and self.exchange is not None
+
+    def stop_waiting(self) -> None:
+        """Leaves its exchange to the stream."""
+        if self.task is not None:
+            self.task.cancel()
+
+    def find_error(self) -> BaseException | None:
+        """Returns how it has failed; None if it has not."""
+        if self.task is None or not self.task.done():
+            return None
+        if self.task.cancelled():
+            return asyncio.CancelledError('cancelled by another task')
+        return self.task.exception()
+
+    def cancel(self) -> None:
         """Cancels its request."""
         if self.task is not None:
             self.task.cancel()
+        if self.exchange is not None:
+            self.exchange.cancel()
+
+    async def close(self) -> None:
+        """Cancels its request, and waits for its end."""
+        self.cancel()
+        if self.task is not None:
             await asyncio.gather(self.task, return_exceptions=True)
         if self.exchange is not None:
             await self.exchange.close()
@@ -177,6 +214,9 @@
 
     async def close(self) -> None:
         """Cancels all exchanges that are under way."""
+        # All at once: a wait for one of them may be cancelled.
+        if self.exchange is not None:
+            self.exchange.cancel()
         if self.standby is not None:
             await self.standby.close()
         if self.exchange is not None:
--- a/borageyard/streaming_relay.py
+++ b/borageyard/streaming_relay.py
@@ -256,13 +256,13 @@
             except SendError as error:
                 await self._resume(stream, error)
             except RefusalError as refusal:
-                raise _broken(refusal) from refusal
+                raise _broken(refusal, stream.resume_reason) from refusal
 
     async def _next_chunk(self, stream: StreamState) -> bytes:
         """Returns the next bytes of a stream; empty at its end.
 
-        While the present engine is silent another one may be asked. The one
-        that delivers the next event first goes on.
+        While the present engine is silent another one may be asked. It goes
+        on if it begins its run before the present one delivers an event.
 
         Raises:
             SendError: If the answer is incomplete, and no other engine has
@@ -270,11 +270,11 @@
         """
         while True:
             stream.progress.clear()
-            chunk = await self._standbys.take_over(stream)
-            if chunk is None:
-                chunk = self._take(stream)
+            chunk = self._take(stream)
             if chunk is not None:
                 return chunk
+            if await self._standbys.take_over(stream):
+                continue
             left_ms = self.sends.left_ms(stream)
             if stream.relaying and left_ms <= 0:
                 raise SendError(
@@ -293,21 +293,27 @@
         """
         exchange = stream.present
         try:
+            self._check_head(stream, exchange)
             chunk = exchange.take()
             if chunk is not None and not exchange.accepted:
-                self._accept(stream, exchange)
+                self.sends.note_accepted(stream, exchange)
             if chunk == b'':
                 stream.require_no_partial()
         except SendError as error:
             if stream.standby is None:
                 raise
-            exchange.fail(error)
+            stream.resume_reason = str(error)
+            self.sends.record_failure(stream, exchange, error)
             return None
         return chunk
 
-    def _accept(self, stream: StreamState, exchange: EngineExchange) -> None:
-        self.sends.check_head(stream, exchange, is_resume=stream.relaying)
-        self.sends.note_accepted(stream, exchange)
+    def _check_head(
+        self, stream: StreamState, exchange: EngineExchange
+    ) -> None:
+        if exchange.accepted or exchange.failed:
+            return
+        if exchange.has_head():
+            self.sends.check_head(stream, exchange, is_resume=stream.relaying)
 
     async def _resume(self, stream: StreamState, error: SendError) -> None:
         """Resumes an interrupted stream at another engine.
@@ -339,7 +345,7 @@
         )
 
 
-def _broken(error: RefusalError, reason: str = '') -> StreamBrokenError:
+def _broken(error: RefusalError, reason: str) -> StreamBrokenError:
     detail = error.refusal.detail or str(error)
     return StreamBrokenError(': '.join(filter(None, (reason, detail))))
 
