--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -499,6 +499,26 @@
             assert len(pieces) == len(set(pieces))
             assert not requester.service.scheduler.chains
 
+    async def test_late_message_of_a_relay_cuts_no_caller(self):
+        """Incident LOST: the scheduler's own caller got nothing."""
+        async with deployment() as callers:
+            replies, scheduler_number = await self.start_requests(callers)
+            gateways = [one.gateway for one in callers.running.gateways]
+            scheduler = gateways[scheduler_number]
+            relay = gateways[1 - scheduler_number].scheduler
+            late = [
+                asyncio.ensure_future(
+                    relay._place_at_peer(
+                        scheduler.settings.instance_id, chain.spec, frozenset()
+                    )
+                )
+                for chain in scheduler.service.scheduler.chains.values()
+            ]
+            assert len(late) == 4
+            assert {reply.status for reply in await replies} == {200}
+            await asyncio.gather(*late)
+            assert len(callers.runs('model')) == 4
+
     async def test_what_a_dead_scheduler_had_made_is_used(self):
         """Requests of the surviving entry reuse results of a dead scheduler."""
         async with deployment() as callers:
@@ -550,7 +570,7 @@
     )
     @pytest.mark.parametrize('path', ['/brief/x', '/read/x', '/reply/x'])
     async def test_requests_under_way_get_an_answer(self, change, path):
-        """Incident LOST: none is cut, at the scheduler or elsewhere."""
+        """None is cut, at the scheduler or elsewhere."""
         async with deployment() as callers:
             for target in callers.running.targets.values():
                 target.plan = dataclasses.replace(target.plan, work_ms=300)
