Keep what a scheduler knows when an earlier message of a request comes late

Callers saw: nothing that is recorded; a resumed stream could be cut.

Cause: each arrival of a request replaced what the scheduler knew of it. An earlier message that a relay passes on late has neither the version of the stream nor the engines to avoid, and all who wait get an engine by it.

Change: a version that is known and engines to avoid hold on.

Measured: test_late_arrival_of_an_earlier_message failed and passes; tests of the scheduler, its service and client, of versions, gateways and the agreement of schedulers pass. Found by the review; not reproduced between two entries.

--- a/borageyard/chain_scheduler.py
+++ b/borageyard/chain_scheduler.py
@@ -87,7 +87,7 @@
         """
         existing = self.chains.get(spec.chain_id)
         if existing is not None:
-            existing.spec = spec
+            existing.spec = spec.updated_from(existing.spec)
             existing.granted = False
             return None
         chain = Chain(spec)
--- a/borageyard/chains.py
+++ b/borageyard/chains.py
@@ -61,6 +61,24 @@
     # Ids of the engines that broke its stream off; used if there is no other.
     avoided: frozenset[str] = frozenset()
 
+    def updated_from(self, earlier: 'ChainSpec') -> 'ChainSpec':
+        """Returns what is known after two arrivals of a request.
+
+        Arrivals may be out of order. The version of a stream stays what it was
+        once it is known, and an engine that was to be avoided stays so.
+
+        Args:
+            earlier: What was known from the arrival before.
+        """
+        version = self.software_version
+        return dataclasses.replace(
+            self,
+            software_version=(
+                earlier.software_version if version is None else version
+            ),
+            avoided=self.avoided | earlier.avoided,
+        )
+
     def fits(self, engine: RosterRow) -> bool:
         """Returns whether an engine may take the request.
 
--- a/tests/test_chain_scheduler.py
+++ b/tests/test_chain_scheduler.py
@@ -574,3 +574,15 @@
         assert scheduler.plan(spec.deadline_at_ms + 1).denials
         assert not scheduler.chains
         assert self.running(scheduler) == 1
+
+    def test_late_arrival_of_an_earlier_message(self, scheduler):
+        """What is known of the request since then holds on."""
+        spec = self.granted(scheduler)
+        resumed = dataclasses.replace(
+            spec, software_version='v1', avoided=frozenset(('m1',))
+        )
+        for arrival in (resumed, spec):
+            assert scheduler.submit(arrival, 2000) is None
+        known = scheduler.chains['c1'].spec
+        assert known.software_version == 'v1'
+        assert known.avoided == {'m1'}
