--- a/borageyard/http_server.py
+++ b/borageyard/http_server.py
@@ -27,9 +27,12 @@
     split_request_target,
 )
 from .http_streams import DisconnectReader, StreamWriter, decode_headers
+from .tasks import is_own_cancellation
 from .wire import encode_refusal, request_id_of
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+# Returns the request id in the headers of a request.
+IdReader = Callable[[Mapping[str, str]], str]
 
 READ_SIZE_BYTES = 65536
 MAX_HEAD_BYTES = 32768
@@ -62,7 +65,8 @@
         self.request_id = request_id
 
 
-# Errors that end a connection without a fault of this process.
+# Errors that end a connection without a fault of this process. A request that
+# they cut has its own event.
 UNLOGGED_ERRORS = (
     OSError,
     h11.ProtocolError,
@@ -79,6 +83,7 @@
         handler: Handler,
         limits: HttpLimits | None = None,
         tls: ssl.SSLContext | None = None,
+        id_reader: IdReader = request_id_of,
     ) -> None:
         """Creates a server that is not yet listening.
 
@@ -86,8 +91,10 @@
             handler: Coroutine function that responds to each request.
             limits: Limits on body size, connections and time.
             tls: TLS context, or None for plain TCP.
+            id_reader: Returns the request id for the log.
         """
         self._handler = handler
+        self._id_reader = id_reader
         self._limits = limits or HttpLimits()
         self._tls = tls
         self._server: asyncio.Server | None = None
@@ -171,6 +178,7 @@
             writer,
             self._limits,
             self._activity,
+            self._id_reader,
         )
         excess = len(self._connections) - self._limits.max_connections
         try:
@@ -199,6 +207,7 @@
         writer: asyncio.StreamWriter,
         limits: HttpLimits,
         activity: Activity,
+        id_reader: IdReader = request_id_of,
     ) -> None:
         """Wraps both directions of an accepted connection.
 
@@ -207,8 +216,11 @@
             writer: Bytes to the caller.
             limits: Limits on body size and time.
             activity: Counts the requests in progress.
+            id_reader: Returns the request id for the log.
         """
         self._reader = reader
+        self._id_reader = id_reader
+        self._read_bytes = 0
         self._writer = StreamWriter(writer, limits.send_timeout_ms)
         self._limits = limits
         self._activity = activity
@@ -236,7 +248,7 @@
                     return await self.refuse(error.refusal, error.request_id)
                 if request is None:
                     return None
-                with self._cancel_on_disconnect():
+                with self._log_abort(request), self._cancel_on_disconnect():
                     response = await self._call_handler(handler, request)
                     await self._send_response(response)
             if self._codec.our_state is not h11.DONE:
@@ -297,12 +309,20 @@
         timeout_s = self._limits.idle_timeout_ms / MS_PER_S
         try:
             async with asyncio.timeout(timeout_s):
-                received = await self._reader.read(READ_SIZE_BYTES)
+                received = await self._read()
         except TimeoutError:
-            return False
+            # A busy process may see the timeout and a request at once.
+            if self._reader.received_bytes == self._read_bytes:
+                return False
+            received = await self._read()
         self._codec.receive_data(received)
         return bool(received)
 
+    async def _read(self) -> bytes:
+        received = await self._reader.read(READ_SIZE_BYTES)
+        self._read_bytes += len(received)
+        return received
+
     async def _receive_complete(self) -> HttpRequest | None:
         head = await self._next_event()
         if not isinstance(head, h11.Request):
@@ -365,7 +385,7 @@
                     status_code=100, headers=[]
                 )
                 await self._writer.send(self._codec.send(continue_response))
-            received = await self._reader.read(READ_SIZE_BYTES)
+            received = await self._read()
             self._codec.receive_data(received)
 
     async def _call_handler(
@@ -378,11 +398,35 @@
             return await handler(request)
         except ConnectionAbortError:
             raise
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
+            if is_own_cancellation(error):
+                raise
             log_event(Event.CONNECTION_FAILED, reason=repr(error))
         refusal = Refusal(ErrorKind.INTERNAL, ran=RunStatus.UNKNOWN)
         return encode_refusal(request_id_of(request.headers), refusal)
 
+    @contextlib.contextmanager
+    def _log_abort(self, request: HttpRequest) -> Iterator[None]:
+        """Logs an error that ends a request without a complete response."""
+        sent_before = self._writer.sent_bytes
+        try:
+            yield
+        except (Exception, asyncio.CancelledError) as error:
+            log_event(
+                Event.RESPONSE_ABORTED,
+                request_id=self._id_reader(request.headers),
+                reason=self._abort_reason(error),
+                sent_bytes=self._writer.sent_bytes - sent_before,
+            )
+            raise
+
+    def _abort_reason(self, error: BaseException) -> str:
+        if not is_own_cancellation(error):
+            return repr(error)
+        if self._reader.at_eof() or self._reader.exception() is not None:
+            return 'caller disconnected'
+        return 'server closed'
+
     @contextlib.contextmanager
     def _cancel_on_disconnect(self) -> Iterator[None]:
         """Cancels the current task when the caller disconnects."""
@@ -443,4 +487,4 @@
     async def _discard(self) -> None:
         received = b'unread'
         while received:
-            received = await self._reader.read(READ_SIZE_BYTES)
+            received = await self._read()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -108,6 +108,26 @@
             return
 
 
+def changed_document(version, change):
+    """Returns a document that differs from the first one every second time."""
+    document = build_document(version)
+    if version % 2:
+        return document
+    if change == 'route dropped':
+        document['routes'] = document['routes'][1:2]
+    elif change == 'service dropped':
+        document['routes'] = document['routes'][:2]
+        document['services'] = document['services'][:1]
+    elif change == 'groups joined':
+        document['routes'][1]['stages'] = [
+            {'service': 'planner', 'after': [], 'bytes': 1000}
+        ]
+    else:
+        document['routes'][2]['service'] = 'desk'
+        document['routes'][0]['service'] = 'model'
+    return document
+
+
 def events(reply):
     """Returns the event ids of a stream, as numbers."""
     lines = reply.body.decode().split('\n')
@@ -314,6 +334,46 @@
                 await callers.stream('/reply/x', '')
             assert len(callers.runs('model')) == 1
 
+    @pytest.mark.parametrize('silent_after', [0, 1, 3])
+    async def test_stream_of_engines_that_fall_silent_is_whole(
+        self, silent_after
+    ):
+        """Incident LOST: it was given up, and cut in the next silence."""
+        async with deployment() as callers:
+            callers.set_faults('model', silent_after=silent_after)
+            reply = await callers.stream()
+            assert events(reply) == list(ALL_EVENTS)
+            assert len(callers.runs('model')) == 1
+
+    @pytest.mark.parametrize('gateway', [0, 1])
+    @pytest.mark.parametrize(
+        ('silence_ms', 'other_ms'), [(2200, 1), (1800, 1000)]
+    )
+    async def test_what_was_made_for_another_engine_is_freed(
+        self, gateway, silence_ms, other_ms
+    ):
+        """Whichever engine goes on, wherever the request is scheduled."""
+        async with deployment() as callers:
+            await callers.stream(gateway=gateway)
+            for engine in callers.targets('model'):
+                if engine.runs:
+                    engine.faults.silent_after = 2
+                    engine.faults.silence_ms = silence_ms
+                else:
+                    engine.plan = dataclasses.replace(
+                        engine.plan, work_ms=other_ms
+                    )
+            reply = await callers.stream(gateway=gateway)
+            assert events(reply) == list(ALL_EVENTS)
+            assert callers.runs('model').count('attempt-2') == 2
+            await wait_until(lambda: not callers.running.results)
+            gateways = [one.gateway for one in callers.running.gateways]
+            await wait_until(
+                lambda: (
+                    not any(one.service.scheduler.chains for one in gateways)
+                )
+            )
+
     async def test_caller_resumes_after_an_event(self):
         """The engine gets the id of the last event that the caller received."""
         async with deployment() as callers:
@@ -439,6 +499,26 @@
             assert len(pieces) == len(set(pieces))
             assert not requester.service.scheduler.chains
 
+    async def test_late_message_of_a_relay_cuts_no_caller(self):
+        """Incident LOST: the scheduler's own caller got nothing."""
+        async with deployment() as callers:
+            replies, scheduler_number = await self.start_requests(callers)
+            gateways = [one.gateway for one in callers.running.gateways]
+            scheduler = gateways[scheduler_number]
+            relay = gateways[1 - scheduler_number].scheduler
+            late = [
+                asyncio.ensure_future(
+                    relay._place_at_peer(
+                        scheduler.settings.instance_id, chain.spec, frozenset()
+                    )
+                )
+                for chain in scheduler.service.scheduler.chains.values()
+            ]
+            assert len(late) == 4
+            assert {reply.status for reply in await replies} == {200}
+            await asyncio.gather(*late)
+            assert len(callers.runs('model')) == 4
+
     async def test_what_a_dead_scheduler_had_made_is_used(self):
         """Requests of the surviving entry reuse results of a dead scheduler."""
         async with deployment() as callers:
@@ -484,6 +564,31 @@
                 new = await callers.call('/moved/a', gateway=gateway)
                 assert (old.status, new.status) == (404, 200)
 
+    @pytest.mark.parametrize(
+        'change',
+        ['route dropped', 'service dropped', 'groups joined', 'route moved'],
+    )
+    @pytest.mark.parametrize('path', ['/brief/x', '/read/x', '/reply/x'])
+    async def test_requests_under_way_get_an_answer(self, change, path):
+        """None is cut, at the scheduler or elsewhere."""
+        async with deployment() as callers:
+            for target in callers.running.targets.values():
+                target.plan = dataclasses.replace(target.plan, work_ms=300)
+            callers.set_faults('model', silent_after=1, silence_ms=500)
+            send = callers.call if path == '/read/x' else callers.stream
+            waiting = [
+                asyncio.ensure_future(send(path, gateway=number % 2))
+                for number in range(6)
+            ]
+            for version in range(2, 5):
+                await asyncio.sleep(0.1)
+                callers.running.configure(changed_document(version, change))
+            replies = await asyncio.gather(*waiting)
+            assert {reply.status for reply in replies} <= {200, 503}
+            for reply in replies:
+                if reply.status == 200 and path != '/read/x':
+                    assert events(reply) == list(ALL_EVENTS)
+
     async def test_reads_that_hear_nothing_end_soon(self):
         """A change takes effect in time although a waiting read misses it."""
         async with deployment(1) as callers:
--- a/tests/test_http_server.py
+++ b/tests/test_http_server.py
@@ -3,10 +3,13 @@
 import asyncio
 import contextlib
 import dataclasses
+import time
 
 import pytest
 
 from borageyard.http_messages import HttpResponse, json_response
+from borageyard.http_server import ConnectionAbortError
+from tests.test_gateway import wait_until
 
 from .raw_http import LIMITS, connected, read_response, serving
 
@@ -43,6 +46,11 @@
     return status, body, rest
 
 
+def keep_busy(duration_s):
+    """Blocks the event loop, as a long computation does."""
+    time.sleep(duration_s)
+
+
 class TestRefusals:
     """Each refusal of the server is complete and closes the connection."""
 
@@ -223,6 +231,16 @@
         async with serving(echo) as server, connected(server) as streams:
             assert await streams[0].read() == b''
 
+    async def test_request_that_arrives_at_the_idle_timeout_is_served(self):
+        """Incident LOST: a busy process saw both at once, and closed."""
+        async with serving(echo) as server, connected(server) as streams:
+            reader, writer = streams
+            await asyncio.sleep(LIMITS.idle_timeout_ms / 2000)
+            writer.write(HEAD + b'content-length: 0\r\n\r\n')
+            keep_busy(LIMITS.idle_timeout_ms / 1000)
+            status, _ = await read_response(reader)
+        assert status == 200
+
     async def test_caller_that_goes_away_cancels_its_work(self):
         """A handler is cancelled when its caller disconnects."""
         recorder = Recorder()
@@ -267,3 +285,79 @@
                 writer.write(b'x' * 64 * 1024 * 1024)
                 with pytest.raises(TimeoutError):
                     await asyncio.wait_for(writer.drain(), 0.3)
+
+
+class TestAbortedResponses:
+    """Connections that end while a request is under way are logged."""
+
+    async def run(self, handler, logged_events, *, leave=False):
+        """Sends a request and returns what the log says of it."""
+        async with serving(handler) as server, connected(server) as streams:
+            reader, writer = streams
+            writer.write(HEAD + b'content-length: 0\r\n\r\n')
+            if leave:
+                await asyncio.sleep(0.05)
+                writer.transport.abort()
+            else:
+                await reader.read()
+            async with asyncio.timeout(5):
+                await wait_until(lambda: logged_events('response_aborted'))
+        lines = logged_events('response_aborted')
+        assert len(lines) == 1
+        return lines[0]
+
+    async def test_abort_by_the_handler(self, logged_events):
+        """Nothing was sent."""
+
+        async def abort(request):
+            raise ConnectionAbortError('broken')
+
+        line = await self.run(abort, logged_events)
+        assert 'broken' in line['reason']
+        assert line['sent_bytes'] == 0
+
+    async def test_abort_within_the_body(self, logged_events):
+        """The line says how much was sent."""
+
+        async def respond(request):
+            return HttpResponse(200, chunks=broken_body())
+
+        async def broken_body():
+            yield b'x' * 100
+            raise ConnectionAbortError('broken')
+
+        line = await self.run(respond, logged_events)
+        assert line['sent_bytes'] > 100
+
+    async def test_caller_that_leaves(self, logged_events):
+        """A request that is given up by its caller is no silent end."""
+        line = await self.run(Recorder().handle, logged_events, leave=True)
+        assert line['reason'] == 'caller disconnected'
+
+    async def test_caller_that_closes_an_idle_connection(self, logged_events):
+        """No request was under way."""
+        async with serving(echo) as server:
+            async with connected(server) as (reader, writer):
+                writer.write(HEAD + b'content-length: 0\r\n\r\n')
+                await read_response(reader)
+            await asyncio.sleep(0.05)
+        assert not logged_events('response_aborted')
+
+    async def test_wait_that_another_task_cancels_is_refused(
+        self, logged_events
+    ):
+        """Incident LOST: neither an answer nor a refusal was sent."""
+
+        async def wait(request):
+            future = asyncio.get_running_loop().create_future()
+            future.cancel()
+            await future
+
+        async with serving(wait) as server:
+            status, body, _ = await exchange(
+                server, HEAD + b'content-length: 0\r\n\r\n'
+            )
+        assert (status, body['kind']) == (500, 'internal')
+        reasons = [one['reason'] for one in logged_events('connection_failed')]
+        assert len(reasons) == 1
+        assert 'CancelledError' in reasons[0]
