Log how far the answer of a lost prompt was, and its shared parts

Change: `send_lost` with the keys of the request and of its shared parts, and the stage of the answer (waiting, begun, writing). The streaming relay sends through `PromptSender`, which observes and changes nothing.

Measured: tests of the module, of the events and of the gateways pass.

--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -23,6 +23,7 @@
 from .peer_stream import PeerContext, PeerCounters, PeerIdentity
 from .permit_service import PermitService
 from .piece_runner import PieceRunner
+from .prompt_sender import PromptSender
 from .quarantine_sender import QuarantineSender
 from .request_relay import RequestRelay
 from .retry_budget import RetryBudget
@@ -141,7 +142,7 @@
         )
         self._streaming = StreamingRelay(
             self.state,
-            self.sender,
+            PromptSender(self.sender, clock),
             self.scheduler,
             retries,
             clock,
