Keep prompt parts that crash engines from them

Cause: callers saw 502 and cut streams while one engine after the other ended under requests that shared one part of their prompts. Suspicion was held for the digest of a whole request, so no two of them counted together; an engine that ended after the head of a stream counted as an answer, which cleared the request; and the only check stood at admission.

Change: a crash is one incarnation of an engine that ended, with the prompts that were lost there while their answers began, merged over all entries. A loss is confirmed by a refused connection (one probe an engine and entry), the record, or a restart, within 10 s, and refuted by a probe or a later answer. A sound answer rules its parts out. Three crashes of different requests that have in common parts without a sound answer quarantine these parts together (five for parts that had been sound, two for one and the same request); a sound run that began later takes a key out. Evidence and conclusions reach all entries at once by gossip. Requests with all quarantined keys are refused at admission, before each send, while they wait for a scheduler (not run) and for the start of an answer. Plain requests keep their quarantine.

--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -8,7 +8,9 @@
 from .answer_body import AnswerReader
 from .buffered_relay import BufferedRelay
 from .clock import MS_PER_S, Clock
+from .crash_suspects import CrashSuspects
 from .election_service import ElectionService
+from .engine_watch import EngineWatch
 from .events import Event, log_event
 from .fleet_state import FleetState, RecordDecoder
 from .fleet_sync import FleetSync
@@ -17,13 +19,14 @@
 from .generated.peer_fleet import EntryPresenceBody
 from .http_messages import HttpLimits
 from .http_server import HttpServer
-from .inbound import TargetSender
+from .inbound import InboundRequest, TargetSender
 from .membership import Membership
 from .peer_link import TcpPeerLink
 from .peer_stream import PeerContext, PeerCounters, PeerIdentity
 from .permit_service import PermitService
 from .piece_runner import PieceRunner
 from .prompt_sender import PromptSender
+from .quarantine_guard import QuarantineGuard
 from .quarantine_sender import QuarantineSender
 from .request_relay import RequestRelay
 from .retry_budget import RetryBudget
@@ -35,6 +38,7 @@
 from .stream_origin_service import StreamOriginService
 from .streaming_relay import StreamingRelay
 from .target_limits import TargetLimits
+from .target_probe import ConnectProbe
 
 MAX_CONNECTIONS = 2000
 # A stopping entry accepts requests for this time, because callers cache its
@@ -130,6 +134,11 @@
             self.link,
             clock,
         )
+        self.suspects = CrashSuspects(self.link, clock)
+        self._guard = QuarantineGuard(self.suspects, clock)
+        self._watch = EngineWatch(
+            self.state, self.suspects, clock, ConnectProbe()
+        )
         reader = AnswerReader()
         self._buffered = BufferedRelay(
             self.state,
@@ -142,7 +151,7 @@
         )
         self._streaming = StreamingRelay(
             self.state,
-            PromptSender(self.sender, clock),
+            PromptSender(dependencies.sender, self._watch, self._guard, clock),
             self.scheduler,
             retries,
             clock,
@@ -157,7 +166,7 @@
             clock,
             settings.instance_id,
         )
-        self.relay.check = self.sender.require_not_quarantined
+        self.relay.check = self._require_not_quarantined
         self.handlers = GatewayHandlers(
             settings,
             dependencies.codec,
@@ -190,6 +199,8 @@
             await self._listen(stack)
             stack.callback(self.permits.close)
             await self.link.start(settings.peer_address, stack)
+            stack.callback(self.suspects.close)
+            await stack.enter_async_context(self._watch.running())
             await stack.enter_async_context(self.service.running())
             await stack.enter_async_context(self.sync.running())
             await stack.enter_async_context(self.elections.running())
@@ -202,6 +213,10 @@
             await self._stop()
         log_event(Event.ENTRY_STOPPED, instance_id=settings.instance_id)
 
+    def _require_not_quarantined(self, request: InboundRequest) -> None:
+        self.sender.require_not_quarantined(request)
+        self._guard.require_admitted(request)
+
     async def _stop(self) -> None:
         """Accepts requests for a while, then waits for the open ones."""
         clock = self.dependencies.clock
--- a/borageyard/inbound.py
+++ b/borageyard/inbound.py
@@ -100,6 +100,9 @@
     wrong_target: bool
     load: TargetLoad | None
     chunks: AsyncIterator[bytes]
+    # Whether it states its length or where it ends; otherwise it ends with its
+    # connection, and a crash of the target may look like its end.
+    framed: bool = True
 
 
 class TargetSender(Protocol):
@@ -118,3 +121,20 @@
             SendError: If the answer is incomplete; also raised while its
                 body is read.
         """
+
+
+class EngineSender(TargetSender, Protocol):
+    """Sends prompts to engines; refuses those that would crash them."""
+
+    def placing(
+        self, request: InboundRequest, *, may_have_run: bool
+    ) -> contextlib.AbstractAsyncContextManager[None]:
+        """Ends the wait within the context if the request is quarantined.
+
+        Args:
+            request: Request that waits for an engine.
+            may_have_run: Whether an earlier send of it may have run.
+
+        Raises:
+            RefusalError: If the request is or becomes quarantined.
+        """
--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -33,6 +33,7 @@
 ModelT = TypeVar('ModelT', bound=BaseModel)
 
 EXPECTED_TARGET_HEADER = 'x-expect-instance'
+FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 LOAD_HEADER = 'x-instance-load'
 # Id of the responding target, sent when it rejects a request for another one.
 TARGET_ID_HEADER = 'x-instance-id'
@@ -123,6 +124,7 @@
                     wrong_target=wrong_target,
                     load=_decode_load(headers),
                     chunks=_translate_errors(chunks),
+                    framed=bool(FRAMING_HEADERS & headers.keys()),
                 )
         except HttpCallError as error:
             raise _send_error(error) from error
--- /dev/null
+++ b/borageyard/quarantine_guard.py
@@ -0,0 +1,120 @@
+"""Refuses requests that crash engines, on all their ways."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from .clock import Clock
+from .crash_suspects import CrashSuspects
+from .errors import ErrorKind, Refusal, RefusalError
+from .inbound import InboundRequest
+from .request_keys import RequestKeys, identify_request
+
+PROBATION_RETRY_AFTER_MS = 500
+
+
+class QuarantinedError(Exception):
+    """A request is kept from engines because it would crash them."""
+
+    def __init__(self, retry_after_ms: float) -> None:
+        """Creates an error with the refusal of a request that never ran.
+
+        Args:
+            retry_after_ms: Time until the end of the quarantine.
+        """
+        super().__init__('requests of its kind have crashed engines')
+        self.refusal = Refusal(
+            ErrorKind.NO_TARGET,
+            detail=str(self),
+            retry_after_ms=round(retry_after_ms),
+        )
+
+
+class QuarantineGuard:
+    """Refuses quarantined requests, also while they wait."""
+
+    def __init__(self, suspects: CrashSuspects, clock: Clock) -> None:
+        """Follows the conclusions about crashes.
+
+        Args:
+            suspects: Concludes which requests crash engines.
+            clock: Monotonic clock.
+        """
+        self._evidence = suspects.evidence
+        self._tracker = suspects.tracker
+        self._clock = clock
+        # Requests that wait for a scheduler or for the start of an answer.
+        self._waiting: dict[asyncio.Timeout, RequestKeys] = {}
+        suspects.add_listener(self._end_waits)
+
+    def require_admitted(self, request: InboundRequest) -> None:
+        """Refuses a request that is quarantined for crashing engines.
+
+        Args:
+            request: The caller's request.
+
+        Raises:
+            RefusalError: If the request is quarantined. It was not run.
+        """
+        try:
+            self.require_clear(request)
+        except QuarantinedError as error:
+            raise RefusalError(error.refusal) from error
+
+    def require_clear(self, request: InboundRequest) -> None:
+        """Raises an error for a request that may not be sent now.
+
+        Args:
+            request: The caller's request.
+
+        Raises:
+            QuarantinedError: If the request is quarantined, or on probation
+                while another one of its kind runs.
+        """
+        if self._evidence.is_empty:
+            return
+        keys = identify_request(request)
+        self._require_unquarantined(keys)
+        entry = self._evidence.find_probation(keys, self._clock.steady_ms())
+        if entry is not None and self._tracker.is_running(entry.keys):
+            raise QuarantinedError(PROBATION_RETRY_AFTER_MS)
+
+    @contextlib.asynccontextmanager
+    async def watching(self, request: InboundRequest) -> AsyncIterator[None]:
+        """Ends the wait within the context if the request is quarantined.
+
+        Args:
+            request: The caller's request.
+
+        Raises:
+            QuarantinedError: If the request is or becomes quarantined.
+        """
+        self.require_clear(request)
+        keys = identify_request(request)
+        scope = asyncio.timeout(None)
+        with contextlib.ExitStack() as stack:
+            self._waiting[scope] = keys
+            stack.callback(self._waiting.pop, scope)
+            try:
+                async with scope:
+                    yield
+            except TimeoutError as error:
+                if scope.expired():
+                    raise QuarantinedError(PROBATION_RETRY_AFTER_MS) from error
+                raise
+        self._require_unquarantined(keys)
+
+    def _require_unquarantined(self, keys: RequestKeys) -> None:
+        now_ms = self._clock.steady_ms()
+        entry = self._evidence.find_quarantine(keys, now_ms)
+        if entry is not None:
+            raise QuarantinedError(entry.expires_at_ms - now_ms)
+
+    def _end_waits(self) -> None:
+        """Ends the waits of requests that are quarantined now."""
+        now_ms = self._clock.steady_ms()
+        now_s = asyncio.get_running_loop().time()
+        for scope, keys in self._waiting.items():
+            entry = self._evidence.find_quarantine(keys, now_ms)
+            if entry is not None and scope.when() is None:
+                scope.reschedule(now_s)
--- a/borageyard/streaming_relay.py
+++ b/borageyard/streaming_relay.py
@@ -18,12 +18,12 @@
 from .http_messages import HttpResponse
 from .http_server import ConnectionAbortError
 from .inbound import (
+    EngineSender,
     InboundRequest,
     SendError,
     SendFailure,
     TargetAnswer,
     TargetSend,
-    TargetSender,
 )
 from .plans import ChainRefusal, Denial, Grant
 from .request_context import RequestContext
@@ -142,7 +142,7 @@
     def __init__(
         self,
         state: FleetState,
-        sender: TargetSender,
+        sender: EngineSender,
         scheduler: SchedulerClient,
         retries: RetryBudget,
         clock: Clock,
@@ -153,7 +153,7 @@
 
         Args:
             state: Holds the target roster.
-            sender: Sends requests to targets.
+            sender: Sends requests to engines.
             scheduler: Runs stages and selects engines.
             retries: Retry budget.
             clock: Monotonic clock.
@@ -468,7 +468,10 @@
             avoided=frozenset(stream.broken_engine_ids),
         )
         excluded = frozenset(stream.failed_engine_ids)
-        outcome = await self._scheduler.place(spec, excluded)
+        async with self._sender.placing(
+            request, may_have_run=bool(stream.history.possible_runs)
+        ):
+            outcome = await self._scheduler.place(spec, excluded)
         if isinstance(outcome, Denial):
             log_event(
                 Event.CHAIN_DENIED,
--- /dev/null
+++ b/borageyard/target_probe.py
@@ -0,0 +1,65 @@
+"""Finds out whether a target still listens."""
+
+import asyncio
+import contextlib
+from typing import Protocol
+
+from .clock import MS_PER_S
+from .http_messages import split_address
+
+# Pause before the first attempt, in which a process that ends closes its
+# listener, and between attempts.
+PAUSES_MS = (10, 150, 400)
+CONNECT_TIMEOUT_MS = 300
+# Time for which a connection must stay open to show that the target is up.
+OPEN_MS = 60
+
+
+class TargetProbe(Protocol):
+    """Finds out whether a target still listens."""
+
+    async def is_listening(self, address: str) -> bool | None:
+        """Returns whether a target listens, or None if that is unclear.
+
+        Args:
+            address: IP address and port of the target.
+        """
+
+
+class ConnectProbe:
+    """Opens a connection and sends nothing."""
+
+    async def is_listening(self, address: str) -> bool | None:
+        """Returns whether a target listens, or None if that is unclear."""
+        for pause_ms in PAUSES_MS:
+            await asyncio.sleep(pause_ms / MS_PER_S)
+            listening = await _connect_once(address)
+            if listening is not None:
+                return listening
+        return None
+
+
+async def _connect_once(address: str) -> bool | None:
+    host, port = split_address(address)
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
+            reader, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return False
+    except OSError:
+        # The network may be at fault.
+        return None
+    with contextlib.ExitStack() as stack:
+        stack.callback(writer.transport.abort)
+        return await _stays_open(reader)
+
+
+async def _stays_open(reader: asyncio.StreamReader) -> bool | None:
+    try:
+        async with asyncio.timeout(OPEN_MS / MS_PER_S):
+            await reader.read(1)
+    except TimeoutError:
+        return True
+    except OSError:
+        return None
+    return None
--- a/tests/test_prompt_sender.py
+++ b/tests/test_prompt_sender.py
@@ -6,7 +6,10 @@
 
 from borageyard.answer_progress import AnswerProgress, AnswerStage
 from borageyard.clock import ManualClock
+from borageyard.crash_suspects import CrashSuspects
 from borageyard.engine_placer import Prompt, PromptPart
+from borageyard.engine_watch import EngineWatch
+from borageyard.fleet_state import FleetState
 from borageyard.inbound import (
     InboundRequest,
     SendError,
@@ -14,9 +17,13 @@
     TargetAnswer,
     TargetSend,
 )
+from borageyard.memory_peers import MemoryPeerNetwork
+from borageyard.platform.documents import DocumentDecoder
 from borageyard.prompt_sender import PromptSender
+from borageyard.quarantine_guard import QuarantineGuard
 from borageyard.request_keys import identify_request, part_key
 from borageyard.roster import RosterRow, TargetPhase
+from borageyard.target_probe import ConnectProbe
 
 EVENT = b'id: 1\ndata: x\n\n'
 
@@ -108,11 +115,19 @@
             'borageyard.prompt_sender.log_event',
             lambda event, **fields: logged.append(fields),
         )
-        sender = PromptSender(BreakingSender(chunks), ManualClock())
+        clock = ManualClock()
+        link = MemoryPeerNetwork().join('a')
+        suspects = CrashSuspects(link, clock)
+        watch = EngineWatch(
+            FleetState(DocumentDecoder()), suspects, clock, ConnectProbe()
+        )
+        guard = QuarantineGuard(suspects, clock)
+        sender = PromptSender(BreakingSender(chunks), watch, guard, clock)
         engine = RosterRow('e', 'model', 'h:1', 'a', TargetPhase.READY)
         send = TargetSend(request('a', 'own'), engine, 1000)
-        with pytest.raises(SendError):
-            await read(sender.send(send))
+        async with watch.running():
+            with pytest.raises(SendError):
+                await read(sender.send(send))
         (fields,) = logged
         assert fields['stage'] == stage
         assert fields['part_keys'] == [part_key('m', 'a')]
