Let proofs and crashes that peers tell again get no later

Cause: found by reading: peers send ages, so each exchange moves a time by what the message took. A sound answer from before a crash, told back and forth, would in the end count as one that began after it and clear the part; a crash would seem later than proofs that clear it.

Change: what a peer tells counts as another run or crash only if it is half a second later than what is known. Evidence that brings nothing new is not judged again.

Measured: both tests fail with a margin of none and pass with it.

--- a/borageyard/crash_evidence.py
+++ b/borageyard/crash_evidence.py
@@ -17,7 +17,7 @@
     explain_by_request,
 )
 from .request_keys import RequestKeys, is_request_key
-from .sound_keys import SoundKeys
+from .sound_keys import CONVERSION_MS, SoundKeys
 
 # Time for which a crash counts.
 EVIDENCE_MS = 60_000
@@ -116,10 +116,7 @@
             keys: Keys of the request.
             now_ms: Monotonic time.
         """
-        for entry in self.quarantined(now_ms):
-            if entry.keys <= keys.all_keys:
-                return entry
-        return None
+        return self._find_covering(keys.all_keys, now_ms)
 
     def find_probation(
         self, keys: RequestKeys, now_ms: float
@@ -229,10 +226,14 @@
         keys = self._without_sound(entry)
         if not keys or entry.expires_at_ms <= now_ms:
             return False
-        news = not any(known.keys <= keys for known in self.quarantined(now_ms))
+        known = self._find_covering(keys, now_ms)
+        if known is not None:
+            later_ms = entry.crashed_at_ms - known.crashed_at_ms
+            if later_ms <= CONVERSION_MS:
+                return False
         expires_at_ms = min(entry.expires_at_ms, now_ms + QUARANTINE_MS)
         self._quarantine(keys, entry.crashed_at_ms, expires_at_ms)
-        return news
+        return known is None
 
     def conclude(self, now_ms: float) -> Sequence[Explanation]:
         """Quarantines the keys that the evidence shows to crash engines.
@@ -256,6 +257,15 @@
             explanations = self._explain(now_ms)
         return concluded
 
+    def _find_covering(
+        self, keys: frozenset[str], now_ms: float
+    ) -> QuarantinedKeys | None:
+        """Returns what is quarantined of all requests with some keys."""
+        for entry in self.quarantined(now_ms):
+            if entry.keys <= keys:
+                return entry
+        return None
+
     def _explain(self, now_ms: float) -> Sequence[Explanation]:
         crashes = self.unexplained(now_ms)
         suspects_of = functools.partial(_suspects_by, now_ms=now_ms)
--- a/borageyard/crash_suspects.py
+++ b/borageyard/crash_suspects.py
@@ -1,7 +1,7 @@
 """Evidence about crashes of engines, shared between the entries."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 
 from .clock import MS_PER_S, Clock
 from .crash_attribution import Crash
@@ -86,8 +86,8 @@
             )
         return news
 
-    def _conclude(self, source_id: str) -> bool:
-        """Draws conclusions and applies them; returns if there are any."""
+    def _conclude(self, source_id: str) -> None:
+        """Draws conclusions from the evidence and applies them."""
         now_ms = self._clock.steady_ms()
         explanations = self.evidence.conclude(now_ms)
         for explanation in explanations:
@@ -96,26 +96,32 @@
             )
         if explanations:
             self._notify_listeners()
-        return bool(explanations)
+            self._announce()
 
     def _notify_listeners(self) -> None:
         for listener in self._listeners:
             listener()
 
     def _note_sound(
-        self, keys: Iterable[str], begun_at_ms: float, source_id: str
+        self, keys: Collection[str], begun_at_ms: float, source_id: str
     ) -> bool:
         """Records a sound answer; returns whether peers should hear of it."""
         now_ms = self._clock.steady_ms()
-        news = False
-        for key in self.evidence.suspect_keys(now_ms).intersection(keys):
-            known = self.evidence.sound.begun_at_ms(key)
-            cleared_at_ms = self.evidence.last_crash_at_ms(key)
-            news = news or known is None or known <= cleared_at_ms < begun_at_ms
+        news = any(
+            self._is_news(key, begun_at_ms)
+            for key in self.evidence.suspect_keys(now_ms).intersection(keys)
+        )
         for entry in self.evidence.add_sound(keys, begun_at_ms):
             _log_cleared(entry, source_id)
         return news
 
+    def _is_news(self, key: str, begun_at_ms: float) -> bool:
+        """Returns whether a sound answer is the first one since a crash."""
+        known_ms = self.evidence.sound.begun_at_ms(key)
+        if known_ms is None:
+            return True
+        return known_ms <= self.evidence.last_crash_at_ms(key) < begun_at_ms
+
     def _take_sound(self) -> None:
         """Records the runs of this entry that turned out to be sound."""
         news = [
@@ -144,7 +150,6 @@
         return encode_news(self.evidence, self._clock.steady_ms())
 
     def _consume(self, peer_id: str, news: CrashNewsBody) -> None:
-        self._take_sound()
         now_ms = self._clock.steady_ms()
         changes = [
             self._add_crash(crash, 'reported', peer_id)
@@ -153,13 +158,15 @@
         changes.extend(
             self._note_sound([body.key], now_ms - body.age_ms, peer_id)
             for body in news.sound
+            if self.evidence.sound.is_later_run(body.key, now_ms - body.age_ms)
         )
         changes.extend(
             self._adopt(entry, peer_id)
             for entry in decode_quarantined(news.quarantined, now_ms)
         )
-        changes.append(self._conclude(peer_id))
         if any(changes):
+            self._take_sound()
+            self._conclude(peer_id)
             self._announce()
 
     def _adopt(self, entry: QuarantinedKeys, peer_id: str) -> bool:
--- a/borageyard/sound_keys.py
+++ b/borageyard/sound_keys.py
@@ -6,6 +6,9 @@
 # Time for which an answer speaks for its keys against later crashes.
 SOUND_MS = 600_000
 MAX_KEYS = 8192
+# Peers convert ages to times, so what one tells again seems a little later. It
+# counts as another run only from this difference on.
+CONVERSION_MS = 500
 
 
 class SoundKeys:
@@ -30,6 +33,16 @@
             if len(self._begun_at_ms) > MAX_KEYS:
                 self._begun_at_ms.popitem(last=False)
 
+    def is_later_run(self, key: str, begun_at_ms: float) -> bool:
+        """Returns whether a run that a peer told of is later than the known.
+
+        Args:
+            key: Key of a request or of a part.
+            begun_at_ms: Monotonic time at which it began.
+        """
+        known_ms = self._begun_at_ms.get(key)
+        return known_ms is None or begun_at_ms > known_ms + CONVERSION_MS
+
     def begun_at_ms(self, key: str) -> float | None:
         """Returns the start of the latest run, or None without one.
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -15,6 +15,7 @@
     QuarantinedKeys,
 )
 from borageyard.request_keys import RequestKeys
+from borageyard.sound_keys import SoundKeys
 
 BAD = 'p-bad'
 # Shared by sound requests and by those that crash engines.
@@ -213,6 +214,25 @@
         assert not evidence.add_quarantine(wider, 2)
         assert len(evidence.quarantined(2)) == 1
 
+    def test_same_crash_that_seems_later(self, evidence):
+        """Ages grow a little on the way, which delays no proof."""
+        for late_ms in range(0, 3000, 100):
+            entry = QuarantinedKeys(frozenset((BAD,)), late_ms / 10, 9000)
+            evidence.add_quarantine(entry, late_ms)
+        (known,) = evidence.quarantined(3000)
+        assert known.crashed_at_ms == 0
+
+    def test_old_proof_that_is_told_again(self):
+        """It seems a little later each time, but remains the same run."""
+        sound = SoundKeys()
+        sound.note([BAD], 0)
+        for _ in range(30):
+            known_ms = sound.begun_at_ms(BAD)
+            if sound.is_later_run(BAD, known_ms + 100):
+                sound.note([BAD], known_ms + 100)
+        assert sound.begun_at_ms(BAD) == 0
+        assert sound.is_later_run(BAD, 1000)
+
     def test_order_of_the_evidence_does_not_matter(self):
         """All entries conclude the same from the same evidence."""
         crashes = [crash(0, suspect(SHARED, BAD)) for _ in range(3)]
