Try suspected parts again soon, at one entry, where others may be the cause

Cause: found by reading: a part without a sound answer yet that was lost with three engines which ended for other reasons would be refused for five minutes, and nothing could clear it, since nothing with it ran. After a quarantine each entry would have let one request run, so as many engines as entries could crash.

Change: unless three crashes leave no other suspect, the quarantine lasts ten seconds. Afterwards one entry of all, chosen by a hash, lets such requests run one at a time: a crash quarantines the keys for five minutes, a sound answer clears them everywhere. Entries tell each other of keys on probation.

Measured: tests of the evidence and of the guard fail before and pass now; those with gateways pass.

--- a/borageyard/crash_attribution.py
+++ b/borageyard/crash_attribution.py
@@ -60,6 +60,17 @@
         """Returns the suspects whose answers had begun; all if none had."""
         return self.answered or tuple(self.suspects.values())
 
+    def is_sole(self, keys: frozenset[str]) -> bool:
+        """Returns whether all suspects with a head and no event have some keys.
+
+        Args:
+            keys: The keys.
+        """
+        beginning = self.beginning
+        return bool(beginning) and all(
+            keys <= suspect.keys.all_keys for suspect in beginning
+        )
+
     @property
     def beginning(self) -> Sequence[Suspect]:
         """Returns the suspects with a head and no event."""
--- a/borageyard/crash_evidence.py
+++ b/borageyard/crash_evidence.py
@@ -8,6 +8,7 @@
 from .answer_progress import AnswerStage
 from .crash_attribution import (
     CRASHES_OF_PARTS,
+    CRASHES_OF_REQUEST,
     CRASHES_OF_SOUND_PARTS,
     Crash,
     EngineRun,
@@ -25,6 +26,8 @@
 # are suspects only if none is known by then whose answer had begun.
 SETTLING_MS = 300
 QUARANTINE_MS = 300_000
+# The same if other requests may have caused the crashes.
+SHORT_QUARANTINE_MS = 10_000
 # Time after a quarantine in which its requests run one at a time.
 PROBATION_MS = 300_000
 MAX_CRASHES = 64
@@ -43,6 +46,25 @@
     crashed_at_ms: float
     expires_at_ms: float
 
+    def covers(self, keys: frozenset[str]) -> bool:
+        """Returns whether requests with some keys have all of these.
+
+        Args:
+            keys: Keys of a request.
+        """
+        return self.keys <= keys
+
+    def is_later(self, other: 'QuarantinedKeys') -> bool:
+        """Returns whether this is about a later crash or lasts longer.
+
+        Args:
+            other: What is known of the same keys.
+        """
+        return CONVERSION_MS < max(
+            self.crashed_at_ms - other.crashed_at_ms,
+            self.expires_at_ms - other.expires_at_ms,
+        )
+
 
 class CrashEvidence:
     """Evidence from this entry and its peers, and what follows from it.
@@ -96,7 +118,7 @@
         ]
 
     def quarantined(self, now_ms: float) -> Sequence[QuarantinedKeys]:
-        """Returns what is quarantined.
+        """Returns what is quarantined or on probation.
 
         Args:
             now_ms: Monotonic time.
@@ -104,7 +126,7 @@
         return [
             entry
             for entry in self._quarantined.values()
-            if entry.expires_at_ms > now_ms
+            if entry.expires_at_ms + PROBATION_MS > now_ms
         ]
 
     def find_quarantine(
@@ -116,7 +138,10 @@
             keys: Keys of the request.
             now_ms: Monotonic time.
         """
-        return self._find_covering(keys.all_keys, now_ms)
+        for entry in self.quarantined(now_ms):
+            if entry.covers(keys.all_keys) and entry.expires_at_ms > now_ms:
+                return entry
+        return None
 
     def find_probation(
         self, keys: RequestKeys, now_ms: float
@@ -127,9 +152,8 @@
             keys: Keys of the request.
             now_ms: Monotonic time.
         """
-        for entry in self._quarantined.values():
-            left_ms = entry.expires_at_ms + PROBATION_MS - now_ms
-            if 0 < left_ms <= PROBATION_MS and entry.keys <= keys.all_keys:
+        for entry in self.quarantined(now_ms):
+            if entry.covers(keys.all_keys) and entry.expires_at_ms <= now_ms:
                 return entry
         return None
 
@@ -224,13 +248,11 @@
             Whether it brought anything new.
         """
         keys = self._without_sound(entry)
-        if not keys or entry.expires_at_ms <= now_ms:
+        if not keys or entry.expires_at_ms + PROBATION_MS <= now_ms:
             return False
         known = self._find_covering(keys, now_ms)
-        if known is not None:
-            later_ms = entry.crashed_at_ms - known.crashed_at_ms
-            if later_ms <= CONVERSION_MS:
-                return False
+        if known is not None and not entry.is_later(known):
+            return False
         expires_at_ms = min(entry.expires_at_ms, now_ms + QUARANTINE_MS)
         self._quarantine(keys, entry.crashed_at_ms, expires_at_ms)
         return known is None
@@ -244,6 +266,9 @@
         Returns:
             The explanations that are new.
         """
+        self._quarantined = {
+            entry.keys: entry for entry in self.quarantined(now_ms)
+        }
         concluded: list[Explanation] = []
         explanations = self._explain(now_ms)
         while explanations:
@@ -252,7 +277,7 @@
                 self._quarantine(
                     explanation.keys,
                     explanation.last_at_ms,
-                    now_ms + QUARANTINE_MS,
+                    now_ms + _span_ms(explanation.keys, self.crashes(now_ms)),
                 )
             explanations = self._explain(now_ms)
         return concluded
@@ -262,7 +287,7 @@
     ) -> QuarantinedKeys | None:
         """Returns what is quarantined of all requests with some keys."""
         for entry in self.quarantined(now_ms):
-            if entry.keys <= keys:
+            if entry.covers(keys):
                 return entry
         return None
 
@@ -329,6 +354,13 @@
     return any(keys <= suspect.keys.all_keys for suspect in crash.foremost)
 
 
+def _span_ms(keys: frozenset[str], crashes: Iterable[Crash]) -> float:
+    """Returns for how long to quarantine keys that explain crashes."""
+    sole = [crash for crash in crashes if crash.is_sole(keys)]
+    enough = CRASHES_OF_REQUEST if _is_request(keys) else CRASHES_OF_PARTS
+    return QUARANTINE_MS if len(sole) >= enough else SHORT_QUARANTINE_MS
+
+
 def _concerns(key: str, crash: Crash) -> bool:
     return any(key in suspect.keys.all_keys for suspect in crash.foremost)
 
--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -135,7 +135,9 @@
             clock,
         )
         self.suspects = CrashSuspects(self.link, clock)
-        self._guard = QuarantineGuard(self.suspects, clock)
+        self._guard = QuarantineGuard(
+            settings.instance_id, self.suspects, self.link, clock
+        )
         self._watch = EngineWatch(
             self.state, self.suspects, clock, ConnectProbe()
         )
--- a/borageyard/quarantine_guard.py
+++ b/borageyard/quarantine_guard.py
@@ -8,6 +8,8 @@
 from .crash_suspects import CrashSuspects
 from .errors import ErrorKind, Refusal, RefusalError
 from .inbound import InboundRequest
+from .peers import PeerLink
+from .rendezvous import choose
 from .request_keys import RequestKeys, identify_request
 
 PROBATION_RETRY_AFTER_MS = 500
@@ -33,13 +35,23 @@
 class QuarantineGuard:
     """Refuses quarantined requests, also while they wait."""
 
-    def __init__(self, suspects: CrashSuspects, clock: Clock) -> None:
+    def __init__(
+        self,
+        instance_id: str,
+        suspects: CrashSuspects,
+        link: PeerLink,
+        clock: Clock,
+    ) -> None:
         """Follows the conclusions about crashes.
 
         Args:
+            instance_id: Id of this entry.
             suspects: Concludes which requests crash engines.
+            link: Knows the other entries.
             clock: Monotonic clock.
         """
+        self._instance_id = instance_id
+        self._link = link
         self._evidence = suspects.evidence
         self._tracker = suspects.tracker
         self._clock = clock
@@ -76,7 +88,7 @@
         keys = identify_request(request)
         self._require_unquarantined(keys)
         entry = self._evidence.find_probation(keys, self._clock.steady_ms())
-        if entry is not None and self._tracker.is_running(entry.keys):
+        if entry is not None and not self._may_try(entry.keys):
             raise QuarantinedError(PROBATION_RETRY_AFTER_MS)
 
     @contextlib.asynccontextmanager
@@ -104,6 +116,16 @@
                 raise
         self._require_unquarantined(keys)
 
+    def _may_try(self, keys: frozenset[str]) -> bool:
+        """Returns whether a request that is on probation may run here now.
+
+        One entry of all lets them run, one at a time.
+        """
+        names = (self._instance_id, *self._link.peer_ids())
+        chosen_id = choose(','.join(sorted(keys)), names)
+        is_chosen = chosen_id == self._instance_id
+        return is_chosen and not self._tracker.is_running(keys)
+
     def _require_unquarantined(self, keys: RequestKeys) -> None:
         now_ms = self._clock.steady_ms()
         entry = self._evidence.find_quarantine(keys, now_ms)
--- a/borageyard/run_tracker.py
+++ b/borageyard/run_tracker.py
@@ -74,10 +74,18 @@
     def is_running(self, keys: frozenset[str]) -> bool:
         """Returns whether a request with all of some keys is at an engine.
 
+        One that was lost counts until it is known whether the engine crashed.
+
         Args:
             keys: The keys.
         """
-        return any(keys <= send.keys.all_keys for send in self._runs)
+        lost = [
+            suspect.keys
+            for loss in self._losses.values()
+            for suspect in loss.suspects.values()
+        ]
+        running = [send.keys for send in self._runs]
+        return any(keys <= one.all_keys for one in (*running, *lost))
 
     def note_answering(self, send: EngineSend, now_ms: float) -> bool:
         """Records the head of an answer.
