Identify a prompt once a send while nothing is quarantined

Cause: each wait and send hashed the whole body of its request, though the keys are needed for the guard only once something is quarantined.

Change: the guard keeps the request and identifies it when a quarantine begins.

Measured: tests of the guard and of the sender pass.

--- a/borageyard/quarantine_guard.py
+++ b/borageyard/quarantine_guard.py
@@ -56,7 +56,7 @@
         self._tracker = suspects.tracker
         self._clock = clock
         # Requests that wait for a scheduler or for the start of an answer.
-        self._waiting: dict[asyncio.Timeout, RequestKeys] = {}
+        self._waiting: dict[asyncio.Timeout, InboundRequest] = {}
         suspects.add_listener(self._end_waits)
 
     def require_admitted(self, request: InboundRequest) -> None:
@@ -102,10 +102,9 @@
             QuarantinedError: If the request is or becomes quarantined.
         """
         self.require_clear(request)
-        keys = identify_request(request)
         scope = asyncio.timeout(None)
         with contextlib.ExitStack() as stack:
-            self._waiting[scope] = keys
+            self._waiting[scope] = request
             stack.callback(self._waiting.pop, scope)
             try:
                 async with scope:
@@ -114,7 +113,8 @@
                 if scope.expired():
                     raise QuarantinedError(PROBATION_RETRY_AFTER_MS) from error
                 raise
-        self._require_unquarantined(keys)
+        if not self._evidence.is_empty:
+            self._require_unquarantined(identify_request(request))
 
     def _may_try(self, keys: frozenset[str]) -> bool:
         """Returns whether a request that is on probation may run here now.
@@ -136,7 +136,8 @@
         """Ends the waits of requests that are quarantined now."""
         now_ms = self._clock.steady_ms()
         now_s = asyncio.get_running_loop().time()
-        for scope, keys in self._waiting.items():
+        for scope, request in self._waiting.items():
+            keys = identify_request(request)
             entry = self._evidence.find_quarantine(keys, now_ms)
             if entry is not None and scope.when() is None:
                 scope.reschedule(now_s)
