Don't take a crash for the end of an answer without framing

Cause: an answer with neither a length nor chunks ends with its connection, so an engine that ends between two events looks as if it had answered. Nobody lost anything by then, the engine was not suspected, and the part went on: with stand-ins 44 requests with it reached engines after the fifth crash.

Change: such an end shortly after the first event is a possible loss until the engine answers again, which refutes it; its record confirms it. No probe is made for it.

Measured: test_crash_is_taken_for_the_end_of_an_answer with one event fails before and passes now; without events it passed already.

--- a/borageyard/engine_watch.py
+++ b/borageyard/engine_watch.py
@@ -79,7 +79,7 @@
             send: The send.
             framed: Whether the answer states where it ends.
         """
-        self._tracker.note_whole(send, framed=framed)
+        self._tracker.note_whole(send, self._clock.steady_ms(), framed=framed)
 
     def note_dropped(self, send: EngineSend) -> None:
         """Records a send that was given up, or of which nothing ran.
--- a/borageyard/run_tracker.py
+++ b/borageyard/run_tracker.py
@@ -104,18 +104,24 @@
         self._losses.pop(send.engine)
         return True
 
-    def note_whole(self, send: EngineSend, *, framed: bool) -> None:
+    def note_whole(
+        self, send: EngineSend, now_ms: float, *, framed: bool
+    ) -> None:
         """Records an answer that ended as it should.
 
         Args:
             send: The send.
+            now_ms: Monotonic time.
             framed: Whether the answer states where it ends; the end of another
                 one may be a crash.
         """
+        if send not in self._runs:
+            return
+        self._runs.discard(send)
+        self._ended.add(send)
         send.is_whole = framed
-        if send in self._runs:
-            self._runs.discard(send)
-            self._ended.add(send)
+        if not framed:
+            self._add_suspect(send, now_ms)
 
     def note_dropped(self, send: EngineSend) -> None:
         """Records a send that was given up, or of which nothing ran.
@@ -138,14 +144,7 @@
             Whether its request is a suspect, if the engine has crashed.
         """
         self._runs.discard(send)
-        progress = send.progress
-        if progress.wrote_ms(now_ms) >= SUSPECT_WRITING_MS:
-            return False
-        loss = self._losses.setdefault(send.engine, _Loss(now_ms, {}))
-        loss.suspects[send.keys.request_key] = Suspect(
-            send.keys, progress.stage
-        )
-        return True
+        return self._add_suspect(send, now_ms)
 
     def unconfirmed(self, now_ms: float) -> Collection[EngineRun]:
         """Returns the engines with losses that may be up.
@@ -208,12 +207,31 @@
         Args:
             now_ms: Monotonic time.
         """
+        engines = self.unconfirmed(now_ms)
+        unsettled = {
+            send
+            for send in self._ended
+            if send.engine in engines and not send.is_whole
+        }
         sound = [
             send
             for send in (*self._runs, *self._ended)
-            if send.is_sound(now_ms) and not send.is_counted
+            if send.is_sound(now_ms)
+            and not send.is_counted
+            and send not in unsettled
         ]
         for send in sound:
             send.is_counted = True
             self._ended.discard(send)
         return sound
+
+    def _add_suspect(self, send: EngineSend, now_ms: float) -> bool:
+        """Adds a suspect unless its answer had been written for long."""
+        progress = send.progress
+        if progress.wrote_ms(now_ms) >= SUSPECT_WRITING_MS:
+            return False
+        loss = self._losses.setdefault(send.engine, _Loss(now_ms, {}))
+        loss.suspects[send.keys.request_key] = Suspect(
+            send.keys, progress.stage
+        )
+        return True
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -201,6 +201,19 @@
             await callers.send_many(24, BAD_PROMPTS[0])
             assert callers.bad_arrivals - sent_before <= MAX_LATE_SENDS
 
+    @pytest.mark.parametrize('events', [0, 1])
+    async def test_crash_is_taken_for_the_end_of_an_answer(self, events):
+        """An answer without framing ends with its connection."""
+        async with deployment() as callers:
+            callers.crash_under_the_part(after_events=events)
+            for engine in callers.engines:
+                engine.faults.unframed = True
+            await callers.send_until_crashes(5, BAD_PROMPTS[0])
+            await asyncio.sleep(STABLE_WINDOW_S)
+            sent_before = callers.bad_arrivals
+            await callers.send_many(24, BAD_PROMPTS[0])
+            assert callers.bad_arrivals - sent_before <= MAX_LATE_SENDS
+
     async def test_same_stream_goes_on_crashing_engines(self):
         """A crash after the head counts against the request itself."""
         async with deployment() as callers:
--- a/tests/test_run_tracker.py
+++ b/tests/test_run_tracker.py
@@ -109,19 +109,29 @@
     def test_short_answer_that_is_whole(self, tracker):
         """It is sound at once."""
         send = start(tracker, begun_at_ms=0)
-        tracker.note_whole(send, framed=True)
+        tracker.note_whole(send, 0, framed=True)
         assert tracker.take_sound(1) == [send]
 
     def test_crash_that_looks_like_an_end(self, tracker):
         """An answer without framing ends with its connection."""
-        tracker.note_whole(start(tracker, begun_at_ms=0), framed=False)
-        tracker.note_lost(start(tracker, 'lost'), 1)
-        tracker.confirm(ENGINE, 2)
+        tracker.note_whole(start(tracker, begun_at_ms=0), 1, framed=False)
+        assert not tracker.take_sound(SOUND_WRITING_MS)
+        assert set(tracker.confirm(ENGINE, 2).suspects) == {'r'}
         assert not tracker.take_sound(SOUND_WRITING_MS)
 
     def test_short_answer_without_framing(self, tracker):
-        """It is sound if its engine goes on for a while."""
+        """It is sound once its engine is known to have gone on."""
         send = start(tracker, begun_at_ms=0)
-        tracker.note_whole(send, framed=False)
-        assert not tracker.take_sound(1)
+        tracker.note_whole(send, 1, framed=False)
+        assert tracker.note_answering(
+            start(tracker, 'next', None, ENGINE, 2), 3
+        )
+        assert not tracker.take_sound(3)
         assert tracker.take_sound(SOUND_WRITING_MS) == [send]
+
+    def test_engine_that_is_not_heard_of_again(self, tracker):
+        """The answer is sound when its record would have expired."""
+        send = start(tracker, begun_at_ms=0)
+        tracker.note_whole(send, 1, framed=False)
+        assert not tracker.take_sound(CRASH_CONFIRM_MS)
+        assert tracker.take_sound(CRASH_CONFIRM_MS + 1) == [send]
