Don't close a shared part before any sound answer is known of it

Cause: at a start, or after all entries have started again, nothing is known to be sound. An entry that had lost only a sound request at the third engine judged the crash before its peers told of theirs, and found the shared part of all three; and of two explanations the one of most crashes won, though the wider one always has at least as many. The shared part was refused for five minutes, and nothing could clear it, since nothing with it ran.

Change: for 300 ms a crash counts only for requests with a head and no event. The narrowest explanation wins. Five minutes need that no other part without a sound answer is in several of the crashes. An answer that has been written for half a second, from when its request is blamed no more, is sound.

--- a/borageyard/crash_attribution.py
+++ b/borageyard/crash_attribution.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from .answer_progress import AnswerStage
@@ -13,6 +14,8 @@
 CRASHES_OF_PARTS = 3
 # The same for other parts, and if several explain the same crashes.
 CRASHES_OF_SOUND_PARTS = 5
+# Time between crashes from which they count as independent.
+APART_MS = 1000
 # Different requests that must share the parts.
 MIN_REQUESTS = 2
 
@@ -96,7 +99,7 @@
     @property
     def rank(self) -> tuple[int, int, Sequence[str]]:
         """Returns the sort key of the best explanation, the greatest one."""
-        return len(self.crashes), len(self.keys), sorted(self.keys)
+        return len(self.keys), len(self.crashes), sorted(self.keys)
 
     def rivals(self, other: 'Explanation') -> bool:
         """Returns whether other keys explain just the same crashes.
@@ -116,6 +119,34 @@
 SuspectsOf = Callable[[Crash], Sequence[Suspect]]
 
 
+def frequent_parts(crashes: Iterable[Crash]) -> frozenset[str]:
+    """Returns the parts that requests of several crashes share.
+
+    Args:
+        crashes: Crashes with requests that had a head and no event.
+    """
+    counts: collections.Counter[str] = collections.Counter()
+    for crash in crashes:
+        parts = [suspect.keys.part_keys for suspect in crash.beginning]
+        counts.update(frozenset.union(*parts))
+    return frozenset(part for part, count in counts.items() if count > 1)
+
+
+def count_apart(crashes: Iterable[Crash]) -> int:
+    """Returns the number of crashes, those of about one time as one.
+
+    Args:
+        crashes: The crashes.
+    """
+    count = 0
+    last_ms = -math.inf
+    for at_ms in sorted(crash.at_ms for crash in crashes):
+        if at_ms - last_ms >= APART_MS:
+            count += 1
+            last_ms = at_ms
+    return count
+
+
 def explain_by_parts(
     crashes: Sequence[Crash],
     suspects_of: SuspectsOf,
--- a/borageyard/crash_evidence.py
+++ b/borageyard/crash_evidence.py
@@ -14,16 +14,19 @@
     EngineRun,
     Explanation,
     Suspect,
+    count_apart,
     explain_by_parts,
     explain_by_request,
+    frequent_parts,
 )
 from .request_keys import RequestKeys, is_request_key
 from .sound_keys import CONVERSION_MS, SoundKeys
 
 # Time for which a crash counts.
 EVIDENCE_MS = 60_000
-# Time in which entries tell each other of the same crash. Requests that waited
-# are suspects only if none is known by then whose answer had begun.
+# Time in which entries tell each other of the same crash. Until then requests
+# with a head and no event are suspects only, and requests that waited are so
+# afterwards if no answer is known that had begun.
 SETTLING_MS = 300
 QUARANTINE_MS = 300_000
 # The same if other requests may have caused the crashes.
@@ -206,7 +209,9 @@
             self._crashes.pop(next(iter(self._crashes)))
         for entry in tuple(self._quarantined.values()):
             if _explains(entry.keys, merged):
-                expires_at_ms = max(entry.expires_at_ms, now_ms + QUARANTINE_MS)
+                is_tried = entry.expires_at_ms <= merged.at_ms
+                span_ms = _span_ms(self, entry.keys, now_ms, is_tried=is_tried)
+                expires_at_ms = max(entry.expires_at_ms, now_ms + span_ms)
                 self._quarantine(entry.keys, merged.at_ms, expires_at_ms)
         return True
 
@@ -277,7 +282,7 @@
                 self._quarantine(
                     explanation.keys,
                     explanation.last_at_ms,
-                    now_ms + _span_ms(explanation.keys, self.crashes(now_ms)),
+                    now_ms + _span_ms(self, explanation.keys, now_ms),
                 )
             explanations = self._explain(now_ms)
         return concluded
@@ -354,11 +359,37 @@
     return any(keys <= suspect.keys.all_keys for suspect in crash.foremost)
 
 
-def _span_ms(keys: frozenset[str], crashes: Iterable[Crash]) -> float:
-    """Returns for how long to quarantine keys that explain crashes."""
+def _span_ms(
+    evidence: CrashEvidence,
+    keys: frozenset[str],
+    now_ms: float,
+    *,
+    is_tried: bool = False,
+) -> float:
+    """Returns for how long to quarantine keys that explain crashes.
+
+    Args:
+        evidence: The evidence.
+        keys: The keys.
+        now_ms: Monotonic time.
+        is_tried: Whether a crash came while one request ran at a time.
+    """
+    crashes = evidence.crashes(now_ms)
     sole = [crash for crash in crashes if crash.is_sole(keys)]
-    enough = CRASHES_OF_REQUEST if _is_request(keys) else CRASHES_OF_PARTS
-    return QUARANTINE_MS if len(sole) >= enough else SHORT_QUARANTINE_MS
+    if _is_request(keys):
+        is_certain = len(sole) >= CRASHES_OF_REQUEST
+    else:
+        explained = [crash for crash in crashes if _explains(keys, crash)]
+        # Other parts that several of the requests share may be the cause.
+        further = frequent_parts(sole) - keys
+        is_certain = all(
+            evidence.sound.is_known(part, now_ms) for part in further
+        ) and (
+            is_tried
+            or len(sole) >= CRASHES_OF_PARTS
+            or count_apart(explained) >= CRASHES_OF_SOUND_PARTS
+        )
+    return QUARANTINE_MS if is_certain else SHORT_QUARANTINE_MS
 
 
 def _concerns(key: str, crash: Crash) -> bool:
@@ -368,7 +399,7 @@
 def _suspects_by(crash: Crash, now_ms: float) -> Sequence[Suspect]:
     """Returns the suspects of a crash, as far as they are known by now."""
     if now_ms - crash.at_ms < SETTLING_MS:
-        return crash.answered
+        return crash.beginning
     return crash.foremost
 
 
--- a/borageyard/run_tracker.py
+++ b/borageyard/run_tracker.py
@@ -8,10 +8,10 @@
 from .crash_correlator import CRASH_CONFIRM_MS
 from .request_keys import RequestKeys
 
-# Time since the first event from which a request is not blamed for a crash.
+# Time since the first event from which a request is not blamed for a crash, and
+# its answer is sound.
 SUSPECT_WRITING_MS = 500
-# Time since the first event from which an answer is sound.
-SOUND_WRITING_MS = 1000
+SOUND_WRITING_MS = SUSPECT_WRITING_MS
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -34,3 +34,17 @@
             calm = fleet.sound_share(START_S, START_S + CALM_S)
             since_s = fleet.fifth_crash_s + 2 * SETTLING_S
             assert fleet.sound_share(since_s, math.inf) >= calm / 2
+
+    @pytest.mark.parametrize('seed', range(2 * SOAK_SEEDS + 4))
+    @in_virtual_time
+    async def test_part_comes_before_any_sound_answer(self, seed):
+        """Nothing is known then of the parts that sound requests share."""
+        fleet = CrashingFleet(5, seed)
+        fleet.bad_per_s = 1 + seed % 8
+        async with fleet.serving():
+            await fleet.run(START_S)
+            await ElectionSoak(fleet, seed).run()
+            await fleet.run(10)
+            assert fleet.late_sends() <= MAX_LATE_SENDS
+            since_s = fleet.fifth_crash_s + 2 * SETTLING_S
+            assert fleet.sound_share(since_s, math.inf) >= 1 / 2
