--- a/borageyard/engine_sends.py
+++ b/borageyard/engine_sends.py
@@ -11,11 +11,11 @@
 from .events import Event, log_event
 from .fleet_state import FleetState
 from .inbound import (
+    EngineSender,
     InboundRequest,
     SendError,
     SendFailure,
     TargetSend,
-    TargetSender,
 )
 from .plans import ChainRefusal, Denial, Grant
 from .request_context import RequestContext
@@ -49,7 +49,7 @@
     def __init__(
         self,
         state: FleetState,
-        sender: TargetSender,
+        sender: EngineSender,
         scheduler: SchedulerClient,
         retries: RetryBudget,
         clock: Clock,
@@ -198,7 +198,10 @@
             software_version=stream.software_version,
             avoided=frozenset(avoided),
         )
-        outcome = await self._scheduler.place(spec, frozenset(excluded))
+        async with self._sender.placing(
+            request, may_have_run=bool(stream.history.possible_runs)
+        ):
+            outcome = await self._scheduler.place(spec, frozenset(excluded))
         if isinstance(outcome, Denial):
             log_event(
                 Event.CHAIN_DENIED,
--- a/borageyard/streaming_relay.py
+++ b/borageyard/streaming_relay.py
@@ -15,11 +15,11 @@
 from .http_messages import HttpResponse
 from .http_server import ConnectionAbortError
 from .inbound import (
+    EngineSender,
     InboundRequest,
     SendError,
     SendFailure,
     TargetAnswer,
-    TargetSender,
 )
 from .request_context import RequestContext
 from .retry_budget import RetryBudget
@@ -74,7 +74,7 @@
     def __init__(
         self,
         state: FleetState,
-        sender: TargetSender,
+        sender: EngineSender,
         scheduler: SchedulerClient,
         retries: RetryBudget,
         clock: Clock,
@@ -85,7 +85,7 @@
 
         Args:
             state: Holds the target roster.
-            sender: Sends requests to targets.
+            sender: Sends requests to engines.
             scheduler: Runs stages and selects engines.
             retries: Retry budget.
             clock: Monotonic clock.
--- a/tests/test_streaming_relay.py
+++ b/tests/test_streaming_relay.py
@@ -175,6 +175,11 @@
             if now_ms < self.gone_after_ms.get(name, now_ms + 1)
         ]
 
+    @contextlib.asynccontextmanager
+    async def placing(self, request, *, may_have_run):
+        """Lets each request wait for an engine."""
+        yield
+
     def send(self, send):
         """Sends to an engine."""
         return self.engines[send.target.target_id].run(send)
