Kill gateways and lose the store in the soak of crashing parts

Cause: the bound on sends of a part holds on all ways, also while the store is away and entries die; the soak stopped entries only as planned, and the crashing part was never the first of a prompt. A request that a gateway had not read before it closed was judged by when its caller noticed, which a busy event loop delays; a target took connections for a moment after its crash. Change: GatewayStops also kills gateways, the store rejects the calls of half of them, the crashing part stands first in half of the runs. A request counts as crossing a close if the gateway closed at most 0.2 s after it was sent (the bound of the rule, at the process), and as lost in a crash until the target has closed.

--- a/borageyard/standins/gateway_soak.py
+++ b/borageyard/standins/gateway_soak.py
@@ -16,6 +16,7 @@
     GatewayDeployment,
     build_document,
 )
+from .gateway_stops import GatewayStops
 from .gateway_target import GatewayTarget
 from .registered_target import CrashPlan, TargetPlan
 from .soak_callers import CRASHING_PART
@@ -33,8 +34,6 @@
 EXPIRE_MS = (0, 0, 400)
 DRAIN_S = 2
 ROUTE_TIMEOUT_MS = 8000
-# Maximum number of gateways that stop at the same time.
-MAX_STOPPING = 2
 PLANS = (
     *(
         TargetPlan(f'desk-{number}', 'desk', FAILURE_DOMAINS[number])
@@ -59,15 +58,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
-class StopSpan:
-    """Time from the stop of a gateway until it runs again."""
-
-    gateway: int
-    began_s: float
-    ended_s: float | None = None
-
-
 class GatewaySoak:
     """Disturbs a deployment of gateways."""
 
@@ -78,9 +68,9 @@
             deployment: Running deployment with ``PLANS``.
             seed: Seed of the disturbances.
         """
-        self.stops: list[StopSpan] = []
         self._deployment = deployment
         self._random = random.Random(f'soak {seed}')
+        self.stops = GatewayStops(deployment, self._random)
         self._version = 1
         self._until_s: float = 0
         self._stack = contextlib.AsyncExitStack()
@@ -107,34 +97,20 @@
             if target.plan.service == ENGINE_SERVICE
         ]
 
-    def is_in_touch(self, gateway: int, at_s: float, window_s: float) -> bool:
-        """Returns whether no stop of a gateway touches the time before.
-
-        Args:
-            gateway: Number of the gateway.
-            at_s: Monotonic time.
-            window_s: Length of the time before.
-        """
-        return not any(
-            span.gateway == gateway
-            and span.began_s <= at_s
-            and (span.ended_s is None or span.ended_s > at_s - window_s)
-            for span in self.stops
-        )
-
-    async def run(self, until_s: float) -> None:
+    async def run(self, until_s: float, *, unplanned: bool) -> None:
         """Disturbs the deployment and waits until all disturbances are over.
 
         Args:
             until_s: Monotonic time after which none begins, and stops begin
                 only earlier, by the time that gateways take to stop.
+            unplanned: Whether gateways are killed and lose the store, too.
         """
         self._until_s = until_s
         self._configure()
         for engine in self.engines:
             engine.faults.crashing_part = CRASHING_PART
             self._plan_crash(engine)
-        disturbances = (
+        disturbances = [
             self._silence,
             self._unframe,
             self._break_off,
@@ -143,7 +119,9 @@
             self._stop_gateway,
             self._change_configuration,
             self._change_configuration,
-        )
+        ]
+        if unplanned:
+            disturbances += [self._kill_gateway, self._lose_store]
         async with asyncio.TaskGroup() as group:
             while time.monotonic() < until_s:
                 disturb = self._random.choice(disturbances)
@@ -206,20 +184,23 @@
         await former.leave(DRAIN_S)
 
     async def _stop_gateway(self) -> None:
-        """Stops a gateway as a signal does and starts it again."""
-        stopping = {span.gateway for span in self.stops if not span.ended_s}
-        others = set(range(len(self._deployment.gateways))) - stopping
         ends_s = time.monotonic() + ACCEPT_AFTER_STOP_MS / MS_PER_S
-        if len(stopping) >= MAX_STOPPING or ends_s > self._until_s:
-            return
-        number = self._random.choice(sorted(others))
-        span = StopSpan(number, time.monotonic())
-        self.stops.append(span)
-        running = self._deployment.gateways[number]
-        running.stop.set()
-        await running.task
-        await self._deployment.restart(number, store_down=False)
-        span.ended_s = time.monotonic()
+        if ends_s <= self._until_s:
+            await self.stops.stop()
+
+    async def _kill_gateway(self) -> None:
+        await self.stops.kill(self._random.uniform(*LASTING_S))
+
+    async def _lose_store(self) -> None:
+        """Lets the store reject the calls of some gateways."""
+        gateways = self._random.sample(
+            self._deployment.gateways, len(self._deployment.gateways) // 2
+        )
+        for gateway in gateways:
+            gateway.store.faults.down = True
+        await self._pause(LASTING_S)
+        for other in gateways:
+            other.store.faults.down = False
 
     async def _change_configuration(self) -> None:
         for _ in range(self._random.choice((1, 1, 3))):
--- a/borageyard/standins/registered_target.py
+++ b/borageyard/standins/registered_target.py
@@ -67,6 +67,8 @@
         # Ids under which the target crashed, and monotonic times, in order.
         self.crashed_ids: list[str] = []
         self.crash_times_s: list[float] = []
+        # Monotonic times at which all connections had ended after a crash.
+        self.closed_times_s: list[float] = []
         self.open_runs = OpenRuns()
         # Whether the target drains or has left.
         self.leaving = False
@@ -129,7 +131,7 @@
         self.open_runs.break_off_all()
         self.crashed_ids.append(self.plan.target_id)
         self.crash_times_s.append(time.monotonic())
-        self._begin(self._server.close())
+        self._begin(self._close(self._server))
         self._server = None
         if crash.expire_ms:
             self._begin(self._expire(crash.expire_ms))
@@ -181,6 +183,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _close(self, server: UnframedServer) -> None:
+        await server.close()
+        self.closed_times_s.append(time.monotonic())
+
     async def _expire(self, after_ms: float) -> None:
         target_id = self.plan.target_id
         incarnation = self._incarnation
--- a/borageyard/standins/soak_callers.py
+++ b/borageyard/standins/soak_callers.py
@@ -85,6 +85,8 @@
         self.outcomes: list[Outcome] = []
         self._deployment = deployment
         self._random = random.Random(f'callers {seed}')
+        # Whether the crashing part is the first of a prompt or the second.
+        self._crashes_first = self._random.choice((False, True))
         self._sent = 0
 
     async def send_sound(self, until_s: float) -> None:
@@ -98,9 +100,9 @@
         gateway = self._pick_gateway()
         async with HttpClient() as client:
             while time.monotonic() < until_s:
-                next_part = self._random.choice(NEXT_PARTS)
                 kind = self._random.choice(KINDS)
-                outcome = await self._send(client, gateway, kind, next_part)
+                parts = self._draw_parts() if kind in PROMPT_KINDS else ()
+                outcome = await self._send(client, gateway, kind, parts)
                 if not outcome.connected:
                     gateway = self._pick_gateway()
                 await asyncio.sleep(self._random.uniform(*PAUSE_S))
@@ -116,11 +118,21 @@
             while time.monotonic() < until_s:
                 kind = self._random.choice(PROMPT_KINDS)
                 gateway = self._pick_gateway()
-                group.create_task(
-                    self._send(client, gateway, kind, CRASHING_PART)
-                )
+                first_part, next_part = self._draw_parts()
+                if self._crashes_first:
+                    parts = (CRASHING_PART, next_part)
+                else:
+                    parts = (first_part, CRASHING_PART)
+                group.create_task(self._send(client, gateway, kind, parts))
                 await asyncio.sleep(pause_s)
 
+    def _draw_parts(self) -> tuple[str, str]:
+        """Returns shared parts of a sound prompt."""
+        return (
+            self._random.choice(FIRST_PARTS),
+            self._random.choice(NEXT_PARTS),
+        )
+
     def _pick_gateway(self) -> int:
         return self._random.randrange(len(self._deployment.gateways))
 
@@ -129,16 +141,14 @@
         client: HttpClient,
         gateway: int,
         kind: tuple[str, str, str],
-        next_part: str,
+        parts: Sequence[str],
     ) -> Outcome:
         self._sent += 1
         method, path, pieces = kind
-        first_part = self._random.choice(FIRST_PARTS)
-        is_prompt = kind in PROMPT_KINDS
         outcome = Outcome(
             format(self._sent, '08x'),
             path,
-            (first_part, next_part) if is_prompt else (),
+            parts,
             gateway,
             time.monotonic(),
         )
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -54,7 +54,7 @@
         """Runs callers and disturbances to their end."""
         self.until_s = self.began_s + length_s
         async with asyncio.TaskGroup() as group:
-            group.create_task(self.soak.run(self.until_s))
+            group.create_task(self.soak.run(self.until_s, unplanned=crashing))
             for _ in range(CALLERS):
                 group.create_task(self.callers.send_sound(self.until_s))
             if crashing:
@@ -105,17 +105,22 @@
         return not self.arrivals(outcome) and any(
             outcome.began_s <= at_s <= outcome.ended_s
             for target in self.targets
-            for at_s in target.crash_times_s
+            for at_s in (*target.crash_times_s, *target.closed_times_s)
         )
 
     def crossed_a_close(self, outcome):
-        """Returns whether a gateway closed before it read the request."""
-        lasted_s = outcome.ended_s - outcome.began_s
-        stopping = not self.soak.is_in_touch(
-            outcome.gateway, outcome.ended_s, 1
-        )
+        """Returns whether a gateway was killed or closed without reading.
+
+        A request is taken for unread if it was passed on to no target and the
+        gateway closed soon after it was sent.
+        """
+        stops = self.soak.stops
+        gateway = outcome.gateway
+        if stops.was_killed(gateway, outcome.began_s, outcome.ended_s):
+            return True
+        until_s = outcome.began_s + LOSS_SLACK_S
         unread = outcome.status is None and not self.arrivals(outcome)
-        return stopping and unread and lasted_s <= LOSS_SLACK_S
+        return unread and stops.has_closed(gateway, outcome.began_s, until_s)
 
     def fifth_crash_s(self):
         """Returns the time of the fifth crash, or the last of fewer."""
@@ -138,7 +143,7 @@
             for at_s, request_id in target.received
             if request_id in gateways
             and at_s > after_s
-            and self.soak.is_in_touch(
+            and self.soak.stops.is_in_touch(
                 gateways[request_id], at_s, STABLE_WINDOW_S
             )
         ]
@@ -153,7 +158,7 @@
             for outcome in self.sound()
             if outcome.parts
             and after_s <= outcome.began_s < before_s
-            and self.soak.is_in_touch(
+            and self.soak.stops.is_in_touch(
                 outcome.gateway, outcome.began_s, STABLE_WINDOW_S
             )
         ]
