--- a/borageyard/standins/gateway_stops.py
+++ b/borageyard/standins/gateway_stops.py
@@ -83,7 +83,7 @@
         )
 
     def was_killed(self, gateway: int, after_s: float, before_s: float) -> bool:
-        """Returns whether a gateway was killed within a span.
+        """Returns whether a gateway was dead at some time of a span.
 
         Args:
             gateway: Number of the gateway.
@@ -93,7 +93,8 @@
         return any(
             span.killed
             and span.gateway == gateway
-            and after_s <= span.began_s <= before_s
+            and span.began_s <= before_s
+            and (span.ended_s is None or span.ended_s >= after_s)
             for span in self.spans
         )
 
