--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -18,7 +18,8 @@
 )
 from tests.test_gateway import ALL_EVENTS
 
-# A long run by hand: SOAK_SEEDS=60 python -m pytest -k Soak
+# A long run by hand: SOAK_SEEDS=60 python -m pytest -k Soak, here also with
+# SOAK_LENGTH_S=30 for more sends after the fifth crash.
 SOAK_SEEDS = int(os.environ.get('SOAK_SEEDS', '1'))
 FIRST_SEED = 3
 SEEDS = range(FIRST_SEED, FIRST_SEED + SOAK_SEEDS)
@@ -26,7 +27,7 @@
 CALLERS = 12
 # Length of the runs, and time before the first request with the crashing part.
 SHORT_S = 6
-LONG_S = 12
+LONG_S = int(os.environ.get('SOAK_LENGTH_S', '12'))
 QUIET_S = 2
 CRASHING_PAUSE_S = 0.15
 GRACE_MS = 8000
