Don't take an answer without framing or events for a whole stream

Callers saw: by reading, an empty stream that looked complete when an engine ended after the head of an answer that has neither a length nor chunks.

Cause: such an answer ends with its connection, so a crash before the first event looks like the end of a stream without events.

Change: it counts as a failed send unless events came before, in this answer or in the one that a caller takes up. After an event the two can't be told apart.

Measured: test_answer_without_framing_ends_before_its_first_event and test_lone_answer_without_framing_or_events_is_not_complete failed and pass, with the other tests of relayed streams and of unframed answers through gateways.

--- a/borageyard/stream_state.py
+++ b/borageyard/stream_state.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 from collections.abc import AsyncIterator
+from http import HTTPStatus
 
 from .clock import MS_PER_S
 from .engine_exchange import EngineExchange
@@ -144,10 +145,25 @@
         """Returns whether an engine may go on with the stream."""
         return self.software_version in {None, engine.software_version}
 
-    def require_no_partial(self) -> None:
-        """Raises SendError if an answer has ended within an event."""
+    def require_whole(self, exchange: EngineExchange) -> None:
+        """Checks an answer that has ended.
+
+        Args:
+            exchange: Exchange with the engine.
+
+        Raises:
+            SendError: If it has ended within an event, or may have ended
+                before its first event because the engine crashed.
+        """
         if self.framer.has_partial:
             raise SendError(SendFailure.UNKNOWN, 'answer ended within an event')
+        head = exchange.relayed_head
+        is_stream = head.status == HTTPStatus.OK
+        has_events = self.framer.event_count or self.last_event_id
+        if is_stream and not head.framed and not has_events:
+            raise SendError(
+                SendFailure.UNKNOWN, 'answer ended without an event'
+            )
 
     def note_possible_run(self, exchange: EngineExchange) -> None:
         """Counts an exchange that may have run, though it goes on."""
--- a/borageyard/streaming_relay.py
+++ b/borageyard/streaming_relay.py
@@ -295,10 +295,10 @@
         try:
             self._check_head(stream, exchange)
             chunk = exchange.take()
+            if chunk == b'':
+                stream.require_whole(exchange)
             if chunk is not None and not exchange.accepted:
                 self.sends.note_accepted(stream, exchange)
-            if chunk == b'':
-                stream.require_no_partial()
         except SendError as error:
             if stream.standby is None:
                 raise
--- a/tests/test_streaming_relay.py
+++ b/tests/test_streaming_relay.py
@@ -78,6 +78,8 @@
         self.fail = fail
         self.status = 200
         self.split_events = False
+        # Whether its answer has no framing and ends before its first event.
+        self.ends_at_once = False
         self.not_run = False
         # Time before the head of the answer.
         self.head_ms = 0
@@ -106,6 +108,7 @@
                 wrong_target=False,
                 load=None,
                 chunks=self.chunks(int(send.last_event_id or 0)),
+                framed=not self.ends_at_once,
             )
 
     def end(self):
@@ -125,6 +128,8 @@
 
     async def chunks(self, after):
         """Yields the events after one."""
+        if self.ends_at_once:
+            return
         for number in range(after + 1, EVENTS + 1):
             event = f'id: {number}\ndata: {number}\n\n'.encode()
             if number == self.before:
@@ -633,3 +638,16 @@
             Engine('m3'),
         )
         assert_whole(in_virtual_time(relay)(fleet))
+
+    def test_answer_without_framing_ends_before_its_first_event(self):
+        """Its engine may have crashed; another one is asked."""
+        ending = Engine('m1')
+        ending.ends_at_once = True
+        assert_whole(in_virtual_time(relay)(Fleet(ending, Engine('m2'))))
+
+    def test_lone_answer_without_framing_or_events_is_not_complete(self):
+        """The caller gets a failure, not an empty stream."""
+        ending = Engine('m1')
+        ending.ends_at_once = True
+        relayed = in_virtual_time(relay)(Fleet(ending), resumable=False)
+        assert isinstance(relayed.error, RefusalError)
