Let the test of a late relayed message wait for what it needs

Change: the calls of its stages take 400 ms, and it waits until all four requests are at the scheduler. What it checks is unchanged.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -445,8 +445,8 @@
             for piece in target.pieces
         ]
 
-    async def start_requests(self, callers):
-        """Sends prompts and waits until their first stage has run.
+    async def start_requests(self, callers, work_ms=60, pieces=8):
+        """Sends prompts and waits until some of their pieces have run.
 
         Calls are declared longer than they take: the pieces of an overdue call
         run twice, and a pause of this process must not make a call overdue.
@@ -472,8 +472,8 @@
             *(callers.stream(gateway=number) for number in (0, 1, 0, 1)),
         )
         for target in callers.targets('planner'):
-            target.plan = dataclasses.replace(target.plan, work_ms=60)
-        await wait_until(lambda: len(self.finished_pieces(callers)) >= 8)
+            target.plan = dataclasses.replace(target.plan, work_ms=work_ms)
+        await wait_until(lambda: len(self.finished_pieces(callers)) >= pieces)
         return replies, self.scheduler_number(callers)
 
     async def test_stopping_scheduler_hands_over_what_was_made(self):
@@ -502,10 +502,15 @@
     async def test_late_message_of_a_relay_cuts_no_caller(self):
         """Incident LOST: the scheduler's own caller got nothing."""
         async with deployment() as callers:
-            replies, scheduler_number = await self.start_requests(callers)
+            replies, scheduler_number = await self.start_requests(
+                callers, work_ms=400, pieces=1
+            )
             gateways = [one.gateway for one in callers.running.gateways]
             scheduler = gateways[scheduler_number]
             relay = gateways[1 - scheduler_number].scheduler
+            await wait_until(
+                lambda: len(scheduler.service.scheduler.chains) == 4
+            )
             late = [
                 asyncio.ensure_future(
                     relay._place_at_peer(
