--- a/borageyard/standins/gateway_target.py
+++ b/borageyard/standins/gateway_target.py
@@ -200,6 +200,7 @@
         self.tenants.append(request.header('x-tenant'))
         prefill_ms = self._prefill(request) * self.plan.token_ms
         await asyncio.sleep((self.plan.work_ms + prefill_ms) / MS_PER_S)
+        await self.wait_while_silent()
         if self.faults.crashed_by and self.faults.crashed_by in request.path:
             self.withdraw()
             raise ConnectionAbortError
@@ -227,6 +228,7 @@
         after = int(request.header('last-event-id', '0'))
         request_id = request.header('x-attempt-id')
         for number in range(after + 1, self.plan.events + 1):
+            await self.wait_while_silent()
             await self._disturb(request, number - 1 - after)
             while self.faults.endless_after == number - 1:
                 yield ENDLESS_CHUNK
--- a/borageyard/standins/registered_target.py
+++ b/borageyard/standins/registered_target.py
@@ -4,6 +4,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import time
 from collections.abc import AsyncIterator, Coroutine
 from typing import Any
@@ -49,6 +50,9 @@
     keeps_id: bool = False
     # Whether it comes back at its former address.
     keeps_address: bool = True
+    # Whether it falls silent in place of closing its connections and its
+    # listener, as when its machine loses power behind a load balancer.
+    silent: bool = False
 
 
 class RegisteredTarget(abc.ABC):
@@ -72,6 +76,8 @@
         self.open_runs = OpenRuns()
         # Whether the target drains or has left.
         self.leaving = False
+        # Incarnations that crashed silently, and their servers.
+        self._silent: dict[int, UnframedServer] = {}
         self._incarnation = 1
         self._announcement_number = 0
         self._server: UnframedServer | None = None
@@ -131,7 +137,10 @@
         self.open_runs.break_off_all()
         self.crashed_ids.append(self.plan.target_id)
         self.crash_times_s.append(time.monotonic())
-        self._begin(self._close(self._server))
+        if crash.silent:
+            self._silent[self._incarnation] = self._server
+        else:
+            self._begin(self._close(self._server))
         self._server = None
         if crash.expire_ms:
             self._begin(self._expire(crash.expire_ms))
@@ -157,6 +166,11 @@
             await self._server.close()
             self._server = None
 
+    async def wait_while_silent(self) -> None:
+        """Waits for ever in a target that crashed silently."""
+        if self._incarnation in self._silent:
+            await asyncio.Event().wait()
+
     @abc.abstractmethod
     async def _respond(self, request: HttpRequest) -> HttpResponse:
         """Handles one request."""
@@ -166,17 +180,28 @@
         """Discards what a target does not know after a restart."""
 
     async def _start(self, address: str) -> None:
-        self._server = UnframedServer(self._respond, HttpLimits())
+        self._server = UnframedServer(
+            functools.partial(self._respond_as, self._incarnation),
+            HttpLimits(),
+        )
         await self._server.start(address)
         self.address = self._server.address
         self.announce('ready')
 
+    async def _respond_as(
+        self, incarnation: int, request: HttpRequest
+    ) -> HttpResponse:
+        if incarnation in self._silent:
+            await asyncio.Event().wait()
+        return await self._respond(request)
+
     async def _stop(self) -> None:
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._server is not None:
-            await self._server.close()
+        for server in (self._server, *self._silent.values()):
+            if server is not None:
+                await server.close()
 
     def _begin(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -198,6 +223,9 @@
         await asyncio.sleep(after_ms / MS_PER_S)
         if self.leaving:
             return
+        silent_server = self._silent.get(self._incarnation)
+        if silent_server is not None:
+            silent_server.stop_listening()
         self._incarnation += 1
         self._forget()
         if not crash.keeps_id:
--- a/borageyard/standins/unframed_server.py
+++ b/borageyard/standins/unframed_server.py
@@ -22,6 +22,11 @@
 class UnframedServer(HttpServer):
     """Lets a handler write on the connection of its request."""
 
+    def stop_listening(self) -> None:
+        """Refuses new connections; those that are open stay so."""
+        if self._server is not None:
+            self._server.close()
+
     async def _accept(
         self,
         reader: asyncio.StreamReader,
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -150,7 +150,9 @@
         """Lets all engines crash under the bad part from now on."""
         for engine in self.engines:
             engine.faults.crashing_part = BAD_PART
-            engine.faults.crash = CrashPlan(restart_ms=RESTART_MS, **plan)
+            engine.faults.crash = CrashPlan(
+                **{'restart_ms': RESTART_MS, **plan}
+            )
 
 
 @contextlib.asynccontextmanager
