--- a/borageyard/answer_progress.py
+++ b/borageyard/answer_progress.py
@@ -23,6 +23,7 @@
     # Monotonic times; None before the head and the first complete event.
     begun_at_ms: float | None = None
     first_event_at_ms: float | None = None
+    last_bytes_at_ms: float = 0
     _tail: bytes = b''
 
     @property
@@ -46,6 +47,7 @@
             chunk: Bytes of the body, split at any position.
             now_ms: Monotonic time.
         """
+        self.last_bytes_at_ms = now_ms
         searched = self._tail[1:] + chunk
         if self.first_event_at_ms is None and SEPARATOR in searched:
             self.first_event_at_ms = now_ms
@@ -60,3 +62,8 @@
         if self.first_event_at_ms is None:
             return 0
         return now_ms - self.first_event_at_ms
+
+    @property
+    def written_ms(self) -> float:
+        """Returns the time from the first event to the last bytes."""
+        return self.wrote_ms(self.last_bytes_at_ms)
--- a/borageyard/crash_suspects.py
+++ b/borageyard/crash_suspects.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection
 
 from .clock import MS_PER_S, Clock
-from .crash_attribution import Crash
+from .crash_attribution import Crash, EngineRun
 from .crash_evidence import CrashEvidence, QuarantinedKeys
 from .crash_news import decode_crashes, decode_quarantined, encode_news
 from .events import Event, log_event
@@ -40,6 +40,8 @@
         self.tracker = RunTracker()
         self._link = link
         self._clock = clock
+        # Called with the engine of a crash that a peer reported.
+        self.on_reported: Callable[[EngineRun], None] | None = None
         self._listeners: list[QuarantineListener] = []
         self._announcement: asyncio.TimerHandle | None = None
         # Start of the round in which the neighbours were last told.
@@ -166,7 +168,7 @@
     def _consume(self, peer_id: str, news: CrashNewsBody) -> None:
         now_ms = self._clock.steady_ms()
         changes = [
-            self._add_crash(crash, 'reported', peer_id)
+            self._adopt_crash(crash, peer_id)
             for crash in decode_crashes(news.crashes, now_ms)
         ]
         changes.extend(
@@ -183,6 +185,12 @@
             self._conclude(peer_id)
             self._announce()
 
+    def _adopt_crash(self, crash: Crash, peer_id: str) -> bool:
+        news = self._add_crash(crash, 'reported', peer_id)
+        if news and self.on_reported is not None:
+            self.on_reported(crash.engine)
+        return news
+
     def _adopt(self, entry: QuarantinedKeys, peer_id: str) -> bool:
         news = self.evidence.add_quarantine(entry, self._clock.steady_ms())
         if news:
--- a/borageyard/engine_watch.py
+++ b/borageyard/engine_watch.py
@@ -1,4 +1,4 @@
-"""Detects engines that end while they begin answers."""
+"""Detects engines that end while they owe or begin answers."""
 
 import asyncio
 import contextlib
@@ -14,6 +14,7 @@
 from .roster import RosterRow
 from .run_tracker import EngineSend
 from .shared_table import Table
+from .silence_watch import SilenceWatch
 from .target_probe import TargetProbe
 
 
@@ -41,6 +42,7 @@
         self._clock = clock
         self._probe = probe
         self._probes: dict[EngineRun, asyncio.Task[None]] = {}
+        self._silence = SilenceWatch(state, suspects, clock, probe)
         state.add_listener(self._on_table_change)
 
     @contextlib.asynccontextmanager
@@ -48,6 +50,7 @@
         """Context manager that ends all probes when it exits."""
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._close)
+            await stack.enter_async_context(self._silence.running())
             yield
 
     def start(self, request: InboundRequest, engine: RosterRow) -> EngineSend:
@@ -57,11 +60,13 @@
             request: The caller's request.
             engine: The engine.
         """
-        return self._tracker.start(
+        send = self._tracker.start(
             identify_request(request),
             EngineRun(engine.target_id, engine.incarnation),
             self._clock.steady_ms(),
         )
+        self._silence.engines.note_sent(send, engine.address)
+        return send
 
     def note_answering(self, send: EngineSend) -> None:
         """Records the head of an answer.
@@ -69,9 +74,22 @@
         Args:
             send: The send.
         """
-        if self._tracker.note_answering(send, self._clock.steady_ms()):
+        now_ms = self._clock.steady_ms()
+        self._silence.engines.note_sign(send.engine, now_ms)
+        if self._tracker.note_answering(send, now_ms):
             _log_refuted(send.engine, 'answer')
 
+    def note_bytes(self, send: EngineSend, chunk: bytes) -> None:
+        """Records a part of the body of an answer.
+
+        Args:
+            send: The send.
+            chunk: Bytes of the body.
+        """
+        now_ms = self._clock.steady_ms()
+        self._silence.engines.note_sign(send.engine, now_ms)
+        send.progress.note_bytes(chunk, now_ms)
+
     def note_whole(self, send: EngineSend, *, framed: bool) -> None:
         """Records an answer that ended as it should.
 
@@ -79,14 +97,27 @@
             send: The send.
             framed: Whether the answer states where it ends.
         """
+        self._silence.engines.note_ended(send)
         self._tracker.note_whole(send, self._clock.steady_ms(), framed=framed)
 
+    def note_given_up(self, send: EngineSend) -> None:
+        """Records a send that was given up without a complete answer.
+
+        It is a suspect if its engine turns out to have been silent since.
+
+        Args:
+            send: The send; one that has ended is left as it is.
+        """
+        self._silence.engines.note_given_up(send, self._clock.steady_ms())
+        self._tracker.note_dropped(send)
+
     def note_dropped(self, send: EngineSend) -> None:
         """Records a send that was given up, or of which nothing ran.
 
         Args:
             send: The send; one that has ended is left as it is.
         """
+        self._silence.engines.note_ended(send)
         self._tracker.note_dropped(send)
 
     def note_lost(self, send: EngineSend, address: str) -> None:
@@ -97,7 +128,10 @@
             address: Address of the engine.
         """
         engine = send.engine
-        if not self._tracker.note_lost(send, self._clock.steady_ms()):
+        now_ms = self._clock.steady_ms()
+        # Whatever listens at its address now, it may have ended in silence.
+        self._silence.engines.note_given_up(send, now_ms)
+        if not self._tracker.note_lost(send, now_ms):
             return
         if self._tracker.is_down(engine):
             self._confirm(engine, 'known')
@@ -130,6 +164,7 @@
             row = self._state.roster.find(engine.target_id)
             if row is None or row.incarnation != engine.incarnation:
                 self._confirm(engine, 'record')
+        self._silence.compare_rows()
 
     def _confirm(self, engine: EngineRun, reason: str) -> None:
         now_ms = self._clock.steady_ms()
--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -38,7 +38,7 @@
 from .stream_origin_service import StreamOriginService
 from .streaming_relay import StreamingRelay
 from .target_limits import TargetLimits
-from .target_probe import ConnectProbe
+from .target_probe import ConnectProbe, StatusClient
 
 MAX_CONNECTIONS = 2000
 # A stopping entry accepts requests for this time, because callers cache its
@@ -60,6 +60,7 @@
     decoder: RecordDecoder
     sender: TargetSender
     runner: PieceRunner
+    status_client: StatusClient
     codec: CallerCodec
     limits: TargetLimits
     clock: Clock
@@ -139,7 +140,10 @@
             settings.instance_id, self.suspects, self.link, clock
         )
         self._watch = EngineWatch(
-            self.state, self.suspects, clock, ConnectProbe()
+            self.state,
+            self.suspects,
+            clock,
+            ConnectProbe(dependencies.status_client),
         )
         reader = AnswerReader()
         self._buffered = BufferedRelay(
--- a/borageyard/platform/__main__.py
+++ b/borageyard/platform/__main__.py
@@ -17,6 +17,7 @@
 from . import ingress
 from .documents import DocumentDecoder
 from .settings import SETTINGS_VARIABLE, load_settings
+from .status_client import HttpStatusClient
 from .store import StoreTables
 from .targets import HttpPieceRunner, HttpTargetSender
 
@@ -51,6 +52,7 @@
             decoder=DocumentDecoder(),
             sender=HttpTargetSender(client, limits),
             runner=HttpPieceRunner(client, limits),
+            status_client=HttpStatusClient(client),
             codec=ingress,
             limits=limits,
             clock=clock,
--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -44,6 +44,7 @@
 # well before the HTTP client does.
 EXCHANGE_SLACK_MS = 5000
 SHORT_CALL_TIMEOUT_MS = 500
+REPORT_PATH = '/report'
 # Maximum size of the answer to a call: a handle or a reason for each piece, and
 # the fields of a report.
 MAX_CALL_ANSWER_BYTES = 262_144
@@ -214,7 +215,7 @@
         call = HttpCall(
             target.address,
             'GET',
-            '/report',
+            REPORT_PATH,
             timeout_ms=SHORT_CALL_TIMEOUT_MS,
             max_body_bytes=MAX_CALL_ANSWER_BYTES,
             repeatable=not self._limits.is_limited(target.target_id),
--- a/borageyard/prompt_sender.py
+++ b/borageyard/prompt_sender.py
@@ -92,7 +92,7 @@
         """Sends a request and waits for the head of the answer."""
         async with self._guard.watching(send.request):
             tracked = self._watch.start(send.request, send.target)
-            stack.callback(self._watch.note_dropped, tracked)
+            stack.callback(self._watch.note_given_up, tracked)
             try:
                 answer = await stack.enter_async_context(
                     self._sender.send(send)
@@ -113,7 +113,7 @@
         progress = tracked.progress
         try:
             async for chunk in answer.chunks:
-                progress.note_bytes(chunk, self._clock.steady_ms())
+                self._watch.note_bytes(tracked, chunk)
                 yield chunk
         except SendError as error:
             self._note_error(send, tracked, error)
@@ -129,6 +129,8 @@
     ) -> None:
         if error.failure is SendFailure.UNKNOWN:
             self._note_lost(send, tracked, str(error))
+        else:
+            self._watch.note_dropped(tracked)
 
     def _note_lost(
         self, send: TargetSend, tracked: EngineSend, reason: str
--- a/borageyard/run_tracker.py
+++ b/borageyard/run_tracker.py
@@ -22,7 +22,9 @@
     engine: EngineRun
     sent_at_ms: float
     progress: AnswerProgress = dataclasses.field(default_factory=AnswerProgress)
-    # Whether its answer is certainly complete, and was counted as sound.
+    # Whether its answer has ended, is certainly complete, and was counted as
+    # sound.
+    has_ended: bool = False
     is_whole: bool = False
     is_counted: bool = False
 
@@ -32,9 +34,15 @@
         Args:
             now_ms: Monotonic time.
         """
-        return self.is_whole or (
-            self.progress.wrote_ms(now_ms) >= SOUND_WRITING_MS
+        if self.is_whole:
+            return True
+        # An engine that crashes silently closes no connection.
+        wrote_ms = (
+            self.progress.wrote_ms(now_ms)
+            if self.has_ended
+            else self.progress.written_ms
         )
+        return wrote_ms >= SOUND_WRITING_MS
 
 
 @dataclasses.dataclass(slots=True)
@@ -119,6 +127,7 @@
             return
         self._runs.discard(send)
         self._ended.add(send)
+        send.has_ended = True
         send.is_whole = framed
         if not framed:
             self._add_suspect(send, now_ms)
--- a/borageyard/standins/crashing_fleet.py
+++ b/borageyard/standins/crashing_fleet.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import AsyncIterator, Collection
 
-from ..clock import MS_PER_S, LoopClock
+from ..clock import LoopClock
 from ..crash_suspects import CrashSuspects
 from ..engine_placer import Prompt, PromptPart
 from ..engine_watch import EngineWatch
@@ -79,6 +79,11 @@
         await asyncio.sleep(PROBE_S)
         return self.engines.is_up(address) if self.engines else None
 
+    async def check_status(self, address: str) -> str:
+        """Returns why an engine does not answer."""
+        listening = await self.is_listening(address)
+        return '' if listening else 'down'
+
 
 class CrashingFleet(ElectingFleet):
     """Entries whose callers send sound prompts, and later bad ones."""
@@ -240,13 +245,13 @@
         if bad and self._is_in_touch(entry.name):
             self.bad_sends_s.append(self._now_s())
         with contextlib.ExitStack() as stack:
-            stack.callback(entry.watch.note_dropped, send)
+            stack.callback(entry.watch.note_given_up, send)
             try:
                 async with entry.guard.watching(request):
                     await engine.begin()
                 entry.watch.note_answering(send)
                 async for chunk in engine.write(bad=bad):
-                    send.progress.note_bytes(chunk, self._now_s() * MS_PER_S)
+                    entry.watch.note_bytes(send, chunk)
             except EngineCrashedError:
                 entry.watch.note_lost(send, engine.name)
                 return False
--- a/borageyard/standins/gateway_deployment.py
+++ b/borageyard/standins/gateway_deployment.py
@@ -16,8 +16,12 @@
 from ..http_server import HttpServer
 from ..platform import ingress
 from ..platform.documents import DocumentDecoder
+from ..platform.status_client import HttpStatusClient
 from ..platform.store import StoreTables
-from ..platform.targets import HttpPieceRunner, HttpTargetSender
+from ..platform.targets import (
+    HttpPieceRunner,
+    HttpTargetSender,
+)
 from ..retry_budget import RetryBudgetLimits
 from ..target_limits import TargetLimits
 from .gateway_target import HEALTH_PATH, GatewayTarget
@@ -331,6 +335,7 @@
         decoder=DocumentDecoder(),
         sender=HttpTargetSender(client, limits),
         runner=HttpPieceRunner(client, limits),
+        status_client=HttpStatusClient(client),
         codec=ingress,
         limits=limits,
         clock=clock,
--- a/borageyard/target_probe.py
+++ b/borageyard/target_probe.py
@@ -1,4 +1,4 @@
-"""Finds out whether a target still listens."""
+"""Finds out whether a target still listens, or answers."""
 
 import asyncio
 import contextlib
@@ -16,7 +16,7 @@
 
 
 class TargetProbe(Protocol):
-    """Finds out whether a target still listens."""
+    """Finds out whether a target still listens, or answers."""
 
     async def is_listening(self, address: str) -> bool | None:
         """Returns whether a target listens, or None if that is unclear.
@@ -25,9 +25,39 @@
             address: IP address and port of the target.
         """
 
+    async def check_status(self, address: str) -> str:
+        """Returns why a target does not answer; empty if it does.
+
+        Args:
+            address: IP address and port of the target.
+        """
+
+
+class StatusClient(Protocol):
+    """Asks targets for their status."""
+
+    async def check_status(self, address: str) -> str:
+        """Returns why there was no answer in time; empty if there was one.
+
+        Args:
+            address: IP address and port of the target.
+        """
+
 
 class ConnectProbe:
-    """Opens a connection and sends nothing."""
+    """Opens connections that send nothing, and asks for the status."""
+
+    def __init__(self, status_client: StatusClient) -> None:
+        """Stores the client.
+
+        Args:
+            status_client: Asks targets for their status.
+        """
+        self._status_client = status_client
+
+    async def check_status(self, address: str) -> str:
+        """Returns why a target does not answer; empty if it does."""
+        return await self._status_client.check_status(address)
 
     async def is_listening(self, address: str) -> bool | None:
         """Returns whether a target listens, or None if that is unclear."""
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -56,6 +56,11 @@
         await asyncio.sleep(0.01)
         return self.listening
 
+    async def check_status(self, address):
+        """Returns why there is no answer after a moment."""
+        await asyncio.sleep(0.01)
+        return '' if self.listening else 'refused'
+
 
 class Entry:
     """The parts of an entry that decide about crashes."""
--- a/tests/test_prompt_sender.py
+++ b/tests/test_prompt_sender.py
@@ -119,7 +119,7 @@
         link = MemoryPeerNetwork().join('a')
         suspects = CrashSuspects(link, clock)
         watch = EngineWatch(
-            FleetState(DocumentDecoder()), suspects, clock, ConnectProbe()
+            FleetState(DocumentDecoder()), suspects, clock, ConnectProbe(None)
         )
         guard = QuarantineGuard('a', suspects, link, clock)
         sender = PromptSender(BreakingSender(chunks), watch, guard, clock)
--- a/tests/test_run_tracker.py
+++ b/tests/test_run_tracker.py
@@ -102,10 +102,17 @@
     def test_answer_that_goes_on(self, tracker):
         """It is sound after a while, once."""
         send = start(tracker, begun_at_ms=0)
+        send.progress.note_bytes(EVENT, SOUND_WRITING_MS - 1)
         assert not tracker.take_sound(SOUND_WRITING_MS - 1)
+        send.progress.note_bytes(EVENT, SOUND_WRITING_MS)
         assert tracker.take_sound(SOUND_WRITING_MS) == [send]
         assert not tracker.take_sound(SOUND_WRITING_MS)
 
+    def test_answer_that_falls_silent(self, tracker):
+        """Time that passes without bytes proves nothing."""
+        start(tracker, begun_at_ms=0)
+        assert not tracker.take_sound(2 * SOUND_WRITING_MS)
+
     def test_short_answer_that_is_whole(self, tracker):
         """It is sound at once."""
         send = start(tracker, begun_at_ms=0)
