--- a/borageyard/engine_watch.py
+++ b/borageyard/engine_watch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 
 from .clock import Clock
 from .crash_attribution import EngineRun
@@ -10,6 +10,7 @@
 from .events import Event, log_event
 from .fleet_state import FleetState
 from .inbound import InboundRequest
+from .path_witnesses import choose_witnesses
 from .request_keys import identify_request
 from .roster import RosterRow
 from .run_tracker import EngineSend
@@ -152,10 +153,43 @@
             stack.callback(self._probes.pop, engine)
             listening = await self._probe.is_listening(address)
         if listening is False:
-            self._confirm(engine, 'refused')
+            await self._confirm_refused(engine)
         elif listening and self._tracker.refute(engine):
             _log_refuted(engine, 'listening')
 
+    async def _confirm_refused(self, engine: EngineRun) -> None:
+        """Takes a refused connection for a crash unless all are refused.
+
+        An entry that is partitioned from the targets leaves it to the record.
+        """
+        lost = self._tracker.unconfirmed(self._clock.steady_ms())
+        witnesses = choose_witnesses(
+            self._state.roster.rows(),
+            engine.target_id,
+            {run.target_id for run in lost},
+        )
+        if not witnesses or await self._reaches_any(witnesses):
+            self._confirm(engine, 'refused')
+        else:
+            log_event(
+                Event.CRASH_UNCONFIRMED,
+                target_id=engine.target_id,
+                witnesses=[row.target_id for row in witnesses],
+            )
+
+    async def _reaches_any(self, witnesses: Sequence[RosterRow]) -> bool:
+        async with contextlib.AsyncExitStack() as stack:
+            probes = [
+                asyncio.ensure_future(self._probe.is_listening(row.address))
+                for row in witnesses
+            ]
+            for probe in probes:
+                stack.callback(probe.cancel)
+            for listening in asyncio.as_completed(probes):
+                if await listening:
+                    return True
+        return False
+
     def _on_table_change(self, table: Table) -> None:
         """Detects engines that left or restarted after a loss."""
         if table is not Table.TARGETS:
--- /dev/null
+++ b/borageyard/path_witnesses.py
@@ -0,0 +1,44 @@
+"""Targets whose reachability tells a crash from a partition of this entry."""
+
+import functools
+from collections.abc import Collection, Iterable, Sequence
+
+from .rendezvous import hash_weight
+from .roster import RosterRow, TargetPhase
+
+# Targets that are asked; one that can be reached is enough.
+WITNESSES = 3
+
+
+def choose_witnesses(
+    rows: Iterable[RosterRow], key: str, excluded_ids: Collection[str]
+) -> Sequence[RosterRow]:
+    """Returns targets that this entry should reach if it has a path to any.
+
+    Targets of several services and failure domains come first: what ends all
+    targets of one service should not look like a partition.
+
+    Args:
+        rows: Announcements of targets.
+        key: What the choice depends on, so that it differs between entries.
+        excluded_ids: Targets that may be down.
+    """
+    candidates = [
+        row
+        for row in rows
+        if row.phase is TargetPhase.READY and row.target_id not in excluded_ids
+    ]
+    candidates.sort(key=lambda row: hash_weight(key, row.target_id))
+    chosen: list[RosterRow] = []
+    while candidates and len(chosen) < WITNESSES:
+        best = min(candidates, key=functools.partial(_likeness, chosen))
+        candidates.remove(best)
+        chosen.append(best)
+    return chosen
+
+
+def _likeness(chosen: Sequence[RosterRow], row: RosterRow) -> tuple[int, int]:
+    """Returns how many of the chosen targets share service and domain."""
+    same_service = [one for one in chosen if one.service == row.service]
+    domains = [one.failure_domain for one in same_service]
+    return len(same_service), domains.count(row.failure_domain)
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -48,13 +48,15 @@
     def __init__(self, listening):
         """Stores the result."""
         self.listening = listening
+        # Addresses that listen in any case.
+        self.up = set()
         self.addresses = []
 
     async def is_listening(self, address):
         """Returns the result after a moment."""
         self.addresses.append(address)
         await asyncio.sleep(0.01)
-        return self.listening
+        return True if address in self.up else self.listening
 
     async def check_status(self, address):
         """Returns why there is no answer after a moment."""
@@ -176,6 +178,47 @@
         assert entry.quarantines('bad')
 
 
+class TestPartition:
+    """Refusals at an entry that may be partitioned from all targets."""
+
+    @pytest.mark.parametrize('reachable', [True, False])
+    @in_virtual_time
+    async def test_partition_is_taken_for_crashes(self, reachable):
+        """Targets that lost nothing tell a crash from a partition."""
+        entry = Entry(MemoryPeerNetwork(), 'a')
+        change = RosterChange(1, 'e9', row(9))
+        entry.state.roster.apply([change], 2)
+        if reachable:
+            entry.probe.up.add(row(9).address)
+        for number in range(3):
+            entry.lose(number, 'bad')
+        await asyncio.sleep(SPREAD_S)
+        assert entry.quarantines('bad') is reachable
+
+    @in_virtual_time
+    async def test_record_goes_during_a_partition(self):
+        """The crash is confirmed by then."""
+        entry = Entry(MemoryPeerNetwork(), 'a')
+        announced = [
+            RosterChange(number, f'e{number}', row(number))
+            for number in range(4)
+        ]
+        entry.state.roster.apply(announced, 4)
+        for number in range(3):
+            entry.lose(number, 'bad')
+        await asyncio.sleep(SPREAD_S)
+        assert not entry.quarantines('bad')
+        ids = ('e0', 'e1', 'e2')
+        gone = [
+            RosterChange(4 + offset, engine_id, None)
+            for offset, engine_id in enumerate(ids)
+        ]
+        entry.state.roster.apply(gone, 8)
+        entry.state.notify(Table.TARGETS)
+        await asyncio.sleep(SPREAD_S)
+        assert entry.quarantines('bad')
+
+
 class TestPeers:
     """Evidence that several entries have."""
 
