--- a/borageyard/engine_watch.py
+++ b/borageyard/engine_watch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator
 
 from .clock import Clock
 from .crash_attribution import EngineRun
@@ -10,7 +10,7 @@
 from .events import Event, log_event
 from .fleet_state import FleetState
 from .inbound import InboundRequest
-from .path_witnesses import choose_witnesses
+from .path_witnesses import PathWitnesses
 from .request_keys import identify_request
 from .roster import RosterRow
 from .run_tracker import EngineSend
@@ -42,6 +42,7 @@
         self._tracker = suspects.tracker
         self._clock = clock
         self._probe = probe
+        self._witnesses = PathWitnesses(state, probe)
         self._probes: dict[EngineRun, asyncio.Task[None]] = {}
         self._silence = SilenceWatch(state, suspects, clock, probe)
         state.add_listener(self._on_table_change)
@@ -163,32 +164,17 @@
         An entry that is partitioned from the targets leaves it to the record.
         """
         lost = self._tracker.unconfirmed(self._clock.steady_ms())
-        witnesses = choose_witnesses(
-            self._state.roster.rows(),
-            engine.target_id,
-            {run.target_id for run in lost},
+        silent_ids = await self._witnesses.find_silent(
+            engine.target_id, {run.target_id for run in lost}
         )
-        if not witnesses or await self._reaches_any(witnesses):
-            self._confirm(engine, 'refused')
-        else:
+        if silent_ids:
             log_event(
                 Event.CRASH_UNCONFIRMED,
                 target_id=engine.target_id,
-                witnesses=[row.target_id for row in witnesses],
+                witnesses=silent_ids,
             )
-
-    async def _reaches_any(self, witnesses: Sequence[RosterRow]) -> bool:
-        async with contextlib.AsyncExitStack() as stack:
-            probes = [
-                asyncio.ensure_future(self._probe.is_listening(row.address))
-                for row in witnesses
-            ]
-            for probe in probes:
-                stack.callback(probe.cancel)
-            for listening in asyncio.as_completed(probes):
-                if await listening:
-                    return True
-        return False
+        else:
+            self._confirm(engine, 'refused')
 
     def _on_table_change(self, table: Table) -> None:
         """Detects engines that left or restarted after a loss."""
--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -21,6 +21,7 @@
 from .http_server import HttpServer
 from .inbound import InboundRequest, TargetSender
 from .membership import Membership
+from .path_witnesses import PathWitnesses
 from .peer_link import TcpPeerLink
 from .peer_stream import PeerContext, PeerCounters, PeerIdentity
 from .permit_service import PermitService
@@ -38,7 +39,7 @@
 from .stream_origin_service import StreamOriginService
 from .streaming_relay import StreamingRelay
 from .target_limits import TargetLimits
-from .target_probe import ConnectProbe, StatusClient
+from .target_probe import TargetProbe
 
 MAX_CONNECTIONS = 2000
 # A stopping entry accepts requests for this time, because callers cache its
@@ -60,7 +61,7 @@
     decoder: RecordDecoder
     sender: TargetSender
     runner: PieceRunner
-    status_client: StatusClient
+    probe: TargetProbe
     codec: CallerCodec
     limits: TargetLimits
     clock: Clock
@@ -129,22 +130,19 @@
             clock,
         )
         retries = RetryBudget(settings.retry_budget_limits)
+        probe = dependencies.probe
         self.sender = QuarantineSender(
             dependencies.sender,
             self.state,
             self.link,
             clock,
+            PathWitnesses(self.state, probe),
         )
         self.suspects = CrashSuspects(self.link, clock)
         self._guard = QuarantineGuard(
             settings.instance_id, self.suspects, self.link, clock
         )
-        self._watch = EngineWatch(
-            self.state,
-            self.suspects,
-            clock,
-            ConnectProbe(dependencies.status_client),
-        )
+        self._watch = EngineWatch(self.state, self.suspects, clock, probe)
         reader = AnswerReader()
         self._buffered = BufferedRelay(
             self.state,
@@ -190,6 +188,13 @@
             limits,
             id_reader=dependencies.codec.request_id_of,
         )
+        self._parts = (
+            self._watch,
+            self.sender,
+            self.service,
+            self.sync,
+            self.elections,
+        )
         self.state.add_listener(self._on_table_change)
 
     def is_ready(self) -> bool:
@@ -210,10 +215,8 @@
             stack.callback(self.permits.close)
             await self.link.start(settings.peer_address, stack)
             stack.callback(self.suspects.close)
-            await stack.enter_async_context(self._watch.running())
-            await stack.enter_async_context(self.service.running())
-            await stack.enter_async_context(self.sync.running())
-            await stack.enter_async_context(self.elections.running())
+            for part in self._parts:
+                await stack.enter_async_context(part.running())
             log_event(
                 Event.ENTRY_STARTED,
                 instance_id=settings.instance_id,
--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -18,6 +18,7 @@
 from .events import Event, log_event
 from .http_messages import HttpLimits, split_address
 from .http_streams import (
+    Connect,
     CountingReader,
     StreamWriter,
     decode_headers,
@@ -318,13 +319,16 @@
         self,
         limits: HttpLimits | None = None,
         tls: ssl.SSLContext | None = None,
+        connect: Connect = open_stream,
     ) -> None:
         """Creates a client without opening connections.
 
         Args:
             limits: Limits on body size, connect time and send time.
             tls: TLS context, or None for plain TCP.
+            connect: Opens connections.
         """
+        self._connect_stream = connect
         self._limits = limits or HttpLimits()
         self._tls = tls
         self._idle: dict[str, collections.deque[ClientConnection]] = {}
@@ -449,7 +453,7 @@
         host, port = split_address(call.address)
         timeout_s = self._limits.connect_timeout_ms / MS_PER_S
         async with asyncio.timeout(timeout_s):
-            reader, writer = await open_stream(host, port, self._tls)
+            reader, writer = await self._connect_stream(host, port, self._tls)
         return ClientConnection(reader, writer, self._limits)
 
     def _release(self, address: str, connection: ClientConnection) -> None:
--- a/borageyard/http_streams.py
+++ b/borageyard/http_streams.py
@@ -6,7 +6,7 @@
 import asyncio
 import socket
 import ssl
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 from .clock import MS_PER_S
@@ -129,6 +129,13 @@
             self._transport.write_eof()
 
 
+# Opens a connection, given an IP address, a port and a TLS context or None.
+Connect = Callable[
+    [str, int, ssl.SSLContext | None],
+    Awaitable[tuple[CountingReader, asyncio.StreamWriter]],
+]
+
+
 async def open_stream(
     host: str,
     port: int,
--- a/borageyard/path_witnesses.py
+++ b/borageyard/path_witnesses.py
@@ -1,10 +1,14 @@
-"""Targets whose reachability tells a crash from a partition of this entry."""
+"""Tells a crash of a target from a partition of this entry."""
 
+import asyncio
+import contextlib
 import functools
 from collections.abc import Collection, Iterable, Sequence
 
+from .fleet_state import FleetState
 from .rendezvous import hash_weight
 from .roster import RosterRow, TargetPhase
+from .target_probe import TargetProbe
 
 # Targets that are asked; one that can be reached is enough.
 WITNESSES = 3
@@ -42,3 +46,45 @@
     same_service = [one for one in chosen if one.service == row.service]
     domains = [one.failure_domain for one in same_service]
     return len(same_service), domains.count(row.failure_domain)
+
+
+class PathWitnesses:
+    """Finds out whether this entry has a path to any target."""
+
+    def __init__(self, state: FleetState, probe: TargetProbe) -> None:
+        """Stores the dependencies.
+
+        Args:
+            state: Holds the target roster.
+            probe: Opens connections to targets.
+        """
+        self._state = state
+        self._probe = probe
+
+    async def find_silent(
+        self, target_id: str, lost_ids: Collection[str]
+    ) -> Sequence[str]:
+        """Returns the witnesses if none of them can be reached.
+
+        Args:
+            target_id: Target that refuses connections.
+            lost_ids: Targets that may be down as well.
+
+        Returns:
+            Ids of the witnesses; empty if one can be reached, or if there are
+            none.
+        """
+        rows = choose_witnesses(
+            self._state.roster.rows(), target_id, {target_id, *lost_ids}
+        )
+        async with contextlib.AsyncExitStack() as stack:
+            probes = [
+                asyncio.ensure_future(self._probe.is_listening(row.address))
+                for row in rows
+            ]
+            for probe in probes:
+                stack.callback(probe.cancel)
+            for listening in asyncio.as_completed(probes):
+                if await listening:
+                    return ()
+        return [row.target_id for row in rows]
--- a/borageyard/platform/__main__.py
+++ b/borageyard/platform/__main__.py
@@ -14,6 +14,7 @@
 from ..http_messages import HttpLimits
 from ..log_queue import LogQueue
 from ..target_limits import TargetLimits
+from ..target_probe import ConnectProbe
 from . import ingress
 from .documents import DocumentDecoder
 from .settings import SETTINGS_VARIABLE, load_settings
@@ -52,7 +53,7 @@
             decoder=DocumentDecoder(),
             sender=HttpTargetSender(client, limits),
             runner=HttpPieceRunner(client, limits),
-            status_client=HttpStatusClient(client),
+            probe=ConnectProbe(HttpStatusClient(client)),
             codec=ingress,
             limits=limits,
             clock=clock,
--- a/borageyard/quarantine_sender.py
+++ b/borageyard/quarantine_sender.py
@@ -1,5 +1,6 @@
 """Sends to targets and notifies all entries of requests that crash targets."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 
@@ -20,6 +21,7 @@
     TargetSend,
     TargetSender,
 )
+from .path_witnesses import PathWitnesses
 from .peer_link import TcpPeerLink
 from .peer_notifier import PeerNotifier
 from .peers import GossipSection
@@ -38,6 +40,7 @@
         state: FleetState,
         link: TcpPeerLink,
         clock: Clock,
+        witnesses: PathWitnesses,
     ) -> None:
         """Wraps a target sender.
 
@@ -46,7 +49,11 @@
             state: Holds the target roster.
             link: Streams to the other entries.
             clock: Monotonic clock.
+            witnesses: Tell crashes from a partition of this entry.
         """
+        self._witnesses = witnesses
+        # Checks of targets that refuse connections, by target id.
+        self._checks: dict[str, asyncio.Task[None]] = {}
         self.correlator = CrashCorrelator()
         self._sender = sender
         self._state = state
@@ -65,6 +72,13 @@
         )
         state.add_listener(self._on_table_change)
 
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Cancels its checks on exit."""
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._close)
+            yield
+
     def require_not_quarantined(self, request: InboundRequest) -> None:
         """Refuses a request that is quarantined for crashing targets.
 
@@ -126,9 +140,34 @@
         now_ms = self._clock.steady_ms()
         if error.failure is SendFailure.UNKNOWN:
             self.correlator.note_lost_send(digest, target_id, now_ms)
+        elif target_id not in self._checks:
+            if target_id in self.correlator.targets_with_lost_sends():
+                self._checks[target_id] = asyncio.ensure_future(
+                    self._check_refused(target_id)
+                )
+
+    async def _check_refused(self, target_id: str) -> None:
+        """Counts a target that refuses connections as down if others do not."""
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._checks.pop, target_id)
+            silent_ids = await self._witnesses.find_silent(
+                target_id, self.correlator.targets_with_lost_sends()
+            )
+        if silent_ids:
+            log_event(
+                Event.CRASH_UNCONFIRMED,
+                target_id=target_id,
+                witnesses=silent_ids,
+            )
         else:
             self._on_target_down(target_id)
 
+    async def _close(self) -> None:
+        tasks = tuple(self._checks.values())
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     def _on_table_change(self, table: Table) -> None:
         """Detects targets that left or restarted after a lost send."""
         if table is not Table.TARGETS:
--- a/borageyard/standins/gateway_deployment.py
+++ b/borageyard/standins/gateway_deployment.py
@@ -24,6 +24,7 @@
 )
 from ..retry_budget import RetryBudgetLimits
 from ..target_limits import TargetLimits
+from ..target_probe import ConnectProbe
 from .gateway_target import HEALTH_PATH, GatewayTarget
 from .keyed_store import (
     OPERATOR_KEY,
@@ -32,6 +33,7 @@
     KeyedStoreHandler,
 )
 from .registered_target import TargetPlan
+from .target_partition import TargetPartition
 
 LOOPBACK_HOST = '127.0.0.1'
 LOOPBACK = f'{LOOPBACK_HOST}:0'
@@ -150,6 +152,7 @@
 
     gateway: Gateway
     client: HttpClient
+    partition: TargetPartition
     store: KeyedStoreHandler
     stop: asyncio.Event
     task: asyncio.Task[None]
@@ -233,7 +236,9 @@
         running.store.faults.down = store_down
         await _cancel(running.task)
         settings = running.gateway.settings
-        dependencies = _dependencies(settings, running.client)
+        dependencies = _dependencies(
+            settings, running.client, running.partition
+        )
         running.gateway = Gateway(settings, dependencies)
         running.stop = asyncio.Event()
         running.task = asyncio.ensure_future(
@@ -267,12 +272,17 @@
         handler = KeyedStoreHandler(self.store)
         server = await stack.enter_async_context(HttpServer(handler.handle))
         await server.start(LOOPBACK)
-        client = await stack.enter_async_context(HttpClient())
+        partition = TargetPartition(server.address)
+        client = await stack.enter_async_context(
+            HttpClient(connect=partition.connect)
+        )
         settings = _settings(number, server.address, self._grace_ms)
-        gateway = Gateway(settings, _dependencies(settings, client))
+        gateway = Gateway(settings, _dependencies(settings, client, partition))
         stop = asyncio.Event()
         task = asyncio.ensure_future(gateway.serve(stop))
-        running = RunningGateway(gateway, client, handler, stop, task)
+        running = RunningGateway(
+            gateway, client, partition, handler, stop, task
+        )
         stack.push_async_callback(running.kill)
         self.gateways.append(running)
 
@@ -326,7 +336,7 @@
 
 
 def _dependencies(
-    settings: GatewaySettings, client: HttpClient
+    settings: GatewaySettings, client: HttpClient, partition: TargetPartition
 ) -> GatewayDependencies:
     clock = SystemClock()
     limits = TargetLimits(clock)
@@ -335,7 +345,7 @@
         decoder=DocumentDecoder(),
         sender=HttpTargetSender(client, limits),
         runner=HttpPieceRunner(client, limits),
-        status_client=HttpStatusClient(client),
+        probe=ConnectProbe(HttpStatusClient(client), partition.connect),
         codec=ingress,
         limits=limits,
         clock=clock,
--- a/borageyard/target_probe.py
+++ b/borageyard/target_probe.py
@@ -6,6 +6,7 @@
 
 from .clock import MS_PER_S
 from .http_messages import split_address
+from .http_streams import Connect, open_stream
 
 # Pause before the first attempt, in which a process that ends closes its
 # listener, and between attempts.
@@ -47,13 +48,17 @@
 class ConnectProbe:
     """Opens connections that send nothing, and asks for the status."""
 
-    def __init__(self, status_client: StatusClient) -> None:
-        """Stores the client.
+    def __init__(
+        self, status_client: StatusClient, connect: Connect = open_stream
+    ) -> None:
+        """Stores the dependencies.
 
         Args:
             status_client: Asks targets for their status.
+            connect: Opens connections.
         """
         self._status_client = status_client
+        self._connect = connect
 
     async def check_status(self, address: str) -> str:
         """Returns why a target does not answer; empty if it does."""
@@ -63,17 +68,17 @@
         """Returns whether a target listens, or None if that is unclear."""
         for pause_ms in PAUSES_MS:
             await asyncio.sleep(pause_ms / MS_PER_S)
-            listening = await _connect_once(address)
+            listening = await _connect_once(address, self._connect)
             if listening is not None:
                 return listening
         return None
 
 
-async def _connect_once(address: str) -> bool | None:
+async def _connect_once(address: str, connect: Connect) -> bool | None:
     host, port = split_address(address)
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
-            reader, writer = await asyncio.open_connection(host, port)
+            reader, writer = await connect(host, port, None)
     except ConnectionRefusedError:
         return False
     except OSError:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -18,6 +18,7 @@
     build_document,
     poll_periodically,
 )
+from borageyard.standins.target_partition import PartitionMode
 
 TIMEOUT_S = 20
 ALL_EVENTS = (1, 2, 3, 4, 5)
@@ -260,6 +261,18 @@
                 assert float(reply.headers['retry-after']) > 10
             assert len(callers.runs('desk')) == 2
 
+    async def test_partition_is_taken_for_crashes(self):
+        """Resets and refusals of all targets crash no request."""
+        async with deployment() as callers:
+            running = callers.running.gateways[0]
+            callers.set_faults('desk', reset=1)
+            await callers.call('/read/a', gateway=0)
+            running.partition.begin(PartitionMode.RESET)
+            for _ in range(3):
+                await callers.call('/read/b', gateway=0)
+            await asyncio.sleep(1)
+            assert not running.gateway.sender.correlator.quarantine.records(0)
+
     async def test_others_are_served(self):
         """Other requests on the same route are served."""
         async with deployment() as callers:
