--- a/borageyard/crash_correlator.py
+++ b/borageyard/crash_correlator.py
@@ -57,6 +57,18 @@
         if len(self._lost_sends) < MAX_TRACKED:
             self._lost_sends[digest, target_id] = now_ms
 
+    def note_leaving(self, target_id: str) -> None:
+        """Records that a target drains, so it has not crashed.
+
+        Args:
+            target_id: Id of the target.
+        """
+        self._lost_sends = {
+            key: lost_at_ms
+            for key, lost_at_ms in self._lost_sends.items()
+            if key[1] != target_id
+        }
+
     def note_target_down(
         self, target_id: str, now_ms: float
     ) -> tuple[str, ...]:
--- a/borageyard/quarantine_sender.py
+++ b/borageyard/quarantine_sender.py
@@ -26,6 +26,7 @@
 from .peer_notifier import PeerNotifier
 from .peers import GossipSection
 from .policy_gossip import crash_suspicions
+from .roster import RosterRow
 from .shared_table import Table
 
 FIRST_SERVER_ERROR = 500
@@ -122,12 +123,18 @@
             except SendError as error:
                 self._record_error(digest, target.target_id, error)
                 raise
+            except asyncio.CancelledError:
+                self._record_given_up(digest, target)
+                raise
             try:
                 yield answer
             except SendError as error:
                 if error.failure is SendFailure.UNKNOWN:
                     self._record_error(digest, target.target_id, error)
                 raise
+            except asyncio.CancelledError:
+                self._record_given_up(digest, target)
+                raise
             if answer.status < FIRST_SERVER_ERROR:
                 self.correlator.note_answered(digest, self._clock.steady_ms())
 
@@ -146,6 +153,18 @@
                     self._check_refused(target_id)
                 )
 
+    def _record_given_up(self, digest: str, target: RosterRow) -> None:
+        """Records a send whose target may have crashed in silence."""
+        if self._state.roster.has_drained(target):
+            return
+        target_id = target.target_id
+        self.correlator.note_lost_send(
+            digest, target_id, self._clock.steady_ms()
+        )
+        row = self._state.roster.find(target_id)
+        if row is None or row.incarnation != target.incarnation:
+            self._on_target_down(target_id)
+
     async def _check_refused(self, target_id: str) -> None:
         """Counts a target that refuses connections as down if others do not."""
         with contextlib.ExitStack() as stack:
@@ -177,6 +196,8 @@
             last_incarnation = self._incarnations.get(target_id)
             if row is None or row.incarnation != last_incarnation:
                 self._on_target_down(target_id)
+            elif self._state.roster.has_drained(row):
+                self.correlator.note_leaving(target_id)
 
     def _on_target_down(self, target_id: str) -> None:
         crashed = self.correlator.note_target_down(
--- a/borageyard/roster.py
+++ b/borageyard/roster.py
@@ -103,6 +103,19 @@
         """Returns all targets in any phase."""
         return [change.row for change in self._changes.values() if change.row]
 
+    def has_drained(self, row: RosterRow) -> bool:
+        """Returns whether an incarnation drains, or did before it was gone.
+
+        Args:
+            row: Any announcement of the incarnation.
+        """
+        newest = self._newest.get(row.target_id)
+        return (
+            newest is not None
+            and newest.incarnation == row.incarnation
+            and newest.phase is TargetPhase.DRAINING
+        )
+
     def avoid(self, row: RosterRow) -> None:
         """Excludes an incarnation until a new one is announced.
 
--- a/borageyard/standins/gateway_target.py
+++ b/borageyard/standins/gateway_target.py
@@ -202,6 +202,9 @@
         await asyncio.sleep((self.plan.work_ms + prefill_ms) / MS_PER_S)
         await self.wait_while_silent()
         if self.faults.crashed_by and self.faults.crashed_by in request.path:
+            if self.faults.crash.silent:
+                self.crash(self.faults.crash)
+                await asyncio.Event().wait()
             self.withdraw()
             raise ConnectionAbortError
         if self.faults.reset:
--- a/tests/test_crash_correlator.py
+++ b/tests/test_crash_correlator.py
@@ -121,3 +121,15 @@
         """The crash count of a peer applies here."""
         watch.merge('d', 2, 5000, 0)
         assert watch.quarantine_remaining_ms('d', 1000) == 4000
+
+
+class TestLeaving:
+    """Targets that drain."""
+
+    def test_target_that_drains_has_not_crashed(self, watch):
+        """Its record goes as planned."""
+        watch.note_lost_send('d', 'a', 0)
+        watch.note_lost_send('d', 'b', 0)
+        watch.note_leaving('a')
+        assert not watch.note_target_down('a', 100)
+        assert watch.note_target_down('b', 100) == ('d',)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -18,6 +18,7 @@
     build_document,
     poll_periodically,
 )
+from borageyard.standins.registered_target import CrashPlan
 from borageyard.standins.target_partition import PartitionMode
 
 TIMEOUT_S = 20
@@ -261,6 +262,26 @@
                 assert float(reply.headers['retry-after']) > 10
             assert len(callers.runs('desk')) == 2
 
+    async def test_silent_crashes_go_on(self):
+        """A request at whose deadline its target has gone dark is blamed."""
+        async with deployment() as callers:
+            callers.set_faults(
+                'desk',
+                crashed_by='/read/bad',
+                crash=CrashPlan(silent=True, restart_ms=None),
+            )
+            await callers.call('/read/bad', x_deadline_ms='300')
+            await callers.call('/read/bad', x_deadline_ms='300')
+            for number in range(2):
+                await self.wait_until_refused(callers, number)
+
+    async def wait_until_refused(self, callers, number):
+        """Waits until a gateway refuses the request as quarantined."""
+        async for _ in poll_periodically():
+            reply = await callers.call('/read/bad', gateway=number)
+            if float(reply.headers.get('retry-after', 0)) > 10:
+                return
+
     async def test_partition_is_taken_for_crashes(self):
         """Resets and refusals of all targets crash no request."""
         async with deployment() as callers:
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -81,3 +81,22 @@
         roster.apply([changed(1), other], 3)
         assert not ready(roster)
         assert [row.target_id for row in roster.ready('other')] == ['t2']
+
+
+class TestDrained:
+    """Targets that are gone after they drained."""
+
+    def test_record_that_is_gone(self):
+        """It is remembered for the incarnation."""
+        roster = TargetRoster()
+        roster.apply([changed(1, phase=TargetPhase.DRAINING)], 2)
+        roster.apply([RosterChange(2, 't1', None)], 3)
+        assert roster.has_drained(ROW)
+        assert not roster.has_drained(dataclasses.replace(ROW, incarnation=5))
+
+    def test_target_that_did_not_drain(self):
+        """Its record went without notice."""
+        roster = TargetRoster()
+        roster.apply([changed(1)], 2)
+        roster.apply([RosterChange(2, 't1', None)], 3)
+        assert not roster.has_drained(ROW)
