--- /dev/null
+++ b/tests/test_target_partitions.py
@@ -0,0 +1,108 @@
+"""Tests of gateways that are partitioned from all targets."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from borageyard.http_client import HttpCallError
+from borageyard.standins.target_partition import PartitionMode
+
+from .test_gateway import deployment
+
+GATEWAYS = 4
+# Time from the start of a partition to the first requests that the users
+# count, and the span of these requests.
+STABLE_WINDOW_S = 3
+COUNTED_S = 3
+REQUESTS_PER_S = 10
+# The share of those at the other gateways that is served at least.
+MIN_RATIO = 2 / 3
+# The share that gateways serve which are not partitioned.
+MIN_SHARE = 0.95
+
+
+class Traffic:
+    """Sends requests of all kinds to each gateway."""
+
+    def __init__(self, callers):
+        """Starts without requests."""
+        self.callers = callers
+        # Statuses by gateway; None for a connection that was cut.
+        self.statuses = {number: [] for number in range(GATEWAYS)}
+
+    async def send_for(self, span_s):
+        """Sends requests in turn for a time and waits for the answers."""
+        sends = itertools.cycle((self.read, self.book, self.reply, self.brief))
+        async with asyncio.TaskGroup() as group:
+            for _ in range(round(span_s * REQUESTS_PER_S)):
+                send = next(sends)
+                for number in range(GATEWAYS):
+                    group.create_task(self._send(send, number))
+                await asyncio.sleep(1 / REQUESTS_PER_S)
+
+    async def read(self, number):
+        """Sends a plain request that may be repeated."""
+        return await self.callers.call('/read/a', gateway=number)
+
+    async def book(self, number):
+        """Sends a plain request that may run once."""
+        return await self.callers.call('/book/a', 'POST', gateway=number)
+
+    async def reply(self, number):
+        """Sends a prompt without stages."""
+        return await self.callers.stream('/reply/x', '', gateway=number)
+
+    async def brief(self, number):
+        """Sends a prompt with stages."""
+        return await self.callers.stream(gateway=number)
+
+    def share(self, numbers):
+        """Returns the share of requests that some gateways served."""
+        statuses = [
+            status for number in numbers for status in self.statuses[number]
+        ]
+        return statuses.count(200) / len(statuses)
+
+    async def _send(self, send, number):
+        try:
+            status = (await send(number)).status
+        except HttpCallError:
+            status = None
+        self.statuses[number].append(status)
+
+
+async def scheduler_first(callers):
+    """Returns the numbers of the gateways, the scheduler's first."""
+    gateways = [running.gateway for running in callers.running.gateways]
+    (scheduler_id,) = set(gateways[0].elections.schedulers.values())
+    return sorted(
+        range(GATEWAYS),
+        key=lambda number: (
+            gateways[number].settings.instance_id != scheduler_id
+        ),
+    )
+
+
+class TestPartition:
+    """Incident RECOVER: gateways without connections to any target."""
+
+    @pytest.mark.parametrize('mode', list(PartitionMode)[1:])
+    @pytest.mark.parametrize(
+        'cut', [[0], [-1], [0, 1, 2]], ids=['scheduler', 'other', 'most']
+    )
+    async def test_callers_are_not_served(self, mode, cut):
+        """They are served as often as those of the other gateways."""
+        async with deployment(GATEWAYS) as callers:
+            traffic = Traffic(callers)
+            await traffic.send_for(1)
+            numbers = await scheduler_first(callers)
+            cut_numbers = [numbers[index] for index in cut]
+            for number in cut_numbers:
+                callers.running.gateways[number].partition.begin(mode)
+            await traffic.send_for(STABLE_WINDOW_S)
+            counted = Traffic(callers)
+            await counted.send_for(COUNTED_S)
+            others = set(numbers).difference(cut_numbers)
+            assert counted.share(others) > MIN_SHARE
+            assert counted.share(cut_numbers) >= MIN_RATIO
