--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -7,6 +7,7 @@
 
 from .answer_body import AnswerReader
 from .buffered_relay import BufferedRelay
+from .call_relay import AnswerCheckFactory, CallRelay
 from .clock import MS_PER_S, Clock
 from .crash_suspects import CrashSuspects
 from .election_service import ElectionService
@@ -22,6 +23,7 @@
 from .inbound import InboundRequest, TargetSender
 from .membership import Membership
 from .path_witnesses import PathWitnesses
+from .peer_calls import PeerCalls
 from .peer_link import TcpPeerLink
 from .peer_stream import PeerContext, PeerCounters, PeerIdentity
 from .permit_service import PermitService
@@ -29,6 +31,7 @@
 from .prompt_sender import PromptSender
 from .quarantine_guard import QuarantineGuard
 from .quarantine_sender import QuarantineSender
+from .relayed_client import RelayedClient
 from .request_relay import RequestRelay
 from .retry_budget import RetryBudget
 from .scheduler_client import SchedulerClient
@@ -39,6 +42,8 @@
 from .stream_origin_service import StreamOriginService
 from .streaming_relay import StreamingRelay
 from .target_limits import TargetLimits
+from .target_path_watch import TargetPathWatch
+from .target_paths import TargetPaths
 from .target_probe import TargetProbe
 
 MAX_CONNECTIONS = 2000
@@ -62,6 +67,9 @@
     sender: TargetSender
     runner: PieceRunner
     probe: TargetProbe
+    # Calls targets for the parts above; the check belongs to its answers.
+    calls: RelayedClient
+    answer_check: AnswerCheckFactory
     codec: CallerCodec
     limits: TargetLimits
     clock: Clock
@@ -86,14 +94,13 @@
         incarnation = round(clock.wall_ms())
         membership = Membership(settings.instance_id, incarnation)
         self.link = TcpPeerLink(self._peer_context(incarnation), clock)
-        presence = EntryPresenceBody(
-            instance_id=settings.instance_id,
-            incarnation=incarnation,
-            peer_address=settings.peer_address,
-            failure_domain=settings.failure_domain,
-        )
         self.sync = FleetSync(
-            presence,
+            EntryPresenceBody(
+                instance_id=settings.instance_id,
+                incarnation=incarnation,
+                peer_address=settings.peer_address,
+                failure_domain=settings.failure_domain,
+            ),
             self.state,
             dependencies.tables,
             self.link,
@@ -131,12 +138,17 @@
         )
         retries = RetryBudget(settings.retry_budget_limits)
         probe = dependencies.probe
+        witnesses = PathWitnesses(self.state, probe)
+        self._path_watch = TargetPathWatch(
+            TargetPaths(settings.instance_id), witnesses, clock
+        )
+        self._call_relay = self._build_call_relay()
         self.sender = QuarantineSender(
             dependencies.sender,
             self.state,
             self.link,
             clock,
-            PathWitnesses(self.state, probe),
+            witnesses,
         )
         self.suspects = CrashSuspects(self.link, clock)
         self._guard = QuarantineGuard(
@@ -194,6 +206,8 @@
             self.service,
             self.sync,
             self.elections,
+            self._path_watch,
+            self._call_relay,
         )
         self.state.add_listener(self._on_table_change)
 
@@ -230,6 +244,21 @@
         self.sender.require_not_quarantined(request)
         self._guard.require_admitted(request)
 
+    def _build_call_relay(self) -> CallRelay:
+        """Lets this entry and its peers call targets for each other."""
+        calls = self.dependencies.calls
+        clock = self.dependencies.clock
+        paths = self._path_watch.paths
+        calls.join(self._path_watch, PeerCalls(paths, self.link, clock))
+        return CallRelay(
+            calls.own,
+            self.dependencies.answer_check,
+            self.state,
+            self._path_watch,
+            self.link,
+            clock,
+        )
+
     async def _stop(self) -> None:
         """Accepts requests for a while, then waits for the open ones."""
         clock = self.dependencies.clock
@@ -304,6 +333,7 @@
             on_replaced=self._on_replaced,
             on_address=self._on_address,
             on_refused=self._on_refused,
+            on_stream_ended=self._on_stream_ended,
         )
 
     def _on_contact(self, peer_id: str, incarnation: int) -> None:
@@ -325,6 +355,9 @@
             ),
         )
 
+    def _on_stream_ended(self, peer_id: str) -> None:
+        self._call_relay.end_calls(peer_id)
+
     def _on_replaced(self, peer_id: str) -> None:
         self.sync.membership.note_replaced(peer_id)
         self.elections.note_gone(peer_id, math.inf)
--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -10,7 +10,7 @@
 import ssl
 from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 from types import TracebackType
-from typing import Self
+from typing import Protocol, Self
 
 import h11
 
@@ -44,6 +44,10 @@
 DATA_FIELD_PREFIX = b'data: '
 
 
+# Returns whether the headers of a response belong to a call.
+AnswerCheck = Callable[[Mapping[str, str]], bool]
+
+
 class HttpCallError(Exception):
     """A call did not get a complete response."""
 
@@ -76,7 +80,9 @@
     # Maximum size of the response body; None for the limit of the client.
     max_body_bytes: int | None = None
     # Returns whether response headers belong to this call; None accepts all.
-    is_answer: Callable[[Mapping[str, str]], bool] | None = None
+    is_answer: AnswerCheck | None = None
+    # Target that gets new work; empty for other calls.
+    target_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,6 +94,37 @@
     body: bytes
 
 
+# Status, headers and body of a response that is read as it arrives.
+StreamedReply = tuple[int, Mapping[str, str], AsyncIterator[bytes]]
+
+
+class CallClient(Protocol):
+    """Makes calls to other processes."""
+
+    async def request(self, call: HttpCall) -> HttpReply:
+        """Sends a request and waits for the complete response.
+
+        Args:
+            call: The request.
+
+        Raises:
+            HttpCallError: If no complete response arrived in time.
+        """
+
+    def stream(
+        self, call: HttpCall
+    ) -> contextlib.AbstractAsyncContextManager[StreamedReply]:
+        """Sends a request; the response body is read as it arrives.
+
+        Args:
+            call: The request; its timeout bounds the whole exchange.
+
+        Raises:
+            HttpCallError: If the exchange failed or took too long; also
+                raised while the body is read.
+        """
+
+
 class ClientConnection:
     """One client connection to one address."""
 
@@ -371,7 +408,7 @@
     async def stream(
         self,
         call: HttpCall,
-    ) -> AsyncIterator[tuple[int, Mapping[str, str], AsyncIterator[bytes]]]:
+    ) -> AsyncIterator[StreamedReply]:
         """Sends a request and yields the response body as it arrives.
 
         Args:
--- a/borageyard/path_witnesses.py
+++ b/borageyard/path_witnesses.py
@@ -62,24 +62,22 @@
         self._probe = probe
 
     async def find_silent(
-        self, target_id: str, lost_ids: Collection[str]
+        self, key: str, lost_ids: Collection[str]
     ) -> Sequence[str]:
         """Returns the witnesses if none of them can be reached.
 
         Args:
-            target_id: Target that refuses connections.
-            lost_ids: Targets that may be down as well.
+            key: What the choice of witnesses depends on.
+            lost_ids: Targets that may be down.
 
         Returns:
             Ids of the witnesses; empty if one can be reached, or if there are
             none.
         """
-        rows = choose_witnesses(
-            self._state.roster.rows(), target_id, {target_id, *lost_ids}
-        )
+        rows = choose_witnesses(self._state.roster.rows(), key, lost_ids)
         async with contextlib.AsyncExitStack() as stack:
             probes = [
-                asyncio.ensure_future(self._probe.is_listening(row.address))
+                asyncio.ensure_future(self._probe.can_connect(row.address))
                 for row in rows
             ]
             for probe in probes:
--- /dev/null
+++ b/borageyard/peer_calls.py
@@ -0,0 +1,184 @@
+"""Calls to targets that peers make for this entry."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+from .clock import Clock
+from .events import Event, log_event
+from .generated.peer_calls import (
+    RelayedCallBody,
+    RelayedEndBody,
+    RelayedEndReplyBody,
+    RelayedHeadBody,
+    RelayedPartBody,
+    RelayedReadBody,
+)
+from .http_client import HttpCall, HttpCallError, StreamedReply
+from .identifiers import new_identifier
+from .peer_notifier import PeerNotifier
+from .peers import PeerError, PeerLink
+from .target_paths import TargetPaths
+
+# Peers that are asked to make one call.
+MAX_PEERS_ASKED = 4
+
+
+class PeerCalls:
+    """Makes calls through peers that have a path to targets."""
+
+    def __init__(
+        self, paths: TargetPaths, link: PeerLink, clock: Clock
+    ) -> None:
+        """Stores the dependencies.
+
+        Args:
+            paths: Ranks the peers.
+            link: Link to the other entries.
+            clock: Monotonic clock.
+        """
+        self._paths = paths
+        self._link = link
+        self._clock = clock
+        self._notifier = PeerNotifier(link)
+
+    async def open(
+        self, call: HttpCall, stack: contextlib.AsyncExitStack
+    ) -> StreamedReply:
+        """Makes a call through the first peer that has a path.
+
+        Args:
+            call: The call.
+            stack: Ends the call on exit.
+
+        Raises:
+            HttpCallError: If no peer has a path, or the call failed there.
+        """
+        ranked = self._paths.rank_peers(
+            self._link.peer_ids(), self._clock.steady_ms()
+        )
+        for peer_id in ranked[:MAX_PEERS_ASKED]:
+            relayed = _PeerCall(self._link, peer_id, call)
+            # It may have arrived at the peer even if there is no reply.
+            stack.callback(self._end, relayed)
+            head = await self._ask(relayed)
+            if head is not None:
+                return head.status, head.headers, relayed.read()
+        raise HttpCallError('no peer has a path to targets', sent=False)
+
+    async def _ask(self, relayed: '_PeerCall') -> RelayedHeadBody | None:
+        """Returns the head of an answer, or None if the peer has no path.
+
+        Raises:
+            HttpCallError: If there is none, and the peer has a path or may
+                have made the call.
+        """
+        peer_id = relayed.peer_id
+        try:
+            head = await relayed.open()
+        except PeerError as error:
+            relayed.log_failure(error)
+            self._paths.note_cut(peer_id, (), self._clock.steady_ms())
+            if error.sent:
+                raise HttpCallError(str(error), sent=True) from error
+            return None
+        now_ms = self._clock.steady_ms()
+        if head.partitioned:
+            self._paths.note_cut(peer_id, head.reaching_ids, now_ms)
+            return None
+        self._paths.note_reaching(peer_id, now_ms)
+        if head.failure:
+            raise HttpCallError(head.failure, sent=head.sent)
+        return head
+
+    def _end(self, relayed: '_PeerCall') -> None:
+        """Tells the peer that a call is of no use any more."""
+        if relayed.is_open:
+            self._notifier.notify(
+                relayed.peer_id,
+                RelayedEndBody(call_id=relayed.call_id),
+                RelayedEndReplyBody,
+            )
+
+
+class _PeerCall:
+    """One call through one peer."""
+
+    def __init__(self, link: PeerLink, peer_id: str, call: HttpCall) -> None:
+        self.peer_id = peer_id
+        self.call_id = new_identifier()
+        # Whether the peer may be making the call.
+        self.is_open = False
+        self._link = link
+        self._call = call
+
+    async def open(self) -> RelayedHeadBody:
+        """Returns the head of the answer, or why there is none.
+
+        Raises:
+            PeerError: If the peer did not reply.
+        """
+        call = self._call
+        self.is_open = True
+        head = await self._link.request(
+            self.peer_id,
+            RelayedCallBody(
+                call_id=self.call_id,
+                address=call.address,
+                target_id=call.target_id,
+                method=call.method,
+                path=call.path,
+                headers=dict(call.headers),
+                body=call.body,
+                timeout_ms=call.timeout_ms,
+                repeatable=call.repeatable,
+                max_body_bytes=call.max_body_bytes or 0,
+            ),
+            RelayedHeadBody,
+            call.timeout_ms,
+        )
+        self.is_open = not head.failure
+        return head
+
+    async def read(self) -> AsyncIterator[bytes]:
+        """Yields the body of the answer.
+
+        Raises:
+            HttpCallError: If it is incomplete or too large.
+        """
+        size_bytes = 0
+        content = await self._read_part()
+        while content:
+            size_bytes += len(content)
+            max_bytes = self._call.max_body_bytes
+            if max_bytes and size_bytes > max_bytes:
+                raise HttpCallError('response is too large', sent=True)
+            yield content
+            content = await self._read_part()
+
+    def log_failure(self, error: PeerError) -> None:
+        """Logs that the peer did not reply."""
+        log_event(
+            Event.RELAYED_CALL_FAILED,
+            peer_id=self.peer_id,
+            address=self._call.address,
+            sent=error.sent,
+            reason=str(error),
+        )
+
+    async def _read_part(self) -> bytes:
+        """Returns the next part of the body; empty after the last one."""
+        try:
+            part = await self._link.request(
+                self.peer_id,
+                RelayedReadBody(call_id=self.call_id),
+                RelayedPartBody,
+                self._call.timeout_ms,
+            )
+        except PeerError as error:
+            self.log_failure(error)
+            raise HttpCallError(str(error), sent=True) from error
+        # The peer forgets the call with its last part.
+        self.is_open = bool(part.content)
+        if part.failure:
+            raise HttpCallError(part.failure, sent=True)
+        return part.content
--- a/borageyard/peer_connection.py
+++ b/borageyard/peer_connection.py
@@ -16,6 +16,7 @@
     FRAME_PING,
     FRAME_REPLY,
     FRAME_REQUEST,
+    HANDLER_FAILED,
     STREAM_ERRORS,
     FrameOutbox,
     PeerContext,
@@ -141,7 +142,10 @@
         except TimeoutError as error:
             raise PeerError(f'request to {self._peer_id} timed out') from error
         if reply.type != FRAME_REPLY:
-            raise PeerError(f'{self._peer_id}: {reply.reason}')
+            raise PeerError(
+                f'{self._peer_id}: {reply.reason}',
+                sent=reply.reason == HANDLER_FAILED,
+            )
         try:
             return reply_model.model_validate(reply.body)
         except pydantic.ValidationError as error:
@@ -175,14 +179,16 @@
 
     def _enqueue(self, frame: PeerFrameBody) -> None:
         if self._outbox is None:
-            raise PeerError(f'{self._peer_id} is not connected')
+            raise PeerError(f'{self._peer_id} is not connected', sent=False)
         try:
             queued = self._outbox.put(frame)
         except FrameError as error:
-            raise PeerError(str(error)) from error
+            raise PeerError(str(error), sent=False) from error
         if not queued:
             self._context.counters.requests_refused += 1
-            raise PeerError(f'send queue to {self._peer_id} is full')
+            raise PeerError(
+                f'send queue to {self._peer_id} is full', sent=False
+            )
 
     async def _session(self) -> None:
         reader, writer = await self._open()
--- a/borageyard/peer_link.py
+++ b/borageyard/peer_link.py
@@ -127,7 +127,7 @@
                 time; the peer may have handled the request nevertheless.
         """
         if peer_id not in self._addresses:
-            raise PeerError(f'unknown peer {peer_id}')
+            raise PeerError(f'unknown peer {peer_id}', sent=False)
         self._used_at_ms[peer_id] = self._clock.steady_ms()
         connection = self._connect(peer_id)
         return await connection.request(message, reply_model, timeout_ms)
--- a/borageyard/peer_server.py
+++ b/borageyard/peer_server.py
@@ -18,6 +18,7 @@
     FRAME_PONG,
     FRAME_REPLY,
     FRAME_REQUEST,
+    HANDLER_FAILED,
     STREAM_ERRORS,
     FrameOutbox,
     PeerContext,
@@ -79,7 +80,7 @@
                 kind=frame.kind,
                 reason=repr(error),
             )
-            return _failure(frame, 'handler failed')
+            return _failure(frame, HANDLER_FAILED)
         return PeerFrameBody(
             type=FRAME_REPLY,
             id=frame.id,
@@ -292,6 +293,8 @@
     def _cancel_requests(self) -> None:
         for task in self._request_tasks:
             task.cancel()
+        if self._context.on_stream_ended is not None:
+            self._context.on_stream_ended(self._peer_id)
 
 
 def _failure(frame: PeerFrameBody, reason: str) -> PeerFrameBody:
--- a/borageyard/peer_stream.py
+++ b/borageyard/peer_stream.py
@@ -26,7 +26,8 @@
 # Called with instance id, incarnation and listening address of a peer that
 # opened a stream.
 AddressListener = Callable[[str, int, str], None]
-# Called with the id of a peer at whose address another instance answers.
+# Called with the id of a peer at whose address another instance answers, or
+# whose stream has ended.
 ReplacementListener = Callable[[str], None]
 
 FRAME_PING = 'ping'
@@ -35,6 +36,8 @@
 FRAME_REQUEST = 'request'
 FRAME_REPLY = 'reply'
 FRAME_FAILURE = 'failure'
+# Reason of a failure after the handler of a request was called.
+HANDLER_FAILED = 'handler failed'
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +78,8 @@
     on_contact: ContactListener
     on_replaced: ReplacementListener
     on_address: AddressListener | None = None
+    # Called with the id of a peer when a stream that it opened ends.
+    on_stream_ended: ReplacementListener | None = None
     # Called when the process of a peer that was connected is gone.
     on_refused: ContactListener | None = None
     client_tls: ssl.SSLContext | None = None
--- a/borageyard/peers.py
+++ b/borageyard/peers.py
@@ -21,6 +21,16 @@
 class PeerError(Exception):
     """A request to a peer failed, or a stream was refused."""
 
+    def __init__(self, reason: str, *, sent: bool = True) -> None:
+        """Creates an error.
+
+        Args:
+            reason: Description of the error.
+            sent: Whether the peer may have handled the request.
+        """
+        super().__init__(reason)
+        self.sent = sent
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GossipSection:
--- a/borageyard/platform/__main__.py
+++ b/borageyard/platform/__main__.py
@@ -13,9 +13,11 @@
 from ..http_client import HttpClient
 from ..http_messages import HttpLimits
 from ..log_queue import LogQueue
+from ..relayed_client import RelayedClient
 from ..target_limits import TargetLimits
 from ..target_probe import ConnectProbe
 from . import ingress
+from .answer_match import answer_check
 from .documents import DocumentDecoder
 from .settings import SETTINGS_VARIABLE, load_settings
 from .status_client import HttpStatusClient
@@ -48,12 +50,15 @@
         client = await stack.enter_async_context(HttpClient(CLIENT_LIMITS))
         clock = SystemClock()
         limits = TargetLimits(clock)
+        calls = RelayedClient(client)
         dependencies = GatewayDependencies(
             tables=StoreTables(client, settings.store_address),
             decoder=DocumentDecoder(),
-            sender=HttpTargetSender(client, limits),
-            runner=HttpPieceRunner(client, limits),
-            probe=ConnectProbe(HttpStatusClient(client)),
+            sender=HttpTargetSender(calls, limits),
+            runner=HttpPieceRunner(calls, limits),
+            probe=ConnectProbe(HttpStatusClient(calls)),
+            calls=calls,
+            answer_check=answer_check,
             codec=ingress,
             limits=limits,
             clock=clock,
--- a/borageyard/platform/status_client.py
+++ b/borageyard/platform/status_client.py
@@ -1,6 +1,6 @@
 """Asks the platform's targets for their status."""
 
-from ..http_client import HttpCall, HttpCallError, HttpClient
+from ..http_client import CallClient, HttpCall, HttpCallError
 from .targets import MAX_CALL_ANSWER_BYTES, REPORT_PATH
 
 # A sound target may be silent for a second.
@@ -10,7 +10,7 @@
 class HttpStatusClient:
     """Asks targets for their status."""
 
-    def __init__(self, client: HttpClient) -> None:
+    def __init__(self, client: CallClient) -> None:
         """Stores the client.
 
         Args:
--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -9,7 +9,12 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from ..document_validation import DocumentError, check_document, parse_json
-from ..http_client import HttpCall, HttpCallError, HttpClient, HttpReply
+from ..http_client import (
+    CallClient,
+    HttpCall,
+    HttpCallError,
+    HttpReply,
+)
 from ..http_messages import JSON_TYPE, encode_json
 from ..inbound import (
     SendError,
@@ -27,7 +32,8 @@
 )
 from ..roster import RosterRow
 from ..target_limits import TargetLimits
-from .ingress import ATTEMPT_ID_HEADER, DEADLINE_HEADER, forwarded_headers
+from .answer_match import NOT_RUN_HEADER, is_answer_to
+from .ingress import DEADLINE_HEADER, forwarded_headers
 from .limit_header import note_limit
 
 ModelT = TypeVar('ModelT', bound=BaseModel)
@@ -35,10 +41,7 @@
 EXPECTED_TARGET_HEADER = 'x-expect-instance'
 FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
 LOAD_HEADER = 'x-instance-load'
-# Id of the responding target, sent when it rejects a request for another one.
-TARGET_ID_HEADER = 'x-instance-id'
 LOAD_VALUE_COUNT = 3
-NOT_RUN_HEADER = 'x-not-executed'
 SIGNATURE_HEADER = 'x-server-stamp'
 # Added to the remaining time, so that the caller's own timeout ends an exchange
 # well before the HTTP client does.
@@ -80,7 +83,7 @@
 class HttpTargetSender:
     """Sends callers' requests to targets."""
 
-    def __init__(self, client: HttpClient, limits: TargetLimits) -> None:
+    def __init__(self, client: CallClient, limits: TargetLimits) -> None:
         """Stores the dependencies.
 
         Args:
@@ -108,7 +111,8 @@
             # A resend takes no permit, so it must not be automatic.
             repeatable=send.repeatable
             and not self._limits.is_limited(send.target.target_id),
-            is_answer=lambda headers: _is_answer(headers, request_id),
+            is_answer=is_answer_to(request_id),
+            target_id=send.target.target_id,
         )
         try:
             async with self._client.stream(call) as (status, headers, chunks):
@@ -134,7 +138,7 @@
 class HttpPieceRunner:
     """Sends calls with pieces to batching targets."""
 
-    def __init__(self, client: HttpClient, limits: TargetLimits) -> None:
+    def __init__(self, client: CallClient, limits: TargetLimits) -> None:
         """Stores the dependencies.
 
         Args:
@@ -168,6 +172,7 @@
             timeout_ms=timeout_ms,
             max_body_bytes=MAX_CALL_ANSWER_BYTES,
             repeatable=not self._limits.is_limited(target.target_id),
+            target_id=target.target_id,
         )
         reply = await self._request(call, target)
         if reply.status == HTTPStatus.SERVICE_UNAVAILABLE:
@@ -281,17 +286,6 @@
     return headers
 
 
-def _is_answer(headers: Mapping[str, str], request_id: str) -> bool:
-    """Returns whether a response belongs to a request.
-
-    Rejections carry no request id.
-    """
-    response_id = headers.get(ATTEMPT_ID_HEADER)
-    if response_id is None:
-        return NOT_RUN_HEADER in headers or TARGET_ID_HEADER in headers
-    return response_id == request_id
-
-
 def _is_not_run(status: int, headers: Mapping[str, str]) -> bool:
     return NOT_RUN_HEADER in headers or status == HTTPStatus.MISDIRECTED_REQUEST
 
--- a/borageyard/standins/crashing_fleet.py
+++ b/borageyard/standins/crashing_fleet.py
@@ -79,6 +79,10 @@
         await asyncio.sleep(PROBE_S)
         return self.engines.is_up(address) if self.engines else None
 
+    async def can_connect(self, address: str) -> bool:
+        """Returns whether an engine is up."""
+        return bool(await self.is_listening(address))
+
     async def check_status(self, address: str) -> str:
         """Returns why an engine does not answer."""
         listening = await self.is_listening(address)
--- a/borageyard/standins/gateway_deployment.py
+++ b/borageyard/standins/gateway_deployment.py
@@ -9,22 +9,12 @@
 from collections.abc import AsyncIterator, Sequence
 from typing import Any
 
-from ..clock import SystemClock
-from ..gateway import Gateway, GatewayDependencies
+from ..gateway import Gateway
 from ..gateway_settings import GatewaySettings
 from ..http_client import HttpClient
 from ..http_server import HttpServer
-from ..platform import ingress
-from ..platform.documents import DocumentDecoder
-from ..platform.status_client import HttpStatusClient
-from ..platform.store import StoreTables
-from ..platform.targets import (
-    HttpPieceRunner,
-    HttpTargetSender,
-)
 from ..retry_budget import RetryBudgetLimits
-from ..target_limits import TargetLimits
-from ..target_probe import ConnectProbe
+from .gateway_dependencies import build_dependencies
 from .gateway_target import HEALTH_PATH, GatewayTarget
 from .keyed_store import (
     OPERATOR_KEY,
@@ -236,7 +226,7 @@
         running.store.faults.down = store_down
         await _cancel(running.task)
         settings = running.gateway.settings
-        dependencies = _dependencies(
+        dependencies = build_dependencies(
             settings, running.client, running.partition
         )
         running.gateway = Gateway(settings, dependencies)
@@ -277,7 +267,9 @@
             HttpClient(connect=partition.connect)
         )
         settings = _settings(number, server.address, self._grace_ms)
-        gateway = Gateway(settings, _dependencies(settings, client, partition))
+        gateway = Gateway(
+            settings, build_dependencies(settings, client, partition)
+        )
         stop = asyncio.Event()
         task = asyncio.ensure_future(gateway.serve(stop))
         running = RunningGateway(
@@ -335,23 +327,6 @@
     )
 
 
-def _dependencies(
-    settings: GatewaySettings, client: HttpClient, partition: TargetPartition
-) -> GatewayDependencies:
-    clock = SystemClock()
-    limits = TargetLimits(clock)
-    return GatewayDependencies(
-        tables=StoreTables(client, settings.store_address),
-        decoder=DocumentDecoder(),
-        sender=HttpTargetSender(client, limits),
-        runner=HttpPieceRunner(client, limits),
-        probe=ConnectProbe(HttpStatusClient(client), partition.connect),
-        codec=ingress,
-        limits=limits,
-        clock=clock,
-    )
-
-
 async def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
--- a/borageyard/target_probe.py
+++ b/borageyard/target_probe.py
@@ -26,6 +26,13 @@
             address: IP address and port of the target.
         """
 
+    async def can_connect(self, address: str) -> bool:
+        """Returns whether a target accepts a connection at once.
+
+        Args:
+            address: IP address and port of the target.
+        """
+
     async def check_status(self, address: str) -> str:
         """Returns why a target does not answer; empty if it does.
 
@@ -64,6 +71,17 @@
         """Returns why a target does not answer; empty if it does."""
         return await self._status_client.check_status(address)
 
+    async def can_connect(self, address: str) -> bool:
+        """Returns whether a target accepts a connection at once."""
+        host, port = split_address(address)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
+                _, writer = await self._connect(host, port, None)
+        except OSError:
+            return False
+        writer.transport.abort()
+        return True
+
     async def is_listening(self, address: str) -> bool | None:
         """Returns whether a target listens, or None if that is unclear."""
         for pause_ms in PAUSES_MS:
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -58,6 +58,10 @@
         await asyncio.sleep(0.01)
         return True if address in self.up else self.listening
 
+    async def can_connect(self, address):
+        """Returns whether the result is that it listens."""
+        return bool(await self.is_listening(address))
+
     async def check_status(self, address):
         """Returns why there is no answer after a moment."""
         await asyncio.sleep(0.01)
