--- a/borageyard/peer_calls.py
+++ b/borageyard/peer_calls.py
@@ -1,7 +1,7 @@
 """Calls to targets that peers make for this entry."""
 
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Collection
 
 from .clock import Clock
 from .events import Event, log_event
@@ -19,8 +19,8 @@
 from .peers import PeerError, PeerLink
 from .target_paths import TargetPaths
 
-# Peers that are asked to make one call.
-MAX_PEERS_ASKED = 4
+# Peers that are asked to make one call; those without a path say so at once.
+MAX_PEERS_ASKED = 12
 
 
 class PeerCalls:
@@ -53,10 +53,12 @@
         Raises:
             HttpCallError: If no peer has a path, or the call failed there.
         """
-        ranked = self._paths.rank_peers(
-            self._link.peer_ids(), self._clock.steady_ms()
-        )
-        for peer_id in ranked[:MAX_PEERS_ASKED]:
+        asked: set[str] = set()
+        while len(asked) < MAX_PEERS_ASKED:
+            peer_id = self._choose_peer(asked)
+            if peer_id is None:
+                break
+            asked.add(peer_id)
             relayed = _PeerCall(self._link, peer_id, call)
             # It may have arrived at the peer even if there is no reply.
             stack.callback(self._end, relayed)
@@ -65,6 +67,12 @@
                 return head.status, head.headers, relayed.read()
         raise HttpCallError('no peer has a path to targets', sent=False)
 
+    def _choose_peer(self, asked: Collection[str]) -> str | None:
+        """Returns the next peer to ask, which an earlier one may have named."""
+        remaining = set(self._link.peer_ids()).difference(asked)
+        ranked = self._paths.rank_peers(remaining, self._clock.steady_ms())
+        return ranked[0] if ranked else None
+
     async def _ask(self, relayed: '_PeerCall') -> RelayedHeadBody | None:
         """Returns the head of an answer, or None if the peer has no path.
 
--- a/borageyard/target_paths.py
+++ b/borageyard/target_paths.py
@@ -82,7 +82,8 @@
             peer_ids: All peers.
             now_ms: Monotonic time.
         """
-        shuffled = self._random.sample(sorted(peer_ids), len(peer_ids))
+        shuffled = sorted(peer_ids)
+        self._random.shuffle(shuffled)
         reaching = [
             peer_id
             for peer_id in shuffled
