Don't wait in a stop for requests whose entries may have ended

Cause: an entry that stops waited until its scheduler knew no request any more. A request that was granted leaves it when its entry tells of the start or the end; an entry that ended in between never does, and the stop lasted until the deadline (7.9 s).

Change: a stop waits for its own callers and for entries that wait for an outcome here, and at most a second longer for what was granted.

Measured: test_requests_of_lost_entries_are_waited_for fails without the change.

--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -56,6 +56,8 @@
 # Part of that time in which unfinished requests get their refusals.
 FINAL_REFUSALS_MS = 150
 STOP_POLL_MS = 50
+# Longest wait for engines to begin what was granted, which frees its inputs.
+MAX_GRANTED_MS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -275,13 +277,29 @@
         await asyncio.sleep(ACCEPT_AFTER_STOP_MS / MS_PER_S)
         self.relay.refusing = True
         end_ms = started_at_ms + self.settings.grace_ms - STOP_MARGIN_MS
-        while self._caller_server.active or self.service.scheduler.chains:
+        awaited_at_ms = clock.steady_ms()
+        while self._is_needed(clock.steady_ms() - awaited_at_ms):
+            if self._caller_server.active or self.service.is_awaited:
+                awaited_at_ms = clock.steady_ms()
             if clock.steady_ms() >= end_ms:
                 self.relay.expire_open_requests()
                 await asyncio.sleep(FINAL_REFUSALS_MS / MS_PER_S)
                 break
             await asyncio.sleep(STOP_POLL_MS / MS_PER_S)
 
+    def _is_needed(self, unawaited_ms: float) -> bool:
+        """Returns whether there is something that a stop must wait for.
+
+        Args:
+            unawaited_ms: Time since a caller or another entry waited here.
+        """
+        if self._caller_server.active or self.service.is_awaited:
+            return True
+        # Their entries may have ended, and will then never tell.
+        return bool(
+            self.service.scheduler.chains and unawaited_ms < MAX_GRANTED_MS
+        )
+
     async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
         """Starts the servers for callers and for the platform."""
         settings = self.settings
--- a/borageyard/outcome_waiters.py
+++ b/borageyard/outcome_waiters.py
@@ -17,6 +17,11 @@
         """Starts without waiters."""
         self._futures: dict[str, list[OutcomeFuture]] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether nobody waits."""
+        return not self._futures
+
     def add(self, chain_id: str) -> OutcomeFuture:
         """Returns a future that gets the outcome of a request.
 
--- a/borageyard/scheduler_service.py
+++ b/borageyard/scheduler_service.py
@@ -78,6 +78,11 @@
         self._next_plan_at_ms: float = 0
         state.add_listener(self._on_fleet_change)
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether an entry waits here for the outcome of a request."""
+        return not self._waiters.is_empty
+
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Context manager that cancels all calls when it exits."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,9 +8,13 @@
 
 import pytest
 
+from borageyard.chains import ChainSpec
+from borageyard.engine_placer import Prompt
 from borageyard.http_client import HttpCall, HttpCallError, HttpClient
+from borageyard.plans import Grant
 from borageyard.standins.gateway_deployment import (
     API_KEY,
+    GRACE_MS,
     HOST,
     ORGANISATION,
     TARGET_PLANS,
@@ -26,11 +30,11 @@
 
 
 @contextlib.asynccontextmanager
-async def deployment(gateways=2, plans=TARGET_PLANS):
+async def deployment(gateways=2, plans=TARGET_PLANS, grace_ms=GRACE_MS):
     """Runs a deployment and a client for its callers."""
     async with (
         asyncio.timeout(TIMEOUT_S),
-        GatewayDeployment(gateways, plans).running() as running,
+        GatewayDeployment(gateways, plans, grace_ms).running() as running,
         HttpClient() as client,
     ):
         yield Callers(running, client)
@@ -457,6 +461,28 @@
             reply = await waiting
             assert reply.status == status
 
+    async def test_requests_of_lost_entries_are_waited_for(self):
+        """A scheduler ends though nobody will tell of their ends."""
+        async with deployment(1, grace_ms=60_000) as callers:
+            (running,) = callers.running.gateways
+            service = running.gateway.service
+            now_ms = running.gateway.dependencies.clock.steady_ms()
+            spec = ChainSpec(
+                chain_id='lost',
+                piece_key='',
+                stages=(),
+                engine_service='model',
+                prompt=Prompt('m', (), 1, 1),
+                priority=0,
+                soft_deadline_at_ms=now_ms,
+                deadline_at_ms=now_ms + 15_000,
+                received_at_ms=now_ms,
+            )
+            assert isinstance(await service.place(spec, frozenset()), Grant)
+            running.stop.set()
+            await running.task
+            assert service.scheduler.chains
+
 
 class TestSchedulers:
     """Schedulers that stop, fail or lose a peer stream."""
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -322,7 +322,12 @@
 
     @pytest.mark.parametrize(
         ('pause', 'expected_s'),
-        [((1, 2), 1), ((0, 1.5), 0.5), ((2.5, 9), 0.5), ((0, 9), 2)],
+        [
+            ((1, 2), 1),
+            ((0, 1.5), 0.5),
+            ((2.5, 9), 0.5),
+            ((0, 9), 2),
+        ],
     )
     def test_pause_that_began_before_the_request(self, pause, expected_s):
         """What lies within the request counts, and no more."""
