Send no new work to a target whose answers say that it leaves

Cause: only records told of departures.

Change: such an answer, of any request, call or report, marks the incarnation as draining in the roster, and all entries are told at once. The interfaces of a gateway to the platform are built in one place for the process and the stand-ins.

--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -10,6 +10,7 @@
 from .call_relay import AnswerCheckFactory, CallRelay
 from .clock import MS_PER_S, Clock
 from .crash_suspects import CrashSuspects
+from .departure_service import DepartureService
 from .election_service import ElectionService
 from .engine_watch import EngineWatch
 from .events import Event, log_event
@@ -41,6 +42,7 @@
 from .shared_table import SharedTables, Table
 from .stream_origin_service import StreamOriginService
 from .streaming_relay import StreamingRelay
+from .target_departures import TargetDepartures
 from .target_limits import TargetLimits
 from .target_path_watch import TargetPathWatch
 from .target_paths import TargetPaths
@@ -74,6 +76,7 @@
     answer_check: AnswerCheckFactory
     codec: CallerCodec
     limits: TargetLimits
+    departures: TargetDepartures
     clock: Clock
 
 
@@ -110,6 +113,7 @@
             clock,
         )
         permits = SendPermits(dependencies.limits)
+        DepartureService(dependencies.departures, self.state, self.link)
         self.service = SchedulerService(
             self.state, dependencies.runner, clock, permits
         )
--- a/borageyard/platform/__main__.py
+++ b/borageyard/platform/__main__.py
@@ -6,23 +6,14 @@
 import signal
 import sys
 
-from ..clock import SystemClock
 from ..document_validation import DocumentError
 from ..events import Event, log_event
-from ..gateway import Gateway, GatewayDependencies
+from ..gateway import Gateway
 from ..http_client import HttpClient
 from ..http_messages import HttpLimits
 from ..log_queue import LogQueue
-from ..relayed_client import RelayedClient
-from ..target_limits import TargetLimits
-from ..target_probe import ConnectProbe
-from . import ingress
-from .answer_match import answer_check
-from .documents import DocumentDecoder
+from .dependencies import build_dependencies
 from .settings import SETTINGS_VARIABLE, load_settings
-from .status_client import HttpStatusClient
-from .store import StoreTables
-from .targets import HttpPieceRunner, HttpTargetSender
 
 EXIT_GOOD = 0
 EXIT_USAGE = 2
@@ -48,21 +39,7 @@
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(LogQueue().running())
         client = await stack.enter_async_context(HttpClient(CLIENT_LIMITS))
-        clock = SystemClock()
-        limits = TargetLimits(clock)
-        calls = RelayedClient(client)
-        dependencies = GatewayDependencies(
-            tables=StoreTables(client, settings.store_address),
-            decoder=DocumentDecoder(),
-            sender=HttpTargetSender(calls, limits),
-            runner=HttpPieceRunner(calls, limits),
-            probe=ConnectProbe(HttpStatusClient(calls)),
-            calls=calls,
-            answer_check=answer_check,
-            codec=ingress,
-            limits=limits,
-            clock=clock,
-        )
+        dependencies = build_dependencies(settings, client)
         await Gateway(settings, dependencies).serve(stop)
 
 
--- /dev/null
+++ b/borageyard/platform/answer_notices.py
@@ -0,0 +1,63 @@
+"""Decodes what targets say of themselves in the headers of their answers."""
+
+import math
+from collections.abc import Mapping
+
+from ..events import Event, log_event
+from ..roster import RosterRow
+from ..target_departures import TargetDepartures
+from ..target_limits import TargetLimits
+
+# Requests a second that a target takes from all callers together.
+LIMIT_HEADER = 'server-limit'
+LEAVING_HEADER = 'server-leaving'
+LEAVING = '1'
+
+
+class AnswerNotices:
+    """Passes on what the answers of targets say of them."""
+
+    def __init__(
+        self, limits: TargetLimits, departures: TargetDepartures
+    ) -> None:
+        """Stores the receivers.
+
+        Args:
+            limits: Receives the limits that targets state.
+            departures: Receives the targets that leave.
+        """
+        self.limits = limits
+        self._departures = departures
+
+    def note(self, target: RosterRow, headers: Mapping[str, str]) -> None:
+        """Records what an answer says.
+
+        Args:
+            target: The target that answered.
+            headers: Headers of its answer by lower-case name.
+        """
+        _note_limit(self.limits, target, headers)
+        if headers.get(LEAVING_HEADER) == LEAVING:
+            self._departures.note_leaving(target)
+
+
+def _note_limit(
+    limits: TargetLimits, target: RosterRow, headers: Mapping[str, str]
+) -> None:
+    """Records the limit that an answer states, or that it states none."""
+    header_value = headers.get(LIMIT_HEADER)
+    if header_value is None:
+        limits.note_answer(target, None)
+        return
+    try:
+        requests_per_s = float(header_value)
+    except ValueError:
+        requests_per_s = math.nan
+    if math.isfinite(requests_per_s) and requests_per_s >= 0:
+        limits.note_answer(target, requests_per_s)
+        return
+    log_event(
+        Event.TARGET_LIMIT_INVALID,
+        target_id=target.target_id,
+        value=header_value,
+    )
--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -31,10 +31,9 @@
     TargetFullError,
 )
 from ..roster import RosterRow
-from ..target_limits import TargetLimits
 from .answer_match import NOT_RUN_HEADER, is_answer_to
+from .answer_notices import AnswerNotices
 from .ingress import DEADLINE_HEADER, forwarded_headers
-from .limit_header import note_limit
 
 ModelT = TypeVar('ModelT', bound=BaseModel)
 
@@ -83,15 +82,16 @@
 class HttpTargetSender:
     """Sends callers' requests to targets."""
 
-    def __init__(self, client: CallClient, limits: TargetLimits) -> None:
+    def __init__(self, client: CallClient, notices: AnswerNotices) -> None:
         """Stores the dependencies.
 
         Args:
             client: HTTP client that sends the requests.
-            limits: Receives the limits that targets state.
+            notices: Receives what targets say of themselves.
         """
         self._client = client
-        self._limits = limits
+        self._notices = notices
+        self._limits = notices.limits
 
     @contextlib.asynccontextmanager
     async def send(self, send: TargetSend) -> AsyncIterator[TargetAnswer]:
@@ -118,7 +118,7 @@
             async with self._client.stream(call) as (status, headers, chunks):
                 wrong_target = status == HTTPStatus.MISDIRECTED_REQUEST
                 if not wrong_target:
-                    note_limit(self._limits, send.target, headers)
+                    self._notices.note(send.target, headers)
                 _require_signature(status, headers)
                 yield TargetAnswer(
                     status=status,
@@ -138,15 +138,16 @@
 class HttpPieceRunner:
     """Sends calls with pieces to batching targets."""
 
-    def __init__(self, client: CallClient, limits: TargetLimits) -> None:
+    def __init__(self, client: CallClient, notices: AnswerNotices) -> None:
         """Stores the dependencies.
 
         Args:
             client: HTTP client that sends the requests.
-            limits: Receives the limits that targets state.
+            notices: Receives what targets say of themselves.
         """
         self._client = client
-        self._limits = limits
+        self._notices = notices
+        self._limits = notices.limits
 
     async def run(
         self,
@@ -244,7 +245,7 @@
             raise CallFailedError(error.reason) from error
         is_target = reply.status != HTTPStatus.MISDIRECTED_REQUEST
         if target is not None and is_target:
-            note_limit(self._limits, target, reply.headers)
+            self._notices.note(target, reply.headers)
         return reply
 
 
--- a/borageyard/roster.py
+++ b/borageyard/roster.py
@@ -103,6 +103,29 @@
         """Returns all targets in any phase."""
         return [change.row for change in self._changes.values() if change.row]
 
+    def mark_draining(self, target_id: str, incarnation: int) -> bool:
+        """Records that a target drains although its record does not say so.
+
+        Args:
+            target_id: Id of the target.
+            incarnation: Incarnation that drains; others are left as they are.
+
+        Returns:
+            Whether it was taken to be ready.
+        """
+        change = self._changes.get(target_id)
+        row = change.row if change else None
+        if change is None or row is None or row.incarnation != incarnation:
+            return False
+        if row.phase is TargetPhase.DRAINING:
+            return False
+        draining = dataclasses.replace(row, phase=TargetPhase.DRAINING)
+        self._changes[target_id] = dataclasses.replace(change, row=draining)
+        self._newest[target_id] = draining
+        self.revision += 1
+        self._index()
+        return True
+
     def has_drained(self, row: RosterRow) -> bool:
         """Returns whether an incarnation drains, or did before it was gone.
 
--- a/borageyard/standins/gateway_deployment.py
+++ b/borageyard/standins/gateway_deployment.py
@@ -13,8 +13,8 @@
 from ..gateway_settings import GatewaySettings
 from ..http_client import HttpClient
 from ..http_server import HttpServer
+from ..platform.dependencies import build_dependencies
 from ..retry_budget import RetryBudgetLimits
-from .gateway_dependencies import build_dependencies
 from .gateway_target import HEALTH_PATH, GatewayTarget
 from .keyed_store import (
     OPERATOR_KEY,
@@ -227,7 +227,7 @@
         await _cancel(running.task)
         settings = running.gateway.settings
         dependencies = build_dependencies(
-            settings, running.client, running.partition
+            settings, running.client, running.partition.connect
         )
         running.gateway = Gateway(settings, dependencies)
         running.stop = asyncio.Event()
@@ -268,7 +268,7 @@
         )
         settings = _settings(number, server.address, self._grace_ms)
         gateway = Gateway(
-            settings, build_dependencies(settings, client, partition)
+            settings, build_dependencies(settings, client, partition.connect)
         )
         stop = asyncio.Event()
         task = asyncio.ensure_future(gateway.serve(stop))
--- a/borageyard/standins/gateway_target.py
+++ b/borageyard/standins/gateway_target.py
@@ -52,6 +52,8 @@
     crashed_by: str = ''
     # Limit that answers state, in requests a second; ``None`` for none.
     limit_per_s: float | None = None
+    # Whether answers say that the target leaves; its record stays as it is.
+    leaving: bool = False
     # Number of events of a run after which each stream is silent once for
     # ``silence_ms`` and then goes on; 0 for after the head, ``None`` for never.
     silent_after: int | None = None
@@ -130,16 +132,22 @@
     async def _respond(self, request: HttpRequest) -> HttpResponse:
         self.arrivals_s.append(time.monotonic())
         response = await self._handle(request)
-        if self.faults.limit_per_s is not None:
-            headers = {
-                **response.headers,
-                'server-limit': str(self.faults.limit_per_s),
-            }
-            response = dataclasses.replace(response, headers=headers)
+        response = dataclasses.replace(
+            response, headers={**response.headers, **self._notices()}
+        )
         if self.faults.unframed and request.path not in FRAMED_PATHS:
             await self._send_unframed(response)
         return response
 
+    def _notices(self) -> Mapping[str, str]:
+        """Returns the headers in which it tells of itself."""
+        notices: dict[str, str] = {}
+        if self.faults.limit_per_s is not None:
+            notices['server-limit'] = str(self.faults.limit_per_s)
+        if self.faults.leaving:
+            notices['server-leaving'] = '1'
+        return notices
+
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         if self.faults.silent:
             await asyncio.Event().wait()
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -100,3 +100,22 @@
         roster.apply([changed(1)], 2)
         roster.apply([RosterChange(2, 't1', None)], 3)
         assert not roster.has_drained(ROW)
+
+    def test_target_that_said_so_itself(self):
+        """Its announcements do not make it ready again."""
+        roster = TargetRoster()
+        roster.apply([changed(1)], 2)
+        assert roster.mark_draining('t1', ROW.incarnation)
+        assert not roster.mark_draining('t1', ROW.incarnation)
+        roster.apply([changed(2, announcement_number=9)], 3)
+        assert not ready(roster)
+        roster.apply([changed(3, incarnation=ROW.incarnation + 1)], 4)
+        assert ready(roster) == ['t1']
+
+    def test_incarnation_that_is_not_known(self):
+        """A successor is not taken for its predecessor."""
+        roster = TargetRoster()
+        roster.apply([changed(1)], 2)
+        assert not roster.mark_draining('t1', ROW.incarnation - 1)
+        assert not roster.mark_draining('t2', ROW.incarnation)
+        assert ready(roster) == ['t1']
