Send nothing to a target in the pause that it asks for

Cause: Retry-After in a rejection was not read.

If all targets of a service pause, requests are refused at once with the rest of the shortest pause.

--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -296,6 +296,17 @@
         """Returns the state of a target, or None if it is unknown."""
         return self._targets.get(target_id)
 
+    def pause(self, target_id: str, until_ms: float) -> None:
+        """Avoids a target for a time that it asked for.
+
+        Args:
+            target_id: Id of the target.
+            until_ms: Monotonic time of the end of the pause.
+        """
+        target = self._targets.get(target_id)
+        if target is not None:
+            target.paused_until_ms = max(target.paused_until_ms, until_ms)
+
     def of_service(self, service: str) -> Sequence[BatchTarget]:
         """Returns the targets of a service."""
         return tuple(
--- a/borageyard/call_runner.py
+++ b/borageyard/call_runner.py
@@ -84,6 +84,10 @@
             now_ms = self._clock.steady_ms()
             self._log_failure(call, error, now_ms)
             self._scheduler.note_call_failed(call, now_ms, full=full)
+            if isinstance(error, TargetFullError):
+                self._scheduler.targets.pause(
+                    call.target.target_id, now_ms + error.pause_ms
+                )
         else:
             self._handle_outcomes(call, outcomes)
 
--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -24,6 +24,7 @@
 from .inbound import InboundRequest, TargetSender
 from .membership import Membership
 from .path_witnesses import PathWitnesses
+from .pausing_sender import PausingSender
 from .peer_calls import PeerCalls
 from .peer_link import TcpPeerLink
 from .peer_stream import PeerContext, PeerCounters, PeerIdentity
@@ -141,6 +142,7 @@
             self.link,
             self.service,
             clock,
+            dependencies.limits.backoffs,
         )
         retries = RetryBudget(settings.retry_budget_limits)
         probe = dependencies.probe
@@ -173,7 +175,14 @@
         )
         self._streaming = StreamingRelay(
             self.state,
-            PromptSender(dependencies.sender, self._watch, self._guard, clock),
+            PromptSender(
+                PausingSender(
+                    dependencies.sender, dependencies.limits.backoffs
+                ),
+                self._watch,
+                self._guard,
+                clock,
+            ),
             self.scheduler,
             retries,
             clock,
--- a/borageyard/permit_service.py
+++ b/borageyard/permit_service.py
@@ -98,8 +98,9 @@
             0 if the request may be sent, else the time in ms until there may
             be a permit.
         """
-        if not self._permits.is_limited(target):
-            return 0
+        pause_ms = self._limits.backoffs.remaining_ms(target)
+        if pause_ms or not self._permits.is_limited(target):
+            return pause_ms
         now_ms = self._clock.steady_ms()
         kind = (target.target_id, send_class)
         refused_until_ms = self._refused_until_ms.get(kind, 0)
--- a/borageyard/piece_runner.py
+++ b/borageyard/piece_runner.py
@@ -23,15 +23,22 @@
 class TargetFullError(Exception):
     """The target had no free slot for a call and ran nothing."""
 
-    def __init__(self, reason: str, load: TargetLoad | None = None) -> None:
+    def __init__(
+        self,
+        reason: str,
+        load: TargetLoad | None = None,
+        pause_ms: float = 0,
+    ) -> None:
         """Creates the error.
 
         Args:
             reason: What the target answered.
             load: Load that the target reported with it, if any.
+            pause_ms: Time for which it wants no calls.
         """
         super().__init__(reason)
         self.load = load
+        self.pause_ms = pause_ms
 
 
 class CallFailedError(Exception):
--- a/borageyard/platform/answer_notices.py
+++ b/borageyard/platform/answer_notices.py
@@ -2,7 +2,9 @@
 
 import math
 from collections.abc import Mapping
+from http import HTTPStatus
 
+from ..clock import MS_PER_S
 from ..events import Event, log_event
 from ..roster import RosterRow
 from ..target_departures import TargetDepartures
@@ -12,6 +14,7 @@
 LIMIT_HEADER = 'server-limit'
 LEAVING_HEADER = 'server-leaving'
 LEAVING = '1'
+RETRY_AFTER_HEADER = 'retry-after'
 
 
 class AnswerNotices:
@@ -23,24 +26,53 @@
         """Stores the receivers.
 
         Args:
-            limits: Receives the limits that targets state.
+            limits: Receives limits, and the pauses that targets ask for.
             departures: Receives the targets that leave.
         """
         self.limits = limits
         self._departures = departures
 
-    def note(self, target: RosterRow, headers: Mapping[str, str]) -> None:
+    def note(
+        self, target: RosterRow, status: int, headers: Mapping[str, str]
+    ) -> None:
         """Records what an answer says.
 
         Args:
             target: The target that answered.
+            status: Status of its answer.
             headers: Headers of its answer by lower-case name.
         """
+        if status == HTTPStatus.SERVICE_UNAVAILABLE:
+            pause_ms = read_pause_ms(target.target_id, headers)
+            if pause_ms:
+                self.limits.backoffs.note_rejection(target, pause_ms)
         _note_limit(self.limits, target, headers)
         if headers.get(LEAVING_HEADER) == LEAVING:
             self._departures.note_leaving(target)
 
 
+def read_pause_ms(target_id: str, headers: Mapping[str, str]) -> float:
+    """Returns the pause that a rejection asks for; 0 without a valid one.
+
+    Args:
+        target_id: Target that rejected a request.
+        headers: Headers of its answer by lower-case name.
+    """
+    header_value = headers.get(RETRY_AFTER_HEADER)
+    if header_value is None:
+        return 0
+    try:
+        pause_s = float(header_value)
+    except ValueError:
+        pause_s = math.nan
+    if math.isfinite(pause_s) and pause_s >= 0:
+        return pause_s * MS_PER_S
+    log_event(
+        Event.TARGET_PAUSE_INVALID, target_id=target_id, value=header_value
+    )
+    return 0
+
+
 def _note_limit(
     limits: TargetLimits, target: RosterRow, headers: Mapping[str, str]
 ) -> None:
--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -32,7 +32,7 @@
 )
 from ..roster import RosterRow
 from .answer_match import NOT_RUN_HEADER, is_answer_to
-from .answer_notices import AnswerNotices
+from .answer_notices import AnswerNotices, read_pause_ms
 from .ingress import DEADLINE_HEADER, forwarded_headers
 
 ModelT = TypeVar('ModelT', bound=BaseModel)
@@ -118,7 +118,7 @@
             async with self._client.stream(call) as (status, headers, chunks):
                 wrong_target = status == HTTPStatus.MISDIRECTED_REQUEST
                 if not wrong_target:
-                    self._notices.note(send.target, headers)
+                    self._notices.note(send.target, status, headers)
                 _require_signature(status, headers)
                 yield TargetAnswer(
                     status=status,
@@ -180,6 +180,7 @@
             raise TargetFullError(
                 f'target responded with status {reply.status}',
                 _decode_load(reply.headers),
+                read_pause_ms(target.target_id, reply.headers),
             )
         if reply.status != HTTPStatus.OK:
             raise CallFailedError(
@@ -245,7 +246,7 @@
             raise CallFailedError(error.reason) from error
         is_target = reply.status != HTTPStatus.MISDIRECTED_REQUEST
         if target is not None and is_target:
-            self._notices.note(target, reply.headers)
+            self._notices.note(target, reply.status, reply.headers)
         return reply
 
 
--- a/borageyard/scheduler_client.py
+++ b/borageyard/scheduler_client.py
@@ -27,6 +27,7 @@
 from .plans import ChainRefusal, Denial, Grant
 from .result_tracker import ResultTracker
 from .scheduler_service import SchedulerService
+from .target_backoffs import TargetBackoffs
 
 # Time for which a request that no scheduler takes waits for a new one: until
 # the term of a lost scheduler has expired and several candidates were lost.
@@ -57,6 +58,7 @@
         peers: PeerLink,
         service: SchedulerService,
         clock: Clock,
+        backoffs: TargetBackoffs,
     ) -> None:
         """Registers the handlers for messages of peers.
 
@@ -67,7 +69,9 @@
             peers: Streams to the other entries.
             service: The scheduler of this entry.
             clock: Source of monotonic time.
+            backoffs: Pauses that engines asked this entry for.
         """
+        self._backoffs = backoffs
         self._instance_id = instance_id
         self._elections = elections
         self._state = state
@@ -105,6 +109,11 @@
         Returns:
             The engine and the inputs, or why there are none.
         """
+        engines = self._state.roster.ready(spec.engine_service)
+        pause_ms = min(map(self._backoffs.remaining_ms, engines), default=0)
+        if pause_ms:
+            return Denial(spec.chain_id, ChainRefusal.NO_TARGET, pause_ms)
+        excluded |= self._backoffs.paused_ids(engines)
         unplaced_since_ms = self._clock.steady_ms()
         while True:
             until_ms = min(
--- a/borageyard/standins/gateway_target.py
+++ b/borageyard/standins/gateway_target.py
@@ -52,6 +52,8 @@
     crashed_by: str = ''
     # Limit that answers state, in requests a second; ``None`` for none.
     limit_per_s: float | None = None
+    # Value of ``retry-after`` in rejections; empty for none.
+    retry_after: str = ''
     # Whether answers say that the target leaves; its record stays as it is.
     leaving: bool = False
     # Number of events of a run after which each stream is silent once for
@@ -71,6 +73,21 @@
     # whose break by ``break_after`` is a reset.
     reset_midway: int = 0
 
+    def notices(self) -> Mapping[str, str]:
+        """Returns the headers in which it tells of itself."""
+        notices: dict[str, str] = {}
+        if self.limit_per_s is not None:
+            notices['server-limit'] = str(self.limit_per_s)
+        if self.leaving:
+            notices['server-leaving'] = '1'
+        return notices
+
+    def rejection(self) -> Mapping[str, str]:
+        """Returns the headers of a rejection."""
+        if self.retry_after:
+            return {**NOT_RUN, 'retry-after': self.retry_after}
+        return NOT_RUN
+
 
 class GatewayTarget(RegisteredTarget):
     """Stand-in target that records the requests and pieces it ran."""
@@ -133,21 +150,12 @@
         self.arrivals_s.append(time.monotonic())
         response = await self._handle(request)
         response = dataclasses.replace(
-            response, headers={**response.headers, **self._notices()}
+            response, headers={**response.headers, **self.faults.notices()}
         )
         if self.faults.unframed and request.path not in FRAMED_PATHS:
             await self._send_unframed(response)
         return response
 
-    def _notices(self) -> Mapping[str, str]:
-        """Returns the headers in which it tells of itself."""
-        notices: dict[str, str] = {}
-        if self.faults.limit_per_s is not None:
-            notices['server-limit'] = str(self.faults.limit_per_s)
-        if self.faults.leaving:
-            notices['server-leaving'] = '1'
-        return notices
-
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         if self.faults.silent:
             await asyncio.Event().wait()
@@ -183,7 +191,8 @@
         if self.faults.reject or self._running >= self.plan.slots:
             self.faults.reject = max(self.faults.reject - 1, 0)
             status = HTTPStatus.SERVICE_UNAVAILABLE
-            return HttpResponse(status, headers={**headers, **NOT_RUN})
+            headers.update(self.faults.rejection())
+            return HttpResponse(status, headers=headers)
         if self.plan.kind == 'engine' and not self._has_inputs(request):
             return HttpResponse(
                 HTTPStatus.CONFLICT,
@@ -305,7 +314,7 @@
         if self.faults.reject:
             self.faults.reject -= 1
             status = HTTPStatus.SERVICE_UNAVAILABLE
-            return HttpResponse(status, headers=NOT_RUN)
+            return HttpResponse(status, headers=self.faults.rejection())
         if self.faults.reset:
             self.faults.reset -= 1
             raise ConnectionAbortError
--- a/borageyard/target_limits.py
+++ b/borageyard/target_limits.py
@@ -6,6 +6,7 @@
 from .clock import Clock
 from .events import Event, log_event
 from .roster import RosterRow
+from .target_backoffs import TargetBackoffs
 
 # An answer without a limit ends it only if it came this much later than the
 # last answer with one. Answers overtake each other, and entries convert the
@@ -52,6 +53,8 @@
         Args:
             clock: Source of monotonic time.
         """
+        # Pauses that targets ask this entry for, besides limits.
+        self.backoffs = TargetBackoffs(clock)
         self._clock = clock
         self._limits: dict[str, TargetLimit] = {}
         self._listeners: list[LimitListener] = []
--- a/tests/test_scheduler_client.py
+++ b/tests/test_scheduler_client.py
@@ -13,6 +13,7 @@
 from borageyard.scheduler_client import MAX_UNPLACED_MS, SchedulerClient
 from borageyard.standins.gateway_deployment import poll_periodically
 from borageyard.standins.virtual_time import in_virtual_time
+from borageyard.target_backoffs import TargetBackoffs
 
 ENGINE = RosterRow('m1', 'model', 't:1', 'a', TargetPhase.READY)
 NAMES = ('requester', 'relay', 'scheduler')
@@ -25,6 +26,10 @@
         """Returns the engine."""
         return ENGINE
 
+    def ready(self, service):
+        """Returns the engine."""
+        return [ENGINE]
+
 
 class Fleet:
     """Fleet state with one group."""
@@ -88,6 +93,7 @@
     def __init__(self):
         """Connects the entries."""
         self.network = MemoryPeerNetwork()
+        self.backoffs = TargetBackoffs(LoopClock())
         self.elections = Elections()
         self.services = {name: Service() for name in NAMES}
         self.clients = {
@@ -98,6 +104,7 @@
                 self.network.join(name),
                 self.services[name],
                 LoopClock(),
+                self.backoffs,
             )
             for name in NAMES
         }
