--- a/borageyard/peer_calls.py
+++ b/borageyard/peer_calls.py
@@ -43,15 +43,18 @@
 
     async def open(
         self, call: HttpCall, stack: contextlib.AsyncExitStack
-    ) -> StreamedReply:
+    ) -> StreamedReply | None:
         """Makes a call through the first peer that has a path.
 
         Args:
             call: The call.
             stack: Ends the call on exit.
 
+        Returns:
+            The answer, or None if no peer has a path.
+
         Raises:
-            HttpCallError: If no peer has a path, or the call failed there.
+            HttpCallError: If the call failed at a peer.
         """
         asked: set[str] = set()
         while len(asked) < MAX_PEERS_ASKED:
@@ -65,7 +68,7 @@
             head = await self._ask(relayed)
             if head is not None:
                 return head.status, head.headers, relayed.read()
-        raise HttpCallError('no peer has a path to targets', sent=False)
+        return None
 
     def _choose_peer(self, asked: Collection[str]) -> str | None:
         """Returns the next peer to ask, which an earlier one may have named."""
--- a/borageyard/relayed_client.py
+++ b/borageyard/relayed_client.py
@@ -59,15 +59,40 @@
             HttpCallError: If the exchange failed or took too long.
         """
         async with contextlib.AsyncExitStack() as stack:
-            opened = await self._open_directly(call, stack)
-            if opened is None and self._peer_calls is not None:
-                opened = await self._peer_calls.open(call, stack)
-            if opened is None:
-                raise HttpCallError('no peer', sent=False)
-            yield opened
+            yield await self._open(call, stack)
 
-    async def _open_directly(
+    async def _open(
         self, call: HttpCall, stack: contextlib.AsyncExitStack
+    ) -> StreamedReply:
+        """Makes a call on the best path.
+
+        Raises:
+            HttpCallError: If it failed.
+        """
+        watch = self._watch
+        peer_calls = self._peer_calls
+        if watch is None or peer_calls is None:
+            return await stack.enter_async_context(self.own.stream(call))
+        was_partitioned = watch.paths.is_partitioned
+        if not was_partitioned:
+            opened = await self._open_directly(call, stack, watch)
+            if opened is not None:
+                return opened
+        opened = await peer_calls.open(call, stack)
+        if opened is not None:
+            return opened
+        if not was_partitioned:
+            raise HttpCallError('no path to targets', sent=False)
+        # If nobody has a path the targets may have been down.
+        opened = await stack.enter_async_context(self.own.stream(call))
+        watch.note_reached()
+        return opened
+
+    async def _open_directly(
+        self,
+        call: HttpCall,
+        stack: contextlib.AsyncExitStack,
+        watch: TargetPathWatch,
     ) -> StreamedReply | None:
         """Makes a call on a connection of its own; None without a path.
 
@@ -75,14 +100,9 @@
             HttpCallError: If it failed although there is a path, or may have
                 been sent.
         """
-        watch = self._watch
-        if watch is not None and watch.paths.is_partitioned:
-            return None
         try:
             return await stack.enter_async_context(self.own.stream(call))
         except HttpCallError as error:
-            if error.sent or watch is None:
-                raise
-            if not await watch.is_partitioned():
+            if error.sent or not await watch.is_partitioned():
                 raise
         return None
--- a/borageyard/target_path_watch.py
+++ b/borageyard/target_path_watch.py
@@ -60,6 +60,11 @@
         await asyncio.shield(self._check)
         return self.paths.is_partitioned
 
+    def note_reached(self) -> None:
+        """Records that a call of this entry reached a target."""
+        if self.paths.is_partitioned:
+            self._end_partition()
+
     async def _check_path(self) -> None:
         self._checks += 1
         silent_ids = await self._witnesses.find_silent(str(self._checks), ())
--- a/tests/test_call_relay.py
+++ b/tests/test_call_relay.py
@@ -83,6 +83,18 @@
                 await fleet.entries[0].call()
             assert not failure.value.sent
 
+    @in_virtual_time
+    async def test_all_targets_were_down(self):
+        """The first call after that reaches one."""
+        async with RelayingFleet(5).running() as fleet:
+            fleet.partition(fleet.entries)
+            await served_share(fleet.entries, 1)
+            assert all(
+                entry.watch.paths.is_partitioned for entry in fleet.entries
+            )
+            fleet.partition([])
+            assert await served_share(fleet.entries, 1) == 1
+
     @in_virtual_time
     async def test_end_of_a_partition(self):
         """Calls are made directly again, and not during a short relief."""
