--- a/borageyard/silent_engines.py
+++ b/borageyard/silent_engines.py
@@ -130,6 +130,16 @@
         if len(silence.given_up_at_ms) < MAX_GIVEN_UP:
             silence.given_up_at_ms[send] = now_ms
 
+    def is_silent(self, engine: EngineRun, now_ms: float) -> bool:
+        """Returns whether an engine owes or owed answers, and is silent.
+
+        Args:
+            engine: The engine.
+            now_ms: Monotonic time.
+        """
+        silence = self._engines.get(engine)
+        return silence is not None and now_ms - silence.since_ms >= SILENCE_MS
+
     def to_check(self, now_ms: float) -> Sequence[tuple[EngineRun, str]]:
         """Returns the silent engines, with addresses, that are due for a check.
 
@@ -140,8 +150,10 @@
         return [
             (engine, silence.address)
             for engine, silence in self._engines.items()
-            if now_ms - silence.since_ms >= SILENCE_MS
+            if self.is_silent(engine, now_ms)
             and silence.is_due(now_ms)
+            # An engine that owes nothing any more is checked once.
+            and (silence.sends or silence.checked_at_ms is None)
         ]
 
     def note_check(
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -136,3 +136,10 @@
         """Its silence means nothing."""
         engines.note_ended(start(engines))
         assert not engines.to_check(SILENCE_MS)
+
+    def test_engine_whose_callers_have_left(self, engines):
+        """It is checked once."""
+        engines.note_given_up(start(engines), 100)
+        assert engines.to_check(SILENCE_MS) == [(ENGINE, ADDRESS)]
+        engines.note_check(ENGINE, SILENCE_MS, answered=True)
+        assert not engines.to_check(SILENCE_MS + CHECK_INTERVAL_MS)
