--- a/borageyard/silence_watch.py
+++ b/borageyard/silence_watch.py
@@ -94,7 +94,8 @@
 
     def _on_reported(self, engine: EngineRun) -> None:
         """Adds what this entry lost at an engine that a peer saw crash."""
-        self._report_silent(engine, 'known')
+        if self.engines.is_silent(engine, self._clock.steady_ms()):
+            self._report_silent(engine, 'known')
 
     async def _close(self) -> None:
         tasks = tuple(self._checks.values())
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -226,6 +226,26 @@
 class TestPeers:
     """Evidence that several entries have."""
 
+    @pytest.mark.parametrize('silent', [True, False])
+    @in_virtual_time
+    async def test_requests_at_an_engine_that_answers(self, silent):
+        """A crash that a peer reports is theirs only after a silence."""
+        network = MemoryPeerNetwork()
+        entry = Entry(network, 'a')
+        peer = Entry(network, 'b')
+        send = entry.watch.start(prompt('good', name='own'), row(0))
+        await asyncio.sleep(2)
+        if not silent:
+            entry.watch.note_answering(send)
+        peer.lose(0, 'bad')
+        await asyncio.sleep(SPREAD_S)
+        suspects = entry.suspects.evidence.suspect_keys(LoopClock().steady_ms())
+        own_keys = identify_request(prompt('good', name='own')).all_keys
+        # What the peer lost had begun, so that what waited is no suspect.
+        assert not suspects & own_keys
+        (crash,) = entry.suspects.evidence.crashes(LoopClock().steady_ms())
+        assert (send.keys.request_key in crash.suspects) is silent
+
     @pytest.mark.parametrize('size', [3, 30])
     @in_virtual_time
     async def test_crashes_that_different_entries_saw(self, size):
