--- a/borageyard/standins/relaying_fleet.py
+++ b/borageyard/standins/relaying_fleet.py
@@ -1,6 +1,7 @@
 """In-memory fleet whose entries call targets through each other."""
 
 import asyncio
+import collections
 import contextlib
 from collections.abc import AsyncGenerator, AsyncIterator, Iterable
 
@@ -47,9 +48,10 @@
         # Whether connections hang in place of being refused.
         self.hangs = False
         self.down: set[str] = set()
-        # Ids of the entries that made calls, in order, and the answers that
-        # are under way.
+        # Ids of the entries that made calls, in order, how often each path was
+        # called, and the number of answers that are under way.
         self.callers: list[str] = []
+        self.calls_by_path: collections.Counter[str] = collections.Counter()
         self.open_answers = 0
         # Number of chunks after which an answer breaks off; None for never.
         self.break_after: int | None = None
@@ -112,6 +114,7 @@
         except OSError as error:
             raise HttpCallError(str(error), sent=False) from error
         self._targets.callers.append(self._name)
+        self._targets.calls_by_path[call.path] += 1
         async with contextlib.aclosing(self._targets.answer()) as chunks:
             yield STATUS_OK, {'address': call.address}, chunks
 
@@ -159,10 +162,18 @@
         )
 
     async def call(
-        self, number: int = 0, timeout_ms: float = CALL_TIMEOUT_MS
+        self,
+        number: int = 0,
+        timeout_ms: float = CALL_TIMEOUT_MS,
+        path: str = '/',
     ) -> HttpReply:
         """Calls a target.
 
+        Args:
+            number: Number of the target.
+            timeout_ms: Time limit for the answer.
+            path: Path of the call.
+
         Raises:
             HttpCallError: If there is no complete answer.
         """
@@ -170,7 +181,7 @@
             HttpCall(
                 f'h:{number}',
                 'POST',
-                '/',
+                path,
                 timeout_ms=timeout_ms,
                 target_id=f't{number}',
             )
