--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -114,7 +114,9 @@
             clock,
         )
         permits = SendPermits(dependencies.limits)
-        DepartureService(dependencies.departures, self.state, self.link)
+        self._departures = DepartureService(
+            dependencies.departures, self.state, self.link
+        )
         self.service = SchedulerService(
             self.state, dependencies.runner, clock, permits
         )
@@ -208,6 +210,7 @@
         )
         self.handlers.elections = self.elections
         self.handlers.limits = dependencies.limits
+        self.handlers.paths = self._path_watch.paths
         self.handlers.announcer = self.sync.announcer
         limits = HttpLimits(max_connections=MAX_CONNECTIONS)
         self._caller_server = HttpServer(
--- a/borageyard/gateway_handlers.py
+++ b/borageyard/gateway_handlers.py
@@ -16,6 +16,7 @@
 from .presence_announcer import PresenceAnnouncer
 from .request_relay import RequestRelay
 from .target_limits import TargetLimits
+from .target_paths import TargetPaths
 
 # A starting entry usually becomes ready within this time.
 READINESS_RETRY_AFTER_MS = 300
@@ -75,6 +76,7 @@
         self.metrics = GatewayMetrics()
         self.elections: ElectionService | None = None
         self.limits: TargetLimits | None = None
+        self.paths: TargetPaths | None = None
         self.announcer: PresenceAnnouncer | None = None
         self._settings = settings
         self._codec = codec
@@ -132,6 +134,9 @@
                 self.elections.schedulers,
                 self.elections.renewal_ages_ms,
             )
+        if self.paths is not None:
+            partitioned = int(self.paths.is_partitioned)
+            self.metrics.partitioned.set({}, partitioned)
         if self.limits is not None:
             self.metrics.limited_targets.set({}, self.limits.count())
         if self.announcer is not None:
--- a/borageyard/gateway_metrics.py
+++ b/borageyard/gateway_metrics.py
@@ -61,6 +61,11 @@
             'Targets that state a limit on their requests.',
             registry=self.registry,
         )
+        self.partitioned = Gauge(
+            'borageyard_partitioned_from_targets',
+            'Whether this entry calls targets through peers.',
+            registry=self.registry,
+        )
         self.store_era = Gauge(
             'borageyard_store_era',
             'Era of the store that this entry follows.',
--- a/tests/test_target_partitions.py
+++ b/tests/test_target_partitions.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from borageyard.http_client import HttpCallError
+from borageyard.http_client import HttpCall, HttpCallError
 from borageyard.standins.target_partition import PartitionMode
 
 from .test_gateway import deployment
@@ -106,3 +106,14 @@
             others = set(numbers).difference(cut_numbers)
             assert counted.share(others) > MIN_SHARE
             assert counted.share(cut_numbers) >= MIN_RATIO
+
+    async def test_metric(self):
+        """Operators see which gateways call targets through peers."""
+        async with deployment() as callers:
+            running = callers.running.gateways[0]
+            running.partition.begin(PartitionMode.RESET)
+            await callers.call('/read/a')
+            address = running.gateway.settings.metrics_address
+            call = HttpCall(address, 'GET', '/metrics')
+            text = (await callers.client.request(call)).body.decode()
+            assert 'borageyard_partitioned_from_targets 1' in text
