Don't count the pauses that targets ask for as waiting time of their service

Callers of requests with stages were refused while one of two targets paused for 3 s, though the other was idle.

Cause: the estimate of a request's time takes the mean wait over the targets of a stage; a pause of 3 s of one of two made it 1.5 s, and requests looked too late for their deadlines.

Change: targets in a pause that they asked for are left out, like slow ones, unless all are.

--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -82,6 +82,8 @@
         self.row = row
         self.limits = limits
         self.paused_until_ms: float = 0
+        # End of the pause that it asked for.
+        self.requested_until_ms: float = 0
         self._failed_until_ms: float = 0
         self._untracked = _UntrackedResults()
         self._slow_calls = 0
@@ -306,6 +308,7 @@
         target = self._targets.get(target_id)
         if target is not None:
             target.paused_until_ms = max(target.paused_until_ms, until_ms)
+            target.requested_until_ms = until_ms
 
     def of_service(self, service: str) -> Sequence[BatchTarget]:
         """Returns the targets of a service."""
--- a/borageyard/chain_time_estimator.py
+++ b/borageyard/chain_time_estimator.py
@@ -84,7 +84,13 @@
             for state in chain.unfinished()
             if state.stage.service == service
         )
-        quick = [target for target in targets if not target.is_slow(now_ms)]
+        # The others do the work of targets that are slow or asked for a pause.
+        quick = [
+            target
+            for target in targets
+            if not target.is_slow(now_ms)
+            and target.requested_until_ms <= now_ms
+        ]
         used = quick or targets
         expected_wait_ms = sum(
             target.expected_wait_ms(now_ms) for target in used
