Don't hold pieces for a target in a pause while the other one is slow

Callers of requests with stages were refused as too late, and one stream was cut at its deadline, while a target was idle.

Cause: a full target counts as one to wait for, since that pause takes 60 ms. A target that asked for a pause of seconds counted as well, so if the only other one had been slow once, no target got calls until one of the two spans ended.

Change: targets in a pause that they asked for are passed over by the plan, and by the estimate also if the others are slow.

Measured: test_request_is_held_for_a_pause[True] fails without the change, every time.

--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -123,6 +123,14 @@
         """
         return self._slow_until_ms > now_ms
 
+    def asked_for_pause(self, now_ms: float) -> bool:
+        """Returns whether the target wants no calls for a while.
+
+        Args:
+            now_ms: Monotonic time.
+        """
+        return self.requested_until_ms > now_ms
+
     def expected_wait_ms(self, now_ms: float) -> float:
         """Returns the expected time until the target could start a call, in ms.
 
--- a/borageyard/call_planner.py
+++ b/borageyard/call_planner.py
@@ -178,7 +178,9 @@
         quick = [
             target
             for target in targets
-            if not target.is_slow(now_ms) and not target.has_failed(now_ms)
+            if not target.is_slow(now_ms)
+            and not target.has_failed(now_ms)
+            and not target.asked_for_pause(now_ms)
         ]
         # Slow targets are used only if there are no others. A full target
         # still counts as one, because its pause is short.
@@ -364,7 +366,7 @@
         if not transfer_cost_ms:
             return False
         for other in self._targets.of_service(target.row.service):
-            if other.is_slow(now_ms):
+            if other.is_slow(now_ms) or other.asked_for_pause(now_ms):
                 continue
             wait_ms = max(
                 other.expected_wait_ms(now_ms),
--- a/borageyard/chain_time_estimator.py
+++ b/borageyard/chain_time_estimator.py
@@ -1,8 +1,8 @@
 """Predicts the time that requests and their stages take."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
-from .batch_targets import BatchTargets
+from .batch_targets import BatchTarget, BatchTargets
 from .call_time_estimator import CallTimeEstimator
 from .chains import ENGINE_START_MS, Chain, StageState
 from .engine_placer import PREFILL_TOKENS_PER_MS
@@ -84,14 +84,7 @@
             for state in chain.unfinished()
             if state.stage.service == service
         )
-        # The others do the work of targets that are slow or asked for a pause.
-        quick = [
-            target
-            for target in targets
-            if not target.is_slow(now_ms)
-            and target.requested_until_ms <= now_ms
-        ]
-        used = quick or targets
+        used = _working_targets(targets, now_ms)
         expected_wait_ms = sum(
             target.expected_wait_ms(now_ms) for target in used
         )
@@ -120,6 +113,15 @@
         return limits.call_ms + pieces_ms * ASSUMED_FILL_RATIO
 
 
+def _working_targets(
+    targets: Sequence[BatchTarget], now_ms: float
+) -> Sequence[BatchTarget]:
+    """Returns the targets that do the work of those that pause or are slow."""
+    awake = [one for one in targets if not one.asked_for_pause(now_ms)]
+    quick = [one for one in awake if not one.is_slow(now_ms)]
+    return quick or awake or targets
+
+
 def _engine_ms(chain: Chain) -> float:
     tokens = chain.spec.prompt.prompt_tokens
     return ENGINE_START_MS + tokens / PREFILL_TOKENS_PER_MS
--- a/tests/test_chain_scheduler.py
+++ b/tests/test_chain_scheduler.py
@@ -417,6 +417,17 @@
         (call,) = scheduler.plan(LATER_MS).calls
         assert call.target.target_id == 'p2'
 
+    @pytest.mark.parametrize('slow', [True, False])
+    def test_request_is_held_for_a_pause(self, scheduler, slow):
+        """It goes to the other target, however slow that one is."""
+        scheduler.targets.pause('p1', 60_000)
+        if slow:
+            scheduler.targets.find('p2').note_slow(0)
+        assert scheduler.submit(order(), 0) is None
+        scheduler.plan(0)
+        (call,) = scheduler.plan(LATER_MS).calls
+        assert call.target.target_id == 'p2'
+
     def test_slow_target_is_not_used_while_the_quick_one_is_full(
         self,
         scheduler,
