--- a/borageyard/engine_watch.py
+++ b/borageyard/engine_watch.py
@@ -10,7 +10,7 @@
 from .events import Event, log_event
 from .fleet_state import FleetState
 from .inbound import InboundRequest
-from .path_witnesses import PathWitnesses
+from .path_witnesses import PathWitnesses, RefusalCause
 from .request_keys import identify_request
 from .roster import RosterRow
 from .run_tracker import EngineSend
@@ -154,27 +154,27 @@
             stack.callback(self._probes.pop, engine)
             listening = await self._probe.is_listening(address)
         if listening is False:
-            await self._confirm_refused(engine)
+            await self._confirm_refused(engine, address)
         elif listening and self._tracker.refute(engine):
             _log_refuted(engine, 'listening')
 
-    async def _confirm_refused(self, engine: EngineRun) -> None:
-        """Takes a refused connection for a crash unless all are refused.
+    async def _confirm_refused(self, engine: EngineRun, address: str) -> None:
+        """Takes a refused connection for a crash if nobody reaches the engine.
 
-        An entry that is partitioned from the targets leaves it to the record.
+        Otherwise its record decides.
         """
         lost = self._tracker.unconfirmed(self._clock.steady_ms())
-        silent_ids = await self._witnesses.find_silent(
-            engine.target_id, {run.target_id for run in lost}
+        cause = await self._witnesses.explain_refusal(
+            engine.target_id, address, {run.target_id for run in lost}
         )
-        if silent_ids:
+        if cause is RefusalCause.DOWN:
+            self._confirm(engine, 'refused')
+        else:
             log_event(
                 Event.CRASH_UNCONFIRMED,
                 target_id=engine.target_id,
-                witnesses=silent_ids,
+                cause=cause.value,
             )
-        else:
-            self._confirm(engine, 'refused')
 
     def _on_table_change(self, table: Table) -> None:
         """Detects engines that left or restarted after a loss."""
--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -83,6 +83,8 @@
     is_answer: AnswerCheck | None = None
     # Target that gets new work; empty for other calls.
     target_id: str = ''
+    # Whether a peer must make the call, if there are peers.
+    through_peer: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/borageyard/path_witnesses.py
+++ b/borageyard/path_witnesses.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import enum
 import functools
 from collections.abc import Collection, Iterable, Sequence
 
@@ -48,8 +49,18 @@
     return len(same_service), domains.count(row.failure_domain)
 
 
+class RefusalCause(enum.Enum):
+    """Why a target refuses the connections of this entry."""
+
+    DOWN = 'down'
+    # No target accepts them.
+    PARTITIONED = 'partitioned'
+    # The target answers a peer.
+    PATH_LOST = 'path_lost'
+
+
 class PathWitnesses:
-    """Finds out whether this entry has a path to any target."""
+    """Finds out whether this entry has a path to targets."""
 
     def __init__(self, state: FleetState, probe: TargetProbe) -> None:
         """Stores the dependencies.
@@ -86,3 +97,20 @@
                 if await listening:
                     return ()
         return [row.target_id for row in rows]
+
+    async def explain_refusal(
+        self, target_id: str, address: str, lost_ids: Collection[str]
+    ) -> RefusalCause:
+        """Returns why a target refuses connections.
+
+        Args:
+            target_id: The target.
+            address: Its address.
+            lost_ids: Targets that may be down as well.
+        """
+        if await self.find_silent(target_id, {target_id, *lost_ids}):
+            return RefusalCause.PARTITIONED
+        reason = await self._probe.check_status(
+            target_id, address, through_peer=True
+        )
+        return RefusalCause.DOWN if reason else RefusalCause.PATH_LOST
--- a/borageyard/platform/status_client.py
+++ b/borageyard/platform/status_client.py
@@ -1,7 +1,13 @@
 """Asks the platform's targets for their status."""
 
+from http import HTTPStatus
+
 from ..http_client import CallClient, HttpCall, HttpCallError
-from .targets import MAX_CALL_ANSWER_BYTES, REPORT_PATH
+from .targets import (
+    EXPECTED_TARGET_HEADER,
+    MAX_CALL_ANSWER_BYTES,
+    REPORT_PATH,
+)
 
 # A sound target may be silent for a second.
 STATUS_TIMEOUT_MS = 1200
@@ -18,17 +24,23 @@
         """
         self._client = client
 
-    async def check_status(self, address: str) -> str:
+    async def check_status(
+        self, target_id: str, address: str, *, through_peer: bool = False
+    ) -> str:
         """Returns why there was no answer in time; empty if there was one."""
         call = HttpCall(
             address,
             'GET',
             REPORT_PATH,
+            headers={EXPECTED_TARGET_HEADER: target_id},
             timeout_ms=STATUS_TIMEOUT_MS,
             max_body_bytes=MAX_CALL_ANSWER_BYTES,
+            through_peer=through_peer,
         )
         try:
-            await self._client.request(call)
+            reply = await self._client.request(call)
         except HttpCallError as error:
-            return error.reason
+            return error.reason or 'failed'
+        if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return 'another target answers'
         return ''
--- a/borageyard/quarantine_sender.py
+++ b/borageyard/quarantine_sender.py
@@ -21,7 +21,7 @@
     TargetSend,
     TargetSender,
 )
-from .path_witnesses import PathWitnesses
+from .path_witnesses import PathWitnesses, RefusalCause
 from .peer_link import TcpPeerLink
 from .peer_notifier import PeerNotifier
 from .peers import GossipSection
@@ -121,7 +121,7 @@
                     self._sender.send(send),
                 )
             except SendError as error:
-                self._record_error(digest, target.target_id, error)
+                self._record_error(digest, target, error)
                 raise
             except asyncio.CancelledError:
                 self._record_given_up(digest, target)
@@ -130,7 +130,7 @@
                 yield answer
             except SendError as error:
                 if error.failure is SendFailure.UNKNOWN:
-                    self._record_error(digest, target.target_id, error)
+                    self._record_error(digest, target, error)
                 raise
             except asyncio.CancelledError:
                 self._record_given_up(digest, target)
@@ -141,16 +141,17 @@
     def _record_error(
         self,
         digest: str,
-        target_id: str,
+        target: RosterRow,
         error: SendError,
     ) -> None:
+        target_id = target.target_id
         now_ms = self._clock.steady_ms()
         if error.failure is SendFailure.UNKNOWN:
             self.correlator.note_lost_send(digest, target_id, now_ms)
         elif target_id not in self._checks:
             if target_id in self.correlator.targets_with_lost_sends():
                 self._checks[target_id] = asyncio.ensure_future(
-                    self._check_refused(target_id)
+                    self._check_refused(target)
                 )
 
     def _record_given_up(self, digest: str, target: RosterRow) -> None:
@@ -165,21 +166,24 @@
         if row is None or row.incarnation != target.incarnation:
             self._on_target_down(target_id)
 
-    async def _check_refused(self, target_id: str) -> None:
-        """Counts a target that refuses connections as down if others do not."""
+    async def _check_refused(self, target: RosterRow) -> None:
+        """Counts a target that refuses connections if nobody reaches it."""
+        target_id = target.target_id
         with contextlib.ExitStack() as stack:
             stack.callback(self._checks.pop, target_id)
-            silent_ids = await self._witnesses.find_silent(
-                target_id, self.correlator.targets_with_lost_sends()
+            cause = await self._witnesses.explain_refusal(
+                target_id,
+                target.address,
+                self.correlator.targets_with_lost_sends(),
             )
-        if silent_ids:
+        if cause is RefusalCause.DOWN:
+            self._on_target_down(target_id)
+        else:
             log_event(
                 Event.CRASH_UNCONFIRMED,
                 target_id=target_id,
-                witnesses=silent_ids,
+                cause=cause.value,
             )
-        else:
-            self._on_target_down(target_id)
 
     async def _close(self) -> None:
         tasks = tuple(self._checks.values())
--- a/borageyard/relayed_client.py
+++ b/borageyard/relayed_client.py
@@ -74,14 +74,14 @@
         if watch is None or peer_calls is None:
             return await stack.enter_async_context(self.own.stream(call))
         was_partitioned = watch.paths.is_partitioned
-        if not was_partitioned:
+        if not was_partitioned and not call.through_peer:
             opened = await self._open_directly(call, stack, watch)
             if opened is not None:
                 return opened
         opened = await peer_calls.open(call, stack)
         if opened is not None:
             return opened
-        if not was_partitioned:
+        if call.through_peer or not was_partitioned:
             raise HttpCallError('no path to targets', sent=False)
         # If nobody has a path the targets may have been down.
         opened = await stack.enter_async_context(self.own.stream(call))
--- a/borageyard/silence_watch.py
+++ b/borageyard/silence_watch.py
@@ -78,7 +78,7 @@
     async def _check_silent(self, engine: EngineRun, address: str) -> None:
         with contextlib.ExitStack() as stack:
             stack.callback(self._checks.pop, engine)
-            reason = await self._probe.check_status(address)
+            reason = await self._probe.check_status(engine.target_id, address)
         self.engines.note_check(
             engine, self._clock.steady_ms(), answered=not reason
         )
--- a/borageyard/standins/crashing_fleet.py
+++ b/borageyard/standins/crashing_fleet.py
@@ -83,7 +83,9 @@
         """Returns whether an engine is up."""
         return bool(await self.is_listening(address))
 
-    async def check_status(self, address: str) -> str:
+    async def check_status(
+        self, target_id: str, address: str, *, through_peer: bool = False
+    ) -> str:
         """Returns why an engine does not answer."""
         listening = await self.is_listening(address)
         return '' if listening else 'down'
--- a/borageyard/standins/relaying_fleet.py
+++ b/borageyard/standins/relaying_fleet.py
@@ -130,7 +130,9 @@
         """Returns whether a target listens."""
         return await self.can_connect(address)
 
-    async def check_status(self, address: str) -> str:
+    async def check_status(
+        self, target_id: str, address: str, *, through_peer: bool = False
+    ) -> str:
         """Returns why a target does not answer."""
         return '' if await self.can_connect(address) else 'refused'
 
--- a/borageyard/standins/target_partition.py
+++ b/borageyard/standins/target_partition.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import ssl
+from collections.abc import Collection
 
 from ..http_streams import CountingReader, open_stream
 
@@ -25,7 +26,10 @@
     """Writer whose bytes are lost during a partition."""
 
     def __init__(
-        self, wrapped: asyncio.StreamWriter, reader: CountingReader
+        self,
+        wrapped: asyncio.StreamWriter,
+        reader: CountingReader,
+        address: str,
     ) -> None:
         """Takes the place of another writer.
 
@@ -33,7 +37,9 @@
             wrapped: The other writer, which closes its connection when it is
                 collected.
             reader: Reader of the connection.
+            address: Address that it leads to.
         """
+        self.address = address
         transport = wrapped.transport
         super().__init__(
             transport,
@@ -61,14 +67,26 @@
         """
         self._spared_address = spared_address
         self._mode = PartitionMode.NONE
+        # Targets that are cut off; empty for all.
+        self._addresses: frozenset[str] = frozenset()
         self._writers: set[PartitionedWriter] = set()
         # Connections that were asked for during partitions.
         self.denied = 0
 
-    def begin(self, mode: PartitionMode) -> None:
-        """Cuts the gateway off from all targets, or ends that."""
+    def begin(
+        self, mode: PartitionMode, addresses: Collection[str] = ()
+    ) -> None:
+        """Cuts the gateway off from targets, or ends that.
+
+        Args:
+            mode: What becomes of connections.
+            addresses: Addresses of the targets; empty for all.
+        """
         self._mode = mode
-        for writer in self._writers:
+        self._addresses = frozenset(addresses)
+        for writer in tuple(self._writers):
+            if not self._is_cut(writer.address):
+                continue
             if mode is PartitionMode.RESET:
                 writer.transport.abort()
             if mode is PartitionMode.HANG:
@@ -77,8 +95,8 @@
                 asyncio.get_running_loop().call_later(
                     USER_TIMEOUT_S, writer.transport.abort
                 )
-        if mode in {PartitionMode.RESET, PartitionMode.HANG}:
-            self._writers.clear()
+            if mode in {PartitionMode.RESET, PartitionMode.HANG}:
+                self._writers.discard(writer)
 
     async def connect(
         self, host: str, port: int, tls: ssl.SSLContext | None
@@ -88,8 +106,10 @@
         Raises:
             ConnectionRefusedError: If the partition refuses connections.
         """
-        is_spared = f'{host}:{port}' == self._spared_address
-        if not is_spared and self._mode is not PartitionMode.NONE:
+        address = f'{host}:{port}'
+        is_spared = address == self._spared_address
+        is_cut = not is_spared and self._is_cut(address)
+        if is_cut and self._mode is not PartitionMode.NONE:
             self.denied += 1
             if self._mode is PartitionMode.HANG:
                 await asyncio.Event().wait()
@@ -97,7 +117,10 @@
         reader, writer = await open_stream(host, port, tls)
         if is_spared:
             return reader, writer
-        partitioned = PartitionedWriter(writer, reader)
+        partitioned = PartitionedWriter(writer, reader, address)
         self._writers = {one for one in self._writers if not one.is_closing()}
         self._writers.add(partitioned)
         return reader, partitioned
+
+    def _is_cut(self, address: str) -> bool:
+        return not self._addresses or address in self._addresses
--- a/borageyard/target_probe.py
+++ b/borageyard/target_probe.py
@@ -33,22 +33,30 @@
             address: IP address and port of the target.
         """
 
-    async def check_status(self, address: str) -> str:
+    async def check_status(
+        self, target_id: str, address: str, *, through_peer: bool = False
+    ) -> str:
         """Returns why a target does not answer; empty if it does.
 
         Args:
+            target_id: Id of the target; another one does not count.
             address: IP address and port of the target.
+            through_peer: Whether a peer must ask.
         """
 
 
 class StatusClient(Protocol):
     """Asks targets for their status."""
 
-    async def check_status(self, address: str) -> str:
+    async def check_status(
+        self, target_id: str, address: str, *, through_peer: bool = False
+    ) -> str:
         """Returns why there was no answer in time; empty if there was one.
 
         Args:
+            target_id: Id of the target; another one does not count.
             address: IP address and port of the target.
+            through_peer: Whether a peer must ask.
         """
 
 
@@ -67,9 +75,13 @@
         self._status_client = status_client
         self._connect = connect
 
-    async def check_status(self, address: str) -> str:
+    async def check_status(
+        self, target_id: str, address: str, *, through_peer: bool = False
+    ) -> str:
         """Returns why a target does not answer; empty if it does."""
-        return await self._status_client.check_status(address)
+        return await self._status_client.check_status(
+            target_id, address, through_peer=through_peer
+        )
 
     async def can_connect(self, address: str) -> bool:
         """Returns whether a target accepts a connection at once."""
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -50,6 +50,8 @@
         self.listening = listening
         # Addresses that listen in any case.
         self.up = set()
+        # Addresses that answer peers.
+        self.up_for_peers = set()
         self.addresses = []
 
     async def is_listening(self, address):
@@ -62,9 +64,11 @@
         """Returns whether the result is that it listens."""
         return bool(await self.is_listening(address))
 
-    async def check_status(self, address):
+    async def check_status(self, target_id, address, *, through_peer=False):
         """Returns why there is no answer after a moment."""
         await asyncio.sleep(0.01)
+        if through_peer:
+            return '' if address in self.up_for_peers else 'refused'
         return '' if self.listening else 'refused'
 
 
@@ -199,6 +203,20 @@
         await asyncio.sleep(SPREAD_S)
         assert entry.quarantines('bad') is reachable
 
+    @pytest.mark.parametrize('lost_path', [True, False])
+    @in_virtual_time
+    async def test_lost_path_is_taken_for_crashes(self, lost_path):
+        """Engines that peers reach have not crashed."""
+        entry = Entry(MemoryPeerNetwork(), 'a')
+        entry.state.roster.apply([RosterChange(1, 'e9', row(9))], 2)
+        entry.probe.up.add(row(9).address)
+        for number in range(3):
+            if lost_path:
+                entry.probe.up_for_peers.add(row(number).address)
+            entry.lose(number, 'bad')
+        await asyncio.sleep(SPREAD_S)
+        assert entry.quarantines('bad') is not lost_path
+
     @in_virtual_time
     async def test_record_goes_during_a_partition(self):
         """The crash is confirmed by then."""
