Test take-ups of streams after all entries were killed

Cause: an entry that restarted knows no origin of a stream, so it refuses each take-up while two versions serve (LOST), and goes on at the version that is left if one of its engines is old (ORDER).

--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -12,7 +12,7 @@
         'add_nodes', 'after_ack_kill', 'answer_lost', 'big_config', 'burst',
         'clock_step', 'config_change', 'config_storm', 'core_cut', 'garble',
         'give_up', 'herd_kill', 'hot_key', 'hup', 'lossy', 'node_cut',
-        'node_freeze', 'node_kill', 'node_slow', 'platform_compact',
+        'node_freeze', 'node_kill', 'node_slow', 'platform_compact', 'poison',
         'platform_down', 'platform_lost', 'platform_slow', 'release',
         'replace_with_reuse', 'reset_conns', 'retry_abuse', 'revoke',
         'roll_term', 'scale_in', 'scale_out', 'shift', 'srv_crash',
--- a/tests/test_fleet_versions.py
+++ b/tests/test_fleet_versions.py
@@ -169,6 +169,70 @@
             assert await found(fleet, last, begun) == begun
 
 
+async def restart_all(fleet):
+    """Kills all entries at once; their memory is gone."""
+    for name in fleet.names:
+        await fleet.kill(name)
+    for name in fleet.names:
+        await fleet.start(name)
+
+
+@pytest.mark.parametrize('size', [5, 27, 78])
+class TestAllRestarted:
+    """Streams that callers take up after all entries were killed at once."""
+
+    @in_virtual_time
+    async def test_streams_go_on_while_both_versions_serve(self, size):
+        """At least half as many as new streams begin, which is all."""
+        async with settled(size, 'v1', 'v2') as fleet:
+            begun = await begin_streams(fleet, 'v1', 'v2')
+            await restart_all(fleet)
+            await fleet.run(START_S)
+            resolved = await found(fleet, fleet.names[-1], begun)
+            assert not wrong(resolved, begun)
+            known = [one for one in resolved.values() if one is not None]
+            assert len(known) >= STREAMS / 2
+
+    @in_virtual_time
+    async def test_streams_of_the_version_that_has_left_end(self, size):
+        """Its last target left just before, and the other one is old."""
+        async with settled(size, 'v1', 'v2') as fleet:
+            await fleet.run(3 * SPAN_S)
+            begun = await begin_streams(fleet, 'v1')
+            fleet.serve('v2')
+            await restart_all(fleet)
+            await fleet.run(1)
+            resolved = await found(fleet, fleet.names[-1], begun)
+            assert not wrong(resolved, begun)
+
+    @in_virtual_time
+    async def test_version_leaves_while_no_entry_runs(self, size):
+        """Nobody sees it leave; what was begun at it is refused."""
+        async with settled(size, 'v1', 'v2') as fleet:
+            await fleet.run(3 * SPAN_S)
+            begun = await begin_streams(fleet, 'v1')
+            for name in fleet.names:
+                await fleet.kill(name)
+            fleet.replace_engines(['v2'])
+            for name in fleet.names:
+                await fleet.start(name)
+            await fleet.run(1)
+            resolved = await found(fleet, fleet.names[-1], begun)
+            assert not wrong(resolved, begun)
+
+    @in_virtual_time
+    async def test_streams_that_began_before_the_release_go_on(self, size):
+        """Their origins were in no doubt until the second version came."""
+        async with settled(size, 'v1') as fleet:
+            begun = await begin_streams(fleet, 'v1')
+            fleet.serve('v1', 'v2')
+            await fleet.run(1)
+            await restart_all(fleet)
+            await fleet.run(START_S)
+            resolved = await found(fleet, fleet.names[-1], begun)
+            assert resolved == begun
+
+
 # A long run by hand: SOAK_SEEDS=60 python -m pytest -k Soak
 SOAK_SEEDS = int(os.environ.get('SOAK_SEEDS', '4'))
 # Versions that serve side by side.
