--- a/borageyard/fleet_state.py
+++ b/borageyard/fleet_state.py
@@ -10,7 +10,7 @@
 from .plans import FleetView
 from .roster import RosterChange, RosterRow, TargetRoster
 from .serving_configuration import ServingConfiguration, schedule_groups
-from .shared_table import Table, TablePage, TableRecord
+from .shared_table import MIRRORED_TABLES, Table, TablePage, TableRecord
 from .table_mirror import TableMirror
 
 
@@ -58,7 +58,7 @@
         self.roster = TargetRoster()
         self.mirrors = {
             table: TableMirror(functools.partial(self._revision_of, table))
-            for table in Table
+            for table in MIRRORED_TABLES
         }
         # Era of the store that the mirrors follow.
         self.era = 0
--- a/borageyard/fleet_sync.py
+++ b/borageyard/fleet_sync.py
@@ -20,7 +20,13 @@
 from .membership import Membership
 from .peers import GossipSection, PeerAddress, PeerError, PeerLink
 from .presence_announcer import PresenceAnnouncer
-from .shared_table import SharedTables, Table, TablePage, TableRecord
+from .shared_table import (
+    MIRRORED_TABLES,
+    SharedTables,
+    Table,
+    TablePage,
+    TableRecord,
+)
 from .table_reader import TableReader
 from .tasks import running_tasks
 
@@ -97,7 +103,7 @@
             ),
         )
         self._peers_ahead: dict[Table, set[str]] = {
-            table: set() for table in Table
+            table: set() for table in MIRRORED_TABLES
         }
         self._catch_up_needed = asyncio.Event()
 
@@ -164,7 +170,7 @@
                 async with asyncio.timeout(TICK_MS / MS_PER_S):
                     await self._catch_up_needed.wait()
             self._catch_up_needed.clear()
-            for table in Table:
+            for table in MIRRORED_TABLES:
                 if self._peers_ahead[table]:
                     await self._request_records(table)
 
@@ -253,7 +259,8 @@
     def _provide_offsets(self) -> TableNewsBody:
         return TableNewsBody(
             ends={
-                table.value: self._state.mirrors[table].end for table in Table
+                table.value: self._state.mirrors[table].end
+                for table in MIRRORED_TABLES
             },
             era=self._state.era,
             version=self._state.version,
@@ -261,7 +268,7 @@
 
     def _consume_offsets(self, peer_id: str, gossip: TableNewsBody) -> None:
         self._reader.follow_era(gossip.era, peer_id)
-        for table in Table:
+        for table in MIRRORED_TABLES:
             if self._is_ahead(table, gossip) and self._needs_records(table):
                 self._peers_ahead[table].add(peer_id)
                 self._catch_up_needed.set()
--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -41,6 +41,7 @@
 from .scheduler_service import SchedulerService
 from .send_permits import SendPermits
 from .shared_table import SharedTables, Table
+from .stream_journal import StreamJournal
 from .stream_origin_service import StreamOriginService
 from .streaming_relay import StreamingRelay
 from .target_departures import TargetDepartures
@@ -165,6 +166,13 @@
             settings.instance_id, self.suspects, self.link, clock
         )
         self._watch = EngineWatch(self.state, self.suspects, clock, probe)
+        self._journal = StreamJournal(
+            settings.instance_id,
+            self.state,
+            self.elections,
+            dependencies.tables,
+            clock,
+        )
         reader = AnswerReader()
         self._buffered = BufferedRelay(
             self.state,
@@ -188,7 +196,9 @@
             self.scheduler,
             retries,
             clock,
-            StreamOriginService(self.state, self.elections, self.link, clock),
+            StreamOriginService(
+                self.state, self.elections, self.link, clock, self._journal
+            ),
             reader,
         )
         self.relay = RequestRelay(
@@ -226,6 +236,7 @@
             self.elections,
             self._path_watch,
             self._call_relay,
+            self._journal,
         )
         self.state.add_listener(self._on_table_change)
 
--- a/borageyard/platform/store.py
+++ b/borageyard/platform/store.py
@@ -26,6 +26,9 @@
         Table.CONFIGURATION: 'keyed.op',
         Table.TARGETS: 'keyed.servers',
         Table.ENTRIES: 'keyed.status',
+        Table.VERSIONS: 'keyed.versions',
+        # Not compacted: records expire with the history of the store.
+        Table.ORIGINS: 'origins',
     },
 )
 # Key of the operator's topic that holds the configuration.
@@ -154,6 +157,7 @@
                 f'whose first one is {first}',
                 era,
                 restored=first <= offset,
+                first=first,
             )
         _require_ok(reply)
         return _decode_history(table, offset, reply.body, era)
@@ -164,7 +168,7 @@
         Args:
             table: Table to write to.
             key: Key of the record.
-            content: Value of the record.
+            content: Value of the record; empty to remove the key.
 
         Returns:
             The era of the store that holds the record.
--- a/borageyard/shared_table.py
+++ b/borageyard/shared_table.py
@@ -10,13 +10,20 @@
 
 
 class Table(enum.Enum):
-    """Tables that entries read; they write only ENTRIES."""
+    """Tables of the store; the operator and targets write the first two."""
 
     CONFIGURATION = 'configuration'
     TARGETS = 'targets'
     ENTRIES = 'entries'
+    # Software versions of targets that serve, or did until recently.
+    VERSIONS = 'versions'
+    # Origins of streams. Its records expire.
+    ORIGINS = 'origins'
 
 
+# Tables that each entry follows and passes on to its peers.
+MIRRORED_TABLES = (Table.CONFIGURATION, Table.TARGETS, Table.ENTRIES)
+
 # Offset of a record that is known, but not from the present era of the store.
 UNPLACED = -1
 
@@ -42,16 +49,20 @@
     the offset.
     """
 
-    def __init__(self, reason: str, era: int = 0, *, restored: bool) -> None:
+    def __init__(
+        self, reason: str, era: int = 0, *, restored: bool, first: int = 0
+    ) -> None:
         """Creates an error.
 
         Args:
             reason: Which records are missing.
             era: Era that the answer stated; 0 if there was none.
             restored: Whether the offset is beyond the end of the history.
+            first: First offset that the store has.
         """
         super().__init__(reason, era)
         self.restored = restored
+        self.first = first
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,7 +125,7 @@
         Args:
             table: Table to write to.
             key: Key of the record.
-            content: Content of the record, any bytes.
+            content: Content of the record, any bytes; empty to remove it.
 
         Returns:
             The era of the store that holds the record.
@@ -195,7 +206,7 @@
     async def put(self, table: Table, key: str, content: bytes) -> int:
         """Writes the newest record of a key."""
         self._require_up()
-        self.write(table, key, content)
+        self.write(table, key, content or None)
         return self.era
 
     def _require_retained(self, table: Table, offset: int) -> None:
@@ -207,6 +218,7 @@
                 f'{offset}',
                 self.era,
                 restored=offset > end,
+                first=first,
             )
 
     async def _wait(self, wait_ms: float) -> None:
--- a/borageyard/software_versions.py
+++ b/borageyard/software_versions.py
@@ -6,21 +6,17 @@
 
 from .roster import RosterRow
 
-# Bound of the users on the difference between the clocks of two machines.
-MAX_CLOCK_SKEW_MS = 5000
-
 
 @dataclasses.dataclass(slots=True)
 class _ServiceHistory:
     # Time at which the last target of a version was gone, infinite for present
     # ones.
     seen_until_ms: dict[str, float] = dataclasses.field(default_factory=dict)
-    # Start of the target that has been running longest, in Unix milliseconds.
-    oldest_start_ms: float = math.inf
+    # Whether the versions from before the start of this entry are known.
+    known_from_start: bool = False
 
     def end(self, now_ms: float) -> None:
         """Removes all targets; their versions have been seen until now."""
-        self.oldest_start_ms = math.inf
         self.seen_until_ms = {
             version: min(until_ms, now_ms)
             for version, until_ms in self.seen_until_ms.items()
@@ -29,7 +25,6 @@
     def add(self, row: RosterRow) -> None:
         """Adds a target that is present."""
         self.seen_until_ms[row.software_version] = math.inf
-        self.oldest_start_ms = min(self.oldest_start_ms, row.incarnation)
 
 
 class VersionHistory:
@@ -73,29 +68,30 @@
             if until_ms > now_ms - span_ms
         )
 
-    def has_observed(self, span_ms: float, now_ms: float) -> bool:
-        """Returns whether this entry knows all versions of a time.
+    def add_earlier(
+        self, service: str, version: str, now_ms: float, *, complete: bool
+    ) -> None:
+        """Records a version that may have served until this entry started.
 
         Args:
-            span_ms: The time in milliseconds.
+            service: Name of the service.
+            version: The version.
             now_ms: Monotonic time.
+            complete: Whether all such versions of the service are recorded.
         """
-        return now_ms - self._observed_since_ms >= span_ms
+        history = self._services.setdefault(service, _ServiceHistory())
+        history.known_from_start = complete
+        history.seen_until_ms.setdefault(version, now_ms)
 
-    def has_older_target(
-        self, service: str, span_ms: float, wall_ms: float
-    ) -> bool:
-        """Returns whether a present target served all the time.
-
-        A release that ended meanwhile would most likely have replaced it.
+    def is_complete(self, service: str, span_ms: float, now_ms: float) -> bool:
+        """Returns whether this entry knows all versions of a time.
 
         Args:
             service: Name of the service.
             span_ms: The time in milliseconds.
-            wall_ms: Milliseconds since the Unix epoch.
+            now_ms: Monotonic time.
         """
+        if now_ms - self._observed_since_ms >= span_ms:
+            return True
         history = self._services.get(service)
-        if history is None:
-            return False
-        oldest_age_ms = wall_ms - MAX_CLOCK_SKEW_MS - history.oldest_start_ms
-        return oldest_age_ms >= span_ms
+        return history is not None and history.known_from_start
--- a/borageyard/standins/streaming_fleet.py
+++ b/borageyard/standins/streaming_fleet.py
@@ -1,11 +1,13 @@
 """In-memory fleet that relays streams of engines of several versions."""
 
+import functools
 from collections.abc import Collection
 
 from ..clock import LoopClock
 from ..memory_peers import MemoryPeerNetwork
 from ..roster import RosterChange, RosterRow, TargetPhase
-from ..shared_table import Table
+from ..shared_table import MemoryTables, SharedTables, Table
+from ..stream_journal import StreamJournal
 from ..stream_origin_service import StreamOriginService
 from ..stream_origins import StreamOrigin
 from .electing_fleet import GROUP, ElectingEntry, ElectingFleet
@@ -26,13 +28,24 @@
         incarnation: int,
         listed: Collection[str],
         network: MemoryPeerNetwork,
+        *,
+        tables: SharedTables,
     ) -> None:
         """Joins the network; ``start`` starts its tasks."""
         super().__init__(name, incarnation, listed, network)
+        clock = LoopClock(EPOCH_MS)
+        self.journal = StreamJournal(
+            name, self.state, self.service, tables, clock
+        )
         self.origins = StreamOriginService(
-            self.state, self.service, self.link, LoopClock(EPOCH_MS)
+            self.state, self.service, self.link, clock, self.journal
         )
 
+    async def start(self) -> None:
+        """Starts its tasks."""
+        await super().start()
+        await self._stack.enter_async_context(self.journal.running())
+
     def read_roster(self, rows: Collection[RosterRow], offset: int) -> None:
         """Reads the targets from the store.
 
@@ -63,7 +76,10 @@
         Args:
             size: Number of entries.
         """
-        super().__init__(size, StreamingEntry)
+        self.store = MemoryTables()
+        super().__init__(
+            size, functools.partial(StreamingEntry, tables=self.store)
+        )
         self._offset = 0
         self._rows: Collection[RosterRow] = ()
         self._begun = 0
@@ -112,6 +128,7 @@
         """
         self._offset += 1
         for name in names:
+            self.entry(name).state.era = self.store.era
             self.entry(name).read_roster(self._rows, self._offset)
 
     def entry(self, name: str) -> StreamingEntry:
--- a/borageyard/stream_origin_service.py
+++ b/borageyard/stream_origin_service.py
@@ -17,17 +17,15 @@
 from .peer_notifier import PeerNotifier
 from .peers import PeerError, PeerLink
 from .rendezvous import hash_weight
+from .served_versions import HISTORY_MS
 from .shared_table import Table
-from .software_versions import VersionHistory
-from .stream_origins import StreamOrigin, StreamOrigins
+from .stream_journal import StreamJournal, decode_origin, encode_origin
+from .stream_origins import StreamOrigin
 
 # Entries that keep the origin of a stream besides the one that relays it.
 BACKUPS = 3
 # Time limit for the answer of a peer; the caller waits for its next event.
 QUERY_TIMEOUT_MS = 200
-# Time for which a version that is gone counts when origins are handed to other
-# entries; longer than any stream.
-HISTORY_MS = 120_000
 # Age of the last read of the targets up to which this entry knows all versions
 # that serve: the interval of the reads, and the time that two of them take.
 FRESH_MS = 2000
@@ -40,7 +38,8 @@
     version, all entries know the origin of its streams anyway. Once it has a
     second one, each entry gives the origins of its streams to some others,
     which are chosen by a hash of the request, so that whoever takes a stream up
-    can ask them.
+    can ask them, and to the scheduler, which keeps them in the store in case
+    that all entries are lost.
     """
 
     def __init__(
@@ -49,6 +48,7 @@
         elections: ElectionService,
         link: PeerLink,
         clock: Clock,
+        journal: StreamJournal,
     ) -> None:
         """Registers its messages on the link and a listener on the tables.
 
@@ -57,13 +57,15 @@
             elections: Elects the schedulers, which know all present versions.
             link: Link to the peers.
             clock: Source of time.
+            journal: What the shared store knows of streams.
         """
         self._state = state
         self._elections = elections
         self._link = link
         self._clock = clock
-        self._origins = StreamOrigins()
-        self._versions = VersionHistory()
+        self._journal = journal
+        self._origins = journal.origins
+        self._versions = journal.versions
         # Revision of the roster that the history includes.
         self._revision = 0
         self._notifier = PeerNotifier(link)
@@ -101,9 +103,27 @@
             *(self._ask(peer_id, query) for peer_id in peer_ids)
         )
         answered = [reply for reply in replies if reply is not None]
-        if peer_ids and not answered and not self._knows_all_versions(span_ms):
-            return None
-        return _find_version([own, *answered])
+        version = None
+        cut_off = bool(peer_ids) and not answered
+        if not cut_off or self._knows_all_versions(service, span_ms):
+            version = _find_version([own, *answered])
+        source = 'entries'
+        if version is None:
+            await self._journal.read_origins()
+            origin = self._origins.find(request_id, self._clock.steady_ms())
+            version = origin.software_version if origin else None
+            source = 'store'
+        log_event(
+            Event.STREAM_ORIGIN_SOUGHT,
+            request_id=request_id,
+            software_version=version,
+            source=source,
+            recent_versions=own.recent_versions,
+            complete=own.complete,
+            answered=len(answered),
+            asked=len(peer_ids),
+        )
+        return version
 
     def _peers_to_ask(self, request_id: str, service: str) -> Sequence[str]:
         """Returns the peers that may know the origin of a stream.
@@ -123,7 +143,7 @@
         )
         return [peer_id for peer_id in wanted if peer_id in known]
 
-    def _knows_all_versions(self, span_ms: float) -> bool:
+    def _knows_all_versions(self, service: str, span_ms: float) -> bool:
         """Returns whether this entry needs no peer to know all versions.
 
         It has read the store all the time and just now.
@@ -131,7 +151,7 @@
         now_ms = self._clock.steady_ms()
         read_at_ms = self._state.mirrors[Table.TARGETS].read_at_ms
         fresh = now_ms - read_at_ms <= FRESH_MS
-        return fresh and self._versions.has_observed(span_ms, now_ms)
+        return fresh and self._versions.is_complete(service, span_ms, now_ms)
 
     def _backups(self, request_id: str) -> Sequence[str]:
         known = frozenset(self._link.peer_ids())
@@ -166,10 +186,7 @@
             recent_versions=sorted(
                 self._versions.recent(service, span_ms, now_ms)
             ),
-            complete=self._versions.has_observed(span_ms, now_ms)
-            or self._versions.has_older_target(
-                service, span_ms, self._clock.wall_ms()
-            ),
+            complete=self._versions.is_complete(service, span_ms, now_ms),
         )
 
     async def _handle_query(
@@ -182,13 +199,10 @@
     ) -> StreamOriginsReplyBody:
         now_ms = self._clock.steady_ms()
         for body in message.origins:
-            origin = StreamOrigin(
-                body.request_id,
-                body.service,
-                body.software_version,
-                now_ms + body.left_ms,
-            )
+            origin = decode_origin(body, now_ms)
             self._origins.add(origin, shared=True)
+            if self._journal.keeps(origin.service):
+                self._journal.record([origin])
         return StreamOriginsReplyBody()
 
     def _on_table_change(self, table: Table) -> None:
@@ -198,6 +212,7 @@
         self._revision = roster.revision
         rows = roster.rows()
         self._versions.update(rows, self._clock.steady_ms())
+        self._journal.note_targets()
         services = {row.service for row in rows}
         for service in services:
             self._share(service)
@@ -208,20 +223,23 @@
         if len(self._versions.recent(service, HISTORY_MS, now_ms)) < 2:
             return
         origins = self._origins.take_unshared(service, now_ms)
+        if self._journal.keeps(service):
+            self._journal.record(origins)
         by_peer: dict[str, list[StreamOriginBody]] = {}
         for origin in origins:
-            body = StreamOriginBody(
-                request_id=origin.request_id,
-                service=service,
-                software_version=origin.software_version,
-                left_ms=max(origin.expires_at_ms - now_ms, 0),
-            )
-            for peer_id in self._backups(origin.request_id):
+            body = encode_origin(origin, now_ms)
+            for peer_id in self._keepers(origin):
                 by_peer.setdefault(peer_id, []).append(body)
         for peer_id, bodies in by_peer.items():
             message = StreamOriginsBody(origins=bodies)
             self._notifier.notify(peer_id, message, StreamOriginsReplyBody)
 
+    def _keepers(self, origin: StreamOrigin) -> Collection[str]:
+        """Returns the peers that keep an origin: backups and the scheduler."""
+        scheduler_id = self._elections.find(origin.service)
+        keepers = {scheduler_id, *self._backups(origin.request_id)}
+        return keepers.intersection(self._link.peer_ids())
+
 
 def _rank(request_id: str, peer_ids: Collection[str]) -> Sequence[str]:
     """Returns peers in the order in which they keep the origin of a stream."""
--- a/tests/test_fleet_versions.py
+++ b/tests/test_fleet_versions.py
@@ -60,6 +60,14 @@
     ]
 
 
+async def restart_all(fleet):
+    """Kills all entries at once; their memory is gone."""
+    for name in fleet.names:
+        await fleet.kill(name)
+    for name in fleet.names:
+        await fleet.start(name)
+
+
 @pytest.mark.parametrize('size', SIZES)
 class TestOrigins:
     """Incident ORDER: streams that another entry began."""
@@ -125,14 +133,17 @@
 
     @in_virtual_time
     async def test_one_of_two_versions_is_not_guessed(self):
-        """A refusal is the truth."""
+        """A refusal is the truth. The store was away while they began."""
         async with settled(5, 'v1', 'v1.1') as fleet:
+            await fleet.run(1)
+            fleet.store.down = True
             begun = await begin_streams(fleet, 'v1', 'v1.1')
-            for name in fleet.names:
-                await fleet.kill(name)
-                await fleet.start(name)
+            await restart_all(fleet)
             resolved = await found(fleet, fleet.names[-1], begun)
-            assert set(resolved.values()) == {None}
+            fleet.store.down = False
+            await fleet.run(2)
+            resolved_later = await found(fleet, fleet.names[-1], begun)
+            assert {*resolved.values(), *resolved_later.values()} == {None}
 
     @in_virtual_time
     async def test_version_that_is_gone_may_have_begun_them(self):
@@ -169,14 +180,6 @@
             assert await found(fleet, last, begun) == begun
 
 
-async def restart_all(fleet):
-    """Kills all entries at once; their memory is gone."""
-    for name in fleet.names:
-        await fleet.kill(name)
-    for name in fleet.names:
-        await fleet.start(name)
-
-
 @pytest.mark.parametrize('size', [5, 27, 78])
 class TestAllRestarted:
     """Streams that callers take up after all entries were killed at once."""
@@ -233,6 +236,40 @@
             assert resolved == begun
 
 
+class TestRestoredStore:
+    """All entries restart with a store that comes back from a copy."""
+
+    @in_virtual_time
+    async def test_version_of_which_the_copy_knows_nothing(self):
+        """It came after the copy was made, and has left again."""
+        async with settled(5, 'v1') as fleet:
+            await fleet.run(3 * SPAN_S)
+            copied = fleet.store.ends()
+            fleet.serve('v1', 'v2')
+            begun = await begin_streams(fleet, 'v2')
+            fleet.store.restore(copied)
+            fleet.replace_engines(['v1'])
+            for _ in range(2):
+                await restart_all(fleet)
+                await fleet.run(START_S)
+                resolved = await found(fleet, fleet.names[-1], begun)
+                assert set(resolved.values()) == {None}
+
+    @in_virtual_time
+    async def test_running_entries_list_the_versions_again(self):
+        """They outlived the restore, so their memory is complete."""
+        async with settled(5, 'v1') as fleet:
+            copied = fleet.store.ends()
+            fleet.serve('v1', 'v2')
+            await fleet.run(1)
+            fleet.store.restore(copied)
+            fleet.serve('v1', 'v2')
+            begun = await begin_streams(fleet, 'v1', 'v2')
+            await restart_all(fleet)
+            await fleet.run(1)
+            assert await found(fleet, fleet.names[-1], begun) == begun
+
+
 # A long run by hand: SOAK_SEEDS=60 python -m pytest -k Soak
 SOAK_SEEDS = int(os.environ.get('SOAK_SEEDS', '4'))
 # Versions that serve side by side.
