--- /dev/null
+++ b/tests/test_repeated_refusals.py
@@ -0,0 +1,238 @@
+"""Tests of targets that write an earlier answer once more."""
+
+import asyncio
+import contextlib
+import re
+
+import pytest
+
+from borageyard.clock import SystemClock
+from borageyard.http_client import HttpClient
+from borageyard.inbound import InboundRequest, SendError, TargetSend
+from borageyard.piece_runner import (
+    CallFailedError,
+    PieceRequest,
+    PieceStatus,
+    TargetFullError,
+)
+from borageyard.platform.answer_notices import AnswerNotices
+from borageyard.platform.status_client import HttpStatusClient
+from borageyard.platform.targets import HttpPieceRunner, HttpTargetSender
+from borageyard.roster import RosterRow, TargetPhase
+from borageyard.target_departures import TargetDepartures
+from borageyard.target_limits import TargetLimits
+
+SAFETY_TIMEOUT_S = 5
+REFUSALS = {
+    'full': b'503 Full\r\nx-not-executed: 1',
+    'other target': b'421 Other\r\nx-instance-id: t0',
+}
+PIECES_PATH = '/stage-run'
+
+
+class RepeatingTarget:
+    """Target that may write its latest refusal again at the next request.
+
+    It refuses the first request on each path in ``refusing``, and runs all
+    others. Refusals name no request.
+    """
+
+    def __init__(self, refusing, refusal, *, waits):
+        """Creates a target that does not listen yet.
+
+        Args:
+            refusing: Paths whose first request is refused.
+            refusal: Status line and header of its refusals.
+            waits: Whether the copy is written only once the next request has
+                arrived.
+        """
+        self.runs = []
+        self.connections = 0
+        self.address = ''
+        self._handlers = []
+        self._refusing = set(refusing)
+        self._refusal = (
+            b'HTTP/1.1 ' + refusal + b'\r\ncontent-length: 0\r\n\r\n'
+        )
+        self._waits = waits
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Listens within the scope."""
+        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        self.address = f'{host}:{port}'
+        async with server, contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._wait_closed)
+            yield self
+
+    async def _wait_closed(self):
+        await asyncio.gather(*self._handlers)
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self._handlers.append(asyncio.current_task())
+        repeated = b''
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                size = re.search(rb'content-length: (\d+)', head)
+                await reader.readexactly(int(size[1]))
+                writer.write(repeated)
+                repeated = b''
+                path = head.split(b' ')[1].decode()
+                if path in self._refusing:
+                    self._refusing.discard(path)
+                    writer.write(self._refusal)
+                    if self._waits:
+                        repeated = self._refusal
+                    else:
+                        await asyncio.sleep(0)
+                        writer.write(self._refusal)
+                else:
+                    writer.write(self._run(path, head))
+        writer.close()
+        with contextlib.suppress(OSError):
+            await writer.wait_closed()
+
+    def _run(self, path, head):
+        """Returns the answer to a request that runs."""
+        self.runs.append(path)
+        request_id = re.search(rb'x-attempt-id: (\S+)', head)
+        named = b'x-attempt-id: ' + request_id[1] if request_id else b'x: y'
+        body = b'ran'
+        if path == PIECES_PATH:
+            body = b'{"items": [{"handle": "h%d"}]}' % len(self.runs)
+        return (
+            b'HTTP/1.1 200 OK\r\nx-server-stamp: s\r\n%s\r\n%s%d\r\n\r\n%s'
+            % (
+                named,
+                b'content-length: ',
+                len(body),
+                body,
+            )
+        )
+
+
+class Caller:
+    """Makes each kind of call to one target over one client."""
+
+    def __init__(self, client, address):
+        """Stores the client and the target."""
+        notices = AnswerNotices(
+            TargetLimits(SystemClock()), TargetDepartures(SystemClock())
+        )
+        self._sender = HttpTargetSender(client, notices)
+        self._runner = HttpPieceRunner(client, notices)
+        self._status = HttpStatusClient(client)
+        self._row = RosterRow('t1', 's', address, 'a', TargetPhase.READY)
+        self._sent = 0
+
+    async def send(self):
+        """Sends a request; returns whether it was told as not run."""
+        self._sent += 1
+        request_id = f'request-{self._sent}'
+        request = InboundRequest(
+            request_id=request_id,
+            host='h',
+            method='POST',
+            path='/book',
+            request_target='/book',
+            headers={'x-attempt-id': request_id},
+            body=b'',
+            received_at_ms=0,
+            wait_ms=1000,
+        )
+        send = TargetSend(request, self._row, 1000, '', 0, repeatable=False)
+        try:
+            async with self._sender.send(send) as answer:
+                body = b''.join([chunk async for chunk in answer.chunks])
+                return 'not run' if answer.not_run else body.decode()
+        except SendError as error:
+            return error.failure.value
+
+    async def run_piece(self):
+        """Runs a piece; returns its handle, or how the call failed."""
+        piece = PieceRequest('request', 0, 0, 1000, 'key', None)
+        try:
+            (outcome,) = await self._runner.run(self._row, [piece], 1000)
+        except TargetFullError:
+            return 'full'
+        except CallFailedError:
+            return 'failed'
+        assert outcome.status is PieceStatus.MADE
+        return outcome.handle
+
+    async def free(self):
+        """Frees a result."""
+        with contextlib.suppress(CallFailedError):
+            await self._runner.free('t1', self._row.address, ['h'])
+
+    async def query(self):
+        """Asks for the free memory."""
+        with contextlib.suppress(CallFailedError):
+            await self._runner.query_free_bytes(self._row)
+
+    async def check(self):
+        """Asks for the status."""
+        await self._status.check_status('t1', self._row.address)
+
+
+@contextlib.asynccontextmanager
+async def calling(target):
+    """Runs a target and yields a caller of it."""
+    async with (
+        asyncio.timeout(SAFETY_TIMEOUT_S),
+        target.running(),
+        HttpClient() as client,
+    ):
+        yield Caller(client, target.address)
+
+
+FIRST_CALLS = {
+    'request': (Caller.send, '/book'),
+    'pieces': (Caller.run_piece, PIECES_PATH),
+    'free': (Caller.free, '/stage-free'),
+    'report': (Caller.query, '/report'),
+    'status': (Caller.check, '/report'),
+}
+
+
+@pytest.mark.parametrize('waits', [False, True])
+@pytest.mark.parametrize('refusal', REFUSALS)
+@pytest.mark.parametrize('first', FIRST_CALLS)
+class TestRepeatedRefusal:
+    """A refusal without an id says nothing of the next request."""
+
+    async def test_next_request_is_told_as_not_run(self, first, refusal, waits):
+        """It ran, whatever the first call was."""
+        call, path = FIRST_CALLS[first]
+        target = RepeatingTarget([path], REFUSALS[refusal], waits=waits)
+        async with calling(target) as caller:
+            await call(caller)
+            assert await caller.send() == 'ran'
+            assert target.runs == ['/book']
+
+    async def test_next_call_with_pieces_is_told_as_not_run(
+        self, first, refusal, waits
+    ):
+        """Its result is used, and the one after gets its own."""
+        call, path = FIRST_CALLS[first]
+        target = RepeatingTarget([path], REFUSALS[refusal], waits=waits)
+        async with calling(target) as caller:
+            await call(caller)
+            handles = [await caller.run_piece(), await caller.run_piece()]
+            assert handles == ['h1', 'h2']
+
+
+class TestKeptConnections:
+    """Connections are dear, so only doubt costs one."""
+
+    async def test_sound_answers_cost_no_connection(self):
+        """All calls go over one connection."""
+        target = RepeatingTarget([], b'', waits=True)
+        async with calling(target) as caller:
+            for _ in range(3):
+                assert await caller.send() == 'ran'
+                await caller.run_piece()
+            assert target.connections == 1
