End the raw servers of a client test before its loop closes

Cause: a handler of test_answer_before_a_long_body_was_read waited for ever, so its task and connection outlived the test; a garbage collection in a later test then failed that one.

Change: the server of these tests cancels its handlers and waits until their connections are closed. The checks are unchanged.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -22,11 +22,32 @@
 @contextlib.asynccontextmanager
 async def listening(handler):
     """Runs a server that passes raw connections to a handler."""
-    server = await asyncio.start_server(handler, '127.0.0.1', 0)
-    async with server:
+    tasks = []
+
+    async def handle(reader, writer):
+        tasks.append(asyncio.current_task())
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(close, writer)
+            await handler(reader, writer)
+
+    async def end():
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    server = await asyncio.start_server(handle, '127.0.0.1', 0)
+    async with server, contextlib.AsyncExitStack() as stack:
+        stack.push_async_callback(end)
         yield ':'.join(map(str, server.sockets[0].getsockname()))
 
 
+async def close(writer):
+    """Closes a connection, and waits until it is closed."""
+    writer.close()
+    with contextlib.suppress(OSError):
+        await writer.wait_closed()
+
+
 def call_to(address, timeout_ms=2000):
     """Returns a call that may use pooled connections."""
     return HttpCall(address, 'GET', '/', timeout_ms=timeout_ms)
