--- a/borageyard/call_relay.py
+++ b/borageyard/call_relay.py
@@ -14,12 +14,13 @@
     RelayedPartBody,
     RelayedReadBody,
 )
-from .http_client import AnswerCheck, CallClient, HttpCall
+from .http_client import AnswerCheck, CallClient, HttpCall, match_unnamed
 from .peers import PeerLink
 from .relayed_call import RelayedCall
 from .target_path_watch import TargetPathWatch
 
-# Returns the check of the answers to a call, given the headers of the call.
+# Returns the check of the answers to a call, given the headers of the call;
+# None if its answer names no request.
 AnswerCheckFactory = Callable[[Mapping[str, str]], AnswerCheck | None]
 
 
@@ -139,6 +140,7 @@
         return row is not None and self._state.roster.has_drained(row)
 
     def _build_call(self, body: RelayedCallBody) -> HttpCall:
+        answer_check = self._answer_check(body.headers)
         return HttpCall(
             body.address,
             body.method,
@@ -148,7 +150,9 @@
             timeout_ms=body.timeout_ms,
             repeatable=body.repeatable,
             max_body_bytes=body.max_body_bytes or None,
-            is_answer=self._answer_check(body.headers),
+            # Only the peer can tell what an answer without a name belongs to.
+            reuse=answer_check is not None,
+            match_answer=answer_check or match_unnamed,
         )
 
     async def _close(self) -> None:
--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -7,6 +7,7 @@
 import collections
 import contextlib
 import dataclasses
+import enum
 import ssl
 from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 from types import TracebackType
@@ -44,8 +45,31 @@
 DATA_FIELD_PREFIX = b'data: '
 
 
-# Returns whether the headers of a response belong to a call.
-AnswerCheck = Callable[[Mapping[str, str]], bool]
+class AnswerMatch(enum.Enum):
+    """Whether a response belongs to a call."""
+
+    OWN = 'own'
+    FOREIGN = 'foreign'
+    # It names no request, so a copy of it can't be told from the answer to a
+    # later call. It counts if no such response came before on its connection,
+    # which is not used again.
+    UNNAMED = 'unnamed'
+
+
+# Compares the status and the headers of a response with a call.
+AnswerCheck = Callable[[int, Mapping[str, str]], AnswerMatch]
+
+
+def match_unnamed(status: int, headers: Mapping[str, str]) -> AnswerMatch:
+    """Accepts any response, on a connection that is not used again."""
+    return AnswerMatch.UNNAMED
+
+
+class AnswerMismatchError(Exception):
+    """The body of a response does not answer the call.
+
+    Raised by readers of streamed responses; the connection is closed then.
+    """
 
 
 class HttpCallError(Exception):
@@ -79,8 +103,8 @@
     repeatable: bool = True
     # Maximum size of the response body; None for the limit of the client.
     max_body_bytes: int | None = None
-    # Returns whether response headers belong to this call; None accepts all.
-    is_answer: AnswerCheck | None = None
+    # Tells whether a response belongs to this call; None accepts all.
+    match_answer: AnswerCheck | None = None
     # Target that gets new work; empty for other calls.
     target_id: str = ''
     # Whether a peer must make the call, if there are peers.
@@ -154,6 +178,8 @@
         # Pieces of bodies that were read.
         self._pieces = 0
         self.calls = 0
+        # Whether no further call may be made on it.
+        self.retired = False
         self.idle_since_s: float = 0
         self.keep_alive_s: float = MAX_IDLE_S
 
@@ -168,7 +194,8 @@
         clean = not unconsumed_bytes and not self._codec.trailing_data[0]
         clean = clean and not self._writer.has_unsent
         closed = self._reader.at_eof() or self._raw_writer.is_closing()
-        return self._codec.our_state is h11.IDLE and clean and not closed
+        idle = self._codec.our_state is h11.IDLE and not self.retired
+        return idle and clean and not closed
 
     @property
     def stale(self) -> bool:
@@ -438,6 +465,9 @@
         except (OSError, h11.ProtocolError) as error:
             reason = str(error) or 'reset'
             raise HttpCallError(reason, exchange.sent) from error
+        except AnswerMismatchError as error:
+            exchange.open_connection.retired = True
+            raise HttpCallError(str(error), exchange.sent) from error
         finally:
             if exchange.connection is not None:
                 self._release(call.address, exchange.connection)
@@ -473,7 +503,7 @@
         """Reads responses until one belongs to the call; skips others."""
         for _ in range(MAX_SKIPPED_RESPONSES):
             status, headers = await connection.receive_head()
-            if call.is_answer is None or call.is_answer(headers):
+            if _is_accepted(call, connection, status, headers):
                 return status, headers
             await connection.receive_body()
             log_event(Event.ANSWER_FOREIGN, target_id=call.address)
@@ -504,6 +534,21 @@
         connection.close()
 
 
+def _is_accepted(
+    call: HttpCall,
+    connection: ClientConnection,
+    status: int,
+    headers: Mapping[str, str],
+) -> bool:
+    """Returns whether a response is taken for the answer to a call."""
+    if call.match_answer is None:
+        return True
+    match = call.match_answer(status, headers)
+    if match is AnswerMatch.UNNAMED:
+        connection.retired = True
+    return match is not AnswerMatch.FOREIGN
+
+
 def _may_resend(
     call: HttpCall,
     connection: ClientConnection,
--- a/borageyard/platform/answer_match.py
+++ b/borageyard/platform/answer_match.py
@@ -2,8 +2,9 @@
 
 import functools
 from collections.abc import Mapping
+from http import HTTPStatus
 
-from ..http_client import AnswerCheck
+from ..http_client import AnswerCheck, AnswerMatch
 from .ingress import ATTEMPT_ID_HEADER
 
 # Id of the responding target, sent when it rejects a request for another one.
@@ -11,34 +12,52 @@
 NOT_RUN_HEADER = 'x-not-executed'
 
 
-def answer_check(headers: Mapping[str, str]) -> AnswerCheck | None:
-    """Returns the check of the answers to a call.
+def relayed_answer_check(headers: Mapping[str, str]) -> AnswerCheck | None:
+    """Returns the check of the answers to a call that is made for a peer.
 
     Args:
         headers: Headers of the call.
 
     Returns:
-        The check, or None if any answer belongs to the call.
+        The check, or None if the answer names no request.
     """
     request_id = headers.get(ATTEMPT_ID_HEADER)
-    return is_answer_to(request_id) if request_id else None
+    return answer_check(request_id) if request_id else None
 
 
-def is_answer_to(request_id: str) -> AnswerCheck:
+def answer_check(request_id: str) -> AnswerCheck:
     """Returns the check of the answers to a request.
 
     Args:
         request_id: Id of the request.
     """
-    return functools.partial(_is_answer, request_id)
+    return functools.partial(_match_request, request_id)
 
 
-def _is_answer(request_id: str, headers: Mapping[str, str]) -> bool:
-    """Returns whether a response belongs to a request.
+def match_call(status: int, headers: Mapping[str, str]) -> AnswerMatch:
+    """Matches an answer to a call without an id.
 
-    Rejections carry no request id.
+    Args:
+        status: Status of the answer.
+        headers: Its headers.
     """
+    if headers.get(ATTEMPT_ID_HEADER):
+        return AnswerMatch.FOREIGN
+    if status == HTTPStatus.OK:
+        return AnswerMatch.OWN
+    return AnswerMatch.UNNAMED
+
+
+def _match_request(
+    request_id: str, status: int, headers: Mapping[str, str]
+) -> AnswerMatch:
+    """Matches an answer to a request. Rejections may carry no request id."""
     response_id = headers.get(ATTEMPT_ID_HEADER)
-    if response_id is None:
-        return NOT_RUN_HEADER in headers or TARGET_ID_HEADER in headers
-    return response_id == request_id
+    if response_id == request_id:
+        return AnswerMatch.OWN
+    is_rejection = NOT_RUN_HEADER in headers or (
+        status == HTTPStatus.MISDIRECTED_REQUEST and TARGET_ID_HEADER in headers
+    )
+    if response_id is None and is_rejection:
+        return AnswerMatch.UNNAMED
+    return AnswerMatch.FOREIGN
--- a/borageyard/platform/status_client.py
+++ b/borageyard/platform/status_client.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 
 from ..http_client import CallClient, HttpCall, HttpCallError
+from .answer_match import match_call
 from .targets import (
     EXPECTED_TARGET_HEADER,
     MAX_CALL_ANSWER_BYTES,
@@ -36,6 +37,7 @@
             timeout_ms=STATUS_TIMEOUT_MS,
             max_body_bytes=MAX_CALL_ANSWER_BYTES,
             through_peer=through_peer,
+            match_answer=match_call,
         )
         try:
             reply = await self._client.request(call)
--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -1,5 +1,6 @@
 """Sends requests and calls with pieces to the platform's targets."""
 
+import collections
 import contextlib
 import types
 from collections.abc import AsyncIterator, Mapping, Sequence
@@ -10,6 +11,7 @@
 
 from ..document_validation import DocumentError, check_document, parse_json
 from ..http_client import (
+    AnswerMismatchError,
     CallClient,
     HttpCall,
     HttpCallError,
@@ -31,7 +33,7 @@
     TargetFullError,
 )
 from ..roster import RosterRow
-from .answer_match import NOT_RUN_HEADER, is_answer_to
+from .answer_match import NOT_RUN_HEADER, answer_check, match_call
 from .answer_notices import AnswerNotices, read_pause_ms
 from .ingress import DEADLINE_HEADER, forwarded_headers
 
@@ -51,6 +53,9 @@
 # the fields of a report.
 MAX_CALL_ANSWER_BYTES = 262_144
 BYTES_PER_MB = 1_000_000
+# Handles that are compared with those of later answers: several calls to each
+# target of a service.
+MAX_RECENT_HANDLES = 10_000
 PIECE_STATUSES: Mapping[str, PieceStatus] = types.MappingProxyType(
     {
         'late': PieceStatus.LATE,
@@ -111,7 +116,7 @@
             # A resend takes no permit, so it must not be automatic.
             repeatable=send.repeatable
             and not self._limits.is_limited(send.target.target_id),
-            is_answer=is_answer_to(request_id),
+            match_answer=answer_check(request_id),
             target_id=send.target.target_id,
         )
         try:
@@ -148,6 +153,10 @@
         self._client = client
         self._notices = notices
         self._limits = notices.limits
+        # Handles of results, the latest ones last.
+        self._recent_handles: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
 
     async def run(
         self,
@@ -174,8 +183,9 @@
             max_body_bytes=MAX_CALL_ANSWER_BYTES,
             repeatable=not self._limits.is_limited(target.target_id),
             target_id=target.target_id,
+            match_answer=match_call,
         )
-        reply = await self._request(call, target)
+        reply = await self._run(call, target, len(pieces))
         if reply.status == HTTPStatus.SERVICE_UNAVAILABLE:
             raise TargetFullError(
                 f'target responded with status {reply.status}',
@@ -186,12 +196,8 @@
             raise CallFailedError(
                 f'target responded with status {reply.status}'
             )
-        reply_body = _decode(_RunReply, reply.body)
-        if len(reply_body.items) != len(pieces):
-            raise CallFailedError(
-                f'{len(reply_body.items)} results for {len(pieces)} pieces',
-            )
-        return [_decode_outcome(item) for item in reply_body.items]
+        items = _decode_items(reply.body)
+        return [_decode_outcome(item) for item in items]
 
     async def free(
         self, target_id: str, address: str, handles: Sequence[str]
@@ -210,6 +216,7 @@
             timeout_ms=SHORT_CALL_TIMEOUT_MS,
             max_body_bytes=MAX_CALL_ANSWER_BYTES,
             repeatable=not self._limits.is_limited(target_id),
+            match_answer=match_call,
         )
         _require_ok(await self._request(call, None))
 
@@ -226,11 +233,53 @@
             timeout_ms=SHORT_CALL_TIMEOUT_MS,
             max_body_bytes=MAX_CALL_ANSWER_BYTES,
             repeatable=not self._limits.is_limited(target.target_id),
+            match_answer=match_call,
         )
         reply = await self._request(call, target)
         _require_ok(reply)
         return _decode(_Report, reply.body).free_mb * BYTES_PER_MB
 
+    async def _run(
+        self, call: HttpCall, target: RosterRow, piece_count: int
+    ) -> HttpReply:
+        """Returns the answer to a call with pieces.
+
+        Its content shows whether it belongs to the call: a handle is given out
+        once.
+        """
+        try:
+            async with self._client.stream(call) as (status, headers, chunks):
+                body = b''.join([chunk async for chunk in chunks])
+                reply = HttpReply(status, headers, body)
+                if status == HTTPStatus.OK:
+                    self._require_own(_decode_items(body), piece_count)
+        except (HttpCallError, AnswerMismatchError) as error:
+            raise CallFailedError(str(error)) from error
+        self._note(target, reply)
+        return reply
+
+    def _note(self, target: RosterRow, reply: HttpReply) -> None:
+        """Records what a target says of itself."""
+        if reply.status != HTTPStatus.MISDIRECTED_REQUEST:
+            self._notices.note(target, reply.status, reply.headers)
+
+    def _require_own(self, items: Sequence[_Item], piece_count: int) -> None:
+        """Checks that items answer the present call.
+
+        Raises:
+            AnswerMismatchError: If they answer another one.
+        """
+        if len(items) != piece_count:
+            raise AnswerMismatchError(
+                f'{len(items)} results for {piece_count} pieces'
+            )
+        handles = {item.handle for item in items if item.handle}
+        if not handles.isdisjoint(self._recent_handles):
+            raise AnswerMismatchError('results of an earlier call')
+        self._recent_handles.update(dict.fromkeys(handles))
+        while len(self._recent_handles) > MAX_RECENT_HANDLES:
+            self._recent_handles.popitem(last=False)
+
     async def _request(
         self, call: HttpCall, target: RosterRow | None
     ) -> HttpReply:
@@ -244,9 +293,8 @@
             reply = await self._client.request(call)
         except HttpCallError as error:
             raise CallFailedError(error.reason) from error
-        is_target = reply.status != HTTPStatus.MISDIRECTED_REQUEST
-        if target is not None and is_target:
-            self._notices.note(target, reply.status, reply.headers)
+        if target is not None:
+            self._note(target, reply)
         return reply
 
 
@@ -321,6 +369,19 @@
     return encoded
 
 
+def _decode_items(body: bytes) -> Sequence[_Item]:
+    """Returns the items of an answer to a call with pieces.
+
+    Raises:
+        AnswerMismatchError: If the answer has none.
+    """
+    try:
+        document = parse_json(body, 'target')
+        return check_document(_RunReply, document, 'target').items
+    except DocumentError as error:
+        raise AnswerMismatchError(str(error)) from error
+
+
 def _decode_outcome(item: _Item) -> PieceOutcome:
     if item.handle:
         return PieceOutcome(PieceStatus.MADE, item.handle)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -10,6 +10,7 @@
 
 from borageyard.answer_body import AnswerReader
 from borageyard.http_client import (
+    AnswerMatch,
     HttpCall,
     HttpCallError,
     HttpClient,
@@ -37,7 +38,7 @@
         'header line': (OK + b'x-long: ', PADDING),
         'headers': (OK, b'x-more: a\r\n'),
         'informational': (b'', b'HTTP/1.1 102 Processing\r\n\r\n'),
-        'foreign': (b'', OK + b'x-id: other\r\ncontent-length: 0\r\n\r\n'),
+        'foreign': (b'', OK + b'x-id: foreign\r\ncontent-length: 0\r\n\r\n'),
         'body': (OK + b'x-id: own\r\n\r\n', PADDING),
         'chunks': (CHUNKED, b'3e8\r\n%b\r\n' % PADDING),
         'tiny chunks': (CHUNKED, b'1\r\nx\r\n'),
@@ -87,7 +88,7 @@
         'GET',
         '/',
         timeout_ms=10 * SAFETY_TIMEOUT_S * 1000,
-        is_answer=lambda headers: headers.get('x-id', 'own') == 'own',
+        match_answer=lambda _, headers: AnswerMatch(headers.get('x-id', 'own')),
     )
 
 
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import re
+import types
 
 import pytest
 
@@ -23,10 +24,17 @@
 from borageyard.target_limits import TargetLimits
 
 SAFETY_TIMEOUT_S = 5
-REFUSALS = {
-    'full': b'503 Full\r\nx-not-executed: 1',
-    'other target': b'421 Other\r\nx-instance-id: t0',
-}
+REFUSALS = types.MappingProxyType(
+    {
+        'full': b'503 Full\r\nx-not-executed: 1',
+        'other target': b'421 Other\r\nx-instance-id: t0',
+    },
+)
+REFUSED = b'HTTP/1.1 %s\r\ncontent-length: 0\r\n\r\n'
+RAN = (
+    b'HTTP/1.1 200 OK\r\nx-server-stamp: s\r\nx-attempt-id: %s\r\n'
+    b'content-length: %d\r\n\r\n%s'
+)
 PIECES_PATH = '/stage-run'
 
 
@@ -48,12 +56,12 @@
         """
         self.runs = []
         self.connections = 0
+        # Whether the answer to a request that ran is written once more.
+        self.repeats_results = False
         self.address = ''
         self._handlers = []
         self._refusing = set(refusing)
-        self._refusal = (
-            b'HTTP/1.1 ' + refusal + b'\r\ncontent-length: 0\r\n\r\n'
-        )
+        self._refusal = REFUSED % refusal
         self._waits = waits
 
     @contextlib.asynccontextmanager
@@ -72,46 +80,46 @@
     async def _serve(self, reader, writer):
         self.connections += 1
         self._handlers.append(asyncio.current_task())
-        repeated = b''
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            while True:
-                head = await reader.readuntil(b'\r\n\r\n')
-                size = re.search(rb'content-length: (\d+)', head)
-                await reader.readexactly(int(size[1]))
-                writer.write(repeated)
-                repeated = b''
-                path = head.split(b' ')[1].decode()
-                if path in self._refusing:
-                    self._refusing.discard(path)
-                    writer.write(self._refusal)
-                    if self._waits:
-                        repeated = self._refusal
-                    else:
-                        await asyncio.sleep(0)
-                        writer.write(self._refusal)
-                else:
-                    writer.write(self._run(path, head))
+            await self._answer_all(reader, writer)
         writer.close()
         with contextlib.suppress(OSError):
             await writer.wait_closed()
 
+    async def _answer_all(self, reader, writer):
+        copy = b''
+        while True:
+            head = await reader.readuntil(b'\r\n\r\n')
+            size = re.search(rb'content-length: (\d+)', head)
+            await reader.readexactly(int(size[1]))
+            before = copy
+            answer, copy = self._answer(head)
+            writer.write(before + answer)
+            if not self._waits:
+                await asyncio.sleep(0)
+                writer.write(copy)
+                copy = b''
+
+    def _answer(self, head):
+        """Returns the answer to a request, and its copy if it writes one."""
+        path = head.split(b' ')[1].decode()
+        if path in self._refusing:
+            self._refusing.discard(path)
+            return self._refusal, self._refusal
+        ran = self._run(path, head)
+        if self.repeats_results:
+            return ran, ran
+        return ran, b''
+
     def _run(self, path, head):
         """Returns the answer to a request that runs."""
         self.runs.append(path)
-        request_id = re.search(rb'x-attempt-id: (\S+)', head)
-        named = b'x-attempt-id: ' + request_id[1] if request_id else b'x: y'
+        named = re.search(rb'x-attempt-id: (\S+)', head)
+        request_id = named[1] if named else b''
         body = b'ran'
         if path == PIECES_PATH:
             body = b'{"items": [{"handle": "h%d"}]}' % len(self.runs)
-        return (
-            b'HTTP/1.1 200 OK\r\nx-server-stamp: s\r\n%s\r\n%s%d\r\n\r\n%s'
-            % (
-                named,
-                b'content-length: ',
-                len(body),
-                body,
-            )
-        )
+        return RAN % (request_id, len(body), body)
 
 
 class Caller:
@@ -189,13 +197,15 @@
         yield Caller(client, target.address)
 
 
-FIRST_CALLS = {
-    'request': (Caller.send, '/book'),
-    'pieces': (Caller.run_piece, PIECES_PATH),
-    'free': (Caller.free, '/stage-free'),
-    'report': (Caller.query, '/report'),
-    'status': (Caller.check, '/report'),
-}
+FIRST_CALLS = types.MappingProxyType(
+    {
+        'request': (Caller.send, '/book'),
+        'pieces': (Caller.run_piece, PIECES_PATH),
+        'free': (Caller.free, '/stage-free'),
+        'report': (Caller.query, '/report'),
+        'status': (Caller.check, '/report'),
+    },
+)
 
 
 @pytest.mark.parametrize('waits', [False, True])
@@ -225,6 +235,18 @@
             assert handles == ['h1', 'h2']
 
 
+class TestRepeatedResults:
+    """An answer to a call with pieces, once more."""
+
+    async def test_next_call_gets_results_of_the_one_before(self):
+        """It fails, and the calls after it get their own results."""
+        target = RepeatingTarget([], b'', waits=True)
+        target.repeats_results = True
+        async with calling(target) as caller:
+            handles = [await caller.run_piece() for _ in range(4)]
+            assert handles == ['h1', 'failed', 'h3', 'failed']
+
+
 class TestKeptConnections:
     """Connections are dear, so only doubt costs one."""
 
