Plan calls in the order of each failure domain (large fleets)

Cause: a plan filled a call to each idle target anew, and compared each waiting stage with each target, before every call that it started: targets times waiting stages times targets, times calls. At 39 engines, 18 targets a service and 400 waiting requests one plan took more than the time in which the next one is due, so a burst never ended.

Ruled out: fewer plans (MAX_PLANNING_SHARE and its bound stay); other decisions.

Change: stages are ordered once for each failure domain; a target gets a draft of its own only if its memory is short; a started call moves the one stage that it takes in part.

--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -275,6 +275,7 @@
     def __init__(self) -> None:
         """Creates an empty set of targets."""
         self._targets: dict[str, BatchTarget] = {}
+        self._by_service: Mapping[str, Sequence[BatchTarget]] = {}
 
     def update(
         self,
@@ -297,6 +298,10 @@
                 target.limits = limits
                 kept[row.target_id] = target
         self._targets = kept
+        by_service: dict[str, list[BatchTarget]] = {}
+        for target in kept.values():
+            by_service.setdefault(target.row.service, []).append(target)
+        self._by_service = by_service
 
     def rows(self) -> Sequence[RosterRow]:
         """Returns the roster rows of all targets."""
@@ -320,11 +325,7 @@
 
     def of_service(self, service: str) -> Sequence[BatchTarget]:
         """Returns the targets of a service."""
-        return tuple(
-            target
-            for target in self._targets.values()
-            if target.row.service == service
-        )
+        return self._by_service.get(service, ())
 
 
 def _is_restart(previous: RosterRow, row: RosterRow) -> bool:
--- a/borageyard/call_planner.py
+++ b/borageyard/call_planner.py
@@ -1,12 +1,11 @@
 """Batches pieces of many requests into calls."""
 
-import dataclasses
 from collections.abc import Mapping, Sequence
 
 from .batch_targets import BatchCall, BatchTarget, BatchTargets
+from .call_drafts import CallDraft, Candidate, DraftBoard, shortest_waits_ms
 from .call_time_estimator import CallTimeEstimator
-from .chains import Chain, ChainStage, PieceId, StageState
-from .engine_placer import BYTES_PER_MB
+from .chains import Chain, StageState
 from .plans import Plan
 from .send_permits import SendPermits
 
@@ -29,81 +28,12 @@
 # Results of at least this size are produced just before they are needed, and
 # close to their reader.
 LARGE_RESULT_BYTES = 500_000
-# Cost of moving a megabyte between failure domains. The users price it at an
-# eighth of a plain request, and a second of lateness at about half of one.
-TRANSFER_COST_MS_PER_MB = 60
-MAX_TRANSFER_COST_MS = 400
 # Inputs that expire within this time might be gone when a call starts.
 INPUT_EXPIRY_MARGIN_MS = 20
 # Large results are started this long before their reader is expected.
 LARGE_RESULT_LEAD_MS = 250
 
 
-@dataclasses.dataclass(slots=True)
-class _Candidate:
-    """Missing pieces of one stage of a request, with their sort key."""
-
-    chain: Chain
-    state: StageState
-    sort_key_ms: float
-    slack_ms: float
-    # When the stage became ready to start.
-    ready_at_ms: float
-    # Bytes that each piece reads, by failure domain. For a large result it is
-    # instead what the engine will read, in the engine's expected domain.
-    transferred_bytes: Mapping[str, float]
-
-    def transfer_cost_ms(self, domain: str) -> float:
-        """Returns the cost of moving bytes between failure domains, in ms.
-
-        Args:
-            domain: Failure domain of a target that could run the pieces.
-        """
-        remote_bytes = sum(
-            size_bytes
-            for other, size_bytes in self.transferred_bytes.items()
-            if other != domain
-        )
-        transferred_mb = remote_bytes * len(self.state.missing) / BYTES_PER_MB
-        return min(
-            transferred_mb * TRANSFER_COST_MS_PER_MB, MAX_TRANSFER_COST_MS
-        )
-
-
-@dataclasses.dataclass(slots=True)
-class _CallDraft:
-    """Candidate call to a target, before it is sent."""
-
-    target: BatchTarget
-    pieces: list[PieceId] = dataclasses.field(default_factory=list)
-    # Request and stage of each piece, in the order of the pieces.
-    chains: list[Chain] = dataclasses.field(default_factory=list)
-    stages: list[ChainStage] = dataclasses.field(default_factory=list)
-    candidates: list[_Candidate] = dataclasses.field(default_factory=list)
-    transfer_cost_ms: float = 0
-
-    def add(self, candidate: _Candidate, numbers: Sequence[int]) -> None:
-        """Adds pieces of a stage.
-
-        Args:
-            candidate: The stage.
-            numbers: Numbers of the missing pieces to add.
-        """
-        chain = candidate.chain
-        state = candidate.state
-        self.candidates.append(candidate)
-        for number in numbers:
-            piece = PieceId(chain.spec.chain_id, state.number, number)
-            self.pieces.append(piece)
-            self.chains.append(chain)
-            self.stages.append(state.stage)
-
-    @property
-    def sort_key(self) -> tuple[float, int]:
-        """Sorts drafts by transfer cost per stage, then by most pieces."""
-        return self.transfer_cost_ms / len(self.candidates), -len(self.pieces)
-
-
 class CallPlanner:
     """Decides which pieces share a call, on which target, and in which order.
 
@@ -149,32 +79,54 @@
         if not idle:
             return
         candidates = self._candidates(service, chains, plan, now_ms)
-        while idle and candidates:
-            draft = self._choose_draft(candidates, idle, now_ms)
+        if not candidates:
+            return
+        waits_ms = self._domain_waits_ms(service, now_ms)
+        board = DraftBoard(candidates, waits_ms, now_ms)
+        while idle:
+            draft = board.best(idle.values())
             if draft is None:
                 return
             if self._should_wait(draft, len(idle), plan, now_ms):
                 return
             self._start_call(draft, plan, now_ms)
-            idle = self._idle_targets(service, plan, now_ms)
-            candidates = [
-                candidate
-                for candidate in candidates
-                if candidate.state.startable
+            if not self._may_be_called(draft.target, plan, now_ms):
+                idle.pop(draft.target.row.target_id)
+            board.note_started(draft, self._domain_waits_ms(service, now_ms))
+
+    def _domain_waits_ms(
+        self, service: str, now_ms: float
+    ) -> Mapping[str, float]:
+        """Returns the time until a target of each failure domain is idle."""
+        return shortest_waits_ms(
+            [
+                (
+                    target.row.failure_domain,
+                    max(
+                        target.expected_wait_ms(now_ms),
+                        self._permits.wait_ms(target.row, now_ms),
+                    ),
+                )
+                for target in self._targets.of_service(service)
+                if not target.is_slow(now_ms)
+                and not target.asked_for_pause(now_ms)
             ]
+        )
 
     def _idle_targets(
         self,
         service: str,
         plan: Plan,
         now_ms: float,
-    ) -> Sequence[BatchTarget]:
-        """Returns the targets that may be called now.
+    ) -> dict[str, BatchTarget]:
+        """Returns the targets that may be called now, by id.
 
         Sets the wake-up time of the plan to the next permit of a target that
         is idle but limits its requests.
         """
         targets = self._targets.of_service(service)
+        # Slow targets are used only if there are no others. A full target
+        # still counts as one, because its pause is short.
         quick = [
             target
             for target in targets
@@ -182,19 +134,24 @@
             and not target.has_failed(now_ms)
             and not target.asked_for_pause(now_ms)
         ]
-        # Slow targets are used only if there are no others. A full target
-        # still counts as one, because its pause is short.
-        idle = [target for target in quick or targets if target.is_idle(now_ms)]
-        permitted = []
-        for target in idle:
-            wait_ms = self._permits.wait_ms(target.row, now_ms)
-            if wait_ms:
-                plan.wake_by(now_ms + wait_ms)
-            else:
-                permitted.append(target)
-        return permitted
+        return {
+            target.row.target_id: target
+            for target in quick or targets
+            if self._may_be_called(target, plan, now_ms)
+        }
+
+    def _may_be_called(
+        self, target: BatchTarget, plan: Plan, now_ms: float
+    ) -> bool:
+        """Returns whether a target is idle, and its limit permits a call."""
+        if not target.is_idle(now_ms):
+            return False
+        wait_ms = self._permits.wait_ms(target.row, now_ms)
+        if wait_ms:
+            plan.wake_by(now_ms + wait_ms)
+        return not wait_ms
 
-    def _start_call(self, draft: _CallDraft, plan: Plan, now_ms: float) -> None:
+    def _start_call(self, draft: CallDraft, plan: Plan, now_ms: float) -> None:
         target = draft.target
         stages = draft.stages
         work_kinds = tuple(stage.work_kind for stage in stages)
@@ -219,7 +176,7 @@
         chains: Mapping[str, Chain],
         plan: Plan,
         now_ms: float,
-    ) -> Sequence[_Candidate]:
+    ) -> Sequence[Candidate]:
         found = [
             self._candidate(chain, state, now_ms)
             for chain in chains.values()
@@ -273,7 +230,7 @@
         chain: Chain,
         state: StageState,
         now_ms: float,
-    ) -> _Candidate:
+    ) -> Candidate:
         spec = chain.spec
         if state.ready_at_ms is None:
             state.ready_at_ms = now_ms
@@ -295,7 +252,7 @@
         size_bytes = state.stage.result_bytes
         if chain.expected_engine_domain and size_bytes >= LARGE_RESULT_BYTES:
             transferred_bytes = {chain.expected_engine_domain: size_bytes}
-        return _Candidate(
+        return Candidate(
             chain,
             state,
             sort_key_ms,
@@ -304,84 +261,9 @@
             transferred_bytes,
         )
 
-    def _choose_draft(
-        self,
-        candidates: Sequence[_Candidate],
-        idle: Sequence[BatchTarget],
-        now_ms: float,
-    ) -> _CallDraft | None:
-        """Returns the best call to start next, or None if nothing fits."""
-        drafts = [
-            self._fill_call(target, candidates, now_ms) for target in idle
-        ]
-        return min(
-            (draft for draft in drafts if draft.pieces),
-            key=lambda draft: draft.sort_key,
-            default=None,
-        )
-
-    def _fill_call(
-        self,
-        target: BatchTarget,
-        candidates: Sequence[_Candidate],
-        now_ms: float,
-    ) -> _CallDraft:
-        """Returns the most urgent pieces that fit into a call to a target."""
-        free_bytes = target.free_bytes(now_ms)
-        draft = _CallDraft(target)
-        domain = target.row.failure_domain
-        ordered = sorted(
-            (
-                candidate
-                for candidate in candidates
-                if not self._is_better_elsewhere(candidate, target, now_ms)
-            ),
-            key=lambda candidate: (
-                candidate.sort_key_ms + candidate.transfer_cost_ms(domain)
-            ),
-        )
-        for candidate in ordered:
-            size_bytes = candidate.state.stage.result_bytes
-            fitting = target.limits.size - len(draft.pieces)
-            if size_bytes:
-                fitting = min(fitting, int(free_bytes // size_bytes))
-            chosen = candidate.state.missing[: max(fitting, 0)]
-            if not chosen:
-                continue
-            free_bytes -= size_bytes * len(chosen)
-            draft.transfer_cost_ms += candidate.transfer_cost_ms(domain)
-            draft.add(candidate, chosen)
-            if len(draft.pieces) >= target.limits.size:
-                break
-        return draft
-
-    def _is_better_elsewhere(
-        self,
-        candidate: _Candidate,
-        target: BatchTarget,
-        now_ms: float,
-    ) -> bool:
-        """Returns whether pieces should wait for a target that is closer."""
-        transfer_cost_ms = candidate.transfer_cost_ms(target.row.failure_domain)
-        if not transfer_cost_ms:
-            return False
-        for other in self._targets.of_service(target.row.service):
-            if other.is_slow(now_ms) or other.asked_for_pause(now_ms):
-                continue
-            wait_ms = max(
-                other.expected_wait_ms(now_ms),
-                self._permits.wait_ms(other.row, now_ms),
-            )
-            other_ms = (
-                candidate.transfer_cost_ms(other.row.failure_domain) + wait_ms
-            )
-            if other_ms < transfer_cost_ms and wait_ms < candidate.slack_ms:
-                return True
-        return False
-
     def _should_wait(
         self,
-        draft: _CallDraft,
+        draft: CallDraft,
         idle_count: int,
         plan: Plan,
         now_ms: float,
