Compute the transfer cost of a waiting stage once for each domain

Cause: after the orders by failure domain, most of a plan's time went into the cost of moving results, computed again for each comparison, and into whether a stage may start, which does not change within a plan.

Change: a stage keeps its costs until some of its pieces are sent; the draft adds pieces itself.

--- a/borageyard/call_drafts.py
+++ b/borageyard/call_drafts.py
@@ -28,6 +28,8 @@
     # Bytes that each piece reads, by failure domain. For a large result it is
     # instead what the engine will read, in the engine's expected domain.
     transferred_bytes: Mapping[str, float]
+    # Costs of the present missing pieces, by failure domain.
+    _costs_ms: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def transfer_cost_ms(self, domain: str) -> float:
         """Returns the cost of moving bytes between failure domains, in ms.
@@ -37,15 +39,15 @@
         """
         if not self.transferred_bytes:
             return 0
-        remote_bytes = sum(
-            size_bytes
-            for other, size_bytes in self.transferred_bytes.items()
-            if other != domain
-        )
-        transferred_mb = remote_bytes * len(self.state.missing) / BYTES_PER_MB
-        return min(
-            transferred_mb * TRANSFER_COST_MS_PER_MB, MAX_TRANSFER_COST_MS
-        )
+        cost_ms = self._costs_ms.get(domain)
+        if cost_ms is None:
+            cost_ms = self._compute_cost_ms(domain)
+            self._costs_ms[domain] = cost_ms
+        return cost_ms
+
+    def note_taken(self) -> None:
+        """Records that some of its pieces are no longer missing."""
+        self._costs_ms.clear()
 
     def is_better_elsewhere(
         self, domain: str, waits_ms: Mapping[str, float]
@@ -63,6 +65,17 @@
             for other, wait_ms in waits_ms.items()
         )
 
+    def _compute_cost_ms(self, domain: str) -> float:
+        remote_bytes = sum(
+            size_bytes
+            for other, size_bytes in self.transferred_bytes.items()
+            if other != domain
+        )
+        transferred_mb = remote_bytes * len(self.state.missing) / BYTES_PER_MB
+        return min(
+            transferred_mb * TRANSFER_COST_MS_PER_MB, MAX_TRANSFER_COST_MS
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class CallDraft:
@@ -79,21 +92,31 @@
     # Whether pieces were left out because their results would not fit.
     lacks_memory: bool = False
 
-    def add(self, candidate: Candidate, numbers: Sequence[int]) -> None:
-        """Adds pieces of a stage.
+    def add(self, candidate: Candidate, free_bytes: float) -> None:
+        """Adds the pieces of a stage that fit.
 
         Args:
             candidate: The stage.
-            numbers: Numbers of the missing pieces to add.
+            free_bytes: Memory of the target for the results of all pieces.
         """
-        chain = candidate.chain
         state = candidate.state
+        numbers = state.missing[: self.target.limits.size - len(self.pieces)]
+        size_bytes = state.stage.result_bytes
+        if size_bytes:
+            fitting = int((free_bytes - self.needed_bytes) // size_bytes)
+            self.lacks_memory = self.lacks_memory or fitting < len(numbers)
+            numbers = numbers[: max(fitting, 0)]
+        if not numbers:
+            return
+        domain = self.target.row.failure_domain
+        self.transfer_cost_ms += candidate.transfer_cost_ms(domain)
+        self.needed_bytes += size_bytes * len(numbers)
         self.candidates.append(candidate)
-        self.needed_bytes += state.stage.result_bytes * len(numbers)
         for number in numbers:
-            piece = PieceId(chain.spec.chain_id, state.number, number)
-            self.pieces.append(piece)
-            self.chains.append(chain)
+            self.pieces.append(
+                PieceId(candidate.chain.spec.chain_id, state.number, number)
+            )
+            self.chains.append(candidate.chain)
             self.stages.append(state.stage)
 
     def fits_as_well(self, target: BatchTarget, free_bytes: float) -> bool:
@@ -209,7 +232,7 @@
                     position,
                 )
                 for position, candidate in enumerate(self._candidates)
-                if candidate.state.startable
+                if candidate.state.missing
                 and not candidate.is_better_elsewhere(domain, self._waits_ms)
             )
             self._orders[domain] = order
@@ -238,23 +261,16 @@
         for _, position in order:
             self.steps += 1
             candidate = self._candidates[position]
-            missing = candidate.state.missing
-            size_bytes = candidate.state.stage.result_bytes
-            fitting = target.limits.size - len(draft.pieces)
-            if size_bytes and missing:
-                in_memory = int((free_bytes - draft.needed_bytes) // size_bytes)
-                wanted = min(fitting, len(missing))
-                draft.lacks_memory = draft.lacks_memory or in_memory < wanted
-                fitting = min(fitting, in_memory)
-            chosen = missing[: max(fitting, 0)]
-            if not missing:
-                taken += 1
-            elif chosen:
-                draft.transfer_cost_ms += candidate.transfer_cost_ms(domain)
-                draft.add(candidate, chosen)
+            taken += not candidate.state.missing
+            draft.add(candidate, free_bytes)
             if self._is_full(draft, free_bytes):
                 break
-        self._drop_taken(domain, taken)
+        if taken:
+            self._orders[domain] = [
+                place
+                for place in order
+                if self._candidates[place[1]].state.missing
+            ]
         return draft
 
     def _is_full(self, draft: CallDraft, free_bytes: float) -> bool:
@@ -264,15 +280,6 @@
         left_bytes = max(free_bytes - draft.needed_bytes, 0)
         return draft.lacks_memory and left_bytes < self._smallest_bytes
 
-    def _drop_taken(self, domain: str, taken: int) -> None:
-        """Removes candidates without missing pieces from an order."""
-        if taken:
-            self._orders[domain] = [
-                (key_ms, position)
-                for key_ms, position in self._orders[domain]
-                if self._candidates[position].state.missing
-            ]
-
 
 def shortest_waits_ms(
     waits: Collection[tuple[str, float]],
--- a/borageyard/call_planner.py
+++ b/borageyard/call_planner.py
@@ -169,6 +169,8 @@
         self._permits.take(target.row, now_ms)
         for chain, piece in zip(draft.chains, draft.pieces, strict=True):
             chain.note_sent(piece)
+        for candidate in draft.candidates:
+            candidate.note_taken()
 
     def _candidates(
         self,
--- a/tests/test_call_planner.py
+++ b/tests/test_call_planner.py
@@ -60,10 +60,8 @@
             if size_bytes:
                 fitting = min(fitting, int(free_bytes // size_bytes))
             chosen = candidate.state.missing[: max(fitting, 0)]
-            if chosen:
-                free_bytes -= size_bytes * len(chosen)
-                draft.transfer_cost_ms += candidate.transfer_cost_ms(domain)
-                draft.add(candidate, chosen)
+            draft.add(candidate, size_bytes * len(chosen) + draft.needed_bytes)
+            free_bytes -= size_bytes * len(chosen)
         return draft
 
     def _is_better_elsewhere(self, candidate, target, now_ms):
@@ -152,7 +150,7 @@
             self._drawn.shuffle(self._calls)
             for _ in range(min(self._drawn.randint(0, 3), len(self._calls))):
                 call = self._calls.pop()
-                if self._drawn.random() < 0.1:
+                if not self._drawn.randrange(10):
                     self._scheduler.note_overdue(call, now_ms)
                 finish(self._scheduler, call, now_ms)
 
@@ -187,13 +185,12 @@
     def steps(self, targets, waiting, monkeypatch):
         """Returns how many that are."""
         boards = []
-        initialize = DraftBoard.__init__
-
-        def record(board, *arguments):
-            boards.append(board)
-            initialize(board, *arguments)
-
-        monkeypatch.setattr(DraftBoard, '__init__', record)
+        monkeypatch.setattr(
+            'borageyard.call_planner.DraftBoard',
+            lambda *arguments: (
+                boards.append(DraftBoard(*arguments)) or boards[-1]
+            ),
+        )
         scheduler = build(CallPlanner, targets, DOMAINS)
         drawn = random.Random(1)
         for number in range(waiting):
