--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -153,6 +153,7 @@
         self._path_watch = TargetPathWatch(
             TargetPaths(settings.instance_id), witnesses, clock
         )
+        self.scheduler.failures.watch = self._path_watch
         self._call_relay = self._build_call_relay()
         self.sender = QuarantineSender(
             dependencies.sender,
--- a/borageyard/scheduler_client.py
+++ b/borageyard/scheduler_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 from typing import TypeGuard
 
 from .chain_messages import (
@@ -13,6 +14,7 @@
 from .chains import ChainSpec
 from .clock import MS_PER_S, Clock
 from .election_service import ElectionService
+from .engine_failures import EngineFailures
 from .engine_placer import Placement
 from .events import Event, log_event
 from .fleet_state import FleetState
@@ -71,6 +73,7 @@
             clock: Source of monotonic time.
             backoffs: Pauses that engines asked this entry for.
         """
+        self.failures = EngineFailures()
         self._backoffs = backoffs
         self._instance_id = instance_id
         self._elections = elections
@@ -113,6 +116,9 @@
         pause_ms = min(map(self._backoffs.remaining_ms, engines), default=0)
         if pause_ms:
             return Denial(spec.chain_id, ChainRefusal.NO_TARGET, pause_ms)
+        if excluded and await self.failures.are_own():
+            spec = dataclasses.replace(spec, avoided=spec.avoided | excluded)
+            excluded = frozenset()
         excluded |= self._backoffs.paused_ids(engines)
         unplaced_since_ms = self._clock.steady_ms()
         while True:
@@ -135,36 +141,45 @@
 
     def note_started(self, chain_id: str) -> None:
         """Notifies the scheduler that the engine has started its answer."""
-        scheduler_id = self._schedulers.get(chain_id, self._instance_id)
-        if scheduler_id == self._instance_id:
-            self._service.note_started(chain_id)
-            return
-        self._notify_scheduler(scheduler_id, chain_id, 'started', '')
+        self._tell('started', chain_id)
 
     def note_failed(self, chain_id: str, engine_id: str) -> None:
-        """Notifies the scheduler that an engine failed a request."""
-        scheduler_id = self._schedulers.get(chain_id, self._instance_id)
-        if scheduler_id == self._instance_id:
-            self._service.note_failed(chain_id, engine_id)
-            return
-        self._notify_scheduler(scheduler_id, chain_id, 'failed', engine_id)
+        """Notifies the scheduler that an engine failed a request.
+
+        The engine is not named if this entry is partitioned from all.
+        """
+        self.failures.report(
+            engine_id, functools.partial(self._tell, 'failed', chain_id)
+        )
 
     def note_ended(self, chain_id: str) -> None:
         """Notifies the scheduler that a request has ended."""
         scheduler_id = self._forget(chain_id)
         if scheduler_id:
-            self._note_ended_at(scheduler_id, chain_id)
+            self._tell_at(scheduler_id, 'ended', chain_id)
 
     def _forget(self, chain_id: str) -> str:
         """Forgets a request; returns the entry that it was sent to."""
         self._results.forget(chain_id)
         return self._schedulers.pop(chain_id, '')
 
-    def _note_ended_at(self, scheduler_id: str, chain_id: str) -> None:
+    def _tell(self, event: str, chain_id: str, engine_id: str = '') -> None:
+        """Passes an event of a request on to the entry that schedules it."""
+        scheduler_id = self._schedulers.get(chain_id, self._instance_id)
+        self._tell_at(scheduler_id, event, chain_id, engine_id)
+
+    def _tell_at(
+        self, scheduler_id: str, event: str, chain_id: str, engine_id: str = ''
+    ) -> None:
         if scheduler_id == self._instance_id:
-            self._service.note_ended(chain_id)
+            _apply_event(self._service, event, chain_id, engine_id)
             return
-        self._notify_scheduler(scheduler_id, chain_id, 'ended', '')
+        message = ChainEventBody.model_validate(
+            {'chain_id': chain_id, 'event': event, 'engine_id': engine_id},
+        )
+        self._notifier.notify(
+            scheduler_id, message, ChainEventReplyBody, chain_id
+        )
 
     async def _place_once(
         self,
@@ -372,30 +387,26 @@
         event_body: ChainEventBody,
     ) -> ChainEventReplyBody:
         # The request is scheduled here, or was passed on by this entry.
-        if event_body.event == 'started':
-            self.note_started(event_body.chain_id)
-        elif event_body.event == 'failed':
-            self.note_failed(event_body.chain_id, event_body.engine_id)
+        event = event_body.event
+        chain_id = event_body.chain_id
+        if event == 'ended':
+            relayed_to = self._forget(chain_id)
+            self._tell_at(relayed_to or self._instance_id, event, chain_id)
         else:
-            relayed_to = self._forget(event_body.chain_id)
-            self._note_ended_at(
-                relayed_to or self._instance_id, event_body.chain_id
-            )
+            self._tell(event, chain_id, event_body.engine_id)
         return ChainEventReplyBody()
 
-    def _notify_scheduler(
-        self,
-        scheduler_id: str,
-        chain_id: str,
-        event: str,
-        engine_id: str,
-    ) -> None:
-        message = ChainEventBody.model_validate(
-            {'chain_id': chain_id, 'event': event, 'engine_id': engine_id},
-        )
-        self._notifier.notify(
-            scheduler_id, message, ChainEventReplyBody, chain_id
-        )
+
+def _apply_event(
+    service: SchedulerService, event: str, chain_id: str, engine_id: str
+) -> None:
+    """Applies an event of a request that is scheduled here."""
+    if event == 'started':
+        service.note_started(chain_id)
+    elif event == 'failed':
+        service.note_failed(chain_id, engine_id)
+    else:
+        service.note_ended(chain_id)
 
 
 def _log_unanswered(peer_id: str, chain_id: str, error: PeerError) -> None:
--- a/borageyard/target_path_watch.py
+++ b/borageyard/target_path_watch.py
@@ -48,12 +48,20 @@
             await stack.enter_async_context(running_tasks(self._recover()))
             yield
 
-    async def is_partitioned(self) -> bool:
-        """Returns whether there is no path, after a connection failed."""
+    @property
+    def verdict(self) -> bool | None:
+        """Whether there is no path; None if that must be checked."""
         if self.paths.is_partitioned:
             return True
         if self._clock.steady_ms() < self._valid_until_ms:
             return False
+        return None
+
+    async def is_partitioned(self) -> bool:
+        """Returns whether there is no path, after a connection failed."""
+        verdict = self.verdict
+        if verdict is not None:
+            return verdict
         if self._check is None or self._check.done():
             self._check = asyncio.ensure_future(self._check_path())
         # A caller that leaves must not end the check of the others.
