Keep the suspicion of forgotten versions until the store confirms it

Cause: found by reading. If the write of the unknown version failed after a restore, the next plan no longer contained it, and the list passed for complete. An empty version, which targets without a version have, stood for the unknown one. A new scheduler listed versions up to a second late.

Change: the unknown version is written first, until it is confirmed, under a name of its own; the end of an election starts a check of the list.

--- a/borageyard/served_versions.py
+++ b/borageyard/served_versions.py
@@ -9,7 +9,7 @@
 # than any stream.
 HISTORY_MS = 120_000
 # Stands for versions that a restored store may have forgotten.
-FORGOTTEN_VERSION = ''
+FORGOTTEN_VERSION = '?'
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,7 +51,8 @@
             for record in records
             if record.service == service
         }
-        # Whether a restore between the last write and now is still unnoticed.
+        # Whether the store may have been restored since the records were
+        # written, without this entry having seen what served.
         self._may_have_forgotten = bool(self._listed)
 
     def plan(
@@ -66,17 +67,18 @@
         """
         listed = self._listed
         wanted = {*listed, *present}
-        if self._may_have_forgotten and any(
-            one.era < era for one in listed.values()
-        ):
+        if self._may_have_forgotten:
+            self._may_have_forgotten = any(
+                one.era < era for one in listed.values()
+            )
+        if self._may_have_forgotten:
             wanted.add(FORGOTTEN_VERSION)
-        self._may_have_forgotten = False
         removals = self._find_removable(present, now_ms)
         writes = [
             ServedVersionRecord(
                 service=self._service, software_version=version, era=era
             )
-            for version in sorted(wanted.difference(removals))
+            for version in sorted(wanted.difference(removals), key=_write_order)
             if version not in listed or listed[version].era < era
         ]
         return ListChanges(writes, removals)
@@ -85,6 +87,8 @@
         """Records that the store has confirmed a record."""
         version = record.software_version
         self._listed[version] = _Listed(record.era)
+        if version == FORGOTTEN_VERSION:
+            self._may_have_forgotten = False
 
     def note_removed(self, version: str) -> None:
         """Records that the store has confirmed a removal."""
@@ -103,3 +107,11 @@
             if now_ms - one.gone_at_ms >= HISTORY_MS:
                 removable.append(version)
         return removable
+
+
+def _write_order(version: str) -> tuple[bool, str]:
+    """Puts the versions that may be forgotten first.
+
+    The others show by their era that the list is not complete until then.
+    """
+    return version != FORGOTTEN_VERSION, version
--- a/borageyard/stream_journal.py
+++ b/borageyard/stream_journal.py
@@ -73,6 +73,7 @@
         self._next_offset = 0
         self._offset_era = 0
         self._reading: asyncio.Future[None] | None = None
+        elections.add_listener(self.note_targets)
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
