Move the check of result handles out of the platform's adapter

The check of copied results is no translation.

Change: recent_handles.py; one way to request for all calls of pieces.

--- a/borageyard/platform/answer_match.py
+++ b/borageyard/platform/answer_match.py
@@ -12,8 +12,8 @@
 NOT_RUN_HEADER = 'x-not-executed'
 
 
-def relayed_answer_check(headers: Mapping[str, str]) -> AnswerCheck | None:
-    """Returns the check of the answers to a call that is made for a peer.
+def answer_check(headers: Mapping[str, str]) -> AnswerCheck | None:
+    """Returns the check of the answers to a call.
 
     Args:
         headers: Headers of the call.
@@ -22,16 +22,7 @@
         The check, or None if the answer names no request.
     """
     request_id = headers.get(ATTEMPT_ID_HEADER)
-    return answer_check(request_id) if request_id else None
-
-
-def answer_check(request_id: str) -> AnswerCheck:
-    """Returns the check of the answers to a request.
-
-    Args:
-        request_id: Id of the request.
-    """
-    return functools.partial(_match_request, request_id)
+    return functools.partial(_match_request, request_id) if request_id else None
 
 
 def match_call(status: int, headers: Mapping[str, str]) -> AnswerMatch:
@@ -43,9 +34,8 @@
     """
     if headers.get(ATTEMPT_ID_HEADER):
         return AnswerMatch.FOREIGN
-    if status == HTTPStatus.OK:
-        return AnswerMatch.OWN
-    return AnswerMatch.UNNAMED
+    is_success = status == HTTPStatus.OK
+    return AnswerMatch.OWN if is_success else AnswerMatch.UNNAMED
 
 
 def _match_request(
--- a/borageyard/platform/dependencies.py
+++ b/borageyard/platform/dependencies.py
@@ -10,7 +10,7 @@
 from ..target_limits import TargetLimits
 from ..target_probe import ConnectProbe
 from . import ingress
-from .answer_match import relayed_answer_check
+from .answer_match import answer_check
 from .answer_notices import AnswerNotices
 from .documents import DocumentDecoder
 from .status_client import HttpStatusClient
@@ -42,7 +42,7 @@
         runner=HttpPieceRunner(calls, notices),
         probe=ConnectProbe(HttpStatusClient(calls), connect),
         calls=calls,
-        answer_check=relayed_answer_check,
+        answer_check=answer_check,
         codec=ingress,
         limits=limits,
         departures=departures,
--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -1,6 +1,5 @@
 """Sends requests and calls with pieces to the platform's targets."""
 
-import collections
 import contextlib
 import types
 from collections.abc import AsyncIterator, Mapping, Sequence
@@ -32,6 +31,7 @@
     PieceStatus,
     TargetFullError,
 )
+from ..recent_handles import RecentHandles
 from ..roster import RosterRow
 from .answer_match import NOT_RUN_HEADER, answer_check, match_call
 from .answer_notices import AnswerNotices, read_pause_ms
@@ -53,9 +53,6 @@
 # the fields of a report.
 MAX_CALL_ANSWER_BYTES = 262_144
 BYTES_PER_MB = 1_000_000
-# Handles that are compared with those of later answers: several calls to each
-# target of a service.
-MAX_RECENT_HANDLES = 10_000
 PIECE_STATUSES: Mapping[str, PieceStatus] = types.MappingProxyType(
     {
         'late': PieceStatus.LATE,
@@ -105,7 +102,6 @@
         Raises:
             SendError: If the answer is incomplete or a success is unsigned.
         """
-        request_id = send.request.request_id
         call = HttpCall(
             send.target.address,
             send.request.method,
@@ -116,7 +112,7 @@
             # A resend takes no permit, so it must not be automatic.
             repeatable=send.repeatable
             and not self._limits.is_limited(send.target.target_id),
-            match_answer=answer_check(request_id),
+            match_answer=answer_check(send.request.headers),
             target_id=send.target.target_id,
         )
         try:
@@ -153,10 +149,7 @@
         self._client = client
         self._notices = notices
         self._limits = notices.limits
-        # Handles of results, the latest ones last.
-        self._recent_handles: collections.OrderedDict[str, None] = (
-            collections.OrderedDict()
-        )
+        self._handles = RecentHandles()
 
     async def run(
         self,
@@ -185,7 +178,7 @@
             target_id=target.target_id,
             match_answer=match_call,
         )
-        reply = await self._run(call, target, len(pieces))
+        reply = await self._request(call, target, len(pieces))
         if reply.status == HTTPStatus.SERVICE_UNAVAILABLE:
             raise TargetFullError(
                 f'target responded with status {reply.status}',
@@ -196,7 +189,7 @@
             raise CallFailedError(
                 f'target responded with status {reply.status}'
             )
-        items = _decode_items(reply.body)
+        items = _decode(_RunReply, reply.body).items
         return [_decode_outcome(item) for item in items]
 
     async def free(
@@ -239,63 +232,38 @@
         _require_ok(reply)
         return _decode(_Report, reply.body).free_mb * BYTES_PER_MB
 
-    async def _run(
-        self, call: HttpCall, target: RosterRow, piece_count: int
+    async def _request(
+        self, call: HttpCall, target: RosterRow | None, piece_count: int = 0
     ) -> HttpReply:
-        """Returns the answer to a call with pieces.
+        """Returns the answer to a call; records what the target says.
 
-        Its content shows whether it belongs to the call: a handle is given out
-        once.
+        Args:
+            call: The call.
+            target: The target that is called, if its row is known.
+            piece_count: Number of pieces in the call.
         """
         try:
             async with self._client.stream(call) as (status, headers, chunks):
                 body = b''.join([chunk async for chunk in chunks])
                 reply = HttpReply(status, headers, body)
-                if status == HTTPStatus.OK:
-                    self._require_own(_decode_items(body), piece_count)
+                if piece_count and status == HTTPStatus.OK:
+                    self._require_own(body, piece_count)
         except (HttpCallError, AnswerMismatchError) as error:
             raise CallFailedError(str(error)) from error
-        self._note(target, reply)
-        return reply
-
-    def _note(self, target: RosterRow, reply: HttpReply) -> None:
-        """Records what a target says of itself."""
-        if reply.status != HTTPStatus.MISDIRECTED_REQUEST:
+        is_target = reply.status != HTTPStatus.MISDIRECTED_REQUEST
+        if target is not None and is_target:
             self._notices.note(target, reply.status, reply.headers)
+        return reply
 
-    def _require_own(self, items: Sequence[_Item], piece_count: int) -> None:
-        """Checks that items answer the present call.
-
-        Raises:
-            AnswerMismatchError: If they answer another one.
-        """
-        if len(items) != piece_count:
-            raise AnswerMismatchError(
-                f'{len(items)} results for {piece_count} pieces'
-            )
-        handles = {item.handle for item in items if item.handle}
-        if not handles.isdisjoint(self._recent_handles):
-            raise AnswerMismatchError('results of an earlier call')
-        self._recent_handles.update(dict.fromkeys(handles))
-        while len(self._recent_handles) > MAX_RECENT_HANDLES:
-            self._recent_handles.popitem(last=False)
-
-    async def _request(
-        self, call: HttpCall, target: RosterRow | None
-    ) -> HttpReply:
-        """Returns the answer to a call; records the limit that it states.
-
-        Args:
-            call: The call.
-            target: The target that is called, if its row is known.
-        """
+    def _require_own(self, body: bytes, piece_count: int) -> None:
+        """Checks that results are those of the present call."""
         try:
-            reply = await self._client.request(call)
-        except HttpCallError as error:
-            raise CallFailedError(error.reason) from error
-        if target is not None:
-            self._note(target, reply)
-        return reply
+            items = _decode(_RunReply, body).items
+        except CallFailedError as error:
+            raise AnswerMismatchError(str(error)) from error
+        if len(items) != piece_count:
+            raise AnswerMismatchError(f'{len(items)} results')
+        self._handles.add([item.handle for item in items if item.handle])
 
 
 def _require_ok(reply: HttpReply) -> None:
@@ -369,19 +337,6 @@
     return encoded
 
 
-def _decode_items(body: bytes) -> Sequence[_Item]:
-    """Returns the items of an answer to a call with pieces.
-
-    Raises:
-        AnswerMismatchError: If the answer has none.
-    """
-    try:
-        document = parse_json(body, 'target')
-        return check_document(_RunReply, document, 'target').items
-    except DocumentError as error:
-        raise AnswerMismatchError(str(error)) from error
-
-
 def _decode_outcome(item: _Item) -> PieceOutcome:
     if item.handle:
         return PieceOutcome(PieceStatus.MADE, item.handle)
