Take an empty list of versions for a deployment that has begun no stream

Change: an empty list in a store that was never restored means that no target served before this entry started.

--- a/borageyard/software_versions.py
+++ b/borageyard/software_versions.py
@@ -32,6 +32,8 @@
 
     def __init__(self) -> None:
         """Starts without targets."""
+        # Whether no target served before this entry started.
+        self.nothing_before = False
         self._services: dict[str, _ServiceHistory] = {}
         self._observed_since_ms: float = math.inf
 
@@ -91,7 +93,8 @@
             span_ms: The time in milliseconds.
             now_ms: Monotonic time.
         """
-        if now_ms - self._observed_since_ms >= span_ms:
+        observed_ms = now_ms - self._observed_since_ms
+        if self.nothing_before or observed_ms >= span_ms:
             return True
         history = self._services.get(service)
         return history is not None and history.known_from_start
--- a/borageyard/stream_journal.py
+++ b/borageyard/stream_journal.py
@@ -121,6 +121,8 @@
             break
         listed = _decode_versions(page)
         now_ms = self._clock.steady_ms()
+        # A restored store may have lost the whole list.
+        self.versions.nothing_before = not listed and not page.era
         complete = all(record.era >= page.era for record in listed)
         for record in listed:
             self.versions.add_earlier(
