Review, case 2: a repeated answer shifts the answers of a stage runner

Answers of stage runners name no request. A late copy of one without results is taken for the answer to the next call; the true one then counts for the call after it, so requests get the results of others.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -10,14 +10,14 @@
 from case import Client, configuration, main, route  # noqa: E402
 from runners import ModelRunner, StageRunner  # noqa: E402
 
-CLIENTS = 4
+CLIENTS = 6
 LOAD_S = 26
 # The disruption as the site file has it: share 0.6 of the runners (here one of
 # two), x 0.03 of their answers, for 5 s; three times.
 GARBLE_SHARE = 0.03
 GARBLE_FROM_S = (4, 12, 20)
 GARBLE_FOR_S = 5
-# A sound stage runner reports an error for one piece in so many.
+# A stage runner reports an error for one piece in so many, in all runs.
 ERROR_EVERY = 12
 
 
@@ -55,7 +55,7 @@
         for number, zone in enumerate(('za', 'zb'))
     ]
     for planner in planners:
-        planner.call_s, planner.item_s = 0.06, 0.01
+        planner.call_s, planner.item_s = 0.2, 0.0336
         planner.error_every = ERROR_EVERY
     for model in models:
         model.needs_inputs = True
@@ -65,8 +65,8 @@
         [{'name': 'model', 'engine': {'slots': 32, 'kvCapacity': 270909},
           'maxConnections': 620, 'healthPath': '/healthz'},
          {'name': 'planner', 'maxConnections': 620, 'healthPath': '/healthz',
-          'pieces': {'slots': 1, 'queue': 2, 'batch': 5, 'callMs': 60,
-                     'itemMs': 10, 'headroomMb': 9, 'handleS': 4,
+          'pieces': {'slots': 1, 'queue': 2, 'batch': 1, 'callMs': 200,
+                     'itemMs': 33.6, 'headroomMb': 9, 'handleS': 4,
                      'linkMbps': 10000}}],
     )
     await case.deploy(plan, [*planners, *models])
--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -170,6 +170,9 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for client in self.clients:
             client.close()
+        for runner in self.runners:
+            runner.close()
+        self.store.close()
         # Lets the connections end before the loop does.
         await asyncio.sleep(0.2)
         self.output.write_text('\n'.join(self._lines) + '\n')
--- a/review/lib/runners.py
+++ b/review/lib/runners.py
@@ -8,6 +8,7 @@
 import asyncio
 import itertools
 import json
+import random
 import secrets
 import time
 
@@ -36,6 +37,7 @@
         self.running = 0
         self.waiting = 0
         self._free = asyncio.Condition()
+        self._writers = set()
 
     async def start(self):
         server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -64,6 +66,7 @@
 
     async def _serve(self, reader, writer):
         copy = b''
+        self._writers.add(writer)
         try:
             while True:
                 request = await read_request(reader)
@@ -78,6 +81,12 @@
         except OSError:
             return
         finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    def close(self):
+        """Closes all connections."""
+        for writer in tuple(self._writers):
             writer.close()
 
     def _take_copy(self):
@@ -208,13 +217,33 @@
     call_s = 0.2
     item_s = 0.034
     error_every = 0
+    # Memory for results and the sizes of results, in bytes.
+    room_bytes = float('inf')
+    sizes_bytes = (1000, 1000)
+    keep_s = 4
 
     def __init__(self, *args, **kwargs):
         super().__init__(*args, **kwargs)
         self._made = itertools.count(1)
+        self._held = {}
+        self._sizes = random.Random(self.runner_id)
+
+    def free_bytes(self):
+        now = time.monotonic()
+        self._held = {
+            handle: held for handle, held in self._held.items()
+            if held[1] > now
+        }
+        return self.room_bytes - sum(size for size, _ in self._held.values())
+
+    def report(self):
+        free_mb = min(self.free_bytes() // 1_000_000, 1000)
+        return {**super().report(), 'freeMb': free_mb}
 
     async def _answer(self, request, writer):
         if request.target == '/stage-free':
+            for handle in json.loads(request.body)['handles']:
+                self._held.pop(handle, None)
             self.reply(writer, 200, {'Content-Type': 'application/json'}, b'{}')
             return
         await super()._answer(request, writer)
@@ -239,6 +268,10 @@
         number = next(self._made)
         if self.error_every and number % self.error_every == 0:
             return {'reason': 'error'}
+        size = self._sizes.randint(*self.sizes_bytes)
+        if size > self.free_bytes():
+            return {'reason': 'room'}
         handle = f'{self.address}/{secrets.token_hex(6)}'
+        self._held[handle] = (size, time.monotonic() + self.keep_s)
         self.case.results[handle] = item['id']
         return {'handle': handle}
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -18,6 +18,7 @@
         self.topics = {}
         self.changed = asyncio.Event()
         self.address = ''
+        self._writers = set()
 
     async def start(self):
         server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -34,10 +35,17 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def close(self):
+        """Closes all connections."""
+        for writer in tuple(self._writers):
+            writer.close()
+
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         while True:
             request = await read_request(reader)
             if request is None:
+                self._writers.discard(writer)
                 writer.close()
                 return
             parts = urllib.parse.urlsplit(request.target)
