Review, case 4: answers with a header outside ASCII are lost

The server encodes headers of answers as ASCII and drops the connection if that fails, after the runner has run the request.

--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -213,6 +213,11 @@
                          body=found[:60])
         return request_id, status, found
 
+    @property
+    def is_open(self):
+        """Whether the next request goes out on a kept connection."""
+        return self._streams is not None
+
     def close(self):
         if self._streams is not None:
             self._streams[1].close()
