--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,28 +1,25 @@
-"""A stage runner writes an answer without results once more; see claim.txt."""
+"""A model runner writes a refusal once more; see claim.txt."""
 
 import asyncio
 import pathlib
-import secrets
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'lib'))
 
 from case import Client, configuration, main, route  # noqa: E402
-from runners import ModelRunner, StageRunner  # noqa: E402
+from runners import ModelRunner  # noqa: E402
 
-CLIENTS = 6
+CLIENTS = 7
 LOAD_S = 26
 # The disruption as the site file has it: share 0.6 of the runners (here one of
 # two), x 0.03 of their answers, for 5 s; three times.
 GARBLE_SHARE = 0.03
 GARBLE_FROM_S = (4, 12, 20)
 GARBLE_FOR_S = 5
-# A stage runner reports an error for one piece in so many, in all runs.
-ERROR_EVERY = 12
 
 
 class Garbling:
-    """Decides which answers without results are written once more."""
+    """Decides which refusals of one runner are written once more."""
 
     def __init__(self, began):
         self.began = began
@@ -38,7 +35,7 @@
             self.window = window
             self.answers_before = runner.answers
             self.repeated_before = runner.repeated
-        if window is None or what != 'reasons':
+        if window is None or what != 'full':
             return False
         answers = runner.answers - self.answers_before
         repeated = runner.repeated - self.repeated_before
@@ -46,57 +43,48 @@
 
 
 async def run(case):
-    planners = [
-        StageRunner(case, f'p{number}', 'planner', zone, slots=1, queue=2)
-        for number, zone in enumerate(('za', 'zb'))
-    ]
     models = [
-        ModelRunner(case, f'm{number}', 'model', zone, slots=32, queue=32)
+        ModelRunner(case, f'm{number}', 'model', zone, slots=2, queue=1)
         for number, zone in enumerate(('za', 'zb'))
     ]
-    for planner in planners:
-        planner.call_s, planner.item_s = 0.2, 0.0336
-        planner.error_every = ERROR_EVERY
     for model in models:
-        model.needs_inputs = True
+        model.first_s, model.gap_s, model.events = 0.012, 0.002, 4
     plan = configuration(
-        [route('brief', '/brief/', 'streaming', 'model',
-               stages=[{'service': 'planner', 'after': [], 'bytes': 8000}])],
-        [{'name': 'model', 'engine': {'slots': 32, 'kvCapacity': 270909},
-          'maxConnections': 620, 'healthPath': '/healthz'},
-         {'name': 'planner', 'maxConnections': 620, 'healthPath': '/healthz',
-          'pieces': {'slots': 1, 'queue': 2, 'batch': 1, 'callMs': 200,
-                     'itemMs': 33.6, 'headroomMb': 9, 'handleS': 4,
-                     'linkMbps': 10000}}],
+        [route('reply', '/reply/', 'streaming', 'model')],
+        [{'name': 'model', 'engine': {'slots': 2, 'kvCapacity': 270909},
+          'maxConnections': 620, 'healthPath': '/healthz'}],
     )
-    await case.deploy(plan, [*planners, *models])
+    await case.deploy(plan, models)
     loop = asyncio.get_running_loop()
     began = loop.time()
+
     if case.trouble:
-        planners[0].repeats = Garbling(began)
+        models[0].repeats = Garbling(began)
     statuses = {}
 
     async def ask(number):
         client = Client(case, case.entries[number % len(case.entries)])
         while loop.time() - began < LOAD_S:
-            request_id, status, _ = await client.ask(
-                '/brief/x', headers={'X-Pieces': '1', 'X-Piece-Key': secrets.token_hex(6)})
+            request_id, status, _ = await client.ask('/reply/x')
             statuses[request_id] = status
             await asyncio.sleep(0.01)
 
     await asyncio.gather(*(ask(number) for number in range(CLIENTS)))
     await asyncio.sleep(1)
-    for request_id, makers in case.foreign_inputs:
-        case.record('MIXED', id=request_id, inputs_made_for=makers,
-                    status=statuses.get(request_id))
-    served = sum(status == 200 for status in statuses.values())
-    summary = (f'{len(statuses)} requests, {served} with 200, '
-               f'{planners[0].repeated} repeated answers without results, '
-               f'{len(case.foreign_inputs)} runs with foreign inputs')
+    twice = {one: at for one, at in case.runs.items() if len(at) > 1}
+    refused = [one for one in case.runs if statuses.get(one) in {429, 503}]
+    for one, at in twice.items():
+        case.record('TWICE', id=one, at=at, status=statuses.get(one))
+    for one in refused:
+        case.record('REFUSED', id=one)
+    summary = (f'{len(statuses)} requests, {len(case.runs)} ran, '
+               f'{sum(s == 200 for s in statuses.values())} with 200, '
+               f'{models[0].repeated} repeated refusals, '
+               f'{len(twice)} ran twice, {len(refused)} ran though refused')
     case.record('summary', text=summary)
     if not case.runs:
         return 2, summary
-    return int(bool(case.foreign_inputs)), summary
+    return int(bool(twice or refused)), summary
 
 
 main(pathlib.Path(__file__).parent, run)
