Review, case 5: a restarted scheduler grants a runner that leaves

Departures are passed on once; an entry that starts while the store is down takes the runner for ready, and others send what it grants.

--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -19,7 +19,9 @@
 from store import Store
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-BROKEN, HELD, NOT_RUN = 1, 0, 2
+NOT_RUN = 2
+# The port of `metrics` in the deploy file.
+METRICS_PORT = 9102
 
 
 class CannotRunError(Exception):
@@ -40,6 +42,7 @@
         self.peer_port = peer
         self.control = control
         self.process = None
+        self.restarted = False
 
     def settings(self):
         """Returns the settings file, with the fields of the users' page."""
@@ -97,6 +100,20 @@
             *command, cwd=ROOT, env=environment, stdout=log, stderr=log)
         log.close()
 
+    @property
+    def is_running(self):
+        return self.process is not None and self.process.returncode is None
+
+    async def metrics(self):
+        """Returns the metrics of the process, as text."""
+        reader, writer = await asyncio.open_connection(self.ip, METRICS_PORT)
+        writer.write(b'GET /metrics HTTP/1.1\r\nHost: m\r\n\r\n')
+        head = await read_head(reader)
+        length = int(head.headers['content-length'])
+        text = (await reader.readexactly(length)).decode()
+        writer.close()
+        return text
+
     async def wait_ready(self, until):
         while time.monotonic() < until:
             if self.process.returncode is not None:
@@ -187,6 +204,8 @@
         self.entry = entry
         self._streams = None
         case.clients.append(self)
+        # Headers of the latest answer.
+        self.headers = {}
 
     async def ask(self, path, method='POST', headers=None, body=b'',
                   deadline_ms=3000):
@@ -234,9 +253,11 @@
                  'Authorization: Token key1', f'Content-Length: {len(body)}']
         lines += [f'{name}: {value}' for name, value in headers.items()]
         writer.write(('\r\n'.join(lines) + '\r\n\r\n').encode() + body)
+        self.headers = {}
         head = await read_head(reader)
         if head is None:
             raise EOFError('closed')
+        self.headers = head.headers
         found = b''
         if head.headers.get('transfer-encoding') == 'chunked':
             async for data in read_chunks(reader):
--- a/review/lib/runners.py
+++ b/review/lib/runners.py
@@ -30,6 +30,7 @@
         self.address = ''
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        self.state = 'ready'
         # Decides whether an answer is written once more; None for never.
         self.repeats = None
         self.answers = 0
@@ -53,7 +54,7 @@
             'zone': self.zone,
             'version': 'v1',
             'slots': self.slots,
-            'state': 'ready',
+            'state': self.state,
             'coldLeftMs': 0,
             'sequence': self.sequence,
             'born': self.born,
@@ -61,9 +62,14 @@
 
     async def _beat(self):
         while True:
-            self.case.store.put('keyed.servers', self.runner_id, self.row())
+            self.announce()
             await asyncio.sleep(BEAT_S)
 
+    def announce(self):
+        """Writes its record, unless the store is down."""
+        if not self.case.store.down:
+            self.case.store.put('keyed.servers', self.runner_id, self.row())
+
     async def _serve(self, reader, writer):
         copy = b''
         self._writers.add(writer)
@@ -193,6 +199,8 @@
         head = ['HTTP/1.1 200 OK', 'Content-Type: text/event-stream',
                 f'X-Attempt-Id: {request_id}',
                 f'X-Server-Stamp: s.{self.runner_id}',
+                *(f'{name}: {value}' for name, value in own.items()
+                  if name != 'X-Attempt-Id'),
                 'Transfer-Encoding: chunked', '', '']
         writer.write('\r\n'.join(head).encode())
         self._last = b''
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -19,6 +19,8 @@
         self.changed = asyncio.Event()
         self.address = ''
         self._writers = set()
+        # Whether it answers all calls with 503.
+        self.down = False
 
     async def start(self):
         server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -50,7 +52,12 @@
                 return
             parts = urllib.parse.urlsplit(request.target)
             query = dict(urllib.parse.parse_qsl(parts.query))
-            status, body = await self._handle(parts.path, query, request.body)
+            status, body = 503, b'{}'
+            if not self.down:
+                status, body = await self._handle(
+                    parts.path, query, request.body)
+            if self.down:
+                status, body = 503, b'{}'
             headers = JSON if parts.path != '/log-read' else {}
             writer.write(encode_response(status, headers, body))
 
