Review: a stream goes on at another version after all entries ended

While the store turns the scheduler away it can't list a new version. Once its runner has left and all entries were killed, its streams go on at the old version.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """A runner leaves while the store is down and entries restart; see claim.txt."""
 
 import asyncio
+import functools
 import pathlib
 import signal
 import sys
@@ -18,6 +19,18 @@
 DRAIN_S = 2
 # Entries that are restarted one after the other, of four.
 RESTARTS = 2
+# The runner ends so long after the store has taken its report.
+EXIT_AFTER_S = DRAIN_S + 1
+# Events of a run, with pauses between.
+SHORT = 2
+LONG = 45
+DEADLINE_MS = 8000
+# Clients of each entry: those with short runs, those with long ones, and the
+# time between the first requests of these.
+QUICK = 2
+SLOW = 4
+STAGGER_S = 0.2
+GAP_S = 0.1
 
 
 class LeavingModel(ModelRunner):
@@ -32,6 +45,23 @@
             own = {**own, 'Server-Leaving': '1'}
         await super().run(request, writer, own)
 
+    def count_events(self, request):
+        return LONG if request.target.endswith('long') else SHORT
+
+    async def leave(self):
+        """Reports that it leaves until the store takes that, then ends."""
+        self.leaving = True
+        self.state = 'draining'
+        while self.case.store.down:
+            await asyncio.sleep(0.1)
+        self.announce()
+        self.case.record('accepted', runner=self.runner_id)
+        await asyncio.sleep(EXIT_AFTER_S)
+        self.listed = False
+        self.case.store.put('keyed.servers', self.runner_id, None)
+        self.case.record('exit', runner=self.runner_id)
+        self.end()
+
 
 async def find_scheduler(case, known):
     """Returns the entry whose metrics say that it schedules."""
@@ -51,8 +81,10 @@
                      slots=32, queue=32)
         for number in range(4)
     ]
+    for model in models:
+        model.gap_s = GAP_S
     plan = configuration(
-        [route('chat', '/chat/', 'streaming', 'model')],
+        [route('chat', '/chat/', 'streaming', 'model', timeoutMs=8000)],
         [{'name': 'model', 'engine': {'slots': 32, 'kvCapacity': 270909},
           'maxConnections': 620, 'healthPath': '/healthz'}],
     )
@@ -62,16 +94,22 @@
     # Time at which each entry first passed on an answer of the leaving runner.
     told = {}
 
-    async def ask(entry):
-        client = Client(case, entry)
+    def note(entry, headers):
+        if headers.get('server-leaving') == '1' and entry not in told:
+            told[entry] = time.monotonic()
+            case.record('told', entry=entry.name)
+
+    async def ask(entry, number):
+        path = '/chat/short'
+        if number >= QUICK:
+            path = '/chat/long'
+            await asyncio.sleep((number - QUICK) * STAGGER_S)
+        client = Client(case, entry, on_head=functools.partial(note, entry))
         while time.monotonic() - began < LOAD_S and not entry.restarted:
             sent = time.monotonic()
-            request_id, status, _ = await client.ask('/chat/x')
-            requests.append((request_id, sent, entry))
-            if client.headers.get('server-leaving') == '1':
-                if entry not in told:
-                    told[entry] = time.monotonic()
-                    case.record('told', entry=entry.name)
+            request_id, status, _ = await client.ask(
+                path, deadline_ms=DEADLINE_MS)
+            requests.append((request_id, sent, entry, status))
             await asyncio.sleep(0.03)
 
     async def restart():
@@ -93,10 +131,7 @@
         case.record('store', down=case.store.down)
         loop = asyncio.get_running_loop()
         loop.call_later(DOWN_FOR_S, end_outage)
-        leaving = models[0]
-        leaving.leaving = True
-        leaving.state = 'draining'
-        leaving.announce()
+        case.spawn(models[0].leave())
         await asyncio.sleep(0.5)
         await restart()
 
@@ -105,21 +140,25 @@
         case.record('store', down=False)
 
     await asyncio.gather(
-        disrupt(), *(ask(entry) for entry in case.entries for _ in range(2)))
+        disrupt(), *(ask(entry, number) for entry in case.entries
+                    for number in range(QUICK + SLOW)))
     at_leaving = {
         request_id for _, runner, request_id in case.arrivals if runner == 'm0'
     }
     late = [
-        (request_id, entry.name, round(sent - told[entry], 2))
-        for request_id, sent, entry in requests
+        (request_id, entry.name, round(sent - told[entry], 2), status)
+        for request_id, sent, entry, status in requests
         if request_id in at_leaving and entry in told
         and not entry.restarted and sent > told[entry] + DRAIN_S
     ]
-    for request_id, name, after_s in late:
-        case.record('DRAIN', id=request_id, entry=name, after_s=after_s)
+    for request_id, name, after_s, status in late:
+        case.record('DRAIN', id=request_id, entry=name, after_s=after_s,
+                    status=status)
+    cut = sum(status == 0 for *_, status in late)
     summary = (f'{len(requests)} requests, {len(told)} entries passed on that '
                f'the runner leaves, {len(late)} sent to it more than '
-               f'{DRAIN_S} s later by entries that were not restarted')
+               f'{DRAIN_S} s later by entries that were not restarted, '
+               f'{cut} of them cut off as it ended')
     case.record('summary', text=summary)
     if not told:
         return 2, summary
--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -43,6 +43,7 @@
         self.control = control
         self.process = None
         self.restarted = False
+        self.store_address = ''
 
     def settings(self):
         """Returns the settings file, with the fields of the users' page."""
@@ -75,7 +76,7 @@
                 'retryBudgetRatio': 0.2, 'budgetWindowS': 10,
                 'budgetExtraRetries': 56, 'recoveryS': 12, 'passMs': 120,
                 'againS': 9, 'ttl_max_s': 5},
-            'platform': {'address': self.case.store.address, 'form': 'log',
+            'platform': {'address': self.store_address, 'form': 'log',
                          'writesPerS': 400, 'readsPerS': 2000, 'parts': 12,
                          'appendMs': 2.0, 'partMbS': 20.0, 'readMbS': 80.0,
                          'recordBytes': 262144, 'callBytes': 2097152,
@@ -169,6 +170,7 @@
             await runner.start()
         for number in range(entries):
             entry = Entry(self, number, ('za', 'zb')[number % 2])
+            entry.store_address = await self.store.listen()
             self.entries.append(entry)
             await entry.start()
         until = time.monotonic() + 30
@@ -199,13 +201,13 @@
 class Client:
     """A client that keeps a connection to one entry open."""
 
-    def __init__(self, case, entry):
+    def __init__(self, case, entry, on_head=None):
         self.case = case
         self.entry = entry
+        # Called with the headers of each answer as its head arrives.
+        self.on_head = on_head
         self._streams = None
         case.clients.append(self)
-        # Headers of the latest answer.
-        self.headers = {}
 
     async def ask(self, path, method='POST', headers=None, body=b'',
                   deadline_ms=3000):
@@ -253,11 +255,11 @@
                  'Authorization: Token key1', f'Content-Length: {len(body)}']
         lines += [f'{name}: {value}' for name, value in headers.items()]
         writer.write(('\r\n'.join(lines) + '\r\n\r\n').encode() + body)
-        self.headers = {}
         head = await read_head(reader)
         if head is None:
             raise EOFError('closed')
-        self.headers = head.headers
+        if self.on_head is not None:
+            self.on_head(head.headers)
         found = b''
         if head.headers.get('transfer-encoding') == 'chunked':
             async for data in read_chunks(reader):
--- a/review/lib/runners.py
+++ b/review/lib/runners.py
@@ -31,6 +31,8 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.state = 'ready'
+        self.version = 'v1'
+        self.listed = True
         # Decides whether an answer is written once more; None for never.
         self.repeats = None
         self.answers = 0
@@ -41,10 +43,17 @@
         self._writers = set()
 
     async def start(self):
-        server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        self.address = '127.0.0.1:%d' % server.sockets[0].getsockname()[1]
+        self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
         self.case.spawn(self._beat())
 
+    def end(self):
+        """Closes the listener and all connections."""
+        self._server.close()
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
     def row(self):
         """Returns the record that it keeps in the store."""
         self.sequence += 1
@@ -52,7 +61,7 @@
             'service': self.service,
             'address': self.address,
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.version,
             'slots': self.slots,
             'state': self.state,
             'coldLeftMs': 0,
@@ -67,7 +76,7 @@
 
     def announce(self):
         """Writes its record, unless the store is down."""
-        if not self.case.store.down:
+        if self.listed and not self.case.store.down:
             self.case.store.put('keyed.servers', self.runner_id, self.row())
 
     async def _serve(self, reader, writer):
@@ -204,13 +213,16 @@
                 'Transfer-Encoding: chunked', '', '']
         writer.write('\r\n'.join(head).encode())
         self._last = b''
-        for number in range(1, self.events + 1):
+        for number in range(1, self.count_events(request) + 1):
             event = f'id: {number}\ndata: {request_id}\n\n'.encode()
             writer.write(chunk(event))
             await writer.drain()
             await asyncio.sleep(self.gap_s)
         writer.write(b'0\r\n\r\n')
 
+    def count_events(self, request):
+        return self.events
+
     def check_inputs(self, request_id, handles):
         makers = [self.case.results.get(handle) for handle in handles]
         self.case.record('inputs', runner=self.runner_id, id=request_id,
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -21,10 +21,19 @@
         self._writers = set()
         # Whether it answers all calls with 503.
         self.down = False
+        # Addresses at which it does so.
+        self.closed = set()
 
     async def start(self):
+        self.address = await self.listen()
+
+    async def listen(self):
+        """Opens a further address; returns it.
+
+        A machine that calls the store there can be turned away alone.
+        """
         server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
-        self.address = '127.0.0.1:%d' % server.sockets[0].getsockname()[1]
+        return '127.0.0.1:%d' % server.sockets[0].getsockname()[1]
 
     def put(self, topic, key, document):
         """Appends a keyed record, as the operator and the runners do."""
@@ -44,6 +53,7 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        address = '%s:%d' % writer.get_extra_info('sockname')
         while True:
             request = await read_request(reader)
             if request is None:
@@ -53,10 +63,10 @@
             parts = urllib.parse.urlsplit(request.target)
             query = dict(urllib.parse.parse_qsl(parts.query))
             status, body = 503, b'{}'
-            if not self.down:
+            if not self.down and address not in self.closed:
                 status, body = await self._handle(
                     parts.path, query, request.body)
-            if self.down:
+            if self.down or address in self.closed:
                 status, body = 503, b'{}'
             headers = JSON if parts.path != '/log-read' else {}
             writer.write(encode_response(status, headers, body))
