--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -37,10 +37,8 @@
         self.zone = zone
         # An address of its own: the metrics port is the same on all machines.
         self.ip = f'127.{random.randint(16, 240)}.{random.randint(1, 250)}.{number + 1}'
-        ports = [_free_port(self.ip) for _ in range(5)]
-        self.front, self.ready, self.directory, peer, control = ports
-        self.peer_port = peer
-        self.control = control
+        (self.front, self.ready, self.directory, self.peer_port,
+         self.control) = _free_ports(self.ip, 5)
         self.process = None
         self.restarted = False
         self.store_address = ''
@@ -317,13 +315,15 @@
     sys.exit(code)
 
 
-def _free_port(ip):
-    """Returns a port below the ephemeral ones on which nothing listens."""
-    while True:
+def _free_ports(ip, count):
+    """Returns ports below the ephemeral ones on which nothing listens."""
+    free = set()
+    while len(free) < count:
         port = random.randint(10_000, 30_000)
         with socket.socket() as probe:
             try:
                 probe.bind((ip, port))
             except OSError:
                 continue
-        return port
+        free.add(port)
+    return sorted(free)
