--- a/review/5/case.py
+++ b/review/5/case.py
@@ -17,8 +17,11 @@
 DOWN_FOR_S = 8
 LOAD_S = DOWN_FROM_S + DOWN_FOR_S
 DRAIN_S = 2
-# Entries that are restarted one after the other, of four.
-RESTARTS = 2
+# Entries that may be killed, one after the other, of four: the one that
+# schedules, until one that has started again schedules.
+MOST_KILLS = 3
+# A killed process starts again after this time.
+START_AFTER_S = 0.3
 # The runner ends so long after the store has taken its report.
 EXIT_AFTER_S = DRAIN_S + 1
 # Events of a run, with pauses between.
@@ -63,14 +66,19 @@
         self.end()
 
 
-async def find_scheduler(case, known):
+async def find_scheduler(case):
     """Returns the entry whose metrics say that it schedules."""
-    for entry in known:
-        text = await entry.metrics()
-        if any(line.startswith('borageyard_group_scheduled_here')
-               and float(line.split()[-1]) == 1
-               for line in text.splitlines()):
-            return entry
+    until = time.monotonic() + 10
+    while time.monotonic() < until:
+        for entry in case.entries:
+            if not entry.is_running:
+                continue
+            text = await entry.metrics()
+            if any(line.startswith('borageyard_group_scheduled_here')
+                   and float(line.split()[-1]) == 1
+                   for line in text.splitlines()):
+                return entry
+        await asyncio.sleep(0.05)
     raise CannotRunError('no entry schedules')
 
 
@@ -112,14 +120,16 @@
             requests.append((request_id, sent, entry, status))
             await asyncio.sleep(0.03)
 
-    async def restart():
-        for _ in range(RESTARTS):
-            candidates = [one for one in case.entries if one.is_running]
-            entry = await find_scheduler(case, candidates)
+    async def kill_schedulers():
+        for _ in range(MOST_KILLS):
+            entry = await find_scheduler(case)
+            if entry.restarted:
+                return
             entry.restarted = True
-            case.record('restart', entry=entry.name)
-            entry.process.send_signal(signal.SIGTERM)
+            case.record('kill', entry=entry.name)
+            entry.process.send_signal(signal.SIGKILL)
             await entry.process.wait()
+            await asyncio.sleep(START_AFTER_S)
             await entry.start()
             await entry.wait_ready(time.monotonic() + 10)
             case.record('back', entry=entry.name)
@@ -132,8 +142,8 @@
         loop = asyncio.get_running_loop()
         loop.call_later(DOWN_FOR_S, end_outage)
         case.spawn(models[0].leave())
-        await asyncio.sleep(0.5)
-        await restart()
+        await asyncio.sleep(0.3)
+        await kill_schedulers()
 
     def end_outage():
         case.store.down = False
