--- a/review/lib/case.py
+++ b/review/lib/case.py
@@ -297,9 +297,13 @@
     """
     async def play():
         case = Case(folder)
+        # A script that is stopped from outside ends its processes too.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             verdict, why = await asyncio.wait_for(run(case), 100)
-        except (CannotRunError, TimeoutError) as error:
+        except (CannotRunError, TimeoutError, asyncio.CancelledError) as error:
             verdict, why = NOT_RUN, repr(error)
         finally:
             case.record('end')
