List versions before streams begin; prove the version of a stream by the list

Cause: an entry that knows nothing of a stream went on at the only version that it took to have served. The list in the store lacked versions that only the scheduler may write, and a read counted as fresh from its arrival.

Change: engines of a version are granted once the store lists it. A stream of unknown origin goes on only if a read of the list that began after the request shows one version; peers are asked to read it if the store does not answer. While the store is away, origins are shared with the backups. An entry counts as ready once its versions are listed. The age of earlier reads decides nothing any more.

Why it works: a stream that has begun implies an entry of the list, and the list is read later than that.

--- a/borageyard/fleet_state.py
+++ b/borageyard/fleet_state.py
@@ -69,6 +69,9 @@
         }
         # Era of the store that the mirrors follow.
         self.era = 0
+        # Returns whether an engine may begin streams: its version is in the
+        # list that outlasts the loss of all entries.
+        self.is_listed: Callable[[RosterRow], bool] = _is_any
         # Records that could not be used, by table.
         self.invalid_records: collections.Counter[str] = collections.Counter()
         self.presences = EntryPresences(
@@ -212,7 +215,7 @@
         services = configuration.services.values()
         return FleetView(
             engines={
-                service.name: self.roster.ready(service.name)
+                service.name: self.engines(service.name)
                 for service in services
                 if service.engine is not None
             },
@@ -223,6 +226,16 @@
             },
         )
 
+    def engines(self, service: str) -> Sequence[RosterRow]:
+        """Returns the engines of a service that take new work.
+
+        Args:
+            service: Name of the service.
+        """
+        return [
+            row for row in self.roster.ready(service) if self.is_listed(row)
+        ]
+
     def _delay_target_removals(
         self, new_records: Sequence[TableRecord]
     ) -> Sequence[TableRecord]:
@@ -322,3 +335,7 @@
                 reason=str(error),
             )
         return None
+
+
+def _is_any(row: RosterRow) -> bool:
+    return True
--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -55,6 +55,7 @@
 from .target_path_watch import TargetPathWatch
 from .target_paths import TargetPaths
 from .target_probe import TargetProbe
+from .version_listing import VersionListing
 
 MAX_CONNECTIONS = 2000
 # A stopping entry accepts requests for this time, because callers cache its
@@ -175,12 +176,24 @@
         )
         self._watch = EngineWatch(self.state, self.suspects, clock, probe)
         self._journal = StreamJournal(
+            settings.instance_id, self.elections, dependencies.tables, clock
+        )
+        self._listing = VersionListing(
             settings.instance_id,
             self.state,
             self.elections,
             dependencies.tables,
+            self.link,
             clock,
         )
+        self._origins = StreamOriginService(
+            self.state,
+            self.elections,
+            self.link,
+            clock,
+            self._journal,
+            self._listing,
+        )
         reader = AnswerReader()
         self._buffered = BufferedRelay(
             self.state,
@@ -204,9 +217,7 @@
             self.scheduler,
             retries,
             clock,
-            StreamOriginService(
-                self.state, self.elections, self.link, clock, self._journal
-            ),
+            self._origins,
             reader,
         )
         self.relay = RequestRelay(
@@ -246,6 +257,8 @@
             self._path_watch,
             self._call_relay,
             self._journal,
+            self._listing,
+            self._origins,
         )
         self.state.add_listener(self._on_table_change)
 
@@ -253,7 +266,8 @@
         """Returns whether this entry can serve requests."""
         has_targets = bool(self.state.roster.services)
         configured = self.state.configuration is not None
-        return configured and has_targets and not self.sync.leaving
+        usable = has_targets and self._listing.settled
+        return configured and usable and not self.sync.leaving
 
     async def serve(self, stop: asyncio.Event) -> None:
         """Serves until stopped, then drains the open requests.
--- a/borageyard/software_versions.py
+++ b/borageyard/software_versions.py
@@ -12,8 +12,6 @@
     # Time at which the last target of a version was gone, infinite for present
     # ones.
     seen_until_ms: dict[str, float] = dataclasses.field(default_factory=dict)
-    # Whether the versions from before the start of this entry are known.
-    known_from_start: bool = False
 
     def end(self, now_ms: float) -> None:
         """Removes all targets; their versions have been seen until now."""
@@ -32,10 +30,7 @@
 
     def __init__(self) -> None:
         """Starts without targets."""
-        # Whether no target served before this entry started.
-        self.nothing_before = False
         self._services: dict[str, _ServiceHistory] = {}
-        self._observed_since_ms: float = math.inf
 
     def update(self, rows: Iterable[RosterRow], now_ms: float) -> None:
         """Records the present targets.
@@ -44,7 +39,6 @@
             rows: All targets, also those that take no new work.
             now_ms: Monotonic time.
         """
-        self._observed_since_ms = min(self._observed_since_ms, now_ms)
         for known in self._services.values():
             known.end(now_ms)
         for row in rows:
@@ -69,32 +63,3 @@
             for version, until_ms in history.seen_until_ms.items()
             if until_ms > now_ms - span_ms
         )
-
-    def add_earlier(
-        self, service: str, version: str, now_ms: float, *, complete: bool
-    ) -> None:
-        """Records a version that may have served until this entry started.
-
-        Args:
-            service: Name of the service.
-            version: The version.
-            now_ms: Monotonic time.
-            complete: Whether all such versions of the service are recorded.
-        """
-        history = self._services.setdefault(service, _ServiceHistory())
-        history.known_from_start = complete
-        history.seen_until_ms.setdefault(version, now_ms)
-
-    def is_complete(self, service: str, span_ms: float, now_ms: float) -> bool:
-        """Returns whether this entry knows all versions of a time.
-
-        Args:
-            service: Name of the service.
-            span_ms: The time in milliseconds.
-            now_ms: Monotonic time.
-        """
-        observed_ms = now_ms - self._observed_since_ms
-        if self.nothing_before or observed_ms >= span_ms:
-            return True
-        history = self._services.get(service)
-        return history is not None and history.known_from_start
--- a/borageyard/standins/streaming_fleet.py
+++ b/borageyard/standins/streaming_fleet.py
@@ -1,15 +1,23 @@
 """In-memory fleet that relays streams of engines of several versions."""
 
 import functools
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from ..clock import LoopClock
 from ..memory_peers import MemoryPeerNetwork
 from ..roster import RosterChange, RosterRow, TargetPhase
-from ..shared_table import MemoryTables, SharedTables, Table
+from ..shared_table import (
+    MemoryTables,
+    PartListener,
+    SharedTables,
+    StoreError,
+    Table,
+    TablePage,
+)
 from ..stream_journal import StreamJournal
 from ..stream_origin_service import StreamOriginService
 from ..stream_origins import StreamOrigin
+from ..version_listing import VersionListing
 from .electing_fleet import GROUP, ElectingEntry, ElectingFleet
 
 # Start of the engines; the time of the loop begins at zero.
@@ -19,6 +27,42 @@
 SPAN_MS = 10_000
 
 
+class ClosableTables:
+    """The store as one entry reaches it."""
+
+    def __init__(self, store: MemoryTables) -> None:
+        """Opens the store."""
+        self.closed = False
+        self._store = store
+
+    async def snapshot(
+        self, table: Table, on_part: PartListener | None = None
+    ) -> TablePage:
+        """Reads the newest record of each key."""
+        self._require_open()
+        return await self._store.snapshot(table, on_part)
+
+    async def read(
+        self,
+        table: Table,
+        offset: int,
+        wait_ms: float,
+        on_part: PartListener | None = None,
+    ) -> TablePage:
+        """Reads the history of a table from an offset on."""
+        self._require_open()
+        return await self._store.read(table, offset, wait_ms, on_part)
+
+    async def put(self, table: Table, key: str, content: bytes) -> int:
+        """Writes the newest record of a key."""
+        self._require_open()
+        return await self._store.put(table, key, content)
+
+    def _require_open(self) -> None:
+        if self.closed:
+            raise StoreError('turned away')
+
+
 class StreamingEntry(ElectingEntry):
     """Entry that knows the origins of streams."""
 
@@ -29,22 +73,26 @@
         listed: Collection[str],
         network: MemoryPeerNetwork,
         *,
-        tables: SharedTables,
+        tables: Mapping[str, SharedTables],
     ) -> None:
         """Joins the network; ``start`` starts its tasks."""
         super().__init__(name, incarnation, listed, network)
         clock = LoopClock(EPOCH_MS)
-        self.journal = StreamJournal(
-            name, self.state, self.service, tables, clock
+        self._parts = (
+            StreamJournal(name, self.service, tables[name], clock),
+            VersionListing(
+                name, self.state, self.service, tables[name], self.link, clock
+            ),
         )
         self.origins = StreamOriginService(
-            self.state, self.service, self.link, clock, self.journal
+            self.state, self.service, self.link, clock, *self._parts
         )
 
     async def start(self) -> None:
         """Starts its tasks."""
         await super().start()
-        await self._stack.enter_async_context(self.journal.running())
+        for part in (*self._parts, self.origins):
+            await self._stack.enter_async_context(part.running())
 
     def read_roster(self, rows: Collection[RosterRow], offset: int) -> None:
         """Reads the targets from the store.
@@ -77,9 +125,13 @@
             size: Number of entries.
         """
         self.store = MemoryTables()
+        # The store as each entry reaches it, by instance id.
+        self.tables: dict[str, ClosableTables] = {}
         super().__init__(
-            size, functools.partial(StreamingEntry, tables=self.store)
+            size, functools.partial(StreamingEntry, tables=self.tables)
         )
+        for name in self.names:
+            self.tables[name] = ClosableTables(self.store)
         self._offset = 0
         self._rows: Collection[RosterRow] = ()
         self._begun = 0
@@ -111,7 +163,7 @@
             or RosterRow(
                 f'engine-{version}',
                 GROUP,
-                'h:1',
+                f'h:{version}',
                 'a',
                 TargetPhase.READY,
                 incarnation=born_ms,
@@ -131,6 +183,27 @@
             self.entry(name).state.era = self.store.era
             self.entry(name).read_roster(self._rows, self._offset)
 
+    def close_store(self, names: Collection[str]) -> None:
+        """Lets the store turn just these entries away.
+
+        Args:
+            names: Their instance ids.
+        """
+        for name, tables in self.tables.items():
+            tables.closed = name in names
+
+    def granted_versions(self, name: str) -> Collection[str]:
+        """Returns the versions of the engines that an entry may be granted.
+
+        Args:
+            name: Id of the entry; another one may be its scheduler.
+        """
+        scheduler_id = self.entry(name).scheduler_id
+        if scheduler_id not in self.entries:
+            return ()
+        state = self.entry(scheduler_id).state
+        return sorted({row.software_version for row in state.engines(GROUP)})
+
     def entry(self, name: str) -> StreamingEntry:
         """Returns an entry that runs."""
         entry = self.entries[name]
--- a/borageyard/stream_journal.py
+++ b/borageyard/stream_journal.py
@@ -1,8 +1,7 @@
-"""Keeps in the shared store which versions began streams."""
+"""Keeps in the shared store which version began each stream."""
 
 import asyncio
 import contextlib
-import hashlib
 from collections.abc import AsyncIterator, Collection, Sequence
 
 from .backoff import retry_delays
@@ -10,10 +9,7 @@
 from .document_validation import DocumentError, check_document, parse_json
 from .election_service import ElectionService
 from .events import Event, log_event
-from .fleet_state import FleetState
 from .generated.peer_streams import StreamOriginBody, StreamOriginsBody
-from .generated.stored_streams import ServedVersionRecord
-from .served_versions import ServedVersions
 from .shared_table import (
     HistoryLostError,
     SharedTables,
@@ -21,31 +17,26 @@
     Table,
     TablePage,
 )
-from .software_versions import VersionHistory
 from .stream_origins import MAX_STREAMS, StreamOrigin, StreamOrigins
 from .tasks import running_tasks
 
 # Time in which origins are gathered for one write.
 BATCH_MS = 100
 MAX_BATCH = 200
-CHECK_INTERVAL_MS = 1000
 # Reads of the origins at most for one stream; each returns up to a megabyte.
 MAX_READS = 8
-KEY_BYTES = 16
 
 
 class StreamJournal:
-    """Lists served versions and origins of streams in the shared store.
+    """Writes origins of streams to the shared store, and reads them.
 
-    Designed for the loss of all entries at once. The scheduler of a service
-    lists its versions, one write for each change. Origins are written, in
-    batches, only while streams may be of more than one version.
+    Designed for the loss of all entries at once. Origins are written in
+    batches, and only while streams may be of more than one version.
     """
 
     def __init__(
         self,
         instance_id: str,
-        state: FleetState,
         elections: ElectionService,
         tables: SharedTables,
         clock: Clock,
@@ -54,39 +45,27 @@
 
         Args:
             instance_id: Id of this entry.
-            state: Holds the target roster and the era of the store.
             elections: Elects the schedulers.
             tables: The shared store.
             clock: Source of monotonic time.
         """
-        self.versions = VersionHistory()
         self.origins = StreamOrigins()
         self._instance_id = instance_id
-        self._state = state
         self._elections = elections
         self._tables = tables
         self._clock = clock
-        self._served: dict[str, ServedVersions] = {}
-        self._targets_changed = asyncio.Event()
         self._queue: list[StreamOrigin] = []
         self._queued = asyncio.Event()
         self._next_offset = 0
         self._offset_era = 0
         self._reading: asyncio.Future[None] | None = None
-        elections.add_listener(self.note_targets)
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
-        """Reads and writes the lists within the scope."""
-        async with running_tasks(
-            self._read_versions, self._keep_versions, self._write_origins
-        ):
+        """Writes origins within the scope."""
+        async with running_tasks(self._write_origins):
             yield
 
-    def note_targets(self) -> None:
-        """Has the versions of the present targets listed."""
-        self._targets_changed.set()
-
     def keeps(self, service: str) -> bool:
         """Returns whether this entry writes the origins of a service."""
         return self._elections.find(service) in {'', self._instance_id}
@@ -108,78 +87,6 @@
         # A caller that leaves must not end the read of the others.
         await asyncio.shield(self._reading)
 
-    async def _read_versions(self) -> None:
-        """Learns which versions may have served before this entry started."""
-        delays = retry_delays()
-        while True:
-            try:
-                page = await self._tables.snapshot(Table.VERSIONS)
-            except StoreError as error:
-                log_event(Event.PLATFORM_FAILED, reason=str(error))
-                await asyncio.sleep(next(delays) / MS_PER_S)
-                continue
-            break
-        listed = _decode_versions(page)
-        now_ms = self._clock.steady_ms()
-        # A restored store may have lost the whole list.
-        self.versions.nothing_before = not listed and not page.era
-        complete = all(record.era >= page.era for record in listed)
-        for record in listed:
-            self.versions.add_earlier(
-                record.service,
-                record.software_version,
-                now_ms,
-                complete=complete,
-            )
-
-    async def _keep_versions(self) -> None:
-        while True:
-            self._targets_changed.clear()
-            present: dict[str, set[str]] = {}
-            for row in self._state.roster.rows():
-                versions = present.setdefault(row.service, set())
-                versions.add(row.software_version)
-            for service, versions in present.items():
-                if self._elections.find(service) == self._instance_id:
-                    await self._update_list(service, versions)
-                else:
-                    self._served.pop(service, None)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(CHECK_INTERVAL_MS / MS_PER_S):
-                    await self._targets_changed.wait()
-
-    async def _update_list(self, service: str, present: set[str]) -> None:
-        """Writes what has changed; what fails is written at the next check."""
-        try:
-            await self._write_changes(service, present)
-        except StoreError as error:
-            log_event(Event.PLATFORM_FAILED, reason=str(error))
-
-    async def _write_changes(self, service: str, present: set[str]) -> None:
-        served = self._served.get(service)
-        if served is None:
-            page = await self._tables.snapshot(Table.VERSIONS)
-            served = ServedVersions(service, _decode_versions(page))
-            self._served[service] = served
-        now_ms = self._clock.steady_ms()
-        changes = served.plan(present, self._state.era, now_ms)
-        for record in changes.writes:
-            await self._put(
-                service,
-                record.software_version,
-                record.model_dump_json().encode(),
-            )
-            served.note_written(record)
-        for version in changes.removals:
-            await self._put(service, version, b'')
-            served.note_removed(version)
-
-    async def _put(self, service: str, version: str, content: bytes) -> None:
-        # Names may be longer than keys.
-        name = f'{service}\n{version}'.encode()
-        key = hashlib.blake2b(name, digest_size=KEY_BYTES).hexdigest()
-        await self._tables.put(Table.VERSIONS, key, content)
-
     async def _write_origins(self) -> None:
         delays = retry_delays()
         while True:
@@ -272,15 +179,3 @@
         body.software_version,
         now_ms + body.left_ms,
     )
-
-
-def _decode_versions(page: TablePage) -> Sequence[ServedVersionRecord]:
-    listed = []
-    for record in page.records:
-        source = Table.VERSIONS.value
-        try:
-            document = parse_json(record.content or b'', source)
-            listed.append(check_document(ServedVersionRecord, document, source))
-        except DocumentError as error:
-            log_event(Event.PLATFORM_FAILED, reason=str(error))
-    return listed
--- a/borageyard/stream_origin_service.py
+++ b/borageyard/stream_origin_service.py
@@ -1,9 +1,10 @@
 """Exchanges between entries which software version began a stream."""
 
 import asyncio
-from collections.abc import Collection, Sequence
+import contextlib
+from collections.abc import AsyncIterator, Collection, Sequence
 
-from .clock import Clock
+from .clock import MS_PER_S, Clock
 from .election_service import ElectionService
 from .events import Event, log_event
 from .fleet_state import FleetState
@@ -19,27 +20,37 @@
 from .rendezvous import hash_weight
 from .served_versions import HISTORY_MS
 from .shared_table import Table
+from .software_versions import VersionHistory
 from .stream_journal import StreamJournal, decode_origin, encode_origin
 from .stream_origins import StreamOrigin
+from .tasks import running_tasks
+from .version_listing import VersionListing
 
 # Entries that keep the origin of a stream besides the one that relays it.
 BACKUPS = 3
 # Time limit for the answer of a peer; the caller waits for its next event.
 QUERY_TIMEOUT_MS = 200
-# Age of the last read of the targets up to which this entry knows all versions
-# that serve: the interval of the reads, and the time that two of them take.
-FRESH_MS = 2000
+# Time in which the store answers as a rule; peers are asked after it.
+STORE_FIRST_MS = 50
+# Part of the time limit of a query in which a peer reads the store.
+PEER_READ_MS = 150
+# Age of the last read of the targets up to which the store counts as reached:
+# the interval of the reads, and the time that two of them take.
+REACHED_MS = 2000
+SHARE_INTERVAL_MS = 500
 
 
 class StreamOriginService:
     """Knows which version began a stream, also one of another entry.
 
     Each entry remembers the streams that it relays. While a service has one
-    version, all entries know the origin of its streams anyway. Once it has a
-    second one, each entry gives the origins of its streams to some others,
-    which are chosen by a hash of the request, so that whoever takes a stream up
-    can ask them, and to the scheduler, which keeps them in the store in case
-    that all entries are lost.
+    version, the list of versions in the store is proof enough; it must be read
+    after the stream broke off, as any earlier knowledge may be out of date.
+    Once the service has a second version, or the store is out of reach, each
+    entry gives the origins of its streams to some others, which are chosen by a
+    hash of the request, so that whoever takes a stream up can ask them, and to
+    the scheduler, which keeps them in the store in case that all entries are
+    lost.
     """
 
     def __init__(
@@ -49,6 +60,7 @@
         link: PeerLink,
         clock: Clock,
         journal: StreamJournal,
+        listing: VersionListing,
     ) -> None:
         """Registers its messages on the link and a listener on the tables.
 
@@ -58,6 +70,7 @@
             link: Link to the peers.
             clock: Source of time.
             journal: What the shared store knows of streams.
+            listing: Versions that the shared store lists.
         """
         self._state = state
         self._elections = elections
@@ -65,7 +78,8 @@
         self._clock = clock
         self._journal = journal
         self._origins = journal.origins
-        self._versions = journal.versions
+        self._listing = listing
+        self._versions = VersionHistory()
         # Revision of the roster that the history includes.
         self._revision = 0
         self._notifier = PeerNotifier(link)
@@ -73,6 +87,12 @@
         link.register(StreamOriginQueryBody, self._handle_query)
         state.add_listener(self._on_table_change)
 
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Shares origins in time within the scope."""
+        async with running_tasks(self._share_all):
+            yield
+
     def note_begun(self, origin: StreamOrigin) -> None:
         """Remembers the origin of a stream that this entry relays.
 
@@ -95,36 +115,80 @@
         own = self._reply(request_id, service, span_ms)
         if own.known:
             return own.software_version
-        peer_ids = self._peers_to_ask(request_id, service)
-        query = StreamOriginQueryBody(
-            request_id=request_id, service=service, span_ms=span_ms
-        )
-        replies = await asyncio.gather(
-            *(self._ask(peer_id, query) for peer_id in peer_ids)
-        )
-        answered = [reply for reply in replies if reply is not None]
-        version = None
-        cut_off = bool(peer_ids) and not answered
-        if not cut_off or self._knows_all_versions(service, span_ms):
-            version = _find_version([own, *answered])
-        source = 'entries'
-        if version is None:
-            await self._journal.read_origins()
-            origin = self._origins.find(request_id, self._clock.steady_ms())
-            version = origin.software_version if origin else None
-            source = 'store'
+        async with contextlib.AsyncExitStack() as stack:
+            reading = asyncio.ensure_future(self._read_list(own, service))
+            stack.callback(reading.cancel)
+            await asyncio.wait([reading], timeout=STORE_FIRST_MS / MS_PER_S)
+            version, source = await self._seek(
+                StreamOriginQueryBody(
+                    request_id=request_id, service=service, span_ms=span_ms
+                ),
+                own,
+                reading,
+            )
         log_event(
             Event.STREAM_ORIGIN_SOUGHT,
             request_id=request_id,
             software_version=version,
             source=source,
             recent_versions=own.recent_versions,
-            complete=own.complete,
-            answered=len(answered),
-            asked=len(peer_ids),
         )
         return version
 
+    async def _seek(
+        self,
+        query: StreamOriginQueryBody,
+        own: StreamOriginQueryReplyBody,
+        reading: asyncio.Task[Collection[str] | None],
+    ) -> tuple[str | None, str]:
+        """Returns the version that began a stream, and what showed it.
+
+        Args:
+            query: The stream.
+            own: What this entry knows of it.
+            reading: Reads the list of versions.
+        """
+        if reading.done():
+            version = _only_version(reading.result())
+            if version is not None:
+                return version, 'list'
+        query.list_wanted = not reading.done() or reading.result() is None
+        replies = await self._ask_all(query)
+        for reply in replies:
+            if reply.known:
+                return reply.software_version, 'entries'
+        version = _only_version(await reading)
+        if version is not None:
+            return version, 'list'
+        if reading.result() is None:
+            version = _only_version(_join_lists([own, *replies]))
+        if version is not None:
+            return version, 'list of peers'
+        await self._journal.read_origins()
+        origin = self._origins.find(query.request_id, self._clock.steady_ms())
+        return (origin.software_version if origin else None), 'store'
+
+    async def _read_list(
+        self, own: StreamOriginQueryReplyBody, service: str
+    ) -> Collection[str] | None:
+        """Returns the versions of which a stream may be; None if unknown."""
+        if len(own.recent_versions) > 1:
+            return own.recent_versions
+        listed = await self._listing.read(service)
+        if listed is None:
+            return None
+        # Schedulers of earlier builds use versions that are not listed.
+        return {*listed, *own.recent_versions}
+
+    async def _ask_all(
+        self, query: StreamOriginQueryBody
+    ) -> Sequence[StreamOriginQueryReplyBody]:
+        peer_ids = self._peers_to_ask(query.request_id, query.service)
+        replies = await asyncio.gather(
+            *(self._ask(peer_id, query) for peer_id in peer_ids)
+        )
+        return [reply for reply in replies if reply is not None]
+
     def _peers_to_ask(self, request_id: str, service: str) -> Sequence[str]:
         """Returns the peers that may know the origin of a stream.
 
@@ -143,16 +207,6 @@
         )
         return [peer_id for peer_id in wanted if peer_id in known]
 
-    def _knows_all_versions(self, service: str, span_ms: float) -> bool:
-        """Returns whether this entry needs no peer to know all versions.
-
-        It has read the store all the time and just now.
-        """
-        now_ms = self._clock.steady_ms()
-        read_at_ms = self._state.mirrors[Table.TARGETS].read_at_ms
-        fresh = now_ms - read_at_ms <= FRESH_MS
-        return fresh and self._versions.is_complete(service, span_ms, now_ms)
-
     def _backups(self, request_id: str) -> Sequence[str]:
         known = frozenset(self._link.peer_ids())
         live = known.intersection(self._elections.candidates())
@@ -186,13 +240,21 @@
             recent_versions=sorted(
                 self._versions.recent(service, span_ms, now_ms)
             ),
-            complete=self._versions.is_complete(service, span_ms, now_ms),
         )
 
     async def _handle_query(
         self, peer_id: str, query: StreamOriginQueryBody
     ) -> StreamOriginQueryReplyBody:
-        return self._reply(query.request_id, query.service, query.span_ms)
+        reply = self._reply(query.request_id, query.service, query.span_ms)
+        if query.list_wanted and not reply.known:
+            reading = self._read_list(reply, query.service)
+            versions: Collection[str] | None = None
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(PEER_READ_MS / MS_PER_S):
+                    versions = await reading
+            if versions is not None:
+                reply.listed_versions = sorted(versions)
+        return reply
 
     async def _handle_origins(
         self, peer_id: str, message: StreamOriginsBody
@@ -212,15 +274,20 @@
         self._revision = roster.revision
         rows = roster.rows()
         self._versions.update(rows, self._clock.steady_ms())
-        self._journal.note_targets()
         services = {row.service for row in rows}
         for service in services:
             self._share(service)
 
+    async def _share_all(self) -> None:
+        while True:
+            for service in self._origins.services():
+                self._share(service)
+            await asyncio.sleep(SHARE_INTERVAL_MS / MS_PER_S)
+
     def _share(self, service: str) -> None:
-        """Gives origins to the backups if the service has several versions."""
+        """Gives origins to the backups if the store may not show them."""
         now_ms = self._clock.steady_ms()
-        if len(self._versions.recent(service, HISTORY_MS, now_ms)) < 2:
+        if self._is_proved_by_list(service, now_ms):
             return
         origins = self._origins.take_unshared(service, now_ms)
         if self._journal.keeps(service):
@@ -234,6 +301,12 @@
             message = StreamOriginsBody(origins=bodies)
             self._notifier.notify(peer_id, message, StreamOriginsReplyBody)
 
+    def _is_proved_by_list(self, service: str, now_ms: float) -> bool:
+        """Returns whether the list shows the version of all streams."""
+        read_at_ms = self._state.mirrors[Table.TARGETS].read_at_ms
+        versions = self._versions.recent(service, HISTORY_MS, now_ms)
+        return now_ms - read_at_ms <= REACHED_MS and len(versions) < 2
+
     def _keepers(self, origin: StreamOrigin) -> Collection[str]:
         """Returns the peers that keep an origin: backups and the scheduler."""
         scheduler_id = self._elections.find(origin.service)
@@ -250,16 +323,23 @@
     )
 
 
-def _find_version(
+def _join_lists(
     replies: Sequence[StreamOriginQueryReplyBody],
-) -> str | None:
-    """Returns the version that the answers of several entries show."""
-    known = [reply.software_version for reply in replies if reply.known]
-    if known:
-        return known[0]
-    versions = {
-        version for reply in replies for version in reply.recent_versions
-    }
-    if len(versions) == 1 and any(reply.complete for reply in replies):
-        return versions.pop()
-    return None
+) -> Collection[str] | None:
+    """Returns the versions by the reads of peers; None if none has read."""
+    lists = [
+        reply.listed_versions
+        for reply in replies
+        if reply.listed_versions is not None
+    ]
+    if not lists:
+        return None
+    seen = [reply.recent_versions for reply in replies]
+    return {version for versions in (*lists, *seen) for version in versions}
+
+
+def _only_version(versions: Collection[str] | None) -> str | None:
+    """Returns the version if there is just one."""
+    if versions is None or len(versions) != 1:
+        return None
+    return next(iter(versions))
--- a/borageyard/stream_origins.py
+++ b/borageyard/stream_origins.py
@@ -2,7 +2,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 # Streams that are remembered at most; the ones that expire first are dropped.
 MAX_STREAMS = 20_000
@@ -79,6 +79,12 @@
         self._unshared.difference_update(origin.request_id for origin in taken)
         return taken
 
+    def services(self) -> Collection[str]:
+        """Returns the services of the streams whose origin none other knows."""
+        return {
+            self._origins[request_id].service for request_id in self._unshared
+        }
+
     def _expire(self, now_ms: float) -> None:
         """Removes streams from the oldest on until one has not expired."""
         while self._origins:
--- a/tests/test_fleet_versions.py
+++ b/tests/test_fleet_versions.py
@@ -7,6 +7,14 @@
 
 import pytest
 
+from borageyard.clock import LoopClock
+from borageyard.generated.peer_streams import (
+    StreamOriginQueryBody,
+    StreamOriginQueryReplyBody,
+    VersionListingBody,
+)
+from borageyard.shared_table import Table
+from borageyard.standins.electing_fleet import GROUP
 from borageyard.standins.election_soak import ElectionSoak
 from borageyard.standins.streaming_fleet import SPAN_MS, StreamingFleet
 from borageyard.standins.virtual_time import in_virtual_time
@@ -164,6 +172,7 @@
         async with settled(5, 'v1') as fleet:
             alone = fleet.names[-1]
             fleet.cut([alone])
+            fleet.close_store([alone])
             await fleet.run(3)
             assert await fleet.resolve(alone, 'stranger') is None
 
@@ -180,6 +189,168 @@
             assert await found(fleet, last, begun) == begun
 
 
+@pytest.mark.parametrize('size', [5, 27, 78])
+class TestUnlistedVersion:
+    """Guards against streams of a version that the store does not list."""
+
+    @in_virtual_time
+    async def test_store_turns_the_scheduler_away(self, size):
+        """The new version leaves again, and all entries are killed."""
+        async with settled(size, 'v1') as fleet:
+            fleet.close_store(fleet.schedulers())
+            fleet.serve('v1', 'v2')
+            await fleet.run(1)
+            granted = fleet.granted_versions(fleet.names[0])
+            assert granted == ['v1', 'v2']
+            begun = await begin_streams(fleet, *granted)
+            fleet.replace_engines(['v1'])
+            await restart_all(fleet)
+            fleet.close_store([])
+            await fleet.run(1)
+            resolved = await found(fleet, fleet.names[-1], begun)
+            assert not wrong(resolved, begun)
+
+    @in_virtual_time
+    async def test_store_answers_nobody(self, size):
+        """Engines of the new version wait until it is listed."""
+        async with settled(size, 'v1') as fleet:
+            await fleet.run(1)
+            fleet.close_store(fleet.names)
+            fleet.serve('v1', 'v2')
+            await fleet.run(2)
+            assert fleet.granted_versions(fleet.names[0]) == ['v1']
+            fleet.close_store([])
+            await fleet.run(2)
+            assert fleet.granted_versions(fleet.names[0]) == ['v1', 'v2']
+
+    @in_virtual_time
+    async def test_scheduler_that_starts_while_the_store_is_away(self, size):
+        """It learns from the others that the version is listed."""
+        async with settled(size, 'v1') as fleet:
+            await fleet.run(1)
+            fleet.close_store(fleet.names)
+            (scheduler,) = fleet.schedulers()
+            await fleet.kill(scheduler)
+            await fleet.start(scheduler)
+            await fleet.run(START_S)
+            for name in fleet.names:
+                assert fleet.granted_versions(name) == ['v1']
+
+
+class TestOutOfStep:
+    """Guards against an entry that takes old knowledge for the present.
+
+    A second version joins and begins streams while one entry is out of step;
+    callers take them up there.
+    """
+
+    @in_virtual_time
+    async def test_read_that_arrives_after_a_pause(self):
+        """The answer lay in the socket while the process was suspended."""
+        async with settled(5, 'v1') as fleet:
+            await fleet.run(SPAN_S)
+            alone = fleet.names[-1]
+            begun = await self._release(fleet, alone)
+            mirror = fleet.entry(alone).state.mirrors[Table.TARGETS]
+            mirror.read_at_ms = LoopClock().steady_ms()
+            resolved = await found(fleet, alone, begun)
+            assert not wrong(resolved, begun)
+
+    @in_virtual_time
+    async def test_read_just_before_the_release(self):
+        """It reaches neither a peer nor the store."""
+        async with settled(5, 'v1') as fleet:
+            await fleet.run(SPAN_S)
+            alone = fleet.names[-1]
+            fleet.read([alone])
+            fleet.close_store([alone])
+            begun = await self._release(fleet, alone)
+            resolved = await found(fleet, alone, begun)
+            assert not wrong(resolved, begun)
+
+    @in_virtual_time
+    async def test_peer_that_is_as_far_behind(self):
+        """Two entries reach each other only."""
+        async with settled(5, 'v1') as fleet:
+            await fleet.run(SPAN_S)
+            pair = fleet.names[-2:]
+            fleet.read(pair)
+            fleet.close_store(pair)
+            begun = await self._release(fleet, *pair)
+            resolved = await found(fleet, pair[0], begun)
+            assert not wrong(resolved, begun)
+
+    @in_virtual_time
+    async def test_peers_read_the_list(self):
+        """The entry that the store turns away asks them, and goes on."""
+        async with settled(5, 'v1') as fleet:
+            await fleet.run(SPAN_S)
+            begun = await begin_streams(fleet, 'v1')
+            alone = fleet.names[-1]
+            fleet.close_store([alone])
+            assert await found(fleet, alone, begun) == begun
+
+    @in_virtual_time
+    async def test_origins_are_shared_while_the_store_is_away(self):
+        """The entries that began the streams are lost meanwhile."""
+        async with settled(5, 'v1') as fleet:
+            begun = await begin_streams(fleet, 'v1')
+            fleet.close_store(fleet.names)
+            await fleet.run(3)
+            begun |= await begin_streams(fleet, 'v1')
+            for name in set(relays(fleet)):
+                await fleet.kill(name)
+            assert await found(fleet, fleet.names[-1], begun) == begun
+
+    async def _release(self, fleet, *apart):
+        """Begins streams at a version that these entries hear nothing of."""
+        fleet.cut(apart)
+        rest = sorted(fleet.entries.keys() - set(apart))
+        fleet.replace_engines(['v1', 'v2'])
+        fleet.read(rest)
+        await fleet.run(0.5)
+        begun = await begin_streams(fleet, 'v2')
+        fleet.replace_engines(['v1'])
+        return begun
+
+
+class TestEarlierBuilds:
+    """Entries of builds that list versions as schedulers only."""
+
+    @in_virtual_time
+    async def test_their_belief_is_no_proof(self):
+        """They answer without a read, and know no message of the list."""
+        async with settled(5, 'v1') as fleet:
+            await fleet.run(SPAN_S)
+            alone, *others = reversed(fleet.names)
+            fleet.close_store([alone])
+            for name in others:
+                handlers = fleet.entry(name).link.handlers
+                handlers.pop(VersionListingBody)
+                handlers[StreamOriginQueryBody] = self._answer
+            assert await fleet.resolve(alone, 'stranger') is None
+
+    @in_virtual_time
+    async def test_their_query_gets_what_is_known(self):
+        """It names no list, and so nobody reads it."""
+        async with settled(5, 'v1') as fleet:
+            (request_id,) = [fleet.begin(fleet.names[0], 'v1')]
+            fleet.close_store(fleet.names)
+            query = {'request_id': request_id, 'service': GROUP, 'span_ms': 1}
+            reply = await fleet.entry(fleet.names[1]).link.request(
+                fleet.names[0],
+                StreamOriginQueryBody.model_validate(query),
+                StreamOriginQueryReplyBody,
+                1000,
+            )
+            assert reply.known
+            assert reply.software_version == 'v1'
+            assert reply.listed_versions is None
+
+    async def _answer(self, peer_id, query):
+        return StreamOriginQueryReplyBody(recent_versions=['v1'], complete=True)
+
+
 @pytest.mark.parametrize('size', [5, 27, 78])
 class TestAllRestarted:
     """Streams that callers take up after all entries were killed at once."""
@@ -276,6 +447,8 @@
 RELEASES = ('v1', 'v1 v2', 'v2', 'v2 v3', 'v1 v2 v3')
 # One step of this many brings a release.
 RELEASE_STEPS = 10
+# One step of this many changes whom the store turns away.
+STORE_STEPS = 8
 STEP_S = 0.25
 
 
@@ -300,13 +473,21 @@
                 self._fleet.replace_engines(release.split())
             names = sorted(self._fleet.entries)
             self._fleet.read(self._random.sample(names, len(names) // 2))
+            self._close_store(names)
             self._begin(self._random.choice(names))
             await self._take_up(self._random.choice(names))
 
+    def _close_store(self, names):
+        """Lets the store turn some entries away, or answer all again."""
+        if not self._random.randrange(STORE_STEPS):
+            count = self._random.choice((0, 1, len(names) // 2))
+            closed = self._random.sample(names, count)
+            self._fleet.close_store([*closed, *self._fleet.acting][:count])
+
     def _begin(self, name):
-        rows = self._fleet.entry(name).state.roster.rows()
-        if rows:
-            version = self._random.choice(rows).software_version
+        versions = self._fleet.granted_versions(name)
+        if versions:
+            version = self._random.choice(versions)
             self._begun[self._fleet.begin(name, version)] = version
 
     async def _take_up(self, name):
