Pass departures on until records state them; decline grants of leaving engines

Cause: a departure was passed on once, to the peers of that second, so a scheduler that started later took the record, which said ready, for all there is to know; and entries sent what it granted without a look at their own roster.

Change: a departure is part of each round of gossip until the record states it, is of a successor, or is gone. Entries name the engines that they know to leave as excluded when they ask for one, and decline a grant of one, as not run (event grant_declined).

Why it works: whoever is in contact with any entry that knows hears of it within a round, however late it comes; and the entry that passed the header on can't send there even if the scheduler never hears of it.

--- a/borageyard/departure_service.py
+++ b/borageyard/departure_service.py
@@ -1,5 +1,7 @@
 """Takes targets that leave out of new work, here and at all peers."""
 
+import itertools
+
 from .fleet_state import FleetState
 from .generated.peer_limits import DepartureBody, DeparturesBody
 from .peers import GossipSection, PeerLink
@@ -8,7 +10,13 @@
 
 
 class DepartureService:
-    """Applies departures to the roster and passes them on."""
+    """Applies departures to the roster and passes them on.
+
+    A departure is part of each round of gossip until the record of its target
+    states it or is gone. So an entry that was not there when the target
+    announced it, as it started, was suspended or partitioned, learns of it with
+    its first contact.
+    """
 
     def __init__(
         self, departures: TargetDepartures, state: FleetState, link: PeerLink
@@ -29,7 +37,6 @@
                 self._provide,
                 self._consume,
                 urgent=True,
-                periodic=False,
             ),
         )
         departures.add_listener(self._on_news)
@@ -56,16 +63,18 @@
             self._state.notify(Table.TARGETS)
 
     def _provide(self) -> DeparturesBody | None:
-        news = self._departures.news()
-        if not news:
+        unannounced = self._state.roster.unannounced_departures()
+        departures = list(itertools.starmap(Departure, unannounced.items()))
+        if not departures:
             return None
+        self._departures.keep(departures)
         return DeparturesBody(
             departures=[
                 DepartureBody(
                     target_id=departure.target_id,
                     incarnation=departure.incarnation,
                 )
-                for departure in news
+                for departure in departures
             ]
         )
 
--- a/borageyard/roster.py
+++ b/borageyard/roster.py
@@ -63,6 +63,8 @@
         self._changes: dict[str, RosterChange] = {}
         self._newest: dict[str, RosterRow] = {}
         self._avoided: dict[str, int] = {}
+        # Incarnations whose departure was heard of, and is not in their record.
+        self._unannounced: dict[str, int] = {}
         self._by_service: dict[str, tuple[RosterRow, ...]] = {}
 
     def apply(self, changes: Iterable[RosterChange], end: int) -> bool:
@@ -122,10 +124,18 @@
         draining = dataclasses.replace(row, phase=TargetPhase.DRAINING)
         self._changes[target_id] = dataclasses.replace(change, row=draining)
         self._newest[target_id] = draining
+        self._unannounced[target_id] = incarnation
         self.revision += 1
         self._index()
         return True
 
+    def unannounced_departures(self) -> Mapping[str, int]:
+        """Returns the incarnations that drain although their record says not.
+
+        Whoever knows the records only takes these targets for ready.
+        """
+        return dict(self._unannounced)
+
     def has_drained(self, row: RosterRow) -> bool:
         """Returns whether an incarnation drains, or did before it was gone.
 
@@ -162,10 +172,23 @@
         ):
             return False
         previous = previous_change.row if previous_change else None
+        self._note_announcement(change)
         row = self._merge_row(change.row, previous)
         self._changes[change.target_id] = dataclasses.replace(change, row=row)
         return _comparable(previous) != _comparable(row)
 
+    def _note_announcement(self, change: RosterChange) -> None:
+        row = change.row
+        departed = self._unannounced.get(change.target_id)
+        if departed is None:
+            return
+        if (
+            row is None
+            or row.incarnation > departed
+            or row.phase is TargetPhase.DRAINING
+        ):
+            self._unannounced.pop(change.target_id)
+
     def _merge_row(
         self,
         row: RosterRow | None,
--- a/borageyard/scheduler_client.py
+++ b/borageyard/scheduler_client.py
@@ -120,6 +120,7 @@
             spec = dataclasses.replace(spec, avoided=spec.avoided | excluded)
             excluded = frozenset()
         excluded |= self._backoffs.paused_ids(engines)
+        excluded |= self._state.roster.unannounced_departures().keys()
         unplaced_since_ms = self._clock.steady_ms()
         while True:
             until_ms = min(
@@ -331,6 +332,14 @@
             raise PeerError(
                 f'granted engine {reply.engine_id} is not in the target roster',
             )
+        if self._state.roster.has_drained(engine):
+            # The peer may not have heard of the departure yet.
+            log_event(
+                Event.GRANT_DECLINED,
+                request_id=spec.chain_id,
+                engine_id=engine.target_id,
+            )
+            return Denial(spec.chain_id, ChainRefusal.NO_TARGET, RETRY_AFTER_MS)
         placement = Placement(engine, reply.cost_ms, 0)
         return Grant(spec.chain_id, placement, tuple(reply.handles))
 
--- a/borageyard/target_departures.py
+++ b/borageyard/target_departures.py
@@ -9,8 +9,6 @@
 
 # Time for which a departure is remembered; its record goes well before.
 RETENTION_MS = 60_000
-# Time for which a departure is passed on beside others.
-NEWS_MS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +71,15 @@
         for listener in self._listeners:
             listener(news)
 
+    def keep(self, departures: Iterable[Departure]) -> None:
+        """Remembers departures for longer, as they are still needed.
+
+        Args:
+            departures: The departures.
+        """
+        now_ms = self._clock.steady_ms()
+        self._known_at_ms.update(dict.fromkeys(departures, now_ms))
+
     def known(self) -> Sequence[Departure]:
         """Returns the departures that are remembered."""
         now_ms = self._clock.steady_ms()
@@ -82,12 +89,3 @@
             if now_ms - at_ms < RETENTION_MS
         }
         return tuple(self._known_at_ms)
-
-    def news(self) -> Sequence[Departure]:
-        """Returns the latest departures."""
-        now_ms = self._clock.steady_ms()
-        return [
-            departure
-            for departure, at_ms in self._known_at_ms.items()
-            if now_ms - at_ms < NEWS_MS
-        ]
--- a/tests/test_scheduler_client.py
+++ b/tests/test_scheduler_client.py
@@ -22,6 +22,18 @@
 class Roster:
     """Roster with one engine."""
 
+    def __init__(self):
+        """Starts with an engine that is ready."""
+        self.leaving = False
+
+    def unannounced_departures(self):
+        """Returns the incarnation of the engine if it leaves."""
+        return {ENGINE.target_id: 0} if self.leaving else {}
+
+    def has_drained(self, row):
+        """Returns whether the engine leaves."""
+        return self.leaving
+
     def find(self, target_id):
         """Returns the engine."""
         return ENGINE
@@ -34,9 +46,12 @@
 class Fleet:
     """Fleet state with one group."""
 
-    roster = Roster()
     groups = {'model': 'model'}
 
+    def __init__(self):
+        """Starts with an engine that is ready."""
+        self.roster = Roster()
+
 
 class Elections:
     """Elections with a scheduler that the test sets."""
@@ -72,11 +87,13 @@
         """Starts without requests."""
         self.call_runner = CallRunner()
         self.placed = []
+        self.excluded = frozenset()
         self.ended = []
 
     async def place(self, spec, excluded, linger_ms=0):
         """Grants a request."""
         self.placed.append(spec.chain_id)
+        self.excluded = excluded
         return Grant(spec.chain_id, Placement(ENGINE, 1, 0), ())
 
     def release(self, services):
@@ -96,10 +113,11 @@
         self.backoffs = TargetBackoffs(LoopClock())
         self.elections = Elections()
         self.services = {name: Service() for name in NAMES}
+        self.fleets = {name: Fleet() for name in NAMES}
         self.clients = {
             name: SchedulerClient(
                 name,
-                Fleet(),
+                self.fleets[name],
                 self.elections,
                 self.network.join(name),
                 self.services[name],
@@ -200,3 +218,27 @@
         outcome = await cluster.place(deadline_ms=4000)
         assert isinstance(outcome, Denial)
         assert not any(service.placed for service in cluster.services.values())
+
+
+class TestLeavingEngine:
+    """Guards against sends to an engine that the entry knows to leave."""
+
+    @in_virtual_time
+    async def test_scheduler_that_has_not_heard_of_it(self, cluster):
+        """It is told not to grant the engine."""
+        cluster.fleets['requester'].roster.leaving = True
+        await cluster.place()
+        excluded = cluster.services['scheduler'].excluded
+        assert excluded == {ENGINE.target_id}
+
+    @in_virtual_time
+    async def test_departure_while_the_request_waits(self, cluster):
+        """The grant is declined, and nothing is sent."""
+        cluster.network.delay_ms = 100
+        placing = asyncio.ensure_future(cluster.place())
+        await asyncio.sleep(0.15)
+        cluster.fleets['requester'].roster.leaving = True
+        outcome = await placing
+        assert not cluster.services['scheduler'].excluded
+        assert isinstance(outcome, Denial)
+        assert outcome.reason is ChainRefusal.NO_TARGET
