Send a request once over each connection

Cause: the refusal bears the id of the request, which was sent again on the same connection; it counted as the answer to that send, and a third one followed.

Change: a connection remembers the requests that it has carried until they are over, and carries no other send of them; other requests go on using it. Peers that make calls for others are told which request it is; calls of earlier builds, which don't say so, share no connection.

Why it works: an answer to an earlier send can only arrive on the connection of that send, where no later send of the request waits for one.

A refusal costs a connection only if no other one to the target is idle.

--- a/borageyard/call_relay.py
+++ b/borageyard/call_relay.py
@@ -150,9 +150,11 @@
             timeout_ms=body.timeout_ms,
             repeatable=body.repeatable,
             max_body_bytes=body.max_body_bytes or None,
-            # Only the peer can tell what an answer without a name belongs to.
-            reuse=answer_check is not None,
+            # Only the peer can tell what an answer without a name belongs to,
+            # and one of an earlier build doesn't say what it has sent before.
+            reuse=answer_check is not None and bool(body.send_key),
             match_answer=answer_check or match_unnamed,
+            send_key=body.send_key,
         )
 
     async def _close(self) -> None:
--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -32,6 +32,7 @@
     decode_headers,
     open_stream,
 )
+from .sent_keys import SentKeys
 
 READ_SIZE_BYTES = 65536
 MAX_IDLE_CONNECTIONS = 32
@@ -120,6 +121,9 @@
     max_body_bytes: int | None = None
     # Tells whether a response belongs to this call; None accepts all.
     match_answer: AnswerCheck | None = None
+    # Request that other calls may send as well: none of them goes over the
+    # same connection. Empty for calls that are made once.
+    send_key: str = ''
     # Target that gets new work; empty for other calls.
     target_id: str = ''
     # Whether a peer must make the call, if there are peers.
@@ -197,6 +201,7 @@
         self._response_start_bytes = 0
         # Pieces of bodies that were read.
         self._pieces = 0
+        self._sent_keys = SentKeys()
         self.calls = 0
         # Whether no further call may be made on it.
         self.retired = False
@@ -243,6 +248,9 @@
             HttpCallError: If the request can't be encoded.
         """
         self.calls += 1
+        now_s = asyncio.get_running_loop().time()
+        until_s = now_s + call.timeout_ms / MS_PER_S
+        self._sent_keys.add(call.send_key, now_s, until_s)
         self._response_start_bytes = self._consumed_bytes
         self._max_body_bytes = (
             call.max_body_bytes or self._limits.max_body_bytes
@@ -257,6 +265,17 @@
             ) from error
         self._writer.write(encoded)
 
+    def has_sent(self, call: HttpCall) -> bool:
+        """Returns whether the request of a call was sent on this connection.
+
+        A copy of the answer to that send could not be told from the answer to
+        another one.
+
+        Args:
+            call: A call.
+        """
+        return self._sent_keys.has(call.send_key)
+
     def expect_another_response(self, call: HttpCall) -> bool:
         """Prepares to read another response after one to another request.
 
@@ -274,13 +293,14 @@
         self._codec.receive_data(trailing)
         return True
 
-    def is_kept_alive(self, now_s: float) -> bool:
-        """Tells whether the connection is within its keep-alive time.
+    def is_usable(self, now_s: float) -> bool:
+        """Tells whether an idle connection can carry another call.
 
         Args:
             now_s: Current time of the event loop.
         """
-        return now_s - self.idle_since_s <= self.keep_alive_s
+        is_kept_alive = now_s - self.idle_since_s <= self.keep_alive_s
+        return is_kept_alive and self.reusable
 
     async def receive_head(self) -> tuple[int, dict[str, str]]:
         """Reads the status and the headers of a response.
@@ -558,13 +578,9 @@
         raise HttpCallError('too many foreign responses', sent=True)
 
     async def _connect(self, call: HttpCall) -> ClientConnection:
-        idle = self._idle.get(call.address)
-        now_s = asyncio.get_running_loop().time()
-        while call.reuse and idle:
-            connection = idle.pop()
-            if connection.reusable and connection.is_kept_alive(now_s):
-                return connection
-            connection.close()
+        connection = self._take_idle(call) if call.reuse else None
+        if connection is not None:
+            return connection
         try:
             return await self._open(call.address)
         except (ValueError, OverflowError) as error:
@@ -572,6 +588,21 @@
                 f'address {call.address!r} is invalid: {error}', sent=False
             ) from error
 
+    def _take_idle(self, call: HttpCall) -> ClientConnection | None:
+        """Returns an idle connection that can carry a call, if there is one."""
+        idle = self._idle.get(call.address)
+        now_s = asyncio.get_running_loop().time()
+        with contextlib.ExitStack() as stack:
+            while idle:
+                connection = idle.pop()
+                if connection.has_sent(call):
+                    stack.callback(idle.append, connection)
+                elif connection.is_usable(now_s):
+                    return connection
+                else:
+                    connection.close()
+        return None
+
     async def _open(self, address: str) -> ClientConnection:
         host, port = split_address(address)
         timeout_s = self._limits.connect_timeout_ms / MS_PER_S
--- a/borageyard/peer_calls.py
+++ b/borageyard/peer_calls.py
@@ -143,6 +143,7 @@
                 timeout_ms=call.timeout_ms,
                 repeatable=call.repeatable,
                 max_body_bytes=call.max_body_bytes or 0,
+                send_key=call.send_key,
             ),
             RelayedHeadBody,
             call.timeout_ms,
--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -114,6 +114,7 @@
             repeatable=send.repeatable
             and not self._limits.is_limited(send.target.target_id),
             match_answer=answer_check(send.request.headers),
+            send_key=send.request.request_id,
             target_id=send.target.target_id,
         )
         try:
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -2,26 +2,37 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import re
 import types
 
 import pytest
 
+from borageyard.call_relay import CallRelay
 from borageyard.clock import SystemClock
+from borageyard.fleet_state import FleetState
 from borageyard.http_client import HttpClient
 from borageyard.inbound import InboundRequest, SendError, TargetSend
+from borageyard.memory_peers import MemoryPeerNetwork
+from borageyard.path_witnesses import PathWitnesses
+from borageyard.peer_calls import PeerCalls
 from borageyard.piece_runner import (
     CallFailedError,
     PieceRequest,
     PieceStatus,
     TargetFullError,
 )
+from borageyard.platform.answer_match import answer_check
 from borageyard.platform.answer_notices import AnswerNotices
+from borageyard.platform.documents import DocumentDecoder
 from borageyard.platform.status_client import HttpStatusClient
 from borageyard.platform.targets import HttpPieceRunner, HttpTargetSender
 from borageyard.roster import RosterRow, TargetPhase
+from borageyard.sent_keys import MIN_PRUNED, SentKeys
 from borageyard.target_departures import TargetDepartures
 from borageyard.target_limits import TargetLimits
+from borageyard.target_path_watch import TargetPathWatch
+from borageyard.target_paths import TargetPaths
 
 SAFETY_TIMEOUT_S = 5
 REFUSALS = types.MappingProxyType(
@@ -31,6 +42,10 @@
     },
 )
 REFUSED = b'HTTP/1.1 %s\r\ncontent-length: 0\r\n\r\n'
+NAMED_REFUSAL = (
+    b'HTTP/1.1 503 Full\r\nx-not-executed: 1\r\nx-attempt-id: %s\r\n'
+    b'content-length: 0\r\n\r\n'
+)
 RAN = (
     b'HTTP/1.1 200 OK\r\nx-server-stamp: s\r\nx-attempt-id: %s\r\n'
     b'content-length: %d\r\n\r\n%s'
@@ -42,7 +57,7 @@
     """Target that may write its latest refusal again at the next request.
 
     It refuses the first request on each path in ``refusing``, and runs all
-    others. Refusals name no request.
+    others. Refusals name the request only if ``names`` is set.
     """
 
     def __init__(self, refusing, refusal, *, waits):
@@ -58,6 +73,7 @@
         self.connections = 0
         # Whether the answer to a request that ran is written once more.
         self.repeats_results = False
+        self.names = False
         self.address = ''
         self._handlers = []
         self._refusing = set(refusing)
@@ -105,7 +121,10 @@
         path = head.split(b' ')[1].decode()
         if path in self._refusing:
             self._refusing.discard(path)
-            return self._refusal, self._refusal
+            refusal = self._refusal
+            if self.names:
+                refusal = NAMED_REFUSAL % _request_id(head)
+            return refusal, refusal
         ran = self._run(path, head)
         if self.repeats_results:
             return ran, ran
@@ -114,12 +133,16 @@
     def _run(self, path, head):
         """Returns the answer to a request that runs."""
         self.runs.append(path)
-        named = re.search(rb'x-attempt-id: (\S+)', head)
-        request_id = named[1] if named else b''
         body = b'ran'
         if path == PIECES_PATH:
             body = b'{"items": [{"handle": "h%d"}]}' % len(self.runs)
-        return RAN % (request_id, len(body), body)
+        return RAN % (_request_id(head), len(body), body)
+
+
+def _request_id(head):
+    """Returns the id that a request names, if any."""
+    named = re.search(rb'x-attempt-id: (\S+)', head)
+    return named[1] if named else b''
 
 
 class Caller:
@@ -136,10 +159,15 @@
         self._row = RosterRow('t1', 's', address, 'a', TargetPhase.READY)
         self._sent = 0
 
-    async def send(self):
-        """Sends a request; returns whether it was told as not run."""
+    async def send(self, request_id=''):
+        """Sends a request; returns whether it was told as not run.
+
+        Args:
+            request_id: Id of a request that may have been sent before; a new
+                one by default.
+        """
         self._sent += 1
-        request_id = f'request-{self._sent}'
+        request_id = request_id or f'request-{self._sent}'
         request = InboundRequest(
             request_id=request_id,
             host='h',
@@ -186,15 +214,45 @@
         await self._status.check_status('t1', self._row.address)
 
 
+class PeerClient:
+    """Makes all calls through a peer."""
+
+    def __init__(self, client, *, names_sends):
+        """Connects two entries; the other one has the client."""
+        network = MemoryPeerNetwork()
+        clock = SystemClock()
+        self._names_sends = names_sends
+        paths = TargetPaths('asker')
+        self._calls = PeerCalls(paths, network.join('asker'), clock)
+        state = FleetState(DocumentDecoder())
+        watch = TargetPathWatch(
+            TargetPaths('maker'), PathWitnesses(state, None), clock
+        )
+        self._relay = CallRelay(
+            client, answer_check, state, watch, network.join('maker'), clock
+        )
+
+    @contextlib.asynccontextmanager
+    async def stream(self, call):
+        """Makes a call."""
+        if not self._names_sends:
+            call = dataclasses.replace(call, send_key='')
+        async with self._relay.running(), contextlib.AsyncExitStack() as stack:
+            yield await self._calls.open(call, stack)
+
+
 @contextlib.asynccontextmanager
-async def calling(target):
+async def calling(target, *, relayed=False, names_sends=True):
     """Runs a target and yields a caller of it."""
     async with (
         asyncio.timeout(SAFETY_TIMEOUT_S),
         target.running(),
         HttpClient() as client,
     ):
-        yield Caller(client, target.address)
+        used = client
+        if relayed:
+            used = PeerClient(client, names_sends=names_sends)
+        yield Caller(used, target.address)
 
 
 FIRST_CALLS = types.MappingProxyType(
@@ -258,3 +316,74 @@
                 assert await caller.send() == 'ran'
                 await caller.run_piece()
             assert target.connections == 1
+
+    async def test_second_send_leaves_the_connection_to_others(self):
+        """It is kept, and the next request goes over it."""
+        target = RepeatingTarget(['/book'], b'', waits=True)
+        target.names = True
+        async with calling(target) as caller:
+            assert await caller.send('one') == 'not run'
+            assert await caller.send('one') == 'ran'
+            for _ in range(3):
+                assert await caller.send() == 'ran'
+            assert target.connections == 2
+
+
+@pytest.mark.parametrize('relayed', [False, True])
+class TestSecondSend:
+    """Guards against a request that runs twice, or ran though refused.
+
+    A copy of the refusal of its first send names the request, so it could be
+    taken for the answer to the second one.
+    """
+
+    @pytest.mark.parametrize('waits', [False, True])
+    async def test_refusal_of_the_first_send_once_more(self, relayed, waits):
+        """The second send is told as it went; the caller sends no third one."""
+        target = RepeatingTarget(['/book'], b'', waits=waits)
+        target.names = True
+        async with calling(target, relayed=relayed) as caller:
+            assert await caller.send('one') == 'not run'
+            assert await caller.send('one') == 'ran'
+            assert target.runs == ['/book']
+
+    async def test_other_request_between_the_sends(self, relayed):
+        """The connection that carried the first one isn't used again."""
+        target = RepeatingTarget(['/book'], b'', waits=True)
+        target.names = True
+        async with calling(target, relayed=relayed) as caller:
+            assert await caller.send('one') == 'not run'
+            assert await caller.send('two') == 'ran'
+            assert await caller.send('one') == 'ran'
+            assert target.connections == 2
+
+
+class TestEarlierBuilds:
+    """Entries that do not say which request a relayed call sends."""
+
+    async def test_their_calls_share_no_connection(self):
+        """What they have sent before isn't known."""
+        target = RepeatingTarget(['/book'], b'', waits=True)
+        target.names = True
+        async with calling(target, relayed=True, names_sends=False) as caller:
+            assert await caller.send('one') == 'not run'
+            assert await caller.send('one') == 'ran'
+            assert target.connections == 2
+
+
+class TestSentKeys:
+    """Which requests a connection remembers."""
+
+    def test_requests_that_are_over_are_forgotten(self):
+        """Their number is bounded by those that may still be sent."""
+        keys = SentKeys()
+        for number in range(10 * MIN_PRUNED):
+            keys.add(str(number), now_s=number, until_s=number + 5)
+        assert keys.has(str(10 * MIN_PRUNED - 1))
+        assert not keys.has('0')
+
+    def test_call_that_is_made_once(self):
+        """It has no key, and any connection will do."""
+        keys = SentKeys()
+        keys.add('', now_s=0, until_s=1)
+        assert not keys.has('')
