Close connections after answers that copies can't be told from

Cause: a call with pieces has no id, and only handles told a copy from an answer. A copy without handles counted for the next call, the answer of that one for the call after it, and so on for as long as the connection was in use. The soak showed the same between kinds of calls: the refusal of a report, one behind by a copy of a freed result, counted for a booking that ran.

Change: a connection is closed after an answer with pieces that holds no result, and requests with an id never share a connection with calls without one. Reading of events has a module of its own, as http_client.py had too many members.

One new connection for each answer without results.

--- a/borageyard/client_stream.py
+++ b/borageyard/client_stream.py
@@ -7,12 +7,12 @@
 
 from .document_validation import DocumentError, parse_json
 from .errors import ErrorKind, Refusal, RunStatus
+from .event_payloads import read_events
 from .http_client import (
     HttpCall,
     HttpCallError,
     HttpClient,
     HttpReply,
-    read_events,
 )
 from .requests import Answer
 from .target_client import TokenEvent
--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -41,7 +41,6 @@
 MAX_IDLE_S = 15
 # Share of the idle timeout in a "keep-alive" header for which to keep it.
 KEEP_ALIVE_SHARE = 0.6
-MAX_EVENT_BYTES = 1024 * 1024
 # Bytes of a response besides its body: head, framing of chunks, and answers to
 # other requests that come before it.
 MAX_OVERHEAD_BYTES = 1_048_576
@@ -52,8 +51,6 @@
 MAX_BODY_MS = 20_000
 # Pieces of a body after which other tasks get their turn.
 PIECES_PER_TURN = 64
-EVENT_SEPARATOR = b'\n\n'
-DATA_FIELD_PREFIX = b'data: '
 
 
 class AnswerMatch(enum.Enum):
@@ -83,6 +80,14 @@
     """
 
 
+class AmbiguousAnswerError(Exception):
+    """A whole response that a copy of it could not be told from.
+
+    Raised by readers of streamed responses, which use the response; the
+    connection is closed then.
+    """
+
+
 class HttpCallError(Exception):
     """A call did not get a complete response."""
 
@@ -134,6 +139,15 @@
     # Called with the size of each part of such a body.
     on_part: Callable[[int], None] | None = None
 
+    @property
+    def pool_key(self) -> tuple[str, bool]:
+        """Returns what connections that may carry the call have in common.
+
+        A copy of an answer to a call without a key can't be told from the
+        answer to the next one, so a request must never come to read it.
+        """
+        return self.address, bool(self.send_key)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HttpReply:
@@ -455,7 +469,9 @@
         self._connect_stream = connect
         self._limits = limits or HttpLimits()
         self._tls = tls
-        self._idle: dict[str, collections.deque[ClientConnection]] = {}
+        self._idle: dict[
+            tuple[str, bool], collections.deque[ClientConnection]
+        ] = {}
 
     async def __aenter__(self) -> Self:
         """Returns the client."""
@@ -523,7 +539,8 @@
         """Converts failures to call errors; pools or closes the connection."""
         exchange = Exchange()
         try:
-            yield exchange
+            with _retiring(exchange):
+                yield exchange
         except TimeoutError as error:
             raise HttpCallError(
                 'timed out', exchange.sent, exchange.received_bytes
@@ -532,11 +549,10 @@
             reason = str(error) or 'reset'
             raise HttpCallError(reason, exchange.sent) from error
         except AnswerMismatchError as error:
-            exchange.open_connection.retired = True
             raise HttpCallError(str(error), exchange.sent) from error
         finally:
             if exchange.connection is not None:
-                self._release(call.address, exchange.connection)
+                self._release(call, exchange.connection)
 
     async def _exchange_head(
         self,
@@ -590,7 +606,7 @@
 
     def _take_idle(self, call: HttpCall) -> ClientConnection | None:
         """Returns an idle connection that can carry a call, if there is one."""
-        idle = self._idle.get(call.address)
+        idle = self._idle.get(call.pool_key)
         now_s = asyncio.get_running_loop().time()
         with contextlib.ExitStack() as stack:
             while idle:
@@ -610,8 +626,8 @@
             reader, writer = await self._connect_stream(host, port, self._tls)
         return ClientConnection(reader, writer, self._limits)
 
-    def _release(self, address: str, connection: ClientConnection) -> None:
-        idle = self._idle.setdefault(address, collections.deque())
+    def _release(self, call: HttpCall, connection: ClientConnection) -> None:
+        idle = self._idle.setdefault(call.pool_key, collections.deque())
         if connection.reusable and len(idle) < MAX_IDLE_CONNECTIONS:
             connection.idle_since_s = asyncio.get_running_loop().time()
             idle.append(connection)
@@ -619,6 +635,16 @@
         connection.close()
 
 
+@contextlib.contextmanager
+def _retiring(exchange: Exchange) -> Iterator[None]:
+    """Ends the use of a connection whose next answer would be in doubt."""
+    try:
+        yield
+    except (AnswerMismatchError, AmbiguousAnswerError):
+        exchange.open_connection.retired = True
+        raise
+
+
 async def _receive_parts(
     call: HttpCall,
     connection: ClientConnection,
@@ -680,34 +706,3 @@
         if name == 'timeout' and timeout_s is not None:
             return timeout_s * KEEP_ALIVE_SHARE
     return MAX_IDLE_S
-
-
-async def read_events(chunks: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
-    """Splits chunks into the payloads of server-sent events.
-
-    Events that don't start with a data field and an incomplete last event
-    are ignored.
-
-    Args:
-        chunks: Body bytes, split at arbitrary positions.
-
-    Yields:
-        The payload of each complete event.
-
-    Raises:
-        HttpCallError: If an incomplete event exceeds ``MAX_EVENT_BYTES``.
-    """
-    pending = bytearray()
-    async for chunk in chunks:
-        searched = max(0, len(pending) - 1)
-        pending += chunk
-        end = pending.find(EVENT_SEPARATOR, searched)
-        start = 0
-        while end >= 0:
-            if pending.startswith(DATA_FIELD_PREFIX, start):
-                yield bytes(pending[start + len(DATA_FIELD_PREFIX) : end])
-            start = end + len(EVENT_SEPARATOR)
-            end = pending.find(EVENT_SEPARATOR, start)
-        pending = pending[start:]
-        if len(pending) > MAX_EVENT_BYTES:
-            raise HttpCallError('event is too large', sent=True)
--- a/borageyard/http_target.py
+++ b/borageyard/http_target.py
@@ -7,13 +7,14 @@
 import pydantic
 
 from .document_validation import DocumentError, check_document, parse_json
+from .event_payloads import read_events
 from .generated.cache_events import CacheEventsBody
 from .generated.http_bodies import (
     LoadReportBody,
     TargetCallBody,
     TargetRefusalBody,
 )
-from .http_client import HttpCall, HttpCallError, HttpClient, read_events
+from .http_client import HttpCall, HttpCallError, HttpClient
 from .http_messages import (
     EVENT_STREAM_TYPE,
     JSON_TYPE,
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -9,7 +9,8 @@
 import pytest
 
 from borageyard.commands.demo import load_plan
-from borageyard.http_client import HttpCall, HttpClient, read_events
+from borageyard.event_payloads import read_events
+from borageyard.http_client import HttpCall, HttpClient
 from borageyard.http_messages import encode_json
 from borageyard.identifiers import new_identifier
 from borageyard.standins.deployment import Deployment
