Pass header values through as bytes

Cause: values were decoded as Latin-1 and given to h11 as text, which it encodes as ASCII; the error ended the connection.

Change: values are written as the bytes that they came as, in the server and in the client. A header of an answer that can't be written is left out and logged (header_dropped), so that no answer is lost with it.

--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -30,6 +30,7 @@
     CountingReader,
     StreamWriter,
     decode_headers,
+    encode_headers,
     open_stream,
 )
 from .sent_keys import SentKeys
@@ -366,19 +367,15 @@
         self._raw_writer.transport.abort()
 
     def _encode(self, call: HttpCall) -> bytes:
-        headers = [
-            ('host', call.headers.get('host', call.address)),
-            ('content-length', str(len(call.body))),
-        ]
-        headers.extend(
-            (name, text)
-            for name, text in call.headers.items()
-            if name != 'host'
-        )
+        headers = {
+            'host': call.address,
+            **call.headers,
+            'content-length': str(len(call.body)),
+        }
         head = h11.Request(
             method=call.method,
             target=call.path,
-            headers=headers,
+            headers=encode_headers(headers),
         )
         encoded = self._codec.send(head) or b''
         if call.body:
--- a/borageyard/http_server.py
+++ b/borageyard/http_server.py
@@ -10,6 +10,7 @@
     Iterator,
     Mapping,
 )
+from http import HTTPStatus
 from types import TracebackType
 from typing import Self
 
@@ -26,7 +27,12 @@
     split_address,
     split_request_target,
 )
-from .http_streams import DisconnectReader, StreamWriter, decode_headers
+from .http_streams import (
+    DisconnectReader,
+    StreamWriter,
+    decode_headers,
+    encode_headers,
+)
 from .tasks import is_own_cancellation
 from .wire import encode_refusal, request_id_of
 
@@ -438,16 +444,16 @@
             self._reader.set_disconnect_callback(None)
 
     async def _send_response(self, response: HttpResponse) -> None:
-        headers = list(response.headers.items())
+        headers = dict(response.headers)
         if response.content_type:
-            headers.insert(0, ('content-type', response.content_type))
+            headers['content-type'] = response.content_type
         if response.chunks is None:
-            headers.append(('content-length', str(len(response.body))))
+            headers['content-length'] = str(len(response.body))
         else:
-            headers.append(('transfer-encoding', 'chunked'))
-        if self._activity.closing and 'connection' not in response.headers:
-            headers.append(('connection', 'close'))
-        head = h11.Response(status_code=response.status, headers=headers)
+            headers['transfer-encoding'] = 'chunked'
+        if self._activity.closing:
+            headers.setdefault('connection', 'close')
+        head = _build_head(response.status, headers)
         encoded = self._codec.send(head) or b''
         if response.chunks is not None:
             await self._send_chunks(encoded, response.chunks)
@@ -488,3 +494,31 @@
         received = b'unread'
         while received:
             received = await self._read()
+
+
+def _build_head(status: int, headers: Mapping[str, str]) -> h11.Response:
+    """Returns the head of a response, without headers that are invalid.
+
+    The request may have run, so its answer must not be lost with a header.
+    """
+    try:
+        return h11.Response(status_code=status, headers=encode_headers(headers))
+    except (ValueError, h11.LocalProtocolError):
+        valid = {
+            name: text
+            for name, text in headers.items()
+            if _is_valid_header(name, text)
+        }
+    return h11.Response(status_code=status, headers=encode_headers(valid))
+
+
+def _is_valid_header(name: str, text: str) -> bool:
+    """Returns whether a header can be written; logs one that can not."""
+    try:
+        h11.Response(
+            status_code=HTTPStatus.OK, headers=encode_headers({name: text})
+        )
+    except (ValueError, h11.LocalProtocolError) as error:
+        log_event(Event.HEADER_DROPPED, name=name, reason=str(error))
+        return False
+    return True
--- a/borageyard/http_streams.py
+++ b/borageyard/http_streams.py
@@ -6,12 +6,15 @@
 import asyncio
 import socket
 import ssl
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from typing import Any
 
 from .clock import MS_PER_S
 from .http_messages import combine_headers
 
+# Name and value of a header as they are written.
+RawHeader = tuple[bytes, bytes]
+
 # Size of the write buffer above which ``StreamWriter.send`` waits.
 HIGH_WATER_BYTES = 65536
 # A connection that is idle for 1 s is probed; two probes 1 s apart without a
@@ -200,6 +203,28 @@
         tcp_socket.setsockopt(socket.IPPROTO_TCP, option, setting)
 
 
+def encode_headers(headers: Mapping[str, str]) -> list[RawHeader]:
+    """Returns headers as they are written; the reverse of ``decode_headers``.
+
+    Values are opaque bytes by RFC 9110, 5.5. Those that did not come from the
+    wire may hold other characters, which are written in UTF-8.
+
+    Args:
+        headers: Values by name.
+    """
+    return [
+        (name.encode('ascii'), _encode_value(text))
+        for name, text in headers.items()
+    ]
+
+
+def _encode_value(text: str) -> bytes:
+    try:
+        return text.encode('latin-1')
+    except UnicodeEncodeError:
+        return text.encode()
+
+
 def decode_headers(
     headers: Iterable[tuple[bytes, bytes]],
 ) -> dict[str, str]:
--- a/borageyard/standins/gateway_target.py
+++ b/borageyard/standins/gateway_target.py
@@ -82,10 +82,12 @@
     # Unframed answers that end within their head, and the bytes they have.
     cut_heads: int = 0
     cut_head_bytes: int = 0
+    # Further headers of its answers.
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
 
     def notices(self) -> Mapping[str, str]:
         """Returns the headers in which it tells of itself."""
-        notices: dict[str, str] = {}
+        notices: dict[str, str] = dict(self.headers)
         if self.limit_per_s is not None:
             notices['server-limit'] = str(self.limit_per_s)
         if self.leaving:
