Mend faults of the listing and of the refusals at a stop, found at reading

- Entries asked one another to list a version that only peers had named, and so kept it due for ever while the store was away; an entry that started then was never ready.
Peers are asked only for versions that have targets here.
- An entry that started while a version could not be listed counted as ready only with the next version that was; now as soon as no present version is unlisted.
- A waiting request whose refusal was under way when it was looked at again would have ended the stop with an error (a timeout that expires can't be moved).

--- a/borageyard/listed_versions.py
+++ b/borageyard/listed_versions.py
@@ -18,10 +18,11 @@
 
 @dataclasses.dataclass(slots=True)
 class _Version:
-    # Monotonic time at which it appeared.
+    # Monotonic times at which it appeared, and last had a target.
     since_ms: float
-    # Monotonic time until which it has targets, as far as is known.
-    present_until_ms: float
+    present_at_ms: float = -math.inf
+    # Monotonic time until which it is listed on behalf of a peer.
+    wanted_until_ms: float = -math.inf
     listed: bool = False
 
 
@@ -45,11 +46,13 @@
             now_ms: Monotonic time.
         """
         self._updated_at_ms = now_ms
-        self._note_present(present, now_ms, now_ms)
+        for present_key in present:
+            version = self._versions.setdefault(present_key, _Version(now_ms))
+            version.present_at_ms = now_ms
         self._versions = {
             key: known
             for key, known in self._versions.items()
-            if now_ms <= known.present_until_ms + KEPT_MS
+            if now_ms <= known.present_at_ms + KEPT_MS or self._is_due(known)
         }
 
     def want(self, keys: Iterable[VersionKey], now_ms: float) -> None:
@@ -59,7 +62,9 @@
             keys: Services and versions.
             now_ms: Monotonic time.
         """
-        self._note_present(keys, now_ms, now_ms + WANTED_MS)
+        for key in keys:
+            known = self._versions.setdefault(key, _Version(now_ms))
+            known.wanted_until_ms = now_ms + WANTED_MS
 
     def confirm(self, keys: Iterable[VersionKey]) -> bool:
         """Records that the store lists versions.
@@ -89,8 +94,8 @@
         known = self._versions.get(key)
         return known is not None and known.listed
 
-    def present(self) -> Mapping[str, Collection[str]]:
-        """Returns the versions that have targets, by service."""
+    def due(self) -> Mapping[str, Collection[str]]:
+        """Returns, by service, the versions that the store is to list."""
         return _group(
             key for key, known in self._versions.items() if self._is_due(known)
         )
@@ -98,7 +103,7 @@
     def unlisted(
         self, since_ms: float = math.inf
     ) -> Mapping[str, Collection[str]]:
-        """Returns versions that are not known to be listed, by service.
+        """Returns, by service, those that it is not known to list.
 
         Args:
             since_ms: Monotonic time by which they must have appeared.
@@ -111,16 +116,24 @@
             and known.since_ms <= since_ms
         )
 
+    def unlisted_here(self) -> Mapping[str, Collection[str]]:
+        """Returns, by service, those of them that have targets.
+
+        Those that only peers know are left out, so that entries do not ask one
+        another for them for ever.
+        """
+        return _group(
+            key
+            for key, known in self._versions.items()
+            if self._is_present(known) and not known.listed
+        )
+
     def _is_due(self, known: _Version) -> bool:
-        """Returns whether a version has targets, or is listed for a peer."""
-        return known.present_until_ms >= self._updated_at_ms
+        is_wanted = known.wanted_until_ms >= self._updated_at_ms
+        return is_wanted or self._is_present(known)
 
-    def _note_present(
-        self, keys: Iterable[VersionKey], now_ms: float, until_ms: float
-    ) -> None:
-        for key in keys:
-            known = self._versions.setdefault(key, _Version(now_ms, until_ms))
-            known.present_until_ms = max(known.present_until_ms, until_ms)
+    def _is_present(self, known: _Version) -> bool:
+        return known.present_at_ms >= self._updated_at_ms
 
 
 def _group(keys: Iterable[VersionKey]) -> Mapping[str, Collection[str]]:
--- a/borageyard/request_relay.py
+++ b/borageyard/request_relay.py
@@ -47,6 +47,11 @@
     # Whether it ends since the entry is stopping, with nothing sent.
     drained: bool = False
 
+    def expire(self) -> None:
+        """Brings its deadline forward to now, unless it has passed."""
+        if not self.timeout.expired():
+            self.timeout.reschedule(asyncio.get_running_loop().time())
+
 
 class RequestRelay:
     """Admits requests, applies their deadlines and dispatches them."""
@@ -136,22 +141,20 @@
 
         Nothing of them was sent, so they may be sent to another entry.
         """
-        now_s = asyncio.get_running_loop().time()
         for opened in self._open:
             history = opened.history
             unsent = not history.sent and not history.possible_runs
             if unsent and self._is_late(opened.route_name):
                 opened.drained = True
-                opened.timeout.reschedule(now_s)
+                opened.expire()
 
     def expire_open_requests(self) -> None:
         """Expires the deadlines of all requests without a response.
 
         Each one is refused, and reported as not run if that is certain.
         """
-        now_s = asyncio.get_running_loop().time()
         for opened in self._open:
-            opened.timeout.reschedule(now_s)
+            opened.expire()
 
     def _is_late(self, route_name: str) -> bool:
         """Returns whether an answer can't be expected before the end."""
--- a/borageyard/standins/streaming_fleet.py
+++ b/borageyard/standins/streaming_fleet.py
@@ -78,20 +78,23 @@
         """Joins the network; ``start`` starts its tasks."""
         super().__init__(name, incarnation, listed, network)
         clock = LoopClock(EPOCH_MS)
-        self._parts = (
-            StreamJournal(name, self.service, tables[name], clock),
-            VersionListing(
-                name, self.state, self.service, tables[name], self.link, clock
-            ),
+        self.journal = StreamJournal(name, self.service, tables[name], clock)
+        self.listing = VersionListing(
+            name, self.state, self.service, tables[name], self.link, clock
         )
         self.origins = StreamOriginService(
-            self.state, self.service, self.link, clock, *self._parts
+            self.state,
+            self.service,
+            self.link,
+            clock,
+            self.journal,
+            self.listing,
         )
 
     async def start(self) -> None:
         """Starts its tasks."""
         await super().start()
-        for part in (*self._parts, self.origins):
+        for part in (self.journal, self.listing, self.origins):
             await self._stack.enter_async_context(part.running())
 
     def read_roster(self, rows: Collection[RosterRow], offset: int) -> None:
--- a/borageyard/version_listing.py
+++ b/borageyard/version_listing.py
@@ -65,7 +65,7 @@
         self._tables = tables
         self._link = link
         self._clock = clock
-        # Whether all versions that were found at first have been listed.
+        # Whether there was a time when all present versions were listed.
         self.settled = False
         self._listed = ListedVersions()
         # What this entry lists as the scheduler, by service.
@@ -160,8 +160,10 @@
                 ],
                 now_ms,
             )
-            if self._listed.unlisted():
+            if self._listed.unlisted_here():
                 self._unlisted.set()
+            elif self._state.roster.rows():
+                self.settled = True
             try:
                 await self._update_lists(now_ms)
             except StoreError as error:
@@ -181,7 +183,7 @@
         Raises:
             StoreError: If the store does not answer.
         """
-        for service, versions in self._listed.present().items():
+        for service, versions in self._listed.due().items():
             if self._elections.find(service) == self._instance_id:
                 await self._update_as_scheduler(service, versions)
             else:
@@ -238,7 +240,6 @@
     def _confirm(self, keys: Collection[VersionKey]) -> None:
         """Records what the store lists; engines of new versions get work."""
         if self._listed.confirm(keys):
-            self.settled = self.settled or not self._listed.unlisted()
             self._state.notify(Table.TARGETS)
 
     async def _ask_peers(self) -> None:
@@ -249,7 +250,7 @@
             await self._unlisted.wait()
             # The store answers first as a rule.
             await asyncio.sleep(next(delays) / MS_PER_S)
-            missing = self._listed.unlisted()
+            missing = self._listed.unlisted_here()
             if not missing:
                 self._unlisted.clear()
                 delays = retry_delays()
--- a/tests/test_fleet_versions.py
+++ b/tests/test_fleet_versions.py
@@ -223,6 +223,22 @@
             await fleet.run(2)
             assert fleet.granted_versions(fleet.names[0]) == ['v1', 'v2']
 
+    @in_virtual_time
+    async def test_version_that_leaves_before_it_is_listed(self, size):
+        """Entries count as ready once the others are listed."""
+        async with settled(size, 'v1') as fleet:
+            await fleet.run(1)
+            fleet.close_store(fleet.names)
+            fleet.serve('v1', 'v2')
+            name = fleet.names[-1]
+            await fleet.kill(name)
+            await fleet.start(name)
+            await fleet.run(3)
+            assert not fleet.entry(name).listing.settled
+            fleet.serve('v1')
+            await fleet.run(3)
+            assert fleet.entry(name).listing.settled
+
     @in_virtual_time
     async def test_scheduler_that_starts_while_the_store_is_away(self, size):
         """It learns from the others that the version is listed."""
--- a/tests/test_gateway_stops.py
+++ b/tests/test_gateway_stops.py
@@ -1,6 +1,7 @@
 """Tests of planned stops of gateways, in calm."""
 
 import asyncio
+import contextlib
 import dataclasses
 import json
 import random
@@ -9,6 +10,8 @@
 
 from borageyard.http_client import HttpCallError
 from borageyard.http_messages import split_address
+from borageyard.request_relay import _OpenRequest
+from borageyard.send_history import SendHistory
 from borageyard.standins.gateway_deployment import (
     API_KEY,
     HOST,
@@ -127,6 +130,31 @@
             assert not callers.runs('desk')
 
 
+class TestExpiry:
+    """Guards against a stop that fails, and cuts all requests."""
+
+    async def test_request_that_is_being_refused(self):
+        """Its clean-up takes longer than the next look at it."""
+        async with deployment(1) as callers:
+            relay = callers.running.gateways[0].gateway.relay
+            opened = _OpenRequest('book', SendHistory(), asyncio.timeout(5))
+            waiting = asyncio.ensure_future(self._wait(relay, opened))
+            await asyncio.sleep(0)
+            relay.end_by(0)
+            for _ in range(3):
+                relay.refuse_late_requests()
+                relay.expire_open_requests()
+                await asyncio.sleep(0.02)
+            with pytest.raises(TimeoutError):
+                await waiting
+
+    async def _wait(self, relay, opened):
+        async with contextlib.AsyncExitStack() as stack:
+            await stack.enter_async_context(relay._opened(opened))
+            stack.push_async_callback(asyncio.sleep, 0.1)
+            await asyncio.Event().wait()
+
+
 class TestStopsInTurn:
     """Guards against requests that run and are cut without an answer."""
 
