Wait for the answer that comes well after a copy of another one

Cause: after an answer to another request the client starts a new decoder and gives it what has arrived beyond that answer. If nothing had, it gave it empty bytes, which h11 takes for the end of the connection.

Change: nothing is given then.

--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -305,7 +305,9 @@
             return False
         self._codec = h11.Connection(h11.CLIENT)
         self._encode(call)
-        self._codec.receive_data(trailing)
+        if trailing:
+            # Empty bytes would stand for the end of the connection.
+            self._codec.receive_data(trailing)
         return True
 
     def is_usable(self, now_s: float) -> bool:
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -469,6 +469,21 @@
             assert told in {'not run', 'unknown'}
 
 
+class TestAnswerBehindCopy:
+    """Guards against the loss of an answer that comes well after a copy."""
+
+    @pytest.mark.parametrize('work_s', [0, 0.02])
+    async def test_request_on_the_connection_of_a_refusal(self, work_s):
+        """The copy belongs to another request, and is skipped."""
+        target = RepeatingTarget(['/book'], b'', waits=True)
+        target.names = True
+        target.work_s = work_s
+        async with calling(target) as caller:
+            told = [await caller.send() for _ in range(3)]
+            assert told == ['not run', 'ran', 'ran']
+            assert target.connections == 1
+
+
 class TestEarlierBuilds:
     """Entries that do not say which request a relayed call sends."""
 
