--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -1,17 +1,18 @@
 """Sends requests and calls with pieces to the platform's targets."""
 
 import contextlib
+import functools
 import types
-from collections.abc import AsyncIterator, Iterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from http import HTTPStatus
 from typing import Annotated, TypeVar
 
 from pydantic import BaseModel, ConfigDict, Field
 
+from ..checked_calls import request_checked
 from ..document_validation import DocumentError, check_document, parse_json
 from ..field_checks import parse_count
 from ..http_client import (
-    AmbiguousAnswerError,
     AnswerMismatchError,
     CallClient,
     HttpCall,
@@ -245,52 +246,26 @@
             target: The target that is called, if its row is known.
             piece_count: Number of pieces in the call.
         """
-        async with contextlib.AsyncExitStack() as stack:
-            stack.enter_context(contextlib.suppress(AmbiguousAnswerError))
-            stack.enter_context(_failing_calls())
-            status, headers, chunks = await stack.enter_async_context(
-                self._client.stream(call)
-            )
-            body = b''.join([chunk async for chunk in chunks])
-            reply = HttpReply(status, headers, body)
-            if piece_count and status == HTTPStatus.OK:
-                self._require_own(body, piece_count)
+        check = functools.partial(self._check, piece_count)
+        try:
+            reply = await request_checked(self._client, call, check)
+        except HttpCallError as error:
+            raise CallFailedError(str(error)) from error
         is_target = reply.status != HTTPStatus.MISDIRECTED_REQUEST
         if target is not None and is_target:
             self._notices.note(target, reply.status, reply.headers)
         return reply
 
-    def _require_own(self, body: bytes, piece_count: int) -> None:
-        """Checks that results are those of the present call.
-
-        Raises:
-            AnswerMismatchError: If they are not.
-            AmbiguousAnswerError: If there are none, so that nothing tells the
-                answer from a copy, which may follow on the connection.
-        """
+    def _check(self, piece_count: int, reply: HttpReply) -> None:
+        """Checks that results are those of the present call."""
+        if not piece_count or reply.status != HTTPStatus.OK:
+            return
         try:
-            items = _decode(_RunReply, body).items
+            items = _decode(_RunReply, reply.body).items
         except CallFailedError as error:
             raise AnswerMismatchError(str(error)) from error
-        if len(items) != piece_count:
-            raise AnswerMismatchError(f'{len(items)} results')
-        handles = [item.handle for item in items if item.handle]
-        if not handles:
-            raise AmbiguousAnswerError
-        self._handles.add(handles)
-
-
-@contextlib.contextmanager
-def _failing_calls() -> Iterator[None]:
-    """Converts errors of the HTTP client.
-
-    Raises:
-        CallFailedError: If a call has no answer of its own.
-    """
-    try:
-        yield
-    except (HttpCallError, AnswerMismatchError) as error:
-        raise CallFailedError(str(error)) from error
+        handles = [item.handle for item in items]
+        self._handles.require_own(handles, piece_count)
 
 
 def _require_ok(reply: HttpReply) -> None:
