--- a/borageyard/version_listing.py
+++ b/borageyard/version_listing.py
@@ -162,8 +162,10 @@
             )
             if self._listed.unlisted_here():
                 self._unlisted.set()
-            elif self._state.roster.rows():
+            elif not self.settled and self._state.roster.rows():
                 self.settled = True
+                # The entry may have become ready.
+                self._state.notify(Table.TARGETS)
             try:
                 await self._update_lists(now_ms)
             except StoreError as error:
@@ -173,9 +175,7 @@
             delays = retry_delays()
             unlisted = self._listed.unlisted()
             interval_ms = SCHEDULER_FIRST_MS if unlisted else CHECK_INTERVAL_MS
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(interval_ms / MS_PER_S):
-                    await self._changed.wait()
+            await _wait(self._changed, interval_ms)
 
     async def _update_lists(self, now_ms: float) -> None:
         """Lists what is to be listed.
@@ -300,6 +300,13 @@
         return VersionListingReplyBody(listed=listed)
 
 
+async def _wait(event: asyncio.Event, limit_ms: float) -> None:
+    """Waits for an event, at most for a time."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_ms / MS_PER_S):
+            await event.wait()
+
+
 def _decode_versions(page: TablePage) -> Sequence[ServedVersionRecord]:
     listed = []
     for record in page.records:
