--- a/borageyard/version_listing.py
+++ b/borageyard/version_listing.py
@@ -153,19 +153,7 @@
         while True:
             self._changed.clear()
             now_ms = self._clock.steady_ms()
-            self._listed.update(
-                [
-                    (row.service, row.software_version)
-                    for row in self._state.roster.rows()
-                ],
-                now_ms,
-            )
-            if self._listed.unlisted_here():
-                self._unlisted.set()
-            elif not self.settled and self._state.roster.rows():
-                self.settled = True
-                # The entry may have become ready.
-                self._state.notify(Table.TARGETS)
+            self._note_present(now_ms)
             try:
                 await self._update_lists(now_ms)
             except StoreError as error:
@@ -177,6 +165,22 @@
             interval_ms = SCHEDULER_FIRST_MS if unlisted else CHECK_INTERVAL_MS
             await _wait(self._changed, interval_ms)
 
+    def _note_present(self, now_ms: float) -> None:
+        """Records the versions of the present targets."""
+        self._listed.update(
+            [
+                (row.service, row.software_version)
+                for row in self._state.roster.rows()
+            ],
+            now_ms,
+        )
+        if self._listed.unlisted_here():
+            self._unlisted.set()
+        elif not self.settled and self._state.roster.rows():
+            self.settled = True
+            # The entry may have become ready.
+            self._state.notify(Table.TARGETS)
+
     async def _update_lists(self, now_ms: float) -> None:
         """Lists what is to be listed.
 
@@ -203,7 +207,8 @@
             served = ServedVersions(service, await self._read_records())
             self._served[service] = served
         for version in await self._write(served, versions):
-            await self._put(service, version, b'')
+            key = _record_key(service, version)
+            await self._tables.put(Table.VERSIONS, key, b'')
             served.note_removed(version)
             self._listed.remove((service, version))
 
@@ -222,21 +227,15 @@
             versions, self._state.era, self._clock.steady_ms()
         )
         for record in changes.writes:
-            await self._put(
-                record.service,
-                record.software_version,
+            await self._tables.put(
+                Table.VERSIONS,
+                _record_key(record.service, record.software_version),
                 record.model_dump_json().encode(),
             )
             served.note_written(record)
             self._confirm([(record.service, record.software_version)])
         return changes.removals
 
-    async def _put(self, service: str, version: str, content: bytes) -> None:
-        # Names may be longer than keys.
-        name = f'{service}\n{version}'.encode()
-        key = hashlib.blake2b(name, digest_size=KEY_BYTES).hexdigest()
-        await self._tables.put(Table.VERSIONS, key, content)
-
     def _confirm(self, keys: Collection[VersionKey]) -> None:
         """Records what the store lists; engines of new versions get work."""
         if self._listed.confirm(keys):
@@ -300,6 +299,12 @@
         return VersionListingReplyBody(listed=listed)
 
 
+def _record_key(service: str, version: str) -> str:
+    # Names may be longer than keys.
+    name = f'{service}\n{version}'.encode()
+    return hashlib.blake2b(name, digest_size=KEY_BYTES).hexdigest()
+
+
 async def _wait(event: asyncio.Event, limit_ms: float) -> None:
     """Waits for an event, at most for a time."""
     with contextlib.suppress(TimeoutError):
