Kill the scheduler in the test of what a dead scheduler had made

- It awaited a gather that ended with the first error of a caller of the dead entry, so it mostly counted the pieces 20 ms after the kill, before the survivor could have run any again.
- When it did wait, the "dead" scheduler was still alive: a cancelled gateway plans until its parts have ended (0.1 to 0.6 s), grants the survivor's requests to nobody and frees their results.
The survivor then reports input_gone and runs the pieces again.

The test now waits until the survivor knows the results, makes no plan at the dead scheduler from the kill on, waits for the survivor's callers, requires that they are served, and then counts as strictly as before.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,14 +4,13 @@
 import contextlib
 import dataclasses
 import json
-import re
 
 import pytest
 
 from borageyard.chains import ChainSpec
 from borageyard.engine_placer import Prompt
 from borageyard.http_client import HttpCall, HttpCallError, HttpClient
-from borageyard.plans import Grant
+from borageyard.plans import Grant, Plan
 from borageyard.standins.gateway_deployment import (
     API_KEY,
     GRACE_MS,
@@ -497,6 +496,10 @@
         ]
         return number
 
+    async def statuses(self, replies):
+        """Waits for all replies and returns their statuses."""
+        return {reply.status for reply in await asyncio.gather(*replies)}
+
     def finished_pieces(self, callers):
         """Returns all pieces that targets have run."""
         return [
@@ -512,7 +515,8 @@
         run twice, and a pause of this process must not make a call overdue.
 
         Returns:
-            The pending replies, and the number of the scheduler.
+            The pending replies in the order of the attempts, and the number of
+            the scheduler.
         """
         document = build_document(2)
         (planner,) = (
@@ -528,9 +532,10 @@
                 for number in range(2)
             )
         )
-        replies = asyncio.gather(
-            *(callers.stream(gateway=number) for number in (0, 1, 0, 1)),
-        )
+        replies = [
+            asyncio.ensure_future(callers.stream(gateway=number))
+            for number in (0, 1, 0, 1)
+        ]
         for target in callers.targets('planner'):
             target.plan = dataclasses.replace(target.plan, work_ms=work_ms)
         await wait_until(lambda: len(self.finished_pieces(callers)) >= pieces)
@@ -541,7 +546,7 @@
         async with deployment() as callers:
             replies, scheduler_number = await self.start_requests(callers)
             callers.running.gateways[scheduler_number].stop.set()
-            assert {reply.status for reply in await replies} == {200}
+            assert await self.statuses(replies) == {200}
             pieces = self.finished_pieces(callers)
             assert len(pieces) == len(set(pieces))
 
@@ -554,7 +559,7 @@
             requester.link._drop(
                 gateways[scheduler_number].gateway.settings.instance_id
             )
-            assert {reply.status for reply in await replies} == {200}
+            assert await self.statuses(replies) == {200}
             pieces = self.finished_pieces(callers)
             assert len(pieces) == len(set(pieces))
             assert not requester.service.scheduler.chains
@@ -580,23 +585,41 @@
                 for chain in scheduler.service.scheduler.chains.values()
             ]
             assert len(late) == 4
-            assert {reply.status for reply in await replies} == {200}
+            assert await self.statuses(replies) == {200}
             await asyncio.gather(*late)
             assert len(callers.runs('model')) == 4
 
-    async def test_what_a_dead_scheduler_had_made_is_used(self):
+    async def test_what_a_dead_scheduler_had_made_is_used(self, monkeypatch):
         """Requests of the surviving entry reuse results of a dead scheduler."""
         async with deployment() as callers:
-            replies, scheduler_number = await self.start_requests(callers)
-            ended = asyncio.gather(replies, return_exceptions=True)
-            callers.running.gateways[scheduler_number].task.cancel()
-            await ended
+            replies, scheduler_number = await self.start_requests(
+                callers, pieces=1
+            )
+            killed = callers.running.gateways[scheduler_number]
+            survivor = callers.running.gateways[1 - scheduler_number]
+            survivors = replies[1 - scheduler_number :: 2]
+            tracker = survivor.gateway.scheduler._results
             # Attempts are numbered from 1 and alternate between the gateways.
-            firsts = re.compile('[13]/0/' if scheduler_number else '[24]/0/')
+            numbers = range(2 - scheduler_number, 5, 2)
+            attempts = [f'attempt-{number}' for number in numbers]
+            await wait_until(
+                lambda: all(
+                    len(tracker.results_of(attempt)) >= 2
+                    for attempt in attempts
+                )
+            )
+            # A cancelled gateway, unlike a killed process, would go on to plan
+            # until its parts have ended.
+            scheduler = killed.gateway.service.scheduler
+            monkeypatch.setattr(scheduler, 'plan', lambda _: Plan())
+            killed.task.cancel()
+            assert await self.statuses(survivors) == {200}
+            await asyncio.gather(*replies, return_exceptions=True)
+            firsts = tuple(f'{attempt}/0/' for attempt in attempts)
             finished_pieces = [
                 piece
                 for piece in self.finished_pieces(callers)
-                if firsts.search(piece)
+                if piece.startswith(firsts)
             ]
             assert len(finished_pieces) == len(set(finished_pieces)) == 4
 
