Ask targets whose address the record of another one names

Cause: an address belonged to the record with the latest start, unchecked, and a target that had been found to be gone went on to hide others.

Each decision has a test: an address that is used again still belongs to the later start.

--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -5,6 +5,7 @@
 import dataclasses
 import math
 
+from .address_claims import AddressClaims
 from .answer_body import AnswerReader
 from .buffered_relay import BufferedRelay
 from .call_relay import AnswerCheckFactory, CallRelay
@@ -250,6 +251,7 @@
         )
         self._parts = (
             self._watch,
+            AddressClaims(self.state, probe),
             self.sender,
             self.service,
             self.sync,
--- a/borageyard/platform/__main__.py
+++ b/borageyard/platform/__main__.py
@@ -5,7 +5,6 @@
 import sys
 
 if __name__ == '__main__':
-    # SIGHUP would end the process while it imports slow modules. Settings are
-    # read after that, so no change is missed.
+    # SIGHUP would end the process while it imports slow modules.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     sys.exit(importlib.import_module('.process', __package__).run())
--- a/borageyard/platform/status_client.py
+++ b/borageyard/platform/status_client.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 
 from ..http_client import CallClient, HttpCall, HttpCallError
+from ..target_probe import OTHER_TARGET
 from .answer_match import match_call
 from .targets import (
     EXPECTED_TARGET_HEADER,
@@ -44,5 +45,5 @@
         except HttpCallError as error:
             return error.reason or 'failed'
         if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
-            return 'another target answers'
+            return OTHER_TARGET
         return ''
--- a/borageyard/roster.py
+++ b/borageyard/roster.py
@@ -47,6 +47,74 @@
     row: RosterRow | None
 
 
+class AddressHolders:
+    """Which of the targets that name an address has it.
+
+    Designed for addresses that are reused, for records of other writers, and
+    for clocks that were set back: what a target said itself counts more than
+    when it started by its record.
+    """
+
+    def __init__(self) -> None:
+        """Starts without knowledge of any address."""
+        # Usable targets that get no work as another one has their address.
+        self.hidden: Sequence[RosterRow] = ()
+        # Incarnations that turned out to be gone.
+        self._avoided: dict[str, int] = {}
+        # Target and incarnation that answered at an address, and the start of
+        # the target that seemed to have it.
+        self._answering: dict[str, tuple[str, int, int]] = {}
+        self._holders: dict[str, RosterRow] = {}
+
+    def avoid(self, row: RosterRow) -> None:
+        """Takes an incarnation to be gone for good.
+
+        Args:
+            row: Target whose address another one answered.
+        """
+        self._avoided[row.target_id] = row.incarnation
+
+    def note_answering(self, row: RosterRow) -> None:
+        """Gives an address to one of the targets that name it.
+
+        Args:
+            row: Target that answered there. One that starts later than the
+                others has the address again.
+        """
+        _, newest, _ = self._claim(self._holders.get(row.address, row))
+        self._answering[row.address] = (row.target_id, row.incarnation, newest)
+
+    def usable(self, rows: Iterable[RosterRow]) -> list[RosterRow]:
+        """Returns the targets that take new work at their address.
+
+        Args:
+            rows: All targets.
+        """
+        holders: dict[str, RosterRow] = {}
+        ready: list[RosterRow] = []
+        for row in rows:
+            holder = holders.get(row.address)
+            if holder is None or self._claim(holder) <= self._claim(row):
+                holders[row.address] = row
+            if row.phase is TargetPhase.READY and not self._is_avoided(row):
+                ready.append(row)
+        self._holders = holders
+        self.hidden = [one for one in ready if holders[one.address] is not one]
+        return [one for one in ready if holders[one.address] is one]
+
+    def _claim(self, row: RosterRow) -> tuple[bool, int, bool]:
+        """Returns what decides between targets that name one address."""
+        target_id, incarnation, newest = self._answering.get(
+            row.address, ('', 0, 0)
+        )
+        if (target_id, incarnation) == (row.target_id, row.incarnation):
+            return not self._is_avoided(row), newest, True
+        return not self._is_avoided(row), row.incarnation, False
+
+    def _is_avoided(self, row: RosterRow) -> bool:
+        return self._avoided.get(row.target_id) == row.incarnation
+
+
 class TargetRoster:
     """The current targets.
 
@@ -62,7 +130,7 @@
         self.revision = 0
         self._changes: dict[str, RosterChange] = {}
         self._newest: dict[str, RosterRow] = {}
-        self._avoided: dict[str, int] = {}
+        self._holders = AddressHolders()
         # Incarnations whose departure was heard of, and is not in their record.
         self._unannounced: dict[str, int] = {}
         self._by_service: dict[str, tuple[RosterRow, ...]] = {}
@@ -155,9 +223,23 @@
         Args:
             row: Target that turned out to be gone.
         """
-        self._avoided[row.target_id] = row.incarnation
+        self._holders.avoid(row)
         self._index()
 
+    def note_answering(self, row: RosterRow) -> None:
+        """Gives an address to one of the targets that name it.
+
+        Args:
+            row: Target that answered there.
+        """
+        self._holders.note_answering(row)
+        self._index()
+
+    @property
+    def hidden(self) -> Sequence[RosterRow]:
+        """Returns usable targets without work, as another has their address."""
+        return self._holders.hidden
+
     @property
     def services(self) -> Mapping[str, Sequence[RosterRow]]:
         """Returns the targets that take new work, by service."""
@@ -210,16 +292,7 @@
         return row
 
     def _index(self) -> None:
-        by_address: dict[str, RosterRow] = {}
-        for change in self._changes.values():
-            row = change.row
-            if row is None:
-                continue
-            holder = by_address.get(row.address)
-            # A reused address belongs to the target that started later.
-            if holder is None or holder.incarnation <= row.incarnation:
-                by_address[row.address] = row
-        rows = [row for row in by_address.values() if self._usable(row)]
+        rows = self._holders.usable(self.rows())
         rows.sort(key=lambda row: row.target_id)
         grouped: dict[str, list[RosterRow]] = {}
         for row in rows:
@@ -228,10 +301,6 @@
             service: tuple(members) for service, members in grouped.items()
         }
 
-    def _usable(self, row: RosterRow) -> bool:
-        avoided = self._avoided.get(row.target_id)
-        return row.phase is TargetPhase.READY and avoided != row.incarnation
-
 
 def _comparable(row: RosterRow | None) -> object:
     if row is None:
--- a/borageyard/standins/gateway_target.py
+++ b/borageyard/standins/gateway_target.py
@@ -174,6 +174,12 @@
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         if self.faults.silent:
             await asyncio.Event().wait()
+        expected = request.header('x-expect-instance')
+        if expected and expected != self.plan.target_id:
+            return HttpResponse(
+                HTTPStatus.MISDIRECTED_REQUEST,
+                headers={'x-instance-id': self.plan.target_id},
+            )
         if request.path == REPORT_PATH:
             return json_response({'freeMb': 1, 'waiting': 0, 'busy': 0})
         if request.path == PIECES_PATH:
@@ -202,12 +208,6 @@
         self.received.append((time.monotonic(), request_id))
         self.part_arrivals.update(_shared_parts(request))
         headers = {'x-attempt-id': request_id}
-        expected = request.header('x-expect-instance')
-        if expected and expected != self.plan.target_id:
-            return HttpResponse(
-                HTTPStatus.MISDIRECTED_REQUEST,
-                headers={'x-instance-id': self.plan.target_id},
-            )
         if self.faults.reject or self._running >= self.plan.slots:
             self.faults.reject = max(self.faults.reject - 1, 0)
             status = HTTPStatus.SERVICE_UNAVAILABLE
--- a/borageyard/target_probe.py
+++ b/borageyard/target_probe.py
@@ -14,6 +14,8 @@
 CONNECT_TIMEOUT_MS = 300
 # Time for which a connection must stay open to show that the target is up.
 OPEN_MS = 60
+# Why a target does not answer: another one has its address.
+OTHER_TARGET = 'another target answers'
 
 
 class TargetProbe(Protocol):
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -119,3 +119,59 @@
         assert not roster.mark_draining('t1', ROW.incarnation - 1)
         assert not roster.mark_draining('t2', ROW.incarnation)
         assert ready(roster) == ['t1']
+
+
+class TestSharedAddresses:
+    """Records of several targets name one address."""
+
+    def build(self):
+        """Returns a roster with a target, and a later one at its address."""
+        roster = TargetRoster()
+        foreign = dataclasses.replace(
+            ROW, target_id='t2', service='unknown', incarnation=2
+        )
+        changes = [changed(1), RosterChange(2, 't2', foreign)]
+        roster.apply(changes, 3)
+        return roster, foreign
+
+    def test_later_start_has_the_address(self):
+        """The other one is known as hidden."""
+        roster, _ = self.build()
+        assert not ready(roster)
+        assert list(roster.hidden) == [ROW]
+
+    def test_target_that_answers_has_the_address(self):
+        """A record of another writer hid a sound target for good."""
+        roster, foreign = self.build()
+        roster.note_answering(ROW)
+        assert ready(roster) == ['t1']
+        assert list(roster.hidden) == [foreign]
+
+    def test_target_that_is_gone_hides_none(self):
+        """One that another target answered for does not keep its address."""
+        roster, foreign = self.build()
+        roster.avoid(foreign)
+        assert ready(roster) == ['t1']
+        assert not roster.hidden
+
+    def test_answer_counts_until_the_target_is_gone(self):
+        """The address may be given to another target later."""
+        roster, foreign = self.build()
+        roster.note_answering(ROW)
+        roster.avoid(ROW)
+        assert not ready(roster)
+        assert list(roster.ready('unknown')) == [foreign]
+
+    def test_later_start_has_the_address_again(self):
+        """An answer says nothing of targets that start after it."""
+        roster, _ = self.build()
+        roster.note_answering(ROW)
+        later = dataclasses.replace(ROW, target_id='t3', incarnation=3)
+        roster.apply([RosterChange(3, 't3', later)], 4)
+        assert ready(roster) == ['t3']
+
+    def test_draining_target_is_not_asked(self):
+        """It takes no new work at any address."""
+        roster, _ = self.build()
+        roster.apply([changed(3, phase=TargetPhase.DRAINING)], 4)
+        assert not roster.hidden
