Tell targets at one address apart by the id in their answers

The question for the status of a target counted any answer but 421 as one of the target that was asked. An answer that names another target is now one of another target, as 421 is.

--- a/borageyard/platform/process.py
+++ b/borageyard/platform/process.py
@@ -55,9 +55,8 @@
 
 def run() -> int:
     """Runs the gateway and returns the exit code."""
-    path = os.environ.get(SETTINGS_VARIABLE, '')
     try:
-        asyncio.run(serve(path))
+        asyncio.run(serve(os.environ.get(SETTINGS_VARIABLE, '')))
     except DocumentError as error:
         sys.stderr.write(f'{error}\n')
         return EXIT_USAGE
--- a/borageyard/platform/status_client.py
+++ b/borageyard/platform/status_client.py
@@ -4,7 +4,7 @@
 
 from ..http_client import CallClient, HttpCall, HttpCallError
 from ..target_probe import OTHER_TARGET
-from .answer_match import match_call
+from .answer_match import TARGET_ID_HEADER, match_call
 from .targets import (
     EXPECTED_TARGET_HEADER,
     MAX_CALL_ANSWER_BYTES,
@@ -44,6 +44,7 @@
             reply = await self._client.request(call)
         except HttpCallError as error:
             return error.reason or 'failed'
-        if reply.status == HTTPStatus.MISDIRECTED_REQUEST:
+        named = reply.headers.get(TARGET_ID_HEADER, target_id)
+        if reply.status == HTTPStatus.MISDIRECTED_REQUEST or named != target_id:
             return OTHER_TARGET
         return ''
--- a/tests/test_address_claims.py
+++ b/tests/test_address_claims.py
@@ -7,10 +7,13 @@
 
 from borageyard.address_claims import MAX_QUESTIONS, AddressClaims
 from borageyard.fleet_state import FleetState
+from borageyard.http_client import HttpClient
 from borageyard.platform.documents import DocumentDecoder
+from borageyard.platform.status_client import HttpStatusClient
 from borageyard.roster import RosterChange, RosterRow, TargetPhase
 from borageyard.shared_table import Table
 from borageyard.target_probe import OTHER_TARGET
+from tests.raw_http import answering
 from tests.test_gateway import deployment, wait_until
 
 SOUND = RosterRow('t1', 'desk', '10.0.0.1:1', 'a', TargetPhase.READY, 4, 1, 5)
@@ -95,6 +98,30 @@
         assert len(probe.asked) == MAX_QUESTIONS
 
 
+class TestStatus:
+    """Which target an answer to the question for the status is of."""
+
+    @pytest.mark.parametrize(
+        ('status', 'named', 'reason'),
+        [
+            ('200 OK', 'x-instance-id: t1', ''),
+            ('200 OK', 'x-other: t2', ''),
+            # Not all targets look at the id that is expected.
+            ('200 OK', 'x-instance-id: t2', OTHER_TARGET),
+            ('421 Misdirected', 'x-other: t2', OTHER_TARGET),
+        ],
+    )
+    async def test_target_is_told_by_its_id(self, status, named, reason):
+        """An answer of another target counted as one of the expected one."""
+        head = f'HTTP/1.1 {status}\r\n{named}\r\ncontent-length: 2\r\n\r\n{{}}'
+        async with (
+            answering(head.encode()) as address,
+            HttpClient() as client,
+        ):
+            status_client = HttpStatusClient(client)
+            assert await status_client.check_status('t1', address) == reason
+
+
 class TestGateways:
     """Gateways that read records of another writer."""
 
