List a fault of the address claims, with its failing test

Sends carry the expected id, so the other target declines them; that it has the address after that is read, not run.

No product code is changed.

--- a/tests/test_address_claims.py
+++ b/tests/test_address_claims.py
@@ -49,12 +49,44 @@
         return ''
 
 
+class PausedProbe(Probe):
+    """Stands still once a target has answered, while another one starts."""
+
+    def __init__(self, change):
+        """Sets the record of the target that starts in the pause."""
+        super().__init__('')
+        self.change = change
+        self.ready_after_pause = []
+
+    def attach(self, state):
+        """Sets the state that reads the record after the pause."""
+        self.state = state
+
+    async def check_status(self, target_id, address, *, through_peer=False):
+        """Returns the answer of the sound target after the pause only."""
+        self.asked.append(target_id)
+        if target_id != SOUND.target_id:
+            return OTHER_TARGET
+        if self.asked.count(target_id) > 1:
+            return OTHER_TARGET
+        self.state.roster.apply([self.change], 3)
+        asyncio.get_running_loop().call_later(0.01, self.look)
+        return ''
+
+    def look(self):
+        """Notes who has the address once the answer was dealt with."""
+        ready = self.state.roster.ready('desk')
+        self.ready_after_pause = [row.target_id for row in ready]
+
+
 class TestQuestions:
     """Which targets are asked, and how often."""
 
-    async def settle(self, probe):
+    async def settle(self, probe, attach=None):
         """Returns the fleet state after all questions."""
         state = FleetState(DocumentDecoder())
+        if attach is not None:
+            attach(state)
         async with AddressClaims(state, probe).running():
             changes = [
                 RosterChange(offset, row.target_id, row)
@@ -89,6 +121,15 @@
         assert list(state.roster.ready('desk')) == [FOREIGN]
         assert len(probe.asked) == 1
 
+    @pytest.mark.looptime
+    async def test_answer_counts_from_when_it_was_asked_for(self):
+        """After a pause, a target that is gone hid the one at its address."""
+        later = dataclasses.replace(SOUND, target_id='t3', incarnation=3)
+        probe = PausedProbe(RosterChange(2, 't3', later))
+        state = await self.settle(probe, probe.attach)
+        assert probe.ready_after_pause == ['t3']
+        assert list(state.roster.ready('desk')) == [later]
+
     @pytest.mark.looptime
     async def test_silent_target_is_asked_a_few_times(self):
         """A target that is gone costs no questions for ever."""
