Log the connection of a failed send and what shows that it was not run

Change: a send has a trace, which the client fills in: number of the connection and of the call on it, whether it had carried the request before, the peer that makes the call, and what ties the answer to the request. send_failed and answer_foreign log it; the metrics count sends that were not run by what shows that, and sends to targets that had been sent the request before. No message between entries changes, so calls that a peer makes have the peer's id and no connection.

--- a/borageyard/buffered_relay.py
+++ b/borageyard/buffered_relay.py
@@ -5,7 +5,6 @@
 from .answer_body import AnswerReader
 from .clock import MS_PER_S, Clock
 from .errors import RefusalError
-from .events import Event, log_event
 from .fleet_state import FleetState
 from .http_messages import HttpResponse
 from .inbound import (
@@ -22,6 +21,7 @@
 from .roster import RosterRow
 from .send_history import SendHistory
 from .send_permits import SendClass
+from .send_trace import log_failed_send
 from .target_picker import TargetPicker
 
 FIRST_SERVER_ERROR = 500
@@ -109,10 +109,19 @@
         Raises:
             RefusalError: If the send failed and no other one is allowed.
         """
+        now_ms = self._clock.steady_ms()
+        send = TargetSend(
+            request=request,
+            target=target,
+            left_ms=context.deadline_at_ms - now_ms,
+            organisation=context.organisation,
+            repeatable=context.route.repeatable,
+        )
+        history.note_sent(target, now_ms)
         try:
-            return await self._send(request, context, target, history)
+            return await self._send(send, history)
         except SendError as error:
-            self._record_failure(request, target, history, error)
+            self._record_failure(send, history, error)
             if not self._may_send_again(context, history):
                 raise RefusalError(history.build_refusal(str(error))) from error
         return None
@@ -158,23 +167,10 @@
             history.note_limited(wait_ms)
 
     async def _send(
-        self,
-        request: InboundRequest,
-        context: RequestContext,
-        target: RosterRow,
-        history: SendHistory,
+        self, send: TargetSend, history: SendHistory
     ) -> HttpResponse:
         """Sends once; raises SendError also if the target ran nothing."""
-        now_ms = self._clock.steady_ms()
-        send = TargetSend(
-            request=request,
-            target=target,
-            left_ms=context.deadline_at_ms - now_ms,
-            organisation=context.organisation,
-            repeatable=context.route.repeatable,
-        )
-        history.tried.add(target.target_id)
-        history.note_sent(now_ms)
+        target = send.target
         with self._picker.count_in_flight(target):
             async with self._sender.send(send) as answer:
                 body = await self._reader.read(answer.chunks)
@@ -208,20 +204,16 @@
             raise SendError(SendFailure.NOT_SENT, f'status {answer.status}')
 
     def _record_failure(
-        self,
-        request: InboundRequest,
-        target: RosterRow,
-        history: SendHistory,
-        error: SendError,
+        self, send: TargetSend, history: SendHistory, error: SendError
     ) -> None:
-        self._picker.note_failure(target, self._clock.steady_ms())
+        self._picker.note_failure(send.target, self._clock.steady_ms())
         history.note_failure(error.failure)
-        log_event(
-            Event.SEND_FAILED,
-            request_id=request.request_id,
-            target_id=target.target_id,
-            failure=error.failure.value,
-            reason=str(error),
+        log_failed_send(
+            send.request.request_id,
+            send.target.target_id,
+            error.failure.value,
+            str(error),
+            send.trace,
         )
 
     def _may_replace(
--- a/borageyard/engine_exchange.py
+++ b/borageyard/engine_exchange.py
@@ -12,6 +12,7 @@
     TargetSender,
 )
 from .roster import RosterRow
+from .send_trace import SendTrace
 
 # Chunks that are read ahead of a slow caller.
 MAX_CHUNKS_AHEAD = 2
@@ -59,6 +60,11 @@
         """Returns the engine that the request is sent to."""
         return self._send.target
 
+    @property
+    def trace(self) -> SendTrace:
+        """Returns the path of the send."""
+        return self._send.trace
+
     @property
     def relayed_head(self) -> TargetAnswer:
         """Returns the head of an answer that has something to read.
--- a/borageyard/engine_sends.py
+++ b/borageyard/engine_sends.py
@@ -23,6 +23,7 @@
 from .retry_budget import RetryBudget
 from .roster import RosterRow
 from .scheduler_client import SchedulerClient
+from .send_trace import log_failed_send
 from .stream_origin_service import StreamOriginService
 from .stream_origins import StreamOrigin
 from .stream_state import StreamState
@@ -102,7 +103,7 @@
             last_event_id=stream.last_event_id,
             repeatable=route.repeatable,
         )
-        stream.history.note_sent(self._clock.steady_ms())
+        stream.history.note_sent(send.target, self._clock.steady_ms())
         return EngineExchange(self._sender, send, on_progress)
 
     def check_head(
@@ -245,12 +246,12 @@
             stream.failed_engine_ids.add(engine_id)
             self._scheduler.note_failed(stream.request.request_id, engine_id)
         stream.note_run_ended(exchange, failure)
-        log_event(
-            Event.SEND_FAILED,
-            request_id=stream.request.request_id,
-            target_id=engine_id,
-            failure=failure.value,
-            reason=str(error),
+        log_failed_send(
+            stream.request.request_id,
+            engine_id,
+            failure.value,
+            str(error),
+            exchange.trace,
         )
 
     def has_other_engine(self, stream: StreamState) -> bool:
--- a/borageyard/gateway_handlers.py
+++ b/borageyard/gateway_handlers.py
@@ -15,6 +15,7 @@
 from .inbound import InboundRequest
 from .membership import Membership
 from .request_relay import RequestRelay
+from .send_trace import REPEATED_SENDS, SENDS_NOT_RUN
 from .target_limits import TargetLimits
 from .target_paths import TargetPaths
 from .tasks import FAILURES
@@ -143,6 +144,7 @@
         if self.sync is not None:
             self._record_store(self.sync, now_ms)
         self.metrics.record_task_failures(FAILURES)
+        self.metrics.record_sends(SENDS_NOT_RUN, REPEATED_SENDS)
         body = self.metrics.exposition()
         return HttpResponse(HTTPStatus.OK, body, content_type=TEXT_TYPE)
 
--- a/borageyard/gateway_metrics.py
+++ b/borageyard/gateway_metrics.py
@@ -102,6 +102,17 @@
             'Failures of tasks that were started again, by task.',
             registry=self.registry,
         )
+        self._sends_not_run = Gauge(
+            'borageyard_sends_not_run',
+            'Sends that were not run, by what shows that: not_sent, own, '
+            'unnamed.',
+            registry=self.registry,
+        )
+        self._repeated_sends = Gauge(
+            'borageyard_repeated_sends',
+            'Sends to targets that had been sent the request before.',
+            registry=self.registry,
+        )
         self._read_age_ms = Gauge(
             'borageyard_table_read_age_ms',
             'Age of the last read of the shared store, by table.',
@@ -152,6 +163,21 @@
         for task, count in failures.items():
             self._task_failures.set({'task': task}, count)
 
+    def record_sends(
+        self, not_run: Mapping[str, int], repeated: Mapping[str, int]
+    ) -> None:
+        """Records the sends of this process that bear on running once.
+
+        Args:
+            not_run: Number of sends that were not run, by what shows that.
+            repeated: Number of sends to targets that had been sent the
+                request before, by service.
+        """
+        for proof, count in not_run.items():
+            self._sends_not_run.set({'proof': proof}, count)
+        for service, repeats in repeated.items():
+            self._repeated_sends.set({'service': service}, repeats)
+
     def record_invalid(self, invalid_records: Mapping[str, int]) -> None:
         """Records how many records of the store could not be used.
 
--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -8,6 +8,7 @@
 import contextlib
 import dataclasses
 import enum
+import itertools
 import ssl
 from collections.abc import (
     AsyncGenerator,
@@ -33,6 +34,7 @@
     encode_headers,
     open_stream,
 )
+from .send_trace import SendTrace
 from .sent_keys import SentKeys
 
 READ_SIZE_BYTES = 65536
@@ -52,6 +54,8 @@
 MAX_BODY_MS = 20_000
 # Pieces of a body after which other tasks get their turn.
 PIECES_PER_TURN = 64
+# Numbers of the connections of this process, for the log.
+CONNECTION_IDS = itertools.count(1)
 
 
 class AnswerMatch(enum.Enum):
@@ -139,6 +143,10 @@
     max_gap_ms: float | None = None
     # Called with the size of each part of such a body.
     on_part: Callable[[int], None] | None = None
+    # Header in which answers name their request, for the log.
+    answer_id_header: str = ''
+    # Filled in with the connection and the kind of answer.
+    trace: SendTrace = dataclasses.field(default_factory=SendTrace)
 
     @property
     def pool_key(self) -> tuple[str, bool]:
@@ -217,6 +225,7 @@
         # Pieces of bodies that were read.
         self._pieces = 0
         self._sent_keys = SentKeys()
+        self.connection_id = next(CONNECTION_IDS)
         self.calls = 0
         # Whether no further call may be made on it.
         self.retired = False
@@ -263,6 +272,9 @@
             HttpCallError: If the request can't be encoded.
         """
         self.calls += 1
+        call.trace.note_sent(
+            self.connection_id, self.calls, sent_before=self.has_sent(call)
+        )
         now_s = asyncio.get_running_loop().time()
         until_s = now_s + call.timeout_ms / MS_PER_S
         self._sent_keys.add(call.send_key, now_s, until_s)
@@ -587,7 +599,15 @@
             if _is_accepted(call, connection, status, headers):
                 return status, headers
             await connection.receive_body()
-            log_event(Event.ANSWER_FOREIGN, target_id=call.address)
+            log_event(
+                Event.ANSWER_FOREIGN,
+                target_id=call.target_id or call.address,
+                request_id=call.send_key,
+                foreign_id=headers.get(call.answer_id_header, ''),
+                status=status,
+                connection_id=connection.connection_id,
+                call_number=connection.calls,
+            )
             if not connection.expect_another_response(call):
                 raise HttpCallError('only a foreign response', sent=True)
         raise HttpCallError('too many foreign responses', sent=True)
@@ -679,6 +699,8 @@
     if call.match_answer is None:
         return True
     match = call.match_answer(status, headers)
+    if match is not AnswerMatch.FOREIGN:
+        call.trace.answer_match = match.value
     if match is AnswerMatch.UNNAMED:
         connection.retired = True
     return match is not AnswerMatch.FOREIGN
--- a/borageyard/inbound.py
+++ b/borageyard/inbound.py
@@ -8,6 +8,7 @@
 
 from .engine_placer import Prompt
 from .roster import RosterRow
+from .send_trace import SendTrace
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,6 +54,7 @@
     last_event_id: str = ''
     # Whether it may be sent again if a reused connection breaks.
     repeatable: bool = False
+    trace: SendTrace = dataclasses.field(default_factory=SendTrace)
 
 
 class SendFailure(enum.Enum):
--- a/borageyard/peer_calls.py
+++ b/borageyard/peer_calls.py
@@ -129,6 +129,7 @@
             PeerError: If the peer did not reply.
         """
         call = self._call
+        call.trace.peer_id = self.peer_id
         self.is_open = True
         head = await self._link.request(
             self.peer_id,
--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -38,7 +38,7 @@
 from ..roster import RosterRow
 from .answer_match import NOT_RUN_HEADER, answer_check, match_call
 from .answer_notices import AnswerNotices, read_pause_ms
-from .ingress import DEADLINE_HEADER, forwarded_headers
+from .ingress import ATTEMPT_ID_HEADER, DEADLINE_HEADER, forwarded_headers
 
 ModelT = TypeVar('ModelT', bound=BaseModel)
 
@@ -118,6 +118,8 @@
             match_answer=answer_check(send.request.headers),
             send_key=send.request.request_id,
             target_id=send.target.target_id,
+            answer_id_header=ATTEMPT_ID_HEADER,
+            trace=send.trace,
         )
         try:
             async with self._client.stream(call) as (status, headers, chunks):
--- a/borageyard/send_history.py
+++ b/borageyard/send_history.py
@@ -4,6 +4,8 @@
 
 from .errors import ErrorKind, Refusal, RunStatus
 from .inbound import SendFailure
+from .roster import RosterRow
+from .send_trace import REPEATED_SENDS
 
 # After up to this many sends that reached no target, or that the target did
 # not run, another send is allowed. Each such additional send is a retry.
@@ -33,12 +35,16 @@
     first_sent_at_ms: float | None = None
     permit_wait_ms: float | None = None
 
-    def note_sent(self, now_ms: float) -> None:
+    def note_sent(self, target: RosterRow, now_ms: float) -> None:
         """Records that a send begins.
 
         Args:
+            target: Target that is sent to.
             now_ms: Monotonic time.
         """
+        if target.target_id in self.tried:
+            REPEATED_SENDS[target.service] += 1
+        self.tried.add(target.target_id)
         self.sent = True
         if self.first_sent_at_ms is None:
             self.first_sent_at_ms = now_ms
--- a/borageyard/standby.py
+++ b/borageyard/standby.py
@@ -5,8 +5,8 @@
 
 from .engine_sends import EngineSends
 from .errors import RefusalError, RunStatus
-from .events import Event, log_event
 from .inbound import SendError, SendFailure
+from .send_trace import SendTrace, log_failed_send
 from .silence import ask_after_ms, unlisted_after_ms
 from .stream_state import Standby, StreamState
 
@@ -167,12 +167,13 @@
 def _log_failure(
     stream: StreamState, standby: Standby, error: BaseException
 ) -> None:
-    log_event(
-        Event.SEND_FAILED,
-        request_id=stream.request.request_id,
-        target_id=''.join(standby.engine_ids),
-        failure=_failure_of(error).value,
-        reason=f'no standby: {error!r}',
+    exchange = standby.exchange
+    log_failed_send(
+        stream.request.request_id,
+        ''.join(standby.engine_ids),
+        _failure_of(error).value,
+        f'no standby: {error!r}',
+        SendTrace() if exchange is None else exchange.trace,
     )
 
 
--- /dev/null
+++ b/tests/test_send_trace.py
@@ -0,0 +1,67 @@
+"""Tests of what the log and the metrics tell of sends."""
+
+from borageyard.gateway_metrics import GatewayMetrics
+from borageyard.http_client import HttpClient
+from borageyard.send_trace import (
+    REPEATED_SENDS,
+    SENDS_NOT_RUN,
+    SendTrace,
+    log_failed_send,
+)
+from borageyard.standins.gateway_caller import GatewayCall, RequestTemplate
+from borageyard.standins.gateway_deployment import GatewayDeployment
+from tests.test_repeated_refusals import REFUSALS, Caller, RepeatingTarget
+
+NAMES = ('book/walk', 'reply/walk')
+
+
+class TestFailedSends:
+    """The line of a send that was not run."""
+
+    async def test_copies_and_refusals_look_alike(self, logged_events):
+        """The skipped copy names its connection and both requests."""
+        target = RepeatingTarget(['/book'], REFUSALS['full'], waits=True)
+        target.names = True
+        async with target.running(), HttpClient() as client:
+            caller = Caller(client, target.address)
+            assert await caller.send('first') == 'not run'
+            assert await caller.send('second') == 'ran'
+        (line,) = logged_events('answer_foreign')
+        assert line['foreign_id'] == 'first'
+        assert line['request_id'] == 'second'
+        assert line['status'] == 503
+        assert line['call_number'] == 2
+        assert line['connection_id'] > 0
+
+    async def test_proof_of_a_refusal_is_unknown(self, logged_events):
+        """It names the answer, the connection and the target."""
+        async with GatewayDeployment(1).running() as running:
+            for target in running.targets.values():
+                target.faults.reject = 1
+            address = running.gateways[0].address
+            async with HttpClient() as client:
+                for name in NAMES:
+                    await client.request(_call(address, name))
+        lines = logged_events('send_failed')
+        assert {line['answer_match'] for line in lines} == {'own'}
+        assert {line['failure'] for line in lines} == {'not_sent'}
+        assert all(line['connection_id'] for line in lines)
+        assert not any(line['sent_before'] for line in lines)
+
+    def test_counts_are_missing(self):
+        """The metrics count refusals by proof, and repeated sends."""
+        log_failed_send('r', 't', 'not_sent', 'refused', SendTrace())
+        log_failed_send(
+            'r', 't', 'not_sent', '503', SendTrace(1, 2, answer_match='own')
+        )
+        metrics = GatewayMetrics()
+        metrics.record_sends(SENDS_NOT_RUN, {'desk': 3, **REPEATED_SENDS})
+        text = metrics.exposition().decode()
+        assert 'borageyard_sends_not_run{proof="own"}' in text
+        assert 'borageyard_sends_not_run{proof="not_sent"}' in text
+        assert 'borageyard_repeated_sends{service="desk"}' in text
+
+
+def _call(address, name):
+    template = RequestTemplate('POST', f'/{name}', repeatable=False)
+    return GatewayCall(template).to_http_call(address)
