--- a/borageyard/standins/gateway_target.py
+++ b/borageyard/standins/gateway_target.py
@@ -39,6 +39,8 @@
     """Injected faults of a target; a count applies to the next requests."""
 
     fail: int = 0
+    # Status of the answers to requests that ran and failed.
+    fail_status: HTTPStatus = HTTPStatus.INTERNAL_SERVER_ERROR
     reject: int = 0
     reset: int = 0
     # Number of events after which a stream breaks off; ``None`` for never.
@@ -250,8 +252,9 @@
         headers['x-server-stamp'] = '.'.join((self.plan.target_id, request_id))
         if self.faults.fail:
             self.faults.fail -= 1
-            status = HTTPStatus.INTERNAL_SERVER_ERROR
-            return HttpResponse(status, b'failed', headers=headers)
+            return HttpResponse(
+                self.faults.fail_status, b'failed', headers=headers
+            )
         if self.faults.resumed and request.header('last-event-id'):
             resumed = self.faults.resumed
             return dataclasses.replace(
