Soak gateways that are real processes, by the targets' own counts

No soak started the program, and none compared both promises with what targets ran while they repeated refusals.

Change: test_process_soak.py starts gateways as processes, as the program does, with all connections to targets and peers over links that are cut in both or one direction, reset or can't be opened. Full targets refuse, and write refusals once more (with and without an id, twice, one answer later); gateways are paused, killed, stopped and told to reload; the store and targets go and come back. Requests may run once: plain ones, streams, streams after stages.

--- /dev/null
+++ b/tests/test_process_soak.py
@@ -0,0 +1,48 @@
+"""Soak of gateways that are real processes.
+
+CI runs a few short seeds. By hand: ``SOAK_SEEDS=50 SOAK_S=30``, and
+``SOAK_CODES`` with folders of the code that the gateways run in turn.
+"""
+
+import os
+import pathlib
+import sys
+
+import pytest
+
+from tests.process_fleet import ROOT, ProcessFleet
+from tests.process_soak import MANY_COPIES, ProcessSoak
+
+FIRST_SEED = int(os.environ.get('SOAK_FIRST', '0'))
+SEEDS = range(FIRST_SEED, FIRST_SEED + int(os.environ.get('SOAK_SEEDS', '3')))
+LOAD_S = float(os.environ.get('SOAK_S', '12'))
+GATEWAYS = int(os.environ.get('SOAK_GATEWAYS', '4'))
+CODES = tuple(
+    pathlib.Path(code)
+    for code in os.environ.get('SOAK_CODES', str(ROOT)).split(os.pathsep)
+)
+
+
+async def play(folder, seed, **options):
+    """Plays a soak; returns and prints what was seen."""
+    fleet = ProcessFleet(folder, gateways=GATEWAYS, seed=seed, codes=CODES)
+    async with fleet.running():
+        soak = ProcessSoak(fleet, seed, copies=MANY_COPIES, **options)
+        result = await soak.play(LOAD_S)
+    sys.stdout.write(f'seed {seed}: {result.summary()}\n')
+    return result
+
+
+@pytest.mark.parametrize('seed', SEEDS)
+class TestProcesses:
+    """Counts of the targets against the answers to callers."""
+
+    async def test_refused_requests_run_and_others_run_twice(
+        self, tmp_path, seed
+    ):
+        """Incident 51, with copies of refusals, cuts, pauses and kills."""
+        result = await play(tmp_path, seed)
+        assert not result.ran_twice
+        assert not result.ran_though_refused
+        assert result.copied
+        assert result.served > len(result.statuses) / 4
