Pass on no status that promises what the target didn't state

Cause: a target's status was passed on as it came, also without the field in which it states that it ran nothing.

Change: such an answer counts as a send that may have run.

Why it works: each of these statuses now comes from this entry, and only where every send of the request is known not to have run.

--- a/borageyard/buffered_relay.py
+++ b/borageyard/buffered_relay.py
@@ -10,7 +10,6 @@
 from .inbound import (
     InboundRequest,
     SendError,
-    SendFailure,
     TargetAnswer,
     TargetSend,
     TargetSender,
@@ -201,7 +200,7 @@
             self._state.roster.avoid(target)
         if answer.not_run:
             history.sent = False
-            raise SendError(SendFailure.NOT_SENT, f'status {answer.status}')
+        answer.require_relayable()
 
     def _record_failure(
         self, send: TargetSend, history: SendHistory, error: SendError
--- a/borageyard/engine_sends.py
+++ b/borageyard/engine_sends.py
@@ -129,7 +129,7 @@
             self._state.roster.avoid(exchange.engine)
         if head.not_run:
             stream.history.sent = bool(stream.history.possible_runs)
-            raise SendError(SendFailure.NOT_SENT, f'status {head.status}')
+        head.require_relayable()
         if is_resume and head.status != STATUS_OK:
             raise SendError(SendFailure.UNKNOWN, f'status {head.status}')
         content_type = media_type(head.headers)
--- a/borageyard/inbound.py
+++ b/borageyard/inbound.py
@@ -4,12 +4,23 @@
 import dataclasses
 import enum
 from collections.abc import AsyncIterator, Mapping
+from http import HTTPStatus
 from typing import Protocol
 
 from .engine_placer import Prompt
 from .roster import RosterRow
 from .send_trace import SendTrace
 
+# Statuses which tell a caller that its request was not run and will not be.
+NOT_RUN_STATUSES = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    ),
+)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InboundRequest:
@@ -106,6 +117,21 @@
     # connection, and a crash of the target may look like its end.
     framed: bool = True
 
+    def require_relayable(self) -> None:
+        """Checks that the status may be passed on to a caller.
+
+        Raises:
+            SendError: If the target has not run the request, or if its status
+                would tell the caller so although it may have.
+        """
+        if self.not_run:
+            raise SendError(SendFailure.NOT_SENT, f'status {self.status}')
+        if self.status in NOT_RUN_STATUSES:
+            raise SendError(
+                SendFailure.UNKNOWN,
+                f'status {self.status} without a statement that nothing ran',
+            )
+
 
 class TargetSender(Protocol):
     """Sends callers' requests to targets."""
