Count the sends of a request that are under way

Cause: one flag said whether a send of a request is in progress. A silent engine that refuses after another one was asked cleared it, and the deadline or the stop of the entry found nothing under way. For requests that run once only one send is made at a time, so the promise held for them by that alone.

Change: the history counts the sends whose outcome isn't known; each ends with a failure or an answer, one that is cancelled stays open. Refusals, quarantine and the choice of requests to refuse at a stop ask whether the request may have run.

Why it works: a refusal of one send ends that send only.

--- a/borageyard/buffered_relay.py
+++ b/borageyard/buffered_relay.py
@@ -180,7 +180,7 @@
                     content_type='',
                     headers=answer.headers,
                 )
-        history.possible_runs += 1
+        history.note_answer()
         if response.status >= FIRST_SERVER_ERROR:
             self._picker.note_failure(target, self._clock.steady_ms())
         else:
@@ -198,8 +198,6 @@
             self._picker.note_load(target, answer.load, now_ms)
         if answer.wrong_target:
             self._state.roster.avoid(target)
-        if answer.not_run:
-            history.sent = False
         answer.require_relayable()
 
     def _record_failure(
--- a/borageyard/engine_sends.py
+++ b/borageyard/engine_sends.py
@@ -127,8 +127,6 @@
         head = exchange.relayed_head
         if head.wrong_target:
             self._state.roster.avoid(exchange.engine)
-        if head.not_run:
-            stream.history.sent = bool(stream.history.possible_runs)
         head.require_relayable()
         if is_resume and head.status != STATUS_OK:
             raise SendError(SendFailure.UNKNOWN, f'status {head.status}')
@@ -207,7 +205,7 @@
             avoided=frozenset(avoided),
         )
         async with self._sender.placing(
-            request, may_have_run=bool(stream.history.possible_runs)
+            request, may_have_run=stream.history.may_have_run
         ):
             outcome = await self._scheduler.place(spec, frozenset(excluded))
         if isinstance(outcome, Denial):
@@ -333,7 +331,7 @@
 
 def _denial_refusal(stream: StreamState, denial: Denial) -> Refusal:
     """Returns the refusal of a request that is denied an engine."""
-    if stream.history.possible_runs:
+    if stream.history.may_have_run:
         return stream.history.build_refusal(denial.reason.value)
     return Refusal(
         ERROR_KINDS[denial.reason],
--- a/borageyard/request_relay.py
+++ b/borageyard/request_relay.py
@@ -143,8 +143,7 @@
         """
         for opened in self._open:
             history = opened.history
-            unsent = not history.sent and not history.possible_runs
-            if unsent and self._is_late(opened.route_name):
+            if not history.may_have_run and self._is_late(opened.route_name):
                 opened.drained = True
                 opened.expire()
 
@@ -292,7 +291,7 @@
 
 def _timeout_refusal(opened: _OpenRequest) -> Refusal:
     history = opened.history
-    if history.sent or history.possible_runs:
+    if history.may_have_run:
         return Refusal(ErrorKind.DEADLINE_EXCEEDED, ran=RunStatus.UNKNOWN)
     if opened.drained:
         return _draining_refusal()
--- a/borageyard/send_history.py
+++ b/borageyard/send_history.py
@@ -22,7 +22,8 @@
         possible_runs: Number of sends that may have run.
         sends_not_run: Number of sends that certainly did not run.
         tried: Ids of the targets that were sent to.
-        sent: Whether a send is in progress or may have run.
+        open_sends: Number of sends whose outcome isn't known. One that is
+            cancelled stays open.
         first_sent_at_ms: Monotonic time of the first send; None before it.
         permit_wait_ms: Time until a target with a limit may permit a send;
             None if no limit prevented one.
@@ -31,10 +32,15 @@
     possible_runs: int = 0
     sends_not_run: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
-    sent: bool = False
+    open_sends: int = 0
     first_sent_at_ms: float | None = None
     permit_wait_ms: float | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a target may have run the request, or may run it yet."""
+        return bool(self.possible_runs or self.open_sends)
+
     def note_sent(self, target: RosterRow, now_ms: float) -> None:
         """Records that a send begins.
 
@@ -45,22 +51,27 @@
         if target.target_id in self.tried:
             REPEATED_SENDS[target.service] += 1
         self.tried.add(target.target_id)
-        self.sent = True
+        self.open_sends += 1
         if self.first_sent_at_ms is None:
             self.first_sent_at_ms = now_ms
 
     def note_failure(self, failure: SendFailure) -> None:
-        """Records a send that got no complete answer.
+        """Records the end of a send that got no complete answer.
 
         Args:
             failure: Whether the request may have run.
         """
+        self.open_sends -= 1
         if failure is SendFailure.NOT_SENT:
             self.sends_not_run += 1
-            self.sent = bool(self.possible_runs)
         else:
             self.possible_runs += 1
 
+    def note_answer(self) -> None:
+        """Records the end of a send that got a complete answer."""
+        self.open_sends -= 1
+        self.possible_runs += 1
+
     def note_limited(self, wait_ms: float) -> None:
         """Records a target whose limit permits no send now.
 
@@ -92,7 +103,7 @@
         Args:
             detail: Description of the error.
         """
-        if self.possible_runs:
+        if self.may_have_run:
             return Refusal(
                 ErrorKind.TARGET_FAILED,
                 ran=RunStatus.UNKNOWN,
--- a/tests/test_streaming_relay.py
+++ b/tests/test_streaming_relay.py
@@ -24,6 +24,7 @@
 )
 from borageyard.plans import ChainRefusal, Denial, Grant
 from borageyard.request_context import RequestContext
+from borageyard.request_relay import _OpenRequest, _timeout_refusal
 from borageyard.retry_budget import (
     USABLE_BUDGET_SHARE,
     RetryBudget,
@@ -261,8 +262,10 @@
     statuses=(200,),
     stages=(),
     retries=MANY_RETRIES,
+    history=None,
 ):
     """Relays one stream to its end."""
+    history = history or SendHistory()
     route = ServiceRoute(
         name='brief',
         host='h',
@@ -296,7 +299,7 @@
     relayed = Relayed()
     try:
         async with asyncio.timeout(timeout_ms / 1000):
-            response = await streaming.answer(request, context, SendHistory())
+            response = await streaming.answer(request, context, history)
         await relayed.read(response, read_ms)
         assert relayed.status in statuses
     except (RefusalError, ConnectionAbortError, TimeoutError) as error:
@@ -546,6 +549,31 @@
         assert runs(fleet) == [1, 1, 0]
 
 
+class TestDeadlines:
+    """What a caller is told whose deadline passes during a send."""
+
+    @pytest.mark.parametrize('order', [('m1', 'm2'), ('m2', 'm1')])
+    def test_send_under_way_is_forgotten_when_another_is_refused(self, order):
+        """Incident 51: its caller was told that nothing had run."""
+        refusing, running = (Engine(name) for name in order)
+        refusing.not_run = True
+        refusing.status = 503
+        refusing.head_ms = 3200 if order[0] == 'm1' else 500
+        running.head_ms = 60_000
+        history = SendHistory()
+        relayed = in_virtual_time(relay)(
+            Fleet(
+                *sorted((refusing, running), key=lambda one: one.row.target_id)
+            ),
+            timeout_ms=4500,
+            history=history,
+        )
+        assert isinstance(relayed.error, TimeoutError)
+        assert running.runs == 1
+        refusal = _timeout_refusal(_OpenRequest('brief', history, None))
+        assert refusal.ran is RunStatus.UNKNOWN
+
+
 class TestFailure:
     """Engines that fail, which is more than silence."""
 
