Take no success for a statement that nothing ran

Cause: the field in which a target states that it ran nothing counted in any answer, so a signed success with that field was sent again.

Change: the field counts in failures only. An unnamed success with it is foreign, as any unnamed success is.

No target was seen to answer so.

--- a/borageyard/platform/answer_match.py
+++ b/borageyard/platform/answer_match.py
@@ -25,6 +25,20 @@
     return functools.partial(_match_request, request_id) if request_id else None
 
 
+def states_not_run(status: int, headers: Mapping[str, str]) -> bool:
+    """Returns whether an answer states that its request was not run.
+
+    A success does not, whatever its headers say.
+
+    Args:
+        status: Status of the answer.
+        headers: Its headers.
+    """
+    if status == HTTPStatus.MISDIRECTED_REQUEST:
+        return True
+    return NOT_RUN_HEADER in headers and status >= HTTPStatus.BAD_REQUEST
+
+
 def match_call(status: int, headers: Mapping[str, str]) -> AnswerMatch:
     """Matches an answer to a call without an id.
 
@@ -45,8 +59,8 @@
     response_id = headers.get(ATTEMPT_ID_HEADER)
     if response_id == request_id:
         return AnswerMatch.OWN
-    is_rejection = NOT_RUN_HEADER in headers or (
-        status == HTTPStatus.MISDIRECTED_REQUEST and TARGET_ID_HEADER in headers
+    is_rejection = states_not_run(status, headers) and (
+        NOT_RUN_HEADER in headers or TARGET_ID_HEADER in headers
     )
     if response_id is None and is_rejection:
         return AnswerMatch.UNNAMED
--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -36,7 +36,7 @@
 )
 from ..recent_handles import RecentHandles
 from ..roster import RosterRow
-from .answer_match import NOT_RUN_HEADER, answer_check, match_call
+from .answer_match import answer_check, match_call, states_not_run
 from .answer_notices import AnswerNotices, read_pause_ms
 from .ingress import ATTEMPT_ID_HEADER, DEADLINE_HEADER, forwarded_headers
 
@@ -132,7 +132,7 @@
                     headers=forwarded_headers(
                         headers, frozenset((LOAD_HEADER,))
                     ),
-                    not_run=_is_not_run(status, headers),
+                    not_run=states_not_run(status, headers),
                     wrong_target=wrong_target,
                     load=_decode_load(headers),
                     chunks=_translate_errors(chunks),
@@ -308,10 +308,6 @@
     return headers
 
 
-def _is_not_run(status: int, headers: Mapping[str, str]) -> bool:
-    return NOT_RUN_HEADER in headers or status == HTTPStatus.MISDIRECTED_REQUEST
-
-
 def _require_signature(status: int, headers: Mapping[str, str]) -> None:
     """Raises SendError if a success lacks the target's signature."""
     is_success = HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -62,3 +62,17 @@
             request_id, reply = await ask(running, template)
             assert not runs(running, request_id)
             assert reply.status == HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class TestContradictions:
+    """Guards against a success that counts as a refusal."""
+
+    async def test_request_that_succeeded_runs_twice(self):
+        """Its answer also states that nothing ran."""
+        async with GatewayDeployment(1).running() as running:
+            for target in running.targets.values():
+                target.faults.headers = {'x-not-executed': '1'}
+            for template in TEMPLATES[:2]:
+                request_id, reply = await ask(running, template)
+                assert reply.status == HTTPStatus.OK
+                assert runs(running, request_id) == 1
