Let an answer count from when its target was asked for

Requests could be sent to a target that was gone: after a pause of the process, in which the target that answered had gone and a later one had started at its address, the first one got the address back until a send was declined.

Cause: the answer was weighed against the target that had the address when the answer was read, not when the question was asked.

Change: the start of the target that seems to have the address is read before the question and goes with the answer; a later one has the address again.

Three tests of the roster give the start as an argument now and check what they did.

--- a/borageyard/address_claims.py
+++ b/borageyard/address_claims.py
@@ -81,11 +81,13 @@
     async def _is_answering(self, row: RosterRow) -> bool:
         """Gives a hidden target its address if it answers there."""
         self._questions[_claim(row)] += 1
+        # A later target may start there before the answer is read.
+        newest = self._state.roster.newest_start(row)
         reason = await self._probe.check_status(row.target_id, row.address)
         if reason == OTHER_TARGET:
             self._questions[_claim(row)] = MAX_QUESTIONS
         if not reason:
-            self._state.roster.note_answering(row)
+            self._state.roster.note_answering(row, newest)
         log_event(
             Event.ADDRESS_CLAIMED,
             target_id=row.target_id,
--- a/borageyard/roster.py
+++ b/borageyard/roster.py
@@ -74,14 +74,23 @@
         """
         self._avoided[row.target_id] = row.incarnation
 
-    def note_answering(self, row: RosterRow) -> None:
-        """Gives an address to one of the targets that name it.
+    def newest_start(self, row: RosterRow) -> int:
+        """Returns the start of the target that seems to have an address.
 
         Args:
-            row: Target that answered there. One that starts later than the
-                others has the address again.
+            row: Another target that names the address.
         """
         _, newest, _ = self._claim(self._holders.get(row.address, row))
+        return newest
+
+    def note_answering(self, row: RosterRow, newest: int) -> None:
+        """Gives an address to one of the targets that name it.
+
+        Args:
+            row: Target that answered there.
+            newest: Start of the target that seemed to have the address when
+                it was asked. One that starts later has it again.
+        """
         self._answering[row.address] = (row.target_id, row.incarnation, newest)
 
     def usable(self, rows: Iterable[RosterRow]) -> list[RosterRow]:
@@ -226,13 +235,23 @@
         self._holders.avoid(row)
         self._index()
 
-    def note_answering(self, row: RosterRow) -> None:
+    def newest_start(self, row: RosterRow) -> int:
+        """Returns the start of the target that seems to have an address.
+
+        Args:
+            row: Another target that names the address.
+        """
+        return self._holders.newest_start(row)
+
+    def note_answering(self, row: RosterRow, newest: int) -> None:
         """Gives an address to one of the targets that name it.
 
         Args:
             row: Target that answered there.
+            newest: Start of the target that seemed to have the address when
+                it was asked.
         """
-        self._holders.note_answering(row)
+        self._holders.note_answering(row, newest)
         self._index()
 
     @property
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -143,7 +143,7 @@
     def test_target_that_answers_has_the_address(self):
         """A record of another writer hid a sound target for good."""
         roster, foreign = self.build()
-        roster.note_answering(ROW)
+        roster.note_answering(ROW, roster.newest_start(ROW))
         assert ready(roster) == ['t1']
         assert list(roster.hidden) == [foreign]
 
@@ -157,7 +157,7 @@
     def test_answer_counts_until_the_target_is_gone(self):
         """The address may be given to another target later."""
         roster, foreign = self.build()
-        roster.note_answering(ROW)
+        roster.note_answering(ROW, roster.newest_start(ROW))
         roster.avoid(ROW)
         assert not ready(roster)
         assert list(roster.ready('unknown')) == [foreign]
@@ -165,7 +165,7 @@
     def test_later_start_has_the_address_again(self):
         """An answer says nothing of targets that start after it."""
         roster, _ = self.build()
-        roster.note_answering(ROW)
+        roster.note_answering(ROW, roster.newest_start(ROW))
         later = dataclasses.replace(ROW, target_id='t3', incarnation=3)
         roster.apply([RosterChange(3, 't3', later)], 4)
         assert ready(roster) == ['t3']
