Soak a process that reaches targets through peers only

Change: a gateway whose links to all targets can't be opened, while its peers are paused, killed and stopped, and links between gateways are cut.

--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -12,7 +12,7 @@
 from borageyard.standins.gateway_deployment import API_KEY, HOST
 from borageyard.standins.registered_target import CrashPlan
 from tests.copying_target import Copies
-from tests.cuttable_link import draw_cut
+from tests.cuttable_link import Cut, draw_cut
 
 # Statuses which promise that the request was not and will not be run.
 PROMISES = frozenset((408, 421, 429, 503))
@@ -31,8 +31,8 @@
     """What callers and targets saw."""
 
     statuses: dict = dataclasses.field(default_factory=dict)
-    # Folder of the code of the gateway that a request was sent to.
-    codes: dict = dataclasses.field(default_factory=dict)
+    # Gateway that each request was sent to.
+    gateways: dict = dataclasses.field(default_factory=dict)
     runs: collections.Counter = dataclasses.field(
         default_factory=collections.Counter
     )
@@ -42,6 +42,8 @@
     refused: int = 0
     copied: int = 0
     unproven: int = 0
+    # Number of requests that each partitioned gateway served.
+    partitioned: list = dataclasses.field(default_factory=list)
 
     @property
     def ran_twice(self):
@@ -58,15 +60,23 @@
     def broken_by(self, code):
         """Returns the ids of such requests that were sent to a code."""
         broken = {*self.ran_twice, *self.ran_though_refused}
-        return sorted(one for one in broken if self.codes[one] == code)
+        return sorted(one for one in broken if self.gateways[one].code == code)
 
     @property
     def served(self):
         """Number of requests that were answered with success."""
         return sum(status == 200 for status in self.statuses.values())
 
+    def served_by(self, gateway):
+        """Returns the number of them that a gateway answered."""
+        return sum(
+            status == 200 and self.gateways[one] is gateway
+            for one, status in self.statuses.items()
+        )
+
     def summary(self):
         """Returns the figures as text."""
+        codes = {gateway.code for gateway in self.gateways.values()}
         return json.dumps(
             {
                 'requests': len(self.statuses),
@@ -77,12 +87,12 @@
                 'refused': self.refused,
                 'copied': self.copied,
                 'unproven': self.unproven,
+                'partitioned': self.partitioned,
                 'disturbances': self.disturbances,
                 'ran twice': len(self.ran_twice),
                 'ran though refused': len(self.ran_though_refused),
                 'broken by code': {
-                    str(code): len(self.broken_by(code))
-                    for code in set(self.codes.values())
+                    str(code): len(self.broken_by(code)) for code in codes
                 },
             }
         )
@@ -105,6 +115,7 @@
         self._rng = random.Random(seed)
         self._result = SoakResult()
         self._busy = set()
+        self._lasting_cuts = []
         self._ending = False
         self._series = [
             (name, work)
@@ -127,6 +138,10 @@
             if target.plan.kind != 'batch':
                 target.unproven = unproven
 
+    def partition(self, gateway):
+        """Keeps a gateway from all targets while the soak is played."""
+        self._lasting_cuts += self._fleet.target_links(gateway)
+
     async def play(self, load_s):
         """Plays load and disturbances, then compares runs and answers.
 
@@ -136,6 +151,8 @@
         Returns:
             What was seen.
         """
+        for link in self._lasting_cuts:
+            link.cut(Cut.UNREACHABLE)
         callers = [
             asyncio.ensure_future(self._call(random.Random(f'{number}')))
             for number in range(CALLERS)
@@ -201,7 +218,7 @@
             repeatable=False,
         )
         self._result.statuses[request_id] = None
-        self._result.codes[request_id] = gateway.code
+        self._result.gateways[request_id] = gateway
         try:
             reply = await client.request(call)
         except HttpCallError:
@@ -303,4 +320,8 @@
                 await asyncio.sleep(down_ms / 1000 + 0.2)
 
 
+# Disturbances that a gateway without paths to targets doesn't take part in.
+PATH_DISTURBANCES = frozenset(
+    ('cut from targets', 'cut from a target', 'store down', 'other target')
+)
 MANY_COPIES = Copies(share=0.5, unnamed_share=0.2, most_times=2, late_share=0.3)
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -12,7 +12,11 @@
 import pytest
 
 from tests.process_fleet import ROOT, ProcessFleet
-from tests.process_soak import MANY_COPIES, ProcessSoak
+from tests.process_soak import (
+    MANY_COPIES,
+    PATH_DISTURBANCES,
+    ProcessSoak,
+)
 
 FIRST_SEED = int(os.environ.get('SOAK_FIRST', '0'))
 SEEDS = range(FIRST_SEED, FIRST_SEED + int(os.environ.get('SOAK_SEEDS', '3')))
@@ -24,12 +28,23 @@
 )
 
 
-async def play(folder, seed, **options):
-    """Plays a soak; returns and prints what was seen."""
+async def play(folder, seed, *, partitioned=(), **options):
+    """Plays a soak; returns and prints what was seen.
+
+    Args:
+        folder: Folder of settings and logs.
+        seed: Seed of the soak.
+        partitioned: Numbers of the gateways that reach no target.
+        **options: Options of the soak.
+    """
     fleet = ProcessFleet(folder, gateways=GATEWAYS, seed=seed, codes=CODES)
     async with fleet.running():
         soak = ProcessSoak(fleet, seed, copies=MANY_COPIES, **options)
+        cut_off = [fleet.gateways[number] for number in partitioned]
+        for gateway in cut_off:
+            soak.partition(gateway)
         result = await soak.play(LOAD_S)
+        result.partitioned = list(map(result.served_by, cut_off))
     sys.stdout.write(f'seed {seed}: {result.summary()}\n')
     return result
 
@@ -55,3 +70,14 @@
         assert not result.broken_by(CODES[0])
         assert result.unproven
         assert result.served > len(result.statuses) / 4
+
+    async def test_requests_that_peers_pass_on_run_though_refused(
+        self, tmp_path, seed
+    ):
+        """One gateway reaches targets through peers only, which end or stop."""
+        result = await play(
+            tmp_path, seed, partitioned=(0,), quiet=PATH_DISTURBANCES
+        )
+        assert not result.broken_by(CODES[0])
+        assert result.copied
+        assert min(result.partitioned)
