Let a shorter pause of a batching target not replace a longer one

Cause: the end of the latest pause was kept, not the latest end. Pauses of single requests keep the latest end already.

Change: the later end holds.

Measured: test_shorter_pause_ends_a_longer_one fails before and passes.

--- a/borageyard/batch_targets.py
+++ b/borageyard/batch_targets.py
@@ -321,7 +321,7 @@
         target = self._targets.get(target_id)
         if target is not None:
             target.paused_until_ms = max(target.paused_until_ms, until_ms)
-            target.requested_until_ms = until_ms
+            target.requested_until_ms = max(target.requested_until_ms, until_ms)
 
     def of_service(self, service: str) -> Sequence[BatchTarget]:
         """Returns the targets of a service."""
--- a/tests/test_batch_targets.py
+++ b/tests/test_batch_targets.py
@@ -171,3 +171,15 @@
         targets.update({'planner': (LIMITS, [ROW])})
         targets.update({'planner': (LIMITS, [])})
         assert not targets.of_service('planner')
+
+
+class TestRequestedPauses:
+    """Pauses that a target asks for when it rejects calls."""
+
+    def test_shorter_pause_ends_a_longer_one(self):
+        """The answers of two calls may come in either order."""
+        targets = BatchTargets()
+        targets.update({'planner': (LIMITS, [ROW])})
+        targets.pause('t', 9000)
+        targets.pause('t', 1000)
+        assert targets.find('t').asked_for_pause(5000)
