Keep the whole pause that a target asks for, and don't ask it for its memory

Cause: pauses were cut to 30 s, and only sends and calls with pieces kept them.

Results are still freed, as they take room that the target needs.

Measured: both tests of TestLongPauses fail before and pass.

--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -225,6 +225,8 @@
         Raises:
             CallFailedError: If the call failed.
         """
+        if self._limits.backoffs.remaining_ms(target):
+            raise CallFailedError('the target asked for a pause')
         call = HttpCall(
             target.address,
             'GET',
--- a/borageyard/target_backoffs.py
+++ b/borageyard/target_backoffs.py
@@ -6,8 +6,9 @@
 from .events import Event, log_event
 from .roster import RosterRow
 
-# Longest pause that is granted.
-MAX_PAUSE_MS = 30_000
+# Longest pause that is granted, so that a wrong value does not exclude a target
+# for good.
+MAX_PAUSE_MS = 3_600_000
 
 
 class TargetBackoffs:
--- a/tests/test_gateway_pauses.py
+++ b/tests/test_gateway_pauses.py
@@ -5,7 +5,15 @@
 
 import pytest
 
-from borageyard.platform.answer_notices import read_pause_ms
+from borageyard.clock import SystemClock
+from borageyard.http_client import HttpClient
+from borageyard.piece_runner import CallFailedError
+from borageyard.platform.answer_notices import AnswerNotices, read_pause_ms
+from borageyard.platform.targets import HttpPieceRunner
+from borageyard.roster import RosterRow, TargetPhase
+from borageyard.target_backoffs import TargetBackoffs
+from borageyard.target_departures import TargetDepartures
+from borageyard.target_limits import TargetLimits
 from tests.test_gateway import deployment
 from tests.test_gateway_limits import find_busiest, send
 
@@ -86,3 +94,38 @@
     def test_values(self, text, pause_ms):
         """What is no time is ignored."""
         assert read_pause_ms('t', {'retry-after': text}) == pause_ms
+
+
+class Clock:
+    """Monotonic clock that is set by hand."""
+
+    now_ms = 0
+
+    def steady_ms(self):
+        """Returns the time."""
+        return self.now_ms
+
+
+class TestLongPauses:
+    """Pauses that last for longer than a burst of load."""
+
+    def test_target_gets_requests_before_the_end_of_a_long_pause(self):
+        """It asked for five minutes and was left alone for 30 s."""
+        clock = Clock()
+        backoffs = TargetBackoffs(clock)
+        row = RosterRow('t1', 'desk', '127.0.0.1:1', 'a', TargetPhase.READY)
+        backoffs.note_rejection(row, 300_000)
+        clock.now_ms = 299_000
+        assert backoffs.remaining_ms(row) == 1000
+
+    async def test_target_is_asked_for_its_memory_in_its_pause(self):
+        """It wants nothing from this entry."""
+        async with HttpClient() as client:
+            notices = AnswerNotices(
+                TargetLimits(SystemClock()), TargetDepartures(SystemClock())
+            )
+            runner = HttpPieceRunner(client, notices)
+            row = RosterRow('t1', 's', '127.0.0.1:1', 'a', TargetPhase.READY)
+            notices.limits.backoffs.note_rejection(row, 300_000)
+            with pytest.raises(CallFailedError, match='pause'):
+                await runner.query_free_bytes(row)
