--- a/borageyard/request_relay.py
+++ b/borageyard/request_relay.py
@@ -271,8 +271,8 @@
     anonymous.
 
     Raises:
-        RefusalError: If there is no route, or a key is required and this one
-            is unknown.
+        RefusalError: If there is no route, the key is unknown, or one is
+            required and there is none.
     """
     route = configuration.find_route(request.host, request.path)
     if route is None:
@@ -280,7 +280,8 @@
     if configuration.keys is None:
         return route, None
     organisation = configuration.keys.get(request.api_key)
-    if organisation is None and not route.allow_anonymous:
+    is_anonymous = route.allow_anonymous and not request.api_key
+    if organisation is None and not is_anonymous:
         raise RefusalError(Refusal(ErrorKind.UNAUTHORISED))
     return route, organisation
 
