Count sends that the client makes again in the retry budget

Change: the trace of a send reports such a repeat, and the relays count it as a retry that was spent; it is not denied, as the request has no answer yet.

Measured: both cases of TestResends fail before (plain and streamed) and pass.

--- a/borageyard/buffered_relay.py
+++ b/borageyard/buffered_relay.py
@@ -1,6 +1,7 @@
 """Relays requests to services whose answers are buffered, not streamed."""
 
 import asyncio
+import functools
 
 from .answer_body import AnswerReader
 from .clock import MS_PER_S, Clock
@@ -20,7 +21,7 @@
 from .roster import RosterRow
 from .send_history import SendHistory
 from .send_permits import SendClass
-from .send_trace import log_failed_send
+from .send_trace import SendTrace, log_failed_send
 from .target_picker import TargetPicker
 
 FIRST_SERVER_ERROR = 500
@@ -115,6 +116,9 @@
             left_ms=context.deadline_at_ms - now_ms,
             organisation=context.organisation,
             repeatable=context.route.repeatable,
+            trace=SendTrace(
+                on_resend=functools.partial(self._note_resend, context.service)
+            ),
         )
         history.note_sent(target, now_ms)
         try:
@@ -213,6 +217,9 @@
             send.trace,
         )
 
+    def _note_resend(self, service: str) -> None:
+        self._retries.note_spent(service, self._clock.steady_ms())
+
     def _may_replace(
         self,
         context: RequestContext,
--- a/borageyard/engine_sends.py
+++ b/borageyard/engine_sends.py
@@ -1,5 +1,6 @@
 """Sends streaming requests to engines: grants, retries and outcomes."""
 
+import functools
 import types
 from collections.abc import Callable, Mapping
 
@@ -23,7 +24,7 @@
 from .retry_budget import RetryBudget
 from .roster import RosterRow
 from .scheduler_client import SchedulerClient
-from .send_trace import log_failed_send
+from .send_trace import SendTrace, log_failed_send
 from .stream_origin_service import StreamOriginService
 from .stream_origins import StreamOrigin
 from .stream_state import StreamState
@@ -102,6 +103,11 @@
             input_handles=grant.handles if route.stages else None,
             last_event_id=stream.last_event_id,
             repeatable=route.repeatable,
+            trace=SendTrace(
+                on_resend=functools.partial(
+                    self._note_resend, stream.context.service
+                )
+            ),
         )
         stream.history.note_sent(send.target, self._clock.steady_ms())
         return EngineExchange(self._sender, send, on_progress)
@@ -311,6 +317,9 @@
             self.entry_count,
         )
 
+    def _note_resend(self, service: str) -> None:
+        self._retries.note_spent(service, self._clock.steady_ms())
+
     def _note_begun(self, stream: StreamState, engine: RosterRow) -> None:
         """Binds a stream to the version of the engine that began it."""
         stream.software_version = engine.software_version
--- a/borageyard/retry_budget.py
+++ b/borageyard/retry_budget.py
@@ -62,6 +62,17 @@
         self._retries[service].append(now_ms)
         return True
 
+    def note_spent(self, service: str, now_ms: float) -> None:
+        """Counts a retry that was not asked for.
+
+        Args:
+            service: Service that it went to.
+            now_ms: Monotonic time.
+        """
+        times_ms = self._retries.setdefault(service, collections.deque())
+        times_ms.append(now_ms)
+        self._expire(times_ms, now_ms)
+
     def has_room(self, service: str, now_ms: float, entry_count: int) -> bool:
         """Returns whether a retry could be spent.
 
--- a/borageyard/send_trace.py
+++ b/borageyard/send_trace.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Callable
 
 from .events import Event, log_event
 
@@ -23,6 +24,8 @@
         peer_id: Peer that makes the call; empty for calls of this entry.
         answer_match: What ties the answer to the request: ``own`` if it names
             the request, ``unnamed``; empty without an answer.
+        on_resend: Called when the client sends it again by itself, after a
+            kept connection turned out to be closed.
     """
 
     connection_id: int = 0
@@ -30,6 +33,7 @@
     sent_before: bool = False
     peer_id: str = ''
     answer_match: str = ''
+    on_resend: Callable[[], None] | None = None
 
     def note_sent(
         self, connection_id: int, call_number: int, *, sent_before: bool
@@ -41,6 +45,8 @@
             call_number: Number of the call on it.
             sent_before: Whether it had carried the request before.
         """
+        if self.connection_id and self.on_resend is not None:
+            self.on_resend()
         self.connection_id = connection_id
         self.call_number = call_number
         self.sent_before = sent_before
--- a/tests/test_send_trace.py
+++ b/tests/test_send_trace.py
@@ -1,5 +1,7 @@
 """Tests of what the log and the metrics tell of sends."""
 
+import pytest
+
 from borageyard.gateway_metrics import GatewayMetrics
 from borageyard.http_client import HttpClient
 from borageyard.send_trace import (
@@ -8,7 +10,12 @@
     SendTrace,
     log_failed_send,
 )
-from borageyard.standins.gateway_caller import GatewayCall, RequestTemplate
+from borageyard.standins.gateway_caller import (
+    BRIEF,
+    READ,
+    GatewayCall,
+    RequestTemplate,
+)
 from borageyard.standins.gateway_deployment import GatewayDeployment
 from tests.test_repeated_refusals import REFUSALS, Caller, RepeatingTarget
 
@@ -65,3 +72,33 @@
 def _call(address, name):
     template = RequestTemplate('POST', f'/{name}', repeatable=False)
     return GatewayCall(template).to_http_call(address)
+
+
+class TestResends:
+    """Sends that the client makes again after a stale connection."""
+
+    @pytest.mark.parametrize(
+        ('template', 'service'), [(READ, 'desk'), (BRIEF, 'model')]
+    )
+    async def test_they_are_missing_in_the_retry_budget(
+        self, template, service
+    ):
+        """Each one may have arrived, so it counts as a retry."""
+        async with GatewayDeployment(1).running() as running:
+            gateway = running.gateways[0]
+            async with HttpClient() as client:
+                for _ in range(4):
+                    call = GatewayCall(template).to_http_call(gateway.address)
+                    assert (await client.request(call)).status == 200
+                    _break_kept(running, service)
+            assert gateway.gateway.relay._retries._retries[service]
+
+
+def _break_kept(running, service):
+    """Lets kept connections to a service fail at their next use."""
+    for target in running.targets.values():
+        if target.plan.service == service:
+            idle = running.gateways[0].client._idle
+            for kept in idle.get((target.address, True), ()):
+                kept._raw_writer.transport.pause_reading()
+                kept._raw_writer.get_extra_info('socket').shutdown(1)
