Ask a peer of an earlier build only once to send a request

Cause: peers are chosen anew for each send, whatever their build.

Change: the reply of a peer says that no connection of it carries a request twice; entries of earlier builds ignore the field. A peer whose reply lacks it is not asked to send the same request again; without another peer the request is refused, and was not run.

Why it works: a second send goes to a peer that keeps it apart, or isn't made.

--- a/borageyard/peer_calls.py
+++ b/borageyard/peer_calls.py
@@ -3,7 +3,7 @@
 import contextlib
 from collections.abc import AsyncIterator, Collection
 
-from .clock import Clock
+from .clock import MS_PER_S, Clock
 from .events import Event, log_event
 from .generated.peer_calls import (
     RelayedCallBody,
@@ -17,6 +17,7 @@
 from .identifiers import new_identifier
 from .peer_notifier import PeerNotifier
 from .peers import PeerError, PeerLink
+from .sent_keys import SentKeys
 from .target_paths import TargetPaths
 
 # Peers that are asked to make one call; those without a path say so at once.
@@ -40,6 +41,9 @@
         self._link = link
         self._clock = clock
         self._notifier = PeerNotifier(link)
+        # Requests that peers of earlier builds were asked to send: these may
+        # take a copy of the first answer for the answer to a second send.
+        self._sent_keys: dict[str, SentKeys] = {}
 
     async def open(
         self, call: HttpCall, stack: contextlib.AsyncExitStack
@@ -56,8 +60,13 @@
         Raises:
             HttpCallError: If the call failed at a peer.
         """
-        asked: set[str] = set()
-        while len(asked) < MAX_PEERS_ASKED:
+        asked = {
+            peer_id
+            for peer_id, sent_keys in self._sent_keys.items()
+            if sent_keys.has(call.send_key)
+        }
+        most_asked = len(asked) + MAX_PEERS_ASKED
+        while len(asked) < most_asked:
             peer_id = self._choose_peer(asked)
             if peer_id is None:
                 break
@@ -67,9 +76,21 @@
             stack.callback(self._end, relayed)
             head = await self._ask(relayed)
             if head is not None:
+                self._note_answer(peer_id, call, head)
                 return head.status, head.headers, relayed.read()
         return None
 
+    def _note_answer(
+        self, peer_id: str, call: HttpCall, head: RelayedHeadBody
+    ) -> None:
+        if head.keeps_sends_apart:
+            self._sent_keys.pop(peer_id, None)
+            return
+        now_s = self._clock.steady_ms() / MS_PER_S
+        until_s = now_s + call.timeout_ms / MS_PER_S
+        sent_keys = self._sent_keys.setdefault(peer_id, SentKeys())
+        sent_keys.add(call.send_key, now_s, until_s)
+
     def _choose_peer(self, asked: Collection[str]) -> str | None:
         """Returns the next peer to ask, which an earlier one may have named."""
         remaining = set(self._link.peer_ids()).difference(asked)
--- a/borageyard/relayed_call.py
+++ b/borageyard/relayed_call.py
@@ -92,7 +92,11 @@
         async with self._client.stream(self._call) as reply:
             status, headers, chunks = reply
             self._head.set_result(
-                RelayedHeadBody(status=status, headers=dict(headers))
+                RelayedHeadBody(
+                    status=status,
+                    headers=dict(headers),
+                    keeps_sends_apart=True,
+                )
             )
             await self._queue(chunks)
 
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -14,7 +14,7 @@
 from borageyard.call_relay import CallRelay
 from borageyard.clock import SystemClock
 from borageyard.fleet_state import FleetState
-from borageyard.http_client import HttpClient
+from borageyard.http_client import HttpCallError, HttpClient
 from borageyard.inbound import InboundRequest, SendError, TargetSend
 from borageyard.memory_peers import MemoryPeerNetwork
 from borageyard.path_witnesses import PathWitnesses
@@ -238,7 +238,7 @@
 class PeerClient:
     """Makes all calls through a peer."""
 
-    def __init__(self, client, *, names_sends):
+    def __init__(self, client, *, names_sends, build=CallRelay):
         """Connects two entries; the other one has the client."""
         network = MemoryPeerNetwork()
         clock = SystemClock()
@@ -249,7 +249,7 @@
         watch = TargetPathWatch(
             TargetPaths('maker'), PathWitnesses(state, None), clock
         )
-        self._relay = CallRelay(
+        self._relay = build(
             client, answer_check, state, watch, network.join('maker'), clock
         )
 
@@ -259,7 +259,10 @@
         if not self._names_sends:
             call = dataclasses.replace(call, send_key='')
         async with self._relay.running(), contextlib.AsyncExitStack() as stack:
-            yield await self._calls.open(call, stack)
+            opened = await self._calls.open(call, stack)
+            if opened is None:
+                raise HttpCallError('no path to targets', sent=False)
+            yield opened
 
 
 @contextlib.asynccontextmanager
@@ -484,9 +487,34 @@
             assert target.connections == 1
 
 
+class EarlierRelay(CallRelay):
+    """Peer of a build that sends a request again over one connection."""
+
+    async def _handle_call(self, peer_id, body):
+        head = await super()._handle_call(peer_id, body)
+        return head.model_copy(update={'keeps_sends_apart': False})
+
+    def _build_call(self, body):
+        return dataclasses.replace(
+            super()._build_call(body), send_key='', reuse=True
+        )
+
+
 class TestEarlierBuilds:
     """Entries that do not say which request a relayed call sends."""
 
+    async def test_peer_of_an_earlier_build_makes_a_second_send(self):
+        """It ran and was told as not run, by a copy of the first refusal."""
+        target = RepeatingTarget(['/book'], b'', waits=True)
+        target.names = True
+        async with target.running(), HttpClient() as client:
+            peer = PeerClient(client, names_sends=True, build=EarlierRelay)
+            caller = Caller(peer, target.address)
+            assert await caller.send('one') == 'not run'
+            assert await caller.send('one') == 'not_sent'
+            assert await caller.send('two') == 'ran'
+            assert target.run_ids == ['two']
+
     async def test_their_calls_share_no_connection(self):
         """What they have sent before isn't known."""
         target = RepeatingTarget(['/book'], b'', waits=True)
