Move the bound of pieces, kept pauses and failed sends out of the adapter

Change: the relay refuses requests with too many pieces, a wrapper of the piece runner keeps pauses, as the sender of requests has one, and failed calls become failed sends in a module of the product. The case of the bound moves to test_request_relay.py, and the question for the memory is tested in a gateway.

--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -25,7 +25,7 @@
 from .inbound import InboundRequest, TargetSender
 from .membership import Membership
 from .path_witnesses import PathWitnesses
-from .pausing_sender import PausingSender
+from .pausing_sender import PausingRunner, PausingSender
 from .peer_calls import PeerCalls
 from .peer_link import TcpPeerLink
 from .peer_stream import (
@@ -128,7 +128,10 @@
             dependencies.departures, self.state, self.link
         )
         self.service = SchedulerService(
-            self.state, dependencies.runner, clock, permits
+            self.state,
+            PausingRunner(dependencies.runner, dependencies.limits.backoffs),
+            clock,
+            permits,
         )
         self.elections = ElectionService(
             SchedulerElection(settings.instance_id, incarnation),
--- a/borageyard/pausing_sender.py
+++ b/borageyard/pausing_sender.py
@@ -1,4 +1,4 @@
-"""Target sender that keeps the pauses that targets ask for."""
+"""Sends and questions to targets that keep the pauses which these ask for."""
 
 import contextlib
 from collections.abc import AsyncIterator
@@ -10,6 +10,8 @@
     TargetSend,
     TargetSender,
 )
+from .piece_runner import CallFailedError, PieceRunner
+from .roster import RosterRow
 from .target_backoffs import TargetBackoffs
 
 
@@ -39,3 +41,36 @@
             )
         async with self._sender.send(send) as answer:
             yield answer
+
+
+class PausingRunner:
+    """Piece runner that asks no target for its memory while it pauses.
+
+    Calls with pieces keep pauses where they are planned, and results are freed,
+    as they take room that the target needs.
+    """
+
+    def __init__(self, runner: PieceRunner, backoffs: TargetBackoffs) -> None:
+        """Wraps a piece runner.
+
+        Args:
+            runner: Sends calls to targets.
+            backoffs: Pauses that targets asked this entry for.
+        """
+        self._backoffs = backoffs
+        self.run = runner.run
+        self.free = runner.free
+        self._query = runner.query_free_bytes
+
+    async def query_free_bytes(self, target: RosterRow) -> float:
+        """Returns the free memory of a target for results, in bytes.
+
+        Args:
+            target: The target.
+
+        Raises:
+            CallFailedError: If the target pauses, or the call failed.
+        """
+        if self._backoffs.remaining_ms(target):
+            raise CallFailedError('the target asked for a pause')
+        return await self._query(target)
--- a/borageyard/platform/ingress.py
+++ b/borageyard/platform/ingress.py
@@ -13,9 +13,6 @@
 DEADLINE_HEADER = 'x-deadline-ms'
 # Id of the caller's earlier request that brought the first event of a stream.
 RESUMED_ID_HEADER = 'resumes'
-# Pieces of all stages of one request; a scheduler keeps a state for each.
-MAX_PIECES = 4096
-PIECES_HEADER = 'x-pieces'
 KEY_SCHEME = 'token '
 READY_PATH = '/readyz'
 DIRECTORY_PATH = '/resolve'
@@ -85,7 +82,7 @@
         wait_ms=_decode_wait_ms(request),
         api_key=_decode_key(request),
         prompt=_decode_prompt(request),
-        piece_counts=_decode_piece_counts(request),
+        piece_counts=_decode_numbers(request, 'x-pieces'),
         piece_key=request.header('x-piece-key'),
         last_event_id=request.header('last-event-id'),
         resumed_request_id=request.header(RESUMED_ID_HEADER),
@@ -193,13 +190,6 @@
     )
 
 
-def _decode_piece_counts(request: HttpRequest) -> tuple[int, ...]:
-    counts = _decode_numbers(request, PIECES_HEADER)
-    if sum(counts) > MAX_PIECES:
-        raise _malformed_header(PIECES_HEADER)
-    return counts
-
-
 def _decode_numbers(request: HttpRequest, name: str) -> tuple[int, ...]:
     header_value = request.header(name)
     if not header_value:
--- a/borageyard/platform/targets.py
+++ b/borageyard/platform/targets.py
@@ -36,6 +36,7 @@
 )
 from ..recent_handles import RecentHandles
 from ..roster import RosterRow
+from ..send_errors import build_send_error, translate_errors
 from .answer_match import answer_check, match_call, states_not_run
 from .answer_notices import AnswerNotices, read_pause_ms
 from .ingress import ATTEMPT_ID_HEADER, DEADLINE_HEADER, forwarded_headers
@@ -135,11 +136,11 @@
                     not_run=states_not_run(status, headers),
                     wrong_target=wrong_target,
                     load=_decode_load(headers),
-                    chunks=_translate_errors(chunks),
+                    chunks=translate_errors(chunks),
                     framed=bool(FRAMING_HEADERS & headers.keys()),
                 )
         except HttpCallError as error:
-            raise _send_error(error) from error
+            raise build_send_error(error) from error
 
 
 class HttpPieceRunner:
@@ -225,8 +226,6 @@
         Raises:
             CallFailedError: If the call failed.
         """
-        if self._limits.backoffs.remaining_ms(target):
-            raise CallFailedError('the target asked for a pause')
         call = HttpCall(
             target.address,
             'GET',
@@ -277,22 +276,6 @@
         raise CallFailedError(f'target responded with status {reply.status}')
 
 
-async def _translate_errors(
-    chunks: AsyncIterator[bytes],
-) -> AsyncIterator[bytes]:
-    """Yields chunks; raises SendError if the body is interrupted."""
-    try:
-        async for chunk in chunks:
-            yield chunk
-    except HttpCallError as error:
-        raise _send_error(error) from error
-
-
-def _send_error(error: HttpCallError) -> SendError:
-    failure = SendFailure.UNKNOWN if error.sent else SendFailure.NOT_SENT
-    return SendError(failure, error.reason)
-
-
 def _encode_headers(send: TargetSend) -> Mapping[str, str]:
     headers = {
         **send.request.headers,
--- a/borageyard/request_relay.py
+++ b/borageyard/request_relay.py
@@ -32,6 +32,8 @@
 # Part of the time until the deadline that is reserved for returning the
 # response.
 RESPONSE_MARGIN_MS = 10
+# Pieces of all stages of one request; a scheduler keeps a state for each.
+MAX_PIECES = 4096
 
 # Check at admission; raises RefusalError to refuse the request.
 RequestCheck = Callable[[InboundRequest], None]
@@ -201,6 +203,7 @@
         route, organisation = self._authorise(configuration, request)
         if self._is_late(route.name):
             raise RefusalError(_draining_refusal())
+        _require_few_pieces(request)
         if self.check is not None:
             self.check(request)
         return self._build_context(request, route, organisation)
@@ -286,6 +289,12 @@
     return route, organisation
 
 
+def _require_few_pieces(request: InboundRequest) -> None:
+    if sum(request.piece_counts) > MAX_PIECES:
+        detail = f'more than {MAX_PIECES} pieces'
+        raise RefusalError(Refusal(ErrorKind.BAD_REQUEST, detail=detail))
+
+
 def _draining_refusal() -> Refusal:
     return Refusal(ErrorKind.DRAINING, retry_after_ms=DRAINING_RETRY_AFTER_MS)
 
--- a/tests/test_gateway_pauses.py
+++ b/tests/test_gateway_pauses.py
@@ -5,15 +5,10 @@
 
 import pytest
 
-from borageyard.clock import SystemClock
-from borageyard.http_client import HttpClient
 from borageyard.piece_runner import CallFailedError
-from borageyard.platform.answer_notices import AnswerNotices, read_pause_ms
-from borageyard.platform.targets import HttpPieceRunner
+from borageyard.platform.answer_notices import read_pause_ms
 from borageyard.roster import RosterRow, TargetPhase
 from borageyard.target_backoffs import TargetBackoffs
-from borageyard.target_departures import TargetDepartures
-from borageyard.target_limits import TargetLimits
 from tests.test_gateway import deployment
 from tests.test_gateway_limits import find_busiest, send
 
@@ -120,12 +115,10 @@
 
     async def test_target_is_asked_for_its_memory_in_its_pause(self):
         """It wants nothing from this entry."""
-        async with HttpClient() as client:
-            notices = AnswerNotices(
-                TargetLimits(SystemClock()), TargetDepartures(SystemClock())
-            )
-            runner = HttpPieceRunner(client, notices)
-            row = RosterRow('t1', 's', '127.0.0.1:1', 'a', TargetPhase.READY)
-            notices.limits.backoffs.note_rejection(row, 300_000)
+        async with deployment(1) as callers:
+            gateway = callers.running.gateways[0].gateway
+            row = gateway.state.roster.ready('planner')[0]
+            gateway.dependencies.limits.backoffs.note_rejection(row, 300_000)
+            runner = gateway.service._memory_probe._runner
             with pytest.raises(CallFailedError, match='pause'):
                 await runner.query_free_bytes(row)
--- a/tests/test_platform_ingress.py
+++ b/tests/test_platform_ingress.py
@@ -99,7 +99,6 @@
             {'x_token_count': '9' * 5000},
             {'x_pieces': '2,\xb2'},
             {'x_pieces': '2,x'},
-            {'x_pieces': '1,4096'},
             {'x_token_count': 'many'},
         ],
     )
--- a/tests/test_request_relay.py
+++ b/tests/test_request_relay.py
@@ -4,7 +4,11 @@
 
 from borageyard.errors import ErrorKind, RefusalError
 from borageyard.inbound import InboundRequest
-from borageyard.request_relay import _authorise
+from borageyard.request_relay import (
+    MAX_PIECES,
+    _authorise,
+    _require_few_pieces,
+)
 from borageyard.serving_configuration import (
     Backend,
     CallerLimits,
@@ -62,3 +66,25 @@
         """The request is refused."""
         with pytest.raises(RefusalError):
             authorise(key, anonymous=False)
+
+
+class TestPieces:
+    """Number of pieces that a request may have."""
+
+    @pytest.mark.parametrize('counts', [(), (MAX_PIECES,), (1, 0, 6)])
+    def test_as_many_as_a_scheduler_keeps(self, counts):
+        """The request is admitted."""
+        _require_few_pieces(prompt(counts))
+
+    def test_header_with_millions_of_pieces_takes_memory(self):
+        """Each scheduler built lists as long as it said."""
+        with pytest.raises(RefusalError) as caught:
+            _require_few_pieces(prompt((1, MAX_PIECES)))
+        assert caught.value.refusal.kind is ErrorKind.BAD_REQUEST
+
+
+def prompt(counts):
+    """Returns a request with a number of pieces for each stage."""
+    return InboundRequest(
+        'r1', 'h', 'POST', '/', '/', {}, b'', 0, 1000, piece_counts=counts
+    )
