Let targets of the process soak refuse a share of requests in any case

Change: one request in twenty is refused also by a target that is not full, so copies don't depend on the speed of the machine. Callers are seeded with the soak (they drew the same requests for each seed), and a process that ended by itself fails the test. What is checked of the product stays as it was.

--- a/tests/copying_target.py
+++ b/tests/copying_target.py
@@ -22,12 +22,14 @@
     """Which refusals are written once more.
 
     Attributes:
+        refused_share: Share of the requests that are refused in any case.
         share: Share of the refusals.
         unnamed_share: Share of the refusals that name no request.
         most_times: Most copies of one refusal.
         late_share: Share of the copies that come one answer later.
     """
 
+    refused_share: float = 0
     share: float = 0
     unnamed_share: float = 0
     most_times: int = 1
@@ -55,7 +57,6 @@
         # Status of answers to requests that ran, and their share.
         self.unproven = (0, 0)
         self.unproven_ids = []
-        # Monotonic times of the runs, by request.
         self._rng = random.Random((seed << 8) + number)
         self._queue = queue
         self._waiting = 0
@@ -104,6 +105,8 @@
         return response
 
     async def _run(self, request):
+        if self._rng.random() < self.copies.refused_share:
+            self.faults.reject = 1
         if self._running >= self.plan.slots and self._waiting < self._queue:
             with self._count_waiting():
                 while self._running >= self.plan.slots:
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -64,7 +64,6 @@
         self.process = None
         self.links = {}
         self.handler = None
-        self.paused = False
         ports = free_ports(host, 4, rng)
         self.address = f'{host}:{ports[0]}'
         self.ready_address = f'{host}:{ports[1]}'
@@ -116,7 +115,6 @@
                 stdout=log,
                 stderr=log,
             )
-        self.paused = False
 
     def send_signal(self, number):
         """Sends a signal if the process runs."""
@@ -126,12 +124,10 @@
     async def pause(self, seconds):
         """Stops the process with SIGSTOP for a while."""
         process = self.process
-        self.paused = True
         self.send_signal(signal.SIGSTOP)
         await asyncio.sleep(seconds)
         if process is self.process:
             self.send_signal(signal.SIGCONT)
-            self.paused = False
 
     async def end(self, number=signal.SIGKILL):
         """Ends the process; kills it if it outlives its grace."""
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -42,6 +42,8 @@
     refused: int = 0
     copied: int = 0
     unproven: int = 0
+    # Gateways that ended by themselves.
+    ended: list = dataclasses.field(default_factory=list)
     # Number of requests that each partitioned gateway served.
     partitioned: list = dataclasses.field(default_factory=list)
 
@@ -113,6 +115,7 @@
         """
         self._fleet = fleet
         self._rng = random.Random(seed)
+        self._caller_seeds = [f'{seed}/{number}' for number in range(CALLERS)]
         self._result = SoakResult()
         self._busy = set()
         self._lasting_cuts = []
@@ -154,8 +157,8 @@
         for link in self._lasting_cuts:
             link.cut(Cut.UNREACHABLE)
         callers = [
-            asyncio.ensure_future(self._call(random.Random(f'{number}')))
-            for number in range(CALLERS)
+            asyncio.ensure_future(self._call(random.Random(caller_seed)))
+            for caller_seed in self._caller_seeds
         ]
         loop = asyncio.get_running_loop()
         until_s = loop.time() + load_s
@@ -169,6 +172,11 @@
         await asyncio.gather(*tasks, *callers)
         await asyncio.sleep(SETTLE_S)
         result = self._result
+        result.ended = [
+            gateway.name
+            for gateway in self._fleet.gateways
+            if gateway.process.returncode is not None
+        ]
         result.runs.update(
             run for run in self._fleet.runs() if run in result.statuses
         )
@@ -324,4 +332,10 @@
 PATH_DISTURBANCES = frozenset(
     ('cut from targets', 'cut from a target', 'store down', 'other target')
 )
-MANY_COPIES = Copies(share=0.5, unnamed_share=0.2, most_times=2, late_share=0.3)
+MANY_COPIES = Copies(
+    refused_share=0.05,
+    share=0.5,
+    unnamed_share=0.2,
+    most_times=2,
+    late_share=0.3,
+)
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -59,6 +59,7 @@
         """Incident 51, with copies of refusals, cuts, pauses and kills."""
         result = await play(tmp_path, seed)
         assert not result.broken_by(CODES[0])
+        assert not result.ended
         assert result.copied
         assert result.served > len(result.statuses) / 4
 
@@ -68,6 +69,7 @@
         """Targets run requests and answer 503 without a statement."""
         result = await play(tmp_path, seed, unproven=(503, 0.1))
         assert not result.broken_by(CODES[0])
+        assert not result.ended
         assert result.unproven
         assert result.served > len(result.statuses) / 4
 
@@ -79,5 +81,6 @@
             tmp_path, seed, partitioned=(0,), quiet=PATH_DISTURBANCES
         )
         assert not result.broken_by(CODES[0])
+        assert not result.ended
         assert result.copied
         assert min(result.partitioned)
