Ignore SIGHUP in the launcher of the process soak from its first line on

A reload that reaches a gateway of the soak while its launcher still imports modules would end it, and the soak would fail for its own launcher: the program ignores the signal as its first act.

Change: the launcher ignores it before it imports anything.

--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -29,8 +29,11 @@
 START_S = 30
 GRACE_S = 4
 READ_TIMEOUT_MS = 500
-# Runs the program as its module does, with its connections led over links.
+# Runs the program as its module does, with its connections led over links. The
+# program ignores SIGHUP as its first act, so what comes before it does as well.
 PROGRAM = """
+import signal
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 import asyncio, json, os, runpy
 links = json.loads(os.environ['LINKS'])
 original = asyncio.BaseEventLoop.create_connection
