--- a/tests/test_send_trace.py
+++ b/tests/test_send_trace.py
@@ -17,11 +17,35 @@
     RequestTemplate,
 )
 from borageyard.standins.gateway_deployment import GatewayDeployment
-from tests.test_repeated_refusals import REFUSALS, Caller, RepeatingTarget
+from tests.test_repeated_refusals import (
+    REFUSALS,
+    Caller,
+    PeerClient,
+    RepeatingTarget,
+)
 
 NAMES = ('book/walk', 'reply/walk')
 
 
+class RecordingSender:
+    """Sender that keeps the traces of its sends."""
+
+    def __init__(self, sender, traces):
+        """Wraps a sender.
+
+        Args:
+            sender: Sends requests.
+            traces: Gets the trace of each send.
+        """
+        self._sender = sender
+        self._traces = traces
+
+    def send(self, send):
+        """Sends a request."""
+        self._traces.append(send.trace)
+        return self._sender.send(send)
+
+
 class TestFailedSends:
     """The line of a send that was not run."""
 
@@ -55,6 +79,18 @@
         assert all(line['connection_id'] for line in lines)
         assert not any(line['sent_before'] for line in lines)
 
+    async def test_proof_of_a_refusal_through_a_peer_is_unknown(self):
+        """It was logged and counted as if nothing had gone out."""
+        target = RepeatingTarget(['/book'], REFUSALS['full'], waits=True)
+        target.names = True
+        traces = []
+        async with target.running(), HttpClient() as client:
+            peer = PeerClient(client, names_sends=True)
+            caller = Caller(peer, target.address)
+            caller._sender = RecordingSender(caller._sender, traces)
+            assert await caller.send() == 'not run'
+        assert [trace.answer_match for trace in traces] == ['own']
+
     def test_counts_are_missing(self):
         """The metrics count refusals by proof, and repeated sends."""
         log_failed_send('r', 't', 'not_sent', 'refused', SendTrace())
