--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -32,6 +32,15 @@
     'budgetWindowS': 10, 'budgetExtraRetries': 56, 'recoveryS': 12,
     'passMs': 120, 'againS': 9, 'ttl_max_s': 5,
 }
+# Bounds and smallest machine of russotto-vendemmia-grown.
+RUSSOTTO_BOUNDS = {
+    'stableWindowMs': 4000, 'ackMs': 6000, 'catchUpS': 6, 'drainMs': 3000,
+    'configApplyMs': 3000, 'maxSkewMs': 6000, 'budgetExtraRetries': 188,
+    'recoveryS': 15, 'passMs': 200, 'againS': 8.8,
+}
+RUSSOTTO_LIMITS = {
+    'cpuShare': 0.387, 'cores': 1, 'memoryMb': 160, 'maxFds': 1638,
+}
 # The smallest machine of hundaganga-is.
 LIMITS = {
     'cpuShare': 0.817, 'cores': 2, 'memoryMb': 430, 'maxFds': 6150,
