--- a/borageyard/machine_capacity/machine_limits.py
+++ b/borageyard/machine_capacity/machine_limits.py
@@ -1,20 +1,22 @@
 """What the settings state of the machine of an entry and of cold targets."""
 
 import dataclasses
-import math
 from typing import Annotated, Any
 
 from pydantic import BeforeValidator
 
+from ..field_checks import MAX_INTEGER
+
 BYTES_PER_MB = 1_000_000
 BITS_PER_BYTE = 8
 
 
 def _positive_or_none(stated: Any) -> float | None:
-    """Returns a positive finite number; None for anything else."""
+    """Returns a positive number up to MAX_INTEGER; None for anything else."""
     if isinstance(stated, bool) or not isinstance(stated, int | float):
         return None
-    return float(stated) if 0 < stated < math.inf else None
+    # Whole numbers may exceed the range of a float.
+    return float(stated) if 0 < stated <= MAX_INTEGER else None
 
 
 # A value that counts as not stated if it is not a positive number: a process
--- a/tests/test_machine_limits.py
+++ b/tests/test_machine_limits.py
@@ -26,7 +26,20 @@
         assert limits == MachineLimits(1.5, 160_000_000, 1638, 1_250_000)
 
     @pytest.mark.parametrize(
-        'stated', [None, 0, -1, 'much', True, [], float('nan'), float('inf')]
+        'stated',
+        [
+            None,
+            0,
+            -1,
+            'much',
+            True,
+            [],
+            float('nan'),
+            float('inf'),
+            10**30,
+            pytest.param(10**400, id='huge'),
+            pytest.param(-(10**400), id='-huge'),
+        ],
     )
     def test_malformed_value_is_not_stated(self, stated):
         """A limit that can't be read must not stop the process."""
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -1,5 +1,6 @@
 """Tests of records that another writer left in the shared store."""
 
+import asyncio
 import json
 import sys
 import types
@@ -38,6 +39,10 @@
         'state': 'ready',
     }
 )
+# Within which the users count on the service after a restart.
+RECOVERY_S = 12
+# JSON numbers beyond the range of a float, in digits.
+HUGE_NUMBERS = tuple('9' * digits for digits in (400, 4000, 6000))
 PRESENCE = types.MappingProxyType(
     {'instance_id': 'e', 'incarnation': 1, 'peer_address': '127.0.0.1:9'}
 )
@@ -114,6 +119,37 @@
                 assert invalid[Table.ENTRIES.value] == len(presences)
 
 
+class TestRestart:
+    """Gateways that start while such a record of a target stands."""
+
+    @pytest.mark.parametrize('digits', HUGE_NUMBERS, ids=len)
+    @pytest.mark.parametrize(
+        'field', ['coldLeftMs', 'slots', 'born', 'sequence', 'other']
+    )
+    async def test_requests_are_served(self, field, digits):
+        """A number that no field can hold costs that record only."""
+        async with deployment(2) as callers:
+            running = callers.running
+            content = json.dumps({**SOUND, field: 0}).replace(
+                f'"{field}": 0', f'"{field}": {digits}'
+            )
+            record = encoded(b'odd', content.encode())
+            running.store.append('keyed.servers', record)
+            for started in range(2):
+                await running.restart(started, store_down=False)
+            async with asyncio.timeout(RECOVERY_S):
+                await wait_until(
+                    lambda: all(
+                        one.gateway.is_ready() for one in running.gateways
+                    )
+                )
+            replies = [
+                await callers.call('/read/a', gateway=number % 2)
+                for number in range(12)
+            ]
+            assert {reply.status for reply in replies} == {200}
+
+
 class TestHttpClient:
     """Calls that can't be made."""
 
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -11,7 +11,11 @@
 from borageyard.platform.documents import DocumentDecoder
 from borageyard.platform.settings import load_settings
 from borageyard.roster import TargetPhase
-from borageyard.serving_configuration import RequestKind, group_services
+from borageyard.serving_configuration import (
+    ColdStart,
+    RequestKind,
+    group_services,
+)
 from borageyard.standins.gateway_deployment import (
     API_KEY,
     HOST,
@@ -150,6 +154,14 @@
         assert groups['model'] == groups['planner']
         assert groups['desk'] != groups['model']
 
+    @pytest.mark.parametrize('field', ['coldStartS', 'coldPerS'])
+    def test_cold_start_that_cannot_be_read_is_not_stated(self, field):
+        """The rest of the document is in force."""
+        document = build_document()
+        document['services'][0][field] = 10**400
+        cold = configuration(document).services['desk'].cold_start
+        assert cold == ColdStart(0, 0)
+
     @pytest.mark.parametrize('content', [b'', b'[]', b'{"routes": 5}', b'\xff'])
     def test_malformed(self, content):
         """A malformed document is rejected as a whole."""
