Let a record cost only itself, whatever its decoder raises

Cause: the readers of the shared store bore DocumentError and nothing else. Any other error of a decoder ended the one reader that all records of a table go through, and the next read, also after a restart, met the record again.

Change: validation turns any failure into the refusal of its document (refusing_failures), and RefusedRecords ends the decoding of a record that can't be used wherever records of the store are read: targets, entries, the configuration with the groups of its services, versions and origins of streams, and revisions over eras. Each record is logged once, also if it is read again, and counted; those of versions and origins were not counted before, those of the versions were logged at each read.

--- a/borageyard/document_validation.py
+++ b/borageyard/document_validation.py
@@ -1,9 +1,12 @@
 """Validates external documents against their generated models."""
 
+import contextlib
 import dataclasses
 import json
 import pathlib
 import textwrap
+import traceback
+from collections.abc import Iterator
 from typing import TypeVar
 
 import pydantic
@@ -42,6 +45,34 @@
         self.problems = problems
 
 
+@contextlib.contextmanager
+def refusing_failures(source: str) -> Iterator[None]:
+    """Turns any failure of a decoder into the refusal of its document.
+
+    Designed for readers of what others wrote: the next read meets the same
+    document again, so one that makes its decoder fail must not end the reader.
+
+    Args:
+        source: Name of the document in error messages.
+
+    Raises:
+        DocumentError: If the context fails.
+    """
+    try:
+        yield
+    except DocumentError:
+        raise
+    except Exception as error:
+        # Formatted by a function that bears errors which can't be shown.
+        shown = ''.join(traceback.format_exception_only(error)).strip()
+        problem = Problem(
+            '$',
+            'content on which its decoder failed',
+            textwrap.shorten(shown, MAX_SHOWN_CHARS, placeholder='...'),
+        )
+        raise DocumentError(source, (problem,)) from error
+
+
 def abbreviate_json(found: object) -> str:
     """Returns a value as JSON, shortened to ``MAX_SHOWN_CHARS``."""
     try:
@@ -70,18 +101,22 @@
     Raises:
         DocumentError: If the document does not match the model.
     """
-    try:
-        return model.model_validate(document)
-    except pydantic.ValidationError as error:
-        problems = tuple(
-            Problem(
-                path=json_path(details['loc']),
-                found=abbreviate_json(details['input']),
-                expected=details['msg'],
-            )
-            for details in error.errors()
+    with refusing_failures(source):
+        try:
+            return model.model_validate(document)
+        except pydantic.ValidationError as error:
+            raise DocumentError(source, _problems_of(error)) from error
+
+
+def _problems_of(error: pydantic.ValidationError) -> tuple[Problem, ...]:
+    return tuple(
+        Problem(
+            path=json_path(details['loc']),
+            found=abbreviate_json(details['input']),
+            expected=details['msg'],
         )
-        raise DocumentError(source, problems) from error
+        for details in error.errors()
+    )
 
 
 def parse_json(text: str | bytes, source: str) -> object:
--- a/borageyard/entry_presences.py
+++ b/borageyard/entry_presences.py
@@ -1,10 +1,8 @@
 """Entries that the shared store lists."""
 
-import collections
 from collections.abc import Sequence
 
-from .document_validation import DocumentError, check_document, parse_json
-from .events import Event, log_event
+from .document_validation import check_document, parse_json
 from .field_checks import (
     MAX_INTEGER,
     field_error,
@@ -13,6 +11,7 @@
     require_token,
 )
 from .generated.peer_fleet import EntryPresenceBody
+from .refused_records import RefusedRecords
 from .shared_table import Table, TableRecord
 from .table_mirror import TableMirror
 
@@ -20,17 +19,15 @@
 class EntryPresences:
     """Decodes each record of the entries once."""
 
-    def __init__(
-        self, mirror: TableMirror, invalid_records: collections.Counter[str]
-    ) -> None:
+    def __init__(self, mirror: TableMirror, refused: RefusedRecords) -> None:
         """Starts without a record.
 
         Args:
             mirror: Copy of the table of entries.
-            invalid_records: Counts the records that can't be used, by table.
+            refused: Told of records that can't be used.
         """
         self._mirror = mirror
-        self._invalid_records = invalid_records
+        self._refused = refused
         # None for a record that can't be used.
         self._known: dict[TableRecord, EntryPresenceBody | None] = {}
 
@@ -44,11 +41,8 @@
         return [found for found in self._known.values() if found]
 
     def _decode(self, record: TableRecord) -> EntryPresenceBody | None:
-        try:
+        with self._refused.skipping(Table.ENTRIES, record):
             return decode_presence(record)
-        except DocumentError as error:
-            self._invalid_records[Table.ENTRIES.value] += 1
-            log_event(Event.PLATFORM_FAILED, reason=str(error))
         return None
 
 
--- a/borageyard/fleet_state.py
+++ b/borageyard/fleet_state.py
@@ -1,12 +1,10 @@
 """View of the deployment: configuration and targets, from the store."""
 
-import collections
 import functools
 from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Protocol
 
 from .clock import Clock, SystemClock
-from .document_validation import DocumentError
 from .entry_presences import EntryPresences, decode_presence
 from .events import Event, log_event
 from .failure_domains.evacuations import (
@@ -15,6 +13,7 @@
     shorten_evacuations,
 )
 from .plans import FleetView
+from .refused_records import RefusedRecords
 from .roster import RosterChange, RosterRow, TargetRoster
 from .serving_configuration import ServingConfiguration, schedule_groups
 from .shared_table import MIRRORED_TABLES, Table, TablePage, TableRecord
@@ -87,10 +86,9 @@
         # Returns whether an engine may begin streams: its version is in the
         # list that outlasts the loss of all entries.
         self.is_listed: Callable[[RosterRow], bool] = _is_any
-        # Records that could not be used, by table.
-        self.invalid_records: collections.Counter[str] = collections.Counter()
+        self.refused = RefusedRecords()
         self.presences = EntryPresences(
-            self.mirrors[Table.ENTRIES], self.invalid_records
+            self.mirrors[Table.ENTRIES], self.refused
         )
         self._decoder = decoder
         # Decoding a large document takes long, and a document is looked at
@@ -297,44 +295,35 @@
     def _apply_configuration(self, record: TableRecord) -> None:
         if record.content is None:
             return
-        try:
+        with self.refused.skipping(Table.CONFIGURATION, record):
             configuration = self._decode_configuration(record.content)
-        except DocumentError as error:
-            self.invalid_records[Table.CONFIGURATION.value] += 1
-            log_event(Event.CONFIGURATION_REJECTED, reason=str(error))
-            return
-        if configuration.version < self.version:
+            if configuration.version < self.version:
+                log_event(
+                    Event.CONFIGURATION_REJECTED,
+                    reason=f'version {configuration.version} is older than '
+                    f'{self.version}',
+                )
+                return
+            self.groups = schedule_groups(configuration.routes)
+            self.configuration = configuration
             log_event(
-                Event.CONFIGURATION_REJECTED,
-                reason=f'version {configuration.version} is older than '
-                f'{self.version}',
+                Event.SERVING_CHANGED,
+                version=configuration.version,
+                offset=record.offset,
+                routes=len(configuration.routes),
             )
-            return
-        self.configuration = configuration
-        self.groups = schedule_groups(configuration.routes)
-        log_event(
-            Event.SERVING_CHANGED,
-            version=configuration.version,
-            offset=record.offset,
-            routes=len(configuration.routes),
-        )
 
     def _revision_of(
         self, table: Table, record: TableRecord
     ) -> tuple[int, ...]:
         """Returns the revision that the writer of a record gave it."""
         content = record.content or b''
-        try:
+        with self.refused.skipping(table, record):
             if table is Table.CONFIGURATION:
                 return (self._decode_configuration(content).version,)
             if table is Table.TARGETS:
                 return self._decoder.target(record.key, content).version_key
             return (decode_presence(record).incarnation,)
-        except DocumentError as error:
-            log_event(
-                Event.PLATFORM_FAILED,
-                reason=f'record {record.key} of {table.value}: {error}',
-            )
         return ()
 
     def _apply_targets(self, new_records: Sequence[TableRecord]) -> None:
@@ -355,15 +344,8 @@
     def _decode(self, record: TableRecord) -> RosterRow | None:
         if record.content is None:
             return None
-        try:
+        with self.refused.skipping(Table.TARGETS, record):
             return self._decoder.target(record.key, record.content)
-        except DocumentError as error:
-            self.invalid_records[Table.TARGETS.value] += 1
-            log_event(
-                Event.TARGET_RECORD_INVALID,
-                target_id=record.key,
-                reason=str(error),
-            )
         return None
 
 
--- a/borageyard/fleet_sync.py
+++ b/borageyard/fleet_sync.py
@@ -160,7 +160,7 @@
     @property
     def invalid_records(self) -> Mapping[str, int]:
         """Number of records that could not be used, by table."""
-        return self._state.invalid_records
+        return self._state.refused.counts
 
     def read_ages_ms(self) -> Mapping[str, float]:
         """Returns the age of the last read of the store by table.
--- a/borageyard/gateway.py
+++ b/borageyard/gateway.py
@@ -200,7 +200,11 @@
         )
         self._watch = EngineWatch(self.state, self.suspects, clock, probe)
         self._journal = StreamJournal(
-            settings.instance_id, self.elections, dependencies.tables, clock
+            settings.instance_id,
+            self.elections,
+            dependencies.tables,
+            clock,
+            self.state.refused,
         )
         self._listing = VersionListing(
             settings.instance_id,
--- a/borageyard/standins/streaming_fleet.py
+++ b/borageyard/standins/streaming_fleet.py
@@ -78,7 +78,9 @@
         """Joins the network; ``start`` starts its tasks."""
         super().__init__(name, incarnation, listed, network)
         clock = LoopClock(EPOCH_MS)
-        self.journal = StreamJournal(name, self.service, tables[name], clock)
+        self.journal = StreamJournal(
+            name, self.service, tables[name], clock, self.state.refused
+        )
         self.listing = VersionListing(
             name, self.state, self.service, tables[name], self.link, clock
         )
--- a/borageyard/stream_journal.py
+++ b/borageyard/stream_journal.py
@@ -6,10 +6,11 @@
 
 from .backoff import retry_delays
 from .clock import MS_PER_S, Clock
-from .document_validation import DocumentError, check_document, parse_json
+from .document_validation import check_document, parse_json
 from .election_service import ElectionService
 from .events import Event, log_event
 from .generated.peer_streams import StreamOriginBody, StreamOriginsBody
+from .refused_records import RefusedRecords
 from .shared_table import (
     HistoryLostError,
     SharedTables,
@@ -40,6 +41,7 @@
         elections: ElectionService,
         tables: SharedTables,
         clock: Clock,
+        refused: RefusedRecords,
     ) -> None:
         """Creates a journal that has read nothing.
 
@@ -48,7 +50,9 @@
             elections: Elects the schedulers.
             tables: The shared store.
             clock: Source of monotonic time.
+            refused: Told of records that can't be used.
         """
+        self._refused = refused
         self.origins = StreamOrigins()
         self._instance_id = instance_id
         self._elections = elections
@@ -137,18 +141,13 @@
 
     def _add_origins(self, page: TablePage) -> None:
         now_ms = self._clock.steady_ms()
+        source = Table.ORIGINS.value
         for record in page.records:
-            try:
-                stored = check_document(
-                    StreamOriginsBody,
-                    parse_json(record.content or b'', Table.ORIGINS.value),
-                    Table.ORIGINS.value,
-                )
-            except DocumentError as error:
-                log_event(Event.PLATFORM_FAILED, reason=str(error))
-                continue
-            for body in stored.origins:
-                self.origins.add(decode_origin(body, now_ms), shared=True)
+            with self._refused.skipping(Table.ORIGINS, record):
+                document = parse_json(record.content or b'', source)
+                stored = check_document(StreamOriginsBody, document, source)
+                for body in stored.origins:
+                    self.origins.add(decode_origin(body, now_ms), shared=True)
 
 
 def encode_origin(origin: StreamOrigin, now_ms: float) -> StreamOriginBody:
--- a/borageyard/version_listing.py
+++ b/borageyard/version_listing.py
@@ -7,7 +7,7 @@
 
 from .backoff import retry_delays
 from .clock import MS_PER_S, Clock
-from .document_validation import DocumentError, check_document, parse_json
+from .document_validation import check_document, parse_json
 from .election_service import ElectionService
 from .events import Event, log_event
 from .fleet_state import FleetState
@@ -15,6 +15,7 @@
 from .generated.stored_streams import ServedVersionRecord
 from .listed_versions import ListedVersions, VersionKey
 from .peers import PeerError, PeerLink
+from .refused_records import RefusedRecords
 from .roster import RosterRow
 from .served_versions import ServedVersions
 from .shared_table import SharedTables, StoreError, Table, TablePage
@@ -108,7 +109,7 @@
             return None
         records = [
             record
-            for record in _decode_versions(page)
+            for record in _decode_versions(page, self._state.refused)
             if record.service == service
         ]
         if any(record.era < page.era for record in records):
@@ -213,7 +214,8 @@
             self._listed.remove((service, version))
 
     async def _read_records(self) -> Sequence[ServedVersionRecord]:
-        records = _decode_versions(await self._tables.snapshot(Table.VERSIONS))
+        page = await self._tables.snapshot(Table.VERSIONS)
+        records = _decode_versions(page, self._state.refused)
         self._confirm(
             [(record.service, record.software_version) for record in records]
         )
@@ -312,13 +314,13 @@
             await event.wait()
 
 
-def _decode_versions(page: TablePage) -> Sequence[ServedVersionRecord]:
+def _decode_versions(
+    page: TablePage, refused: RefusedRecords
+) -> Sequence[ServedVersionRecord]:
     listed = []
+    source = Table.VERSIONS.value
     for record in page.records:
-        source = Table.VERSIONS.value
-        try:
+        with refused.skipping(Table.VERSIONS, record):
             document = parse_json(record.content or b'', source)
             listed.append(check_document(ServedVersionRecord, document, source))
-        except DocumentError as error:
-            log_event(Event.PLATFORM_FAILED, reason=str(error))
     return listed
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -118,7 +118,7 @@
         state.apply(TABLE, page(*records))
         assert state.version == 5
         assert state.evacuations.domains == {'north'}
-        assert not state.invalid_records
+        assert not state.refused.counts
 
     def test_snapshot_without_the_key(self, state):
         """The record was removed while the history was lost."""
@@ -193,7 +193,7 @@
             fleet.store.write(TABLE, NORTH, b'{}')
             await asyncio.sleep(EVACUATION_S)
             assert not self.served(fleet)
-            assert not fleet.entries['entry-0'].state.invalid_records
+            assert not fleet.entries['entry-0'].state.refused.counts
             fleet.store.write(TABLE, NORTH, None)
             await asyncio.sleep(EVACUATION_S)
             assert len(self.served(fleet)) == 9
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -5,15 +5,23 @@
 import sys
 import types
 
+import pydantic
 import pytest
 
+from borageyard import entry_presences
+from borageyard import fleet_state as fleet_state_module
 from borageyard.clock import SystemClock
+from borageyard.document_validation import DocumentError, check_document
+from borageyard.fleet_state import FleetState
 from borageyard.http_client import HttpCall, HttpCallError, HttpClient
 from borageyard.inbound import InboundRequest, TargetSend
 from borageyard.platform.answer_notices import AnswerNotices
+from borageyard.platform.documents import DocumentDecoder
 from borageyard.platform.targets import HttpTargetSender
 from borageyard.roster import RosterRow, TargetPhase
-from borageyard.shared_table import Table
+from borageyard.shared_table import Table, TablePage, TableRecord
+from borageyard.standins.gateway_deployment import build_document
+from borageyard.standins.streaming_fleet import StreamingFleet
 from borageyard.target_departures import TargetDepartures
 from borageyard.target_limits import TargetLimits
 from tests.raw_http import answering
@@ -41,6 +49,8 @@
 )
 # Within which the users count on the service after a restart.
 RECOVERY_S = 12
+ODD_CONTENT = b'"odd"'
+ODD_DOCUMENT = 'odd'
 # JSON numbers beyond the range of a float, in digits.
 HUGE_NUMBERS = tuple('9' * digits for digits in (400, 4000, 6000))
 PRESENCE = types.MappingProxyType(
@@ -114,7 +124,7 @@
                 assert reply.status == 200
                 assert events(reply)
             for state in states:
-                invalid = state.invalid_records
+                invalid = state.refused.counts
                 assert invalid[Table.TARGETS.value] == len(targets)
                 assert invalid[Table.ENTRIES.value] == len(presences)
 
@@ -150,6 +160,156 @@
             assert {reply.status for reply in replies} == {200}
 
 
+class FailingModel(pydantic.BaseModel):
+    """Model whose validation fails with an error that is no refusal."""
+
+    @pydantic.model_validator(mode='before')
+    @classmethod
+    def fail(cls, document):
+        """Fails for some documents, and accepts no other one."""
+        if document == ODD_DOCUMENT:
+            raise ZeroDivisionError(document)
+        raise ValueError(document)
+
+
+class FailingDecoder(DocumentDecoder):
+    """Decoder that fails for some contents."""
+
+    def configuration(self, content):
+        """Decodes a sound configuration."""
+        self._require_sound(content)
+        return super().configuration(content)
+
+    def target(self, target_id, content):
+        """Decodes a sound target."""
+        self._require_sound(content)
+        return super().target(target_id, content)
+
+    def _require_sound(self, content):
+        if content == ODD_CONTENT:
+            raise ZeroDivisionError(content)
+
+
+def fail(*arguments):
+    """Fails, as a decoder does that meets what nobody expected."""
+    raise ZeroDivisionError(arguments)
+
+
+def sound_target(offset):
+    """Returns the record of a target to use."""
+    content = json.dumps(dict(SOUND)).encode()
+    return TableRecord(offset, f'target-{offset}', content)
+
+
+def configuration(offset, content=None):
+    """Returns a record of the operator's configuration."""
+    document = json.dumps(build_document(offset)).encode()
+    return TableRecord(offset, 'config', content or document)
+
+
+class TestFailingDecoders:
+    """Records that make their decoder fail in a way that nobody expects."""
+
+    def test_target(self):
+        """The targets before and after it are used."""
+        state = FleetState(FailingDecoder())
+        odd = TableRecord(2, 'odd', ODD_CONTENT)
+        page = TablePage((sound_target(1), odd, sound_target(3)), 4)
+        state.replace(Table.TARGETS, page)
+        rows = state.roster.rows()
+        assert [row.target_id for row in rows] == ['target-1', 'target-3']
+        assert state.refused.counts[Table.TARGETS.value] == 1
+
+    def test_target_of_an_earlier_era(self):
+        """Revisions of such records are compared as if they had none."""
+        state = FleetState(FailingDecoder())
+        odd = TableRecord(2, 'odd', ODD_CONTENT)
+        state.apply(Table.TARGETS, TablePage((odd,), 3))
+        state.replace(Table.TARGETS, TablePage((sound_target(1), odd), 3, 1))
+        assert [row.target_id for row in state.roster.rows()] == ['target-1']
+
+    @pytest.mark.parametrize('content', [ODD_CONTENT, b'{}'])
+    def test_configuration(self, content):
+        """The version before stays in force, and later ones are used."""
+        state = FleetState(FailingDecoder())
+        odd = configuration(2, content)
+        for offset, record in enumerate((configuration(1), odd)):
+            page = TablePage((record,), offset + 1)
+            state.apply(Table.CONFIGURATION, page)
+        assert state.version == 1
+        assert state.refused.counts[Table.CONFIGURATION.value] == 1
+        state.apply(Table.CONFIGURATION, TablePage((configuration(3),), 4))
+        assert state.version == 3
+
+    def test_groups_of_a_configuration(self, monkeypatch):
+        """A version whose services can't be grouped isn't in force at all."""
+        state = FleetState(FailingDecoder())
+        state.apply(Table.CONFIGURATION, TablePage((configuration(1),), 2))
+        groups = state.groups
+        monkeypatch.setattr(fleet_state_module, 'schedule_groups', fail)
+        state.apply(Table.CONFIGURATION, TablePage((configuration(2),), 3))
+        assert (state.version, state.groups) == (1, groups)
+
+    def test_presence(self, monkeypatch):
+        """The other entries are known."""
+        state = FleetState(DocumentDecoder())
+        odd = json.dumps({**PRESENCE, 'failure_domain': 'odd'}).encode()
+        sound = json.dumps(dict(PRESENCE)).encode()
+        records = (TableRecord(1, 'odd', odd), TableRecord(2, 'e', sound))
+        state.apply(Table.ENTRIES, TablePage(records, 3))
+        monkeypatch.setattr(
+            entry_presences,
+            'require_name',
+            lambda name: name and fail(name),
+        )
+        for _ in range(2):
+            (presence,) = state.presences.listed()
+            assert presence.instance_id == PRESENCE['instance_id']
+        assert state.refused.counts[Table.ENTRIES.value] == 1
+
+    async def test_version(self):
+        """The other versions are listed; each record is counted once."""
+        fleet = StreamingFleet(1)
+        sound = {'service': 'model', 'software_version': 'v1'}
+        store = fleet.store
+        store.write(Table.VERSIONS, 'sound', json.dumps(sound).encode())
+        store.write(Table.VERSIONS, 'odd', ODD_CONTENT)
+        async with fleet.running():
+            (entry,) = fleet.entries.values()
+            for _ in range(3):
+                assert await entry.listing.read('model') == {'v1'}
+            assert entry.state.refused.counts[Table.VERSIONS.value] == 1
+
+    async def test_origins(self):
+        """The origins in other records are known."""
+        fleet = StreamingFleet(1)
+        sound = {
+            'request_id': 'r1',
+            'service': 'model',
+            'software_version': 'v1',
+            'left_ms': 60_000,
+        }
+        huge = {**sound, 'left_ms': 10**400}
+        for content in (
+            ODD_CONTENT,
+            json.dumps({'origins': [huge]}).encode(),
+            json.dumps({'origins': [sound]}).encode(),
+        ):
+            fleet.store.write(Table.ORIGINS, '', content)
+        async with fleet.running():
+            (entry,) = fleet.entries.values()
+            await entry.journal.read_origins()
+            assert entry.journal.origins.find('r1', 0)
+            assert entry.state.refused.counts[Table.ORIGINS.value] == 2
+
+    def test_document(self):
+        """Validation that fails is a refusal which names the document."""
+        with pytest.raises(DocumentError, match=r'd1: .*ZeroDivisionError'):
+            check_document(FailingModel, ODD_DOCUMENT, 'd1')
+        with pytest.raises(DocumentError, match='d1'):
+            check_document(FailingModel, {}, 'd1')
+
+
 class TestHttpClient:
     """Calls that can't be made."""
 
