Refuse targets with a wrong type in coldLeftMs or without a slot

Seen: a record whose `coldLeftMs` was null, a boolean, a text, a list, an object, NaN, infinite or beyond 2^53 was taken as a target, and so was one with 0 slots. Such a record names no target to use: callers' requests were sent to whatever address it gave.

Cause: `coldLeftMs` had the lenient type of the machine's limits, which reads what it can't use as "not stated". That suits settings, since a process must start in spite of a limit that it can't read; it does not suit announcements.

Change: a number up to MAX_INTEGER, or no such field; at least one slot. Decided field by field: service, address, zone, slots and state must be there; born, coldLeftMs, version and sequence may be missing, since deployments leave some of them out, but not of another type. A time below 0 is over, so it is still 0. Fields that nothing reads are not checked.

The test of cold targets wanted a text and null in `coldLeftMs` to cost nothing.

--- a/borageyard/platform/documents.py
+++ b/borageyard/platform/documents.py
@@ -8,7 +8,7 @@
 from ..clock import MS_PER_S
 from ..decoded_items import DecodedItems
 from ..document_validation import check_document, parse_json
-from ..field_checks import Address, Count, Name, check_id
+from ..field_checks import MAX_INTEGER, Address, Count, Name, check_id
 from ..machine_capacity.machine_limits import Lenient
 from ..roster import RosterRow, TargetPhase
 from ..serving_configuration import (
@@ -125,12 +125,14 @@
     state: Literal['ready', 'draining']
     # Version of the software, not of the weights.
     version: Name = ''
-    slots: Count
+    slots: Annotated[Count, Field(gt=0)]
     # Number of the announcement since the process started.
     sequence: Count = 0
     # Start time of the process in Unix milliseconds.
     born: Count = 0
-    cold_left_ms: Annotated[Lenient, Field(alias='coldLeftMs')] = None
+    cold_left_ms: Annotated[
+        float, Field(alias='coldLeftMs', ge=-MAX_INTEGER, le=MAX_INTEGER)
+    ] = 0
 
 
 class DocumentDecoder:
@@ -202,7 +204,7 @@
             incarnation=document.born,
             announcement_number=document.sequence,
             software_version=document.version,
-            cold_left_ms=document.cold_left_ms or 0,
+            cold_left_ms=max(document.cold_left_ms, 0),
         )
 
 
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -9,6 +9,7 @@
 import pytest
 
 from borageyard.clock import ManualClock
+from borageyard.document_validation import DocumentError
 from borageyard.failure_domains.cold_targets import (
     MAX_COLD_MS,
     TRANSIT_S,
@@ -156,7 +157,7 @@
         assert not cold.left_ms(ROW)
 
     def test_document_and_records(self):
-        """Odd values cost neither the configuration nor the target."""
+        """Odd values don't cost the configuration; odd types cost a target."""
         decoder = DocumentDecoder()
         service = {'name': 'desk', 'coldStartS': 12.5, 'coldPerS': 'many'}
         document = {**build_document(), 'services': [service]}
@@ -172,11 +173,15 @@
             'slots': 1,
         }
         known_ms = []
-        for stated in (700, -5, 'long', None):
+        for stated in (700, -5):
             fields['coldLeftMs'] = stated
             row = decoder.target('t', json.dumps(fields).encode())
             known_ms.append(row.cold_left_ms)
-        assert known_ms == [700, 0, 0, 0]
+        assert known_ms == [700, 0]
+        for odd in ('long', None):
+            fields['coldLeftMs'] = odd
+            with pytest.raises(DocumentError, match='coldLeftMs'):
+                decoder.target('t', json.dumps(fields).encode())
 
 
 RATES = (0.3, 1, 2, 2.5, 4, 20)
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -80,6 +80,10 @@
         ('born', {'born': 10**30}),
         ('sequence', {'sequence': 10**30}),
         ('zone', {'zone': '\ud800'}),
+        ('cold', {'coldLeftMs': 10**400}),
+        ('cold-text', {'coldLeftMs': '5'}),
+        ('cold-null', {'coldLeftMs': None}),
+        ('slots', {'slots': 0}),
     ):
         content = json.dumps({**SOUND, **odd}).encode()
         yield encoded(name.encode(), content)
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -200,13 +200,54 @@
             {'version': 'v' * 300},
             {'zone': '\ud800'},
             {'service': '\ud800'},
+            {'slots': 0},
+            {'slots': True},
+            {'sequence': 1.5},
+            {'version': 1},
+            {'coldLeftMs': None},
+            {'coldLeftMs': True},
+            {'coldLeftMs': '5'},
+            {'coldLeftMs': [5]},
+            {'coldLeftMs': {}},
+            {'coldLeftMs': -(10**30)},
+            {'coldLeftMs': float('nan')},
+            {'coldLeftMs': float('inf')},
+            {'coldLeftMs': 10**30},
+            {'coldLeftMs': 10**400},
         ],
+        ids=lambda fields: str(fields)[:40],
     )
     def test_other_writers(self, fields):
         """Records of other writers that describe no target are rejected."""
         with pytest.raises(DocumentError):
             target(**fields)
 
+    @pytest.mark.parametrize(
+        'missing', ['service', 'address', 'zone', 'slots', 'state']
+    )
+    def test_required_field_is_missing(self, missing):
+        """Without it there is no telling whom to call, or for what."""
+        content = {**TARGET}
+        content.pop(missing)
+        with pytest.raises(DocumentError, match=missing):
+            DocumentDecoder().target('i-1', json.dumps(content).encode())
+
+    @pytest.mark.parametrize(
+        'missing', ['born', 'coldLeftMs', 'version', 'sequence']
+    )
+    def test_field_that_some_deployments_leave_out(self, missing):
+        """The target is used without it."""
+        content = {**TARGET}
+        content.pop(missing)
+        row = DocumentDecoder().target('i-1', json.dumps(content).encode())
+        assert row.service == 'desk'
+
+    @pytest.mark.parametrize('stated_ms', [-5, 0, 1500, 1500.5])
+    def test_cold_time(self, stated_ms):
+        """It is taken as stated, whole or not; one that is over is 0."""
+        cold_left_ms = target(coldLeftMs=stated_ms).cold_left_ms
+        assert cold_left_ms == pytest.approx(max(stated_ms, 0))
+
     @pytest.mark.parametrize(
         'key', ['', 'a b', 'i-\ufffd', 'i\r\nx', 'i' * 300]
     )
