--- a/borageyard/platform/store.py
+++ b/borageyard/platform/store.py
@@ -1,18 +1,19 @@
 """Client of the platform's store, whose topics are compacted by key."""
 
 import base64
+import contextlib
 import types
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from http import HTTPStatus
-from typing import Annotated
+from typing import Annotated, Any
 from urllib.parse import urlencode
 
-from pydantic import BaseModel, Field
+from pydantic import BaseModel, ConfigDict, Field
 
 from ..document_validation import DocumentError, check_document, parse_json
 from ..events import Event, log_event
 from ..failure_domains.evacuations import is_evacuation
-from ..field_checks import MAX_DIGITS, parse_count
+from ..field_checks import MAX_DIGITS, Count, parse_count
 from ..http_client import HttpCall, HttpCallError, HttpClient, HttpReply
 from ..record_history import decode_history, encode_record
 from ..shared_table import (
@@ -51,21 +52,26 @@
 )
 
 
-class _Item(BaseModel):
+class _Answer(BaseModel):
+    model_config = ConfigDict(strict=True)
+
+
+class _Item(_Answer):
     key: str
     # Base64-encoded value.
     value: str
-    offset: int
+    offset: Count
 
 
-class _NewestPage(BaseModel):
-    items: list[_Item] = []
+class _NewestPage(_Answer):
+    # Decoded one by one, so that an odd one costs only itself.
+    items: list[Any] = []
     more: Annotated[bool, Field(alias='hasMore')] = False
-    end: int
+    end: Count
 
 
-class _Bounds(BaseModel):
-    first: int
+class _Bounds(_Answer):
+    first: Count
 
 
 class StoreTables:
@@ -87,30 +93,17 @@
         """Reads the newest record of each key."""
         page, era = await self._newest(table, {}, on_part)
         end = page.end
-        items = list(page.items)
+        records = _decode_items(table, page)
         for _ in range(MAX_PAGES):
             if not page.more or not page.items:
                 break
-            page, page_era = await self._newest(
-                table, {'after': page.items[-1].key}, on_part
-            )
-            if page_era != era:
-                raise StoreError(
-                    f'era {page_era} within a snapshot of era {era}',
-                    max(era, page_era),
-                )
-            items.extend(page.items)
+            page = await self._next_page(table, records, era, on_part)
+            records.extend(_decode_items(table, page))
         else:
             raise StoreError(f'snapshot of more than {MAX_PAGES} pages')
-        records = [
-            TableRecord(
-                item.offset, item.key, base64.b64decode(item.value) or None
-            )
-            for item in items
-            if _is_relevant(table, item.key)
-        ]
-        records.sort(key=lambda record: record.offset)
-        return TablePage(tuple(records), end, era)
+        relevant = [one for one in records if _is_relevant(table, one.key)]
+        relevant.sort(key=lambda record: record.offset)
+        return TablePage(tuple(relevant), end, era)
 
     async def read(
         self,
@@ -170,6 +163,29 @@
         _require_ok(reply)
         return _era_of(reply)
 
+    async def _next_page(
+        self,
+        table: Table,
+        records: Sequence[TableRecord],
+        era: int,
+        on_part: PartListener | None,
+    ) -> _NewestPage:
+        """Returns the page of a snapshot that follows some records.
+
+        Raises:
+            StoreError: If the store does not answer, or has changed its era.
+        """
+        if not records:
+            raise StoreError('no item to continue a snapshot after', era)
+        after = {'after': records[-1].key}
+        page, page_era = await self._newest(table, after, on_part)
+        if page_era != era:
+            raise StoreError(
+                f'era {page_era} within a snapshot of era {era}',
+                max(era, page_era),
+            )
+        return page
+
     async def _newest(
         self,
         table: Table,
@@ -226,6 +242,33 @@
     return era
 
 
+def _decode_items(table: Table, page: _NewestPage) -> list[TableRecord]:
+    """Returns the records of a page; an item that can't be read is none."""
+    source = f'item of {TOPICS[table]}'
+    records = []
+    for fields in page.items:
+        try:
+            item = check_document(_Item, fields, source)
+        except DocumentError as error:
+            log_event(Event.PLATFORM_FAILED, reason=str(error))
+            continue
+        content = _decode_value(item.value)
+        records.append(TableRecord(item.offset, item.key, content))
+    return records
+
+
+def _decode_value(encoded: str) -> bytes | None:
+    """Returns the content of an item; None if its key was removed.
+
+    A value that is no base64 is returned as it is: the decoder of the record
+    refuses it.
+    """
+    decoded = b''
+    with contextlib.suppress(ValueError):
+        decoded = base64.b64decode(encoded)
+    return decoded or encoded.encode() or None
+
+
 def _decode_first(body: bytes) -> int:
     """Returns the first retained offset of a topic."""
     source = 'bounds of a topic'
--- a/tests/test_odd_records.py
+++ b/tests/test_odd_records.py
@@ -1,9 +1,11 @@
 """Tests of records that another writer left in the shared store."""
 
 import asyncio
+import base64
 import json
 import sys
 import types
+from http import HTTPStatus
 
 import pydantic
 import pytest
@@ -13,13 +15,25 @@
 from borageyard.clock import SystemClock
 from borageyard.document_validation import DocumentError, check_document
 from borageyard.fleet_state import FleetState
-from borageyard.http_client import HttpCall, HttpCallError, HttpClient
+from borageyard.http_client import (
+    HttpCall,
+    HttpCallError,
+    HttpClient,
+    HttpReply,
+)
 from borageyard.inbound import InboundRequest, TargetSend
 from borageyard.platform.answer_notices import AnswerNotices
 from borageyard.platform.documents import DocumentDecoder
+from borageyard.platform.store import StoreTables
 from borageyard.platform.targets import HttpTargetSender
 from borageyard.roster import RosterRow, TargetPhase
-from borageyard.shared_table import Table, TablePage, TableRecord
+from borageyard.shared_table import (
+    HistoryLostError,
+    StoreError,
+    Table,
+    TablePage,
+    TableRecord,
+)
 from borageyard.standins.gateway_deployment import build_document
 from borageyard.standins.streaming_fleet import StreamingFleet
 from borageyard.target_departures import TargetDepartures
@@ -314,6 +328,82 @@
             check_document(FailingModel, {}, 'd1')
 
 
+class StoreStub:
+    """Answers each call to the store in the same way."""
+
+    def __init__(self, status, document):
+        """Sets the answer, a JSON document."""
+        self._reply = HttpReply(status, {}, json.dumps(document).encode())
+
+    async def request(self, call):
+        """Returns the answer."""
+        return self._reply
+
+
+def item(key, **fields):
+    """Returns an item of a snapshot."""
+    content = base64.b64encode(json.dumps(dict(SOUND)).encode()).decode()
+    return {'key': key, 'value': content, 'offset': 1, **fields}
+
+
+def newest(*items, **fields):
+    """Returns the tables of a store whose snapshots have such items."""
+    page = {'items': items, 'hasMore': False, 'end': 9, **fields}
+    return StoreTables(StoreStub(200, page), 'h:1')
+
+
+class TestStoreAnswers:
+    """Answers of the store with odd numbers, types or contents."""
+
+    @pytest.mark.parametrize(
+        'odd',
+        [
+            {'key': 5},
+            {'key': None},
+            {'value': 5},
+            {'offset': '1'},
+            {'offset': -1},
+            {'offset': 10**30},
+            {'offset': 10**400},
+        ],
+        ids=lambda odd: str(odd)[:30],
+    )
+    async def test_item_costs_itself(self, odd):
+        """The items around it are read."""
+        items = [item('a'), {**item('odd'), **odd}, item('b'), 'odd', {}]
+        tables = newest(*items)
+        page = await tables.snapshot(Table.TARGETS)
+        assert [record.key for record in page.records] == ['a', 'b']
+
+    @pytest.mark.parametrize('value', ['=', 'a', 'odd!', '\u00e9'])
+    async def test_value_that_is_no_base64(self, value):
+        """It is the content of a record that names no target."""
+        tables = newest(item('a'), item('odd', value=value))
+        state = FleetState(DocumentDecoder())
+        state.replace(Table.TARGETS, await tables.snapshot(Table.TARGETS))
+        assert [row.target_id for row in state.roster.rows()] == ['a']
+        assert state.refused.counts[Table.TARGETS.value] == 1
+
+    async def test_next_page_follows_the_last_item_that_is_read(self):
+        """A snapshot goes on after it, or fails if there is none."""
+        with pytest.raises(StoreError):
+            await newest('odd', hasMore=True).snapshot(Table.TARGETS)
+
+    @pytest.mark.parametrize('end', [-1, 10**30, 10**400, '9', None])
+    async def test_end_of_a_snapshot(self, end):
+        """An end that no history has fails the read."""
+        with pytest.raises(StoreError):
+            await newest(item('a'), end=end).snapshot(Table.TARGETS)
+
+    @pytest.mark.parametrize('first', [-1, 10**30, 10**400, '9', None])
+    async def test_first_offset(self, first):
+        """A history without a known start is read again from a snapshot."""
+        store = StoreStub(HTTPStatus.GONE, {'first': first})
+        with pytest.raises(HistoryLostError) as raised:
+            await StoreTables(store, 'h:1').read(Table.TARGETS, 5, 0)
+        assert raised.value.first == 0
+
+
 class TestHttpClient:
     """Calls that can't be made."""
 
