Let a section of gossip cost only itself if its consumer fails

Cause: a consumer that raised anything ended the stream of the peer, without a line in the log; the rest of the message was lost, and the next one, half a second later, ended the next stream.

Change: each section is consumed for itself. A failure is counted with the sections that can't be used, and logged when it begins.

--- a/borageyard/peer_server.py
+++ b/borageyard/peer_server.py
@@ -55,6 +55,8 @@
             tuple[type[pydantic.BaseModel], PeerHandler],
         ] = {}
         self.sections: dict[str, GossipSection] = {}
+        # Peers and kinds of sections whose last section could not be used.
+        self._failing: set[tuple[str, str]] = set()
 
     async def handle_request(
         self, peer_id: str, frame: PeerFrameBody
@@ -105,21 +107,41 @@
             sections: Message bodies by kind.
 
         Returns:
-            Number of sections of unknown kind or with malformed content.
+            Number of sections of unknown kind, with malformed content or
+            on which their consumer failed.
         """
-        rejected = 0
-        for kind, body in sections.items():
-            section = self.sections.get(kind)
-            if section is None:
-                rejected += 1
-                continue
-            try:
-                message = section.model.model_validate(body)
-            except pydantic.ValidationError:
-                rejected += 1
-                continue
-            section.consume(peer_id, message)
-        return rejected
+        consumed = [
+            self._consume(peer_id, kind, body)
+            for kind, body in sections.items()
+        ]
+        return consumed.count(False)
+
+    def _consume(self, peer_id: str, kind: str, body: object) -> bool:
+        """Consumes a section; returns False if it can't be used."""
+        section = self.sections.get(kind)
+        if section is None:
+            return False
+        try:
+            section.consume(peer_id, section.model.model_validate(body))
+        except pydantic.ValidationError:
+            return False
+        except Exception as error:
+            # The other sections and the stream must go on.
+            self._log_failure(peer_id, kind, error)
+            return False
+        self._failing.discard((peer_id, kind))
+        return True
+
+    def _log_failure(self, peer_id: str, kind: str, error: Exception) -> None:
+        """Logs the first of several failures, as gossip is periodic."""
+        if (peer_id, kind) not in self._failing:
+            self._failing.add((peer_id, kind))
+            log_event(
+                Event.PEER_HANDLER_FAILED,
+                peer_id=peer_id,
+                kind=kind,
+                reason=repr(error),
+            )
 
 
 class PeerServer:
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -203,6 +203,11 @@
     return msgpack.unpackb(await reader.readexactly(size))
 
 
+def fail_to_consume(peer_id, message):
+    """Fails on any gossip."""
+    raise ZeroDivisionError(peer_id, message)
+
+
 async def wait_held(guard, held_bytes):
     """Waits until so many bytes are held."""
     async with asyncio.timeout(10):
@@ -525,6 +530,26 @@
             assert (await read_raw(reader))['type'] == 'pong'
         assert two.counters.news_unknown == 1
 
+    async def test_section_on_which_its_consumer_fails(self, logged_events):
+        """Other sections and the stream go on; the first failure is logged."""
+        two = LinkedEntry('b')
+        two.link.add_gossip_section(
+            GossipSection(PeerProbeBody, PeerProbeBody, fail_to_consume)
+        )
+        membership = {'PeerMembershipBody': {'incarnation': 5}}
+        async with started(two):
+            reader, writer = await raw_stream(two)
+            await read_raw(reader)
+            for _ in range(3):
+                body = {'PeerProbeBody': {}, **membership}
+                send_raw(writer, {'type': 'news', 'body': body})
+            send_raw(writer, {'type': 'ping'})
+            assert (await read_raw(reader))['type'] == 'pong'
+        assert two.gossip.qsize() == 3
+        assert two.counters.news_unknown == 3
+        (failure,) = logged_events('peer_handler_failed')
+        assert failure['kind'] == 'PeerProbeBody'
+
     async def test_older_gossip_is_dropped_for_a_blocked_peer(self):
         """Only the newest gossip is queued for a blocked peer."""
         sides = (
