--- a/borageyard/peer_codec.py
+++ b/borageyard/peer_codec.py
@@ -31,9 +31,12 @@
         The length prefix and the payload.
 
     Raises:
-        FrameError: If the payload exceeds the limit.
+        FrameError: If the payload exceeds the limit or can't be encoded.
     """
-    payload = msgpack.packb(frame.model_dump(exclude_defaults=True))
+    try:
+        payload = msgpack.packb(frame.model_dump(exclude_defaults=True))
+    except (OverflowError, ValueError) as error:
+        raise FrameError(f'frame that cannot be encoded: {error}') from error
     if len(payload) > max_bytes:
         raise FrameError(f'frame of {len(payload)} bytes')
     return LENGTH_PREFIX.pack(len(payload)) + bytes(payload)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -19,6 +19,7 @@
 from borageyard.client_limits.limit_reports import LimitReason
 from borageyard.client_limits.memory_budget import MemoryBudget
 from borageyard.clock import SystemClock
+from borageyard.generated.peer_elections import SchedulerNewsBody
 from borageyard.generated.peer_frames import PeerFrameBody
 from borageyard.generated.peer_membership import (
     PeerMembershipBody,
@@ -26,7 +27,7 @@
     PeerProbeReplyBody,
 )
 from borageyard.generated.settings import PeerSettings
-from borageyard.peer_codec import LENGTH_PREFIX, encode_frame
+from borageyard.peer_codec import LENGTH_PREFIX, FrameError, encode_frame
 from borageyard.peer_link import TcpPeerLink
 from borageyard.peer_stream import (
     MAX_GREETING_BYTES,
@@ -550,6 +551,41 @@
         (failure,) = logged_events('peer_handler_failed')
         assert failure['kind'] == 'PeerProbeBody'
 
+    @pytest.mark.parametrize('number', [2**64 - 1, 2**53, -1])
+    async def test_term_beyond_all_numbers(self, number):
+        """It is not taken over: the next one could not be sent to peers."""
+        terms = []
+        two = LinkedEntry('b')
+        two.link.add_gossip_section(
+            GossipSection(
+                SchedulerNewsBody,
+                SchedulerNewsBody,
+                lambda _, news: terms.extend(news.terms),
+            )
+        )
+        sound = {
+            'group': 'g',
+            'number': 1,
+            'scheduler_id': 'e',
+            'incarnation': 1,
+        }
+        async with started(two):
+            reader, writer = await raw_stream(two)
+            await read_raw(reader)
+            for field in ('number', 'incarnation', 'renewal', 'age_ms'):
+                news = {'terms': [{**sound, field: number}]}
+                body = {'SchedulerNewsBody': news}
+                send_raw(writer, {'type': 'news', 'body': body})
+            send_raw(writer, {'type': 'ping'})
+            assert (await read_raw(reader))['type'] == 'pong'
+        assert not terms
+
+    def test_frame_that_cannot_be_encoded(self):
+        """It is refused like one that is too large."""
+        frame = PeerFrameBody.model_construct(type='news', id=2**64)
+        with pytest.raises(FrameError, match='encoded'):
+            encode_frame(frame, 1000)
+
     async def test_older_gossip_is_dropped_for_a_blocked_peer(self):
         """Only the newest gossip is queued for a blocked peer."""
         sides = (
