Clamp the operator's whole numbers; refuse targets with one beyond 64 bits

Cause: bounds, ranks and sizes of the configuration took whole numbers of any size, which clocks, floats and msgpack can't hold; and a record of a target was taken although a field that nothing reads held such a number, which no target writes.

Change: the operator's whole numbers are read as the nearest one that all codecs hold exactly. A bound beyond all counts is as good as the greatest one and must not cost the whole document. Whole numbers of more than 64 bits refuse the record of a target, in any field; other documents may hold them.

--- a/borageyard/document_validation.py
+++ b/borageyard/document_validation.py
@@ -6,7 +6,7 @@
 import pathlib
 import textwrap
 import traceback
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import TypeVar
 
 import pydantic
@@ -119,12 +119,18 @@
     )
 
 
-def parse_json(text: str | bytes, source: str) -> object:
+def parse_json(
+    text: str | bytes,
+    source: str,
+    *,
+    parse_int: Callable[[str], int] | None = None,
+) -> object:
     """Decodes JSON text.
 
     Args:
         text: The JSON text.
         source: Name of the document in error messages.
+        parse_int: Decodes the digits of whole numbers; may raise ValueError.
 
     Returns:
         The decoded document.
@@ -133,7 +139,7 @@
         DocumentError: If the text is not valid JSON.
     """
     try:
-        return json.loads(text)
+        return json.loads(text, parse_int=parse_int)
     except (ValueError, RecursionError) as error:
         problem = Problem('$', 'text that is not JSON', str(error))
         raise DocumentError(source, (problem,)) from error
--- a/borageyard/field_checks.py
+++ b/borageyard/field_checks.py
@@ -16,6 +16,9 @@
 # Most digits of a number in a header.
 MAX_DIGITS = 15
 MAX_PORT = 65_535
+# Bounds of the signed and unsigned integers of 64 bits.
+MIN_INT64 = -9_223_372_036_854_775_808
+MAX_UINT64 = 18_446_744_073_709_551_615
 MAX_NAME_CHARS = 256
 
 
@@ -29,6 +32,21 @@
     return int(text) if is_number and len(text) <= MAX_DIGITS else None
 
 
+def parse_64_bits(digits: str) -> int:
+    """Returns the whole number of a JSON document.
+
+    Args:
+        digits: Its digits, with the sign.
+
+    Raises:
+        ValueError: If it takes more than 64 bits.
+    """
+    number = int(digits)
+    if not MIN_INT64 <= number <= MAX_UINT64:
+        raise ValueError('whole number of more than 64 bits')
+    return number
+
+
 def parse_finite(text: str) -> float | None:
     """Returns the finite number that a text states, or None.
 
@@ -42,6 +60,18 @@
     return number if math.isfinite(number) else None
 
 
+def clamp_integer(number: int) -> int:
+    """Returns the nearest number from -MAX_INTEGER to MAX_INTEGER.
+
+    For bounds and ranks that an operator declares: one beyond all counts is as
+    good as the greatest one, and must not cost the whole document.
+
+    Args:
+        number: Any whole number.
+    """
+    return max(-MAX_INTEGER, min(number, MAX_INTEGER))
+
+
 def require_address(text: str) -> str:
     """Checks an IP address with a port that can be connected to.
 
@@ -120,6 +150,7 @@
     return DocumentError(source, (problem,))
 
 
+ClampedInteger = Annotated[int, AfterValidator(clamp_integer)]
 Address = Annotated[str, AfterValidator(require_address)]
 Count = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
 Name = Annotated[str, AfterValidator(require_name)]
--- a/borageyard/platform/documents.py
+++ b/borageyard/platform/documents.py
@@ -8,7 +8,15 @@
 from ..clock import MS_PER_S
 from ..decoded_items import DecodedItems
 from ..document_validation import check_document, parse_json
-from ..field_checks import MAX_INTEGER, Address, Count, Name, check_id
+from ..field_checks import (
+    MAX_INTEGER,
+    Address,
+    ClampedInteger,
+    Count,
+    Name,
+    check_id,
+    parse_64_bits,
+)
 from ..machine_capacity.machine_limits import Lenient
 from ..roster import RosterRow, TargetPhase
 from ..serving_configuration import (
@@ -54,10 +62,10 @@
     kind: str
     timeout_ms: Annotated[float, Field(alias='timeoutMs')]
     target_latency_ms: Annotated[float, Field(alias='targetLatencyMs')] = 0
-    priority: int = 0
+    priority: ClampedInteger = 0
     service: str = ''
     backends: Annotated[list[_Backend], Field(alias='weightedBackends')] = []
-    max_attempts: Annotated[int, Field(alias='maxAttempts')] = 1
+    max_attempts: Annotated[ClampedInteger, Field(alias='maxAttempts')] = 1
     stages: list[_Stage] = []
     allow_anonymous: Annotated[bool, Field(alias='allowAnonymous')] = False
     # Set on routes whose requests declare the parts of their prompt.
@@ -67,10 +75,10 @@
 
 
 class _Pieces(_Fields):
-    slots: int = 1
-    queue: int = 0
+    slots: ClampedInteger = 1
+    queue: ClampedInteger = 0
     # Maximum number of pieces in a call.
-    size: Annotated[int, Field(alias='batch')] = 1
+    size: Annotated[ClampedInteger, Field(alias='batch')] = 1
     call_ms: Annotated[float, Field(alias='callMs')] = 0
     piece_ms: Annotated[float, Field(alias='itemMs')] = 0
     # Memory available for results, not a reserve.
@@ -80,14 +88,16 @@
 
 
 class _Engine(_Fields):
-    slots: int = 0
+    slots: ClampedInteger = 0
     # Number of tokens that fit in the memory of an engine.
-    memory_tokens: Annotated[int, Field(alias='kvCapacity')] = 0
+    memory_tokens: Annotated[ClampedInteger, Field(alias='kvCapacity')] = 0
 
 
 class _Service(_Fields):
     name: str
-    max_connections: Annotated[int, Field(alias='maxConnections')] = 0
+    max_connections: Annotated[
+        ClampedInteger, Field(alias='maxConnections')
+    ] = 0
     cold_s: Annotated[Lenient, Field(alias='coldStartS')] = None
     cold_per_s: Annotated[Lenient, Field(alias='coldPerS')] = None
     pieces: _Pieces | None = None
@@ -95,16 +105,24 @@
 
 
 class _Limits(_Fields):
-    max_header_bytes: Annotated[int, Field(alias='maxHeaderBytes')] = 16384
-    max_body_bytes: Annotated[int, Field(alias='maxBodyBytes')] = 4194304
-    header_timeout_ms: Annotated[int, Field(alias='headerTimeoutMs')] = 3000
-    idle_timeout_ms: Annotated[int, Field(alias='idleTimeoutMs')] = 15000
+    max_header_bytes: Annotated[
+        ClampedInteger, Field(alias='maxHeaderBytes')
+    ] = 16384
+    max_body_bytes: Annotated[ClampedInteger, Field(alias='maxBodyBytes')] = (
+        4194304
+    )
+    header_timeout_ms: Annotated[
+        ClampedInteger, Field(alias='headerTimeoutMs')
+    ] = 3000
+    idle_timeout_ms: Annotated[ClampedInteger, Field(alias='idleTimeoutMs')] = (
+        15000
+    )
 
 
 class _Tenant(_Fields):
     name: str
     keys: Annotated[list[str], Field(alias='apiKeys')] = []
-    priority: int | None = None
+    priority: ClampedInteger | None = None
 
 
 class _Configuration(_Fields):
@@ -193,7 +211,9 @@
         """
         source = f'target {target_id}'
         check_id(target_id, source)
-        document = check_document(_Target, parse_json(content, source), source)
+        # Targets state no number beyond 64 bits, in any field.
+        fields = parse_json(content, source, parse_int=parse_64_bits)
+        document = check_document(_Target, fields, source)
         return RosterRow(
             target_id=target_id,
             service=document.service,
--- a/tests/test_platform_documents.py
+++ b/tests/test_platform_documents.py
@@ -8,6 +8,7 @@
 import pytest
 
 from borageyard.document_validation import DocumentError
+from borageyard.field_checks import MAX_INTEGER
 from borageyard.platform.documents import DocumentDecoder
 from borageyard.platform.settings import load_settings
 from borageyard.roster import TargetPhase
@@ -39,6 +40,7 @@
         'fieldOfTomorrow': {},
     }
 )
+HUGE_NUMBERS = (10**30, 10**400)
 TARGET = types.MappingProxyType(
     {
         'service': 'desk',
@@ -154,6 +156,42 @@
         assert groups['model'] == groups['planner']
         assert groups['desk'] != groups['model']
 
+    @pytest.mark.parametrize('number', HUGE_NUMBERS, ids=['10^30', '10^400'])
+    @pytest.mark.parametrize(
+        ('section', 'field'),
+        [
+            ('routes', 'priority'),
+            ('routes', 'maxAttempts'),
+            ('services', 'maxConnections'),
+            ('engine', 'slots'),
+            ('engine', 'kvCapacity'),
+            ('pieces', 'slots'),
+            ('pieces', 'queue'),
+            ('pieces', 'batch'),
+            ('tenants', 'priority'),
+            ('limits', 'maxHeaderBytes'),
+            ('limits', 'maxBodyBytes'),
+            ('limits', 'headerTimeoutMs'),
+            ('limits', 'idleTimeoutMs'),
+        ],
+    )
+    def test_number_beyond_all_counts(self, section, field, number):
+        """It is as good as the greatest count, and no number is beyond it."""
+        document = build_document()
+        service = {**document['services'][0], 'engine': {}, 'pieces': {}}
+        document['services'][0] = service
+        places = {
+            'routes': document['routes'][0],
+            'services': service,
+            'tenants': document['tenants'][0],
+            'limits': document['limits'],
+            **service,
+        }
+        places[section][field] = number
+        huge = configuration(document)
+        places[section][field] = MAX_INTEGER
+        assert huge == configuration(document)
+
     @pytest.mark.parametrize('field', ['coldStartS', 'coldPerS'])
     def test_cold_start_that_cannot_be_read_is_not_stated(self, field):
         """The rest of the document is in force."""
@@ -222,6 +260,20 @@
         with pytest.raises(DocumentError):
             target(**fields)
 
+    @pytest.mark.parametrize('number', HUGE_NUMBERS, ids=['10^30', '10^400'])
+    @pytest.mark.parametrize('field', ['sequence', 'weight', 'stage'])
+    def test_number_beyond_64_bits(self, field, number):
+        """A record with such a number in any field is another writer's."""
+        with pytest.raises(DocumentError):
+            target(**{field: number})
+        with pytest.raises(DocumentError):
+            target(models=[{field: [-number]}])
+
+    @pytest.mark.parametrize('number', [2**64 - 1, -(2**63)])
+    def test_number_of_64_bits(self, number):
+        """A field that is not read may hold it."""
+        assert target(digest=number).service == 'desk'
+
     @pytest.mark.parametrize(
         'missing', ['service', 'address', 'zone', 'slots', 'state']
     )
