--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -34,6 +34,7 @@
     encode_headers,
     open_stream,
 )
+from .response_heads import require_unfolded
 from .send_trace import SendTrace
 from .sent_keys import SentKeys
 
@@ -428,6 +429,8 @@
 
     async def _next_event(self) -> object:
         while True:
+            if self._codec.their_state is h11.SEND_RESPONSE:
+                require_unfolded(self._codec.trailing_data[0])
             event = self._codec.next_event()
             if event is not h11.NEED_DATA:
                 return event
