--- a/borageyard/http_client.py
+++ b/borageyard/http_client.py
@@ -23,6 +23,7 @@
 import h11
 
 from .clock import MS_PER_S
+from .connection_ends import await_clean_end
 from .events import Event, log_event
 from .field_checks import parse_count
 from .http_messages import HttpLimits, split_address
@@ -226,6 +227,10 @@
         self._codec = h11.Connection(h11.CLIENT)
         self._consumed_bytes = 0
         self._response_start_bytes = 0
+        # Size of the latest request.
+        self._request_bytes = 0
+        # Whether the server has ended its direction.
+        self._at_end = False
         # Pieces of bodies that were read.
         self._pieces = 0
         self._sent_keys = SentKeys()
@@ -294,6 +299,7 @@
             raise HttpCallError(
                 f'request is invalid: {error}', False
             ) from error
+        self._request_bytes = len(encoded)
         self._writer.write(encoded)
 
     def has_sent(self, call: HttpCall) -> bool:
@@ -418,6 +424,8 @@
             event = await self._next_event()
         if not isinstance(event, h11.EndOfMessage):
             raise HttpCallError('response is truncated', sent=True)
+        if self._at_end:
+            await await_clean_end(self._raw_writer, self._request_bytes)
         if self._codec.our_state is h11.DONE:
             with contextlib.suppress(h11.ProtocolError):
                 self._codec.start_next_cycle()
@@ -436,6 +444,7 @@
                 return event
             received = await self._reader.read(READ_SIZE_BYTES)
             self._consumed_bytes += len(received)
+            self._at_end = not received
             if self.response_bytes > self._max_body_bytes + MAX_OVERHEAD_BYTES:
                 raise HttpCallError('response is too large', sent=True)
             self._codec.receive_data(received)
