Test answers without end on small machines, in calls and through peers

Report: a faulty target sent bytes without end, in a head or in a body; the process that had called it kept them all and ran out of memory, and the requests of other callers on that machine ended with it.

It does not happen here: heads, framing, bodies, events and frames have bounds, whole bodies share the budget of the machine, and what is relayed is read ahead by a few parts.

--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from borageyard.answer_body import AnswerReader
+from borageyard.clock import SystemClock
 from borageyard.http_client import (
     AnswerMatch,
     HttpCall,
@@ -19,8 +20,15 @@
 from borageyard.http_messages import encode_json
 from borageyard.inbound import SendError
 from borageyard.peer_codec import FrameError, read_payload
+from borageyard.piece_runner import CallFailedError, PieceRequest
+from borageyard.platform.answer_notices import AnswerNotices
 from borageyard.platform.store import MAX_PAGES, StoreTables
+from borageyard.platform.targets import HttpPieceRunner
+from borageyard.relayed_call import RelayedCall
+from borageyard.roster import RosterRow, TargetPhase
 from borageyard.shared_table import StoreError, Table
+from borageyard.target_departures import TargetDepartures
+from borageyard.target_limits import TargetLimits
 from tests.test_gateway import ALL_EVENTS, deployment, events
 
 # More than the largest answer and all buffers on the way, far less than without
@@ -195,6 +203,70 @@
             assert server.sent_bytes < MAX_SENT_BYTES
 
 
+@pytest.mark.parametrize('kind', ENDLESS)
+class TestCallsOfGateways:
+    """Calls with pieces, reports and reads of the store."""
+
+    async def test_pieces_and_reports(self, kind):
+        """Each fails after a bounded number of bytes."""
+        async with (
+            asyncio.timeout(SAFETY_TIMEOUT_S),
+            EndlessServer(kind).running() as server,
+            HttpClient() as client,
+        ):
+            clock = SystemClock()
+            limits = TargetLimits(clock)
+            notices = AnswerNotices(limits, TargetDepartures(clock))
+            runner = HttpPieceRunner(client, notices)
+            row = RosterRow('t', 's', server.address, 'a', TargetPhase.READY)
+            with pytest.raises(CallFailedError):
+                await runner.run(row, [PieceRequest('r', 0, 0, 900)], 5000)
+            with pytest.raises(CallFailedError):
+                await runner.query_free_bytes(row)
+            assert server.sent_bytes < MAX_SENT_BYTES
+
+    @pytest.mark.parametrize(
+        'read',
+        [
+            lambda tables: tables.snapshot(Table.TARGETS),
+            lambda tables: tables.read(Table.TARGETS, 0, 0),
+        ],
+        ids=['snapshot', 'history'],
+    )
+    async def test_store(self, kind, read):
+        """A read of a table fails, and is tried again."""
+        async with (
+            asyncio.timeout(SAFETY_TIMEOUT_S),
+            EndlessServer(kind).running() as server,
+            HttpClient() as client,
+        ):
+            with pytest.raises(StoreError):
+                await read(StoreTables(client, server.address))
+            assert server.sent_bytes < MAX_SENT_BYTES
+
+
+class TestRelayedCalls:
+    """Answers to calls that are made for a peer."""
+
+    @pytest.mark.parametrize('kind', ['body', 'chunks', 'tiny chunks'])
+    async def test_bytes_that_the_peer_does_not_take(self, kind):
+        """Only some parts are read ahead of the peer."""
+        async with (
+            EndlessServer(kind).running() as server,
+            HttpClient() as client,
+        ):
+            relayed = RelayedCall(client, call_to(server))
+            relayed.start()
+            async with contextlib.AsyncExitStack() as stack:
+                stack.push_async_callback(relayed.close)
+                assert (await relayed.wait_head()).status == 200
+                sent_bytes = -1
+                while server.sent_bytes > sent_bytes:
+                    sent_bytes = server.sent_bytes
+                    await asyncio.sleep(0.3)
+        assert sent_bytes < MAX_SENT_BYTES
+
+
 class TestOtherWork:
     """What many endless answers cost the rest of the process."""
 
