Bound the pause that a rejection asks for before it is logged

Seen by callers: a target rejected a request with `Retry-After: 1e308`, which is finite; the caller got a 500 of the gateway in place of another target's answer.

Cause: the pause in milliseconds is infinite, and rounding it for the log raised OverflowError out of the send. Found while going through the places where answers are read; 1e400, NaN and 400 digits were refused before.

Change: the pause that is granted is logged, which is MAX_PAUSE_MS at most.

--- a/borageyard/target_backoffs.py
+++ b/borageyard/target_backoffs.py
@@ -59,13 +59,14 @@
             for key, until_ms in self._until_ms.items()
             if until_ms > now_ms
         }
-        until_ms = now_ms + min(pause_ms, MAX_PAUSE_MS)
+        granted_ms = min(pause_ms, MAX_PAUSE_MS)
+        until_ms = now_ms + granted_ms
         key = (target.target_id, target.incarnation)
         if key not in self._until_ms:
             log_event(
                 Event.TARGET_PAUSED,
                 target_id=target.target_id,
-                pause_ms=round(pause_ms),
+                pause_ms=round(granted_ms),
             )
         self._until_ms[key] = max(self._until_ms.get(key, 0), until_ms)
 
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -16,7 +16,7 @@
 from borageyard.target_departures import TargetDepartures
 from borageyard.target_limits import TargetLimits
 from tests.odd_target import OddTarget, replacing, sending
-from tests.test_gateway import deployment
+from tests.test_gateway import ALL_EVENTS, deployment, events
 
 # Fields of a success up to its signature.
 SIGNED = b'x-attempt-id: {id}\r\nx-server-stamp: s\r\n'
@@ -184,3 +184,34 @@
                 await tables.snapshot(Table.TARGETS)
             with pytest.raises(StoreError, match='whitespace'):
                 await tables.read(Table.TARGETS, 0, 0)
+
+
+class TestNotices:
+    """Numbers in headers in which targets tell of themselves."""
+
+    @pytest.mark.parametrize('number', ['1e308', '1e400', '9' * 400, 'nan'])
+    async def test_rejection_is_sent_elsewhere(self, number):
+        """A pause of any length is no reason to fail the request."""
+        async with deployment(1) as callers:
+            callers.set_faults('desk', retry_after=number)
+            callers.targets('desk')[0].faults.reject = 1
+            replies = [await callers.call('/read/a') for _ in range(4)]
+            assert {reply.status for reply in replies} == {200}
+
+    @pytest.mark.parametrize('number', ['1e308', '1e400', '9' * 400, 'nan'])
+    @pytest.mark.parametrize(
+        'header', ['server-limit', 'x-cold-ms', 'x-instance-load', 'keep-alive']
+    )
+    async def test_answers_are_delivered(self, header, number):
+        """Plain answers and streams go on, and requests are still sent."""
+        text = {
+            'x-instance-load': f'{number},{number},{number},{number}',
+            'keep-alive': f'timeout={number}',
+        }.get(header, number)
+        async with deployment(1) as callers:
+            for service in ('desk', 'model', 'planner'):
+                callers.set_faults(service, headers={header: text})
+            for _ in range(4):
+                assert (await callers.call('/read/a')).status == 200
+                reply = await callers.stream('/brief/x')
+                assert events(reply) == list(ALL_EVENTS)
