Bound the pause that a rejected call with pieces asks for

Seen by callers: all batching targets of a service rejected a call with `Retry-After: 1e308`; prompts got a 500 of the gateway in place of a 503 with a time to come back. With 1e300 the targets were left out for good.

Cause: the scheduler took the pause as it was stated. Prompts were to come back after an infinite time, which can't be rounded.

Change: the pause is limited to MAX_PAUSE_MS, as for all other targets.

--- a/borageyard/call_runner.py
+++ b/borageyard/call_runner.py
@@ -16,6 +16,7 @@
     PieceStatus,
     TargetFullError,
 )
+from .target_backoffs import MAX_PAUSE_MS
 
 # A call that takes longer than this factor times its expected time, plus the
 # extra time, is overdue: its pieces are sent to another target as well.
@@ -90,8 +91,9 @@
                 call.target, _stated_slowdown(load), now_ms
             )
             if isinstance(error, TargetFullError):
+                granted_ms = min(error.pause_ms, MAX_PAUSE_MS)
                 self._scheduler.targets.pause(
-                    call.target.target_id, now_ms + error.pause_ms
+                    call.target.target_id, now_ms + granted_ms
                 )
         else:
             self._handle_outcomes(call, outcomes)
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -198,6 +198,15 @@
             replies = [await callers.call('/read/a') for _ in range(4)]
             assert {reply.status for reply in replies} == {200}
 
+    @pytest.mark.parametrize('number', ['1e308', '1e300', '1e9'])
+    async def test_rejected_calls_with_pieces(self, number):
+        """While all targets pause, prompts are refused as not run."""
+        async with deployment(1) as callers:
+            callers.set_faults('planner', retry_after=number, reject=1)
+            replies = [await callers.stream('/brief/x') for _ in range(4)]
+            assert {reply.status for reply in replies} == {503}
+            assert all('retry-after' in reply.headers for reply in replies)
+
     @pytest.mark.parametrize('number', ['1e308', '1e400', '9' * 400, 'nan'])
     @pytest.mark.parametrize(
         'header', ['server-limit', 'x-cold-ms', 'x-instance-load', 'keep-alive']
