--- a/borageyard/platform/store.py
+++ b/borageyard/platform/store.py
@@ -1,9 +1,9 @@
 """Client of the platform's store, whose topics are compacted by key."""
 
-import base64
-import contextlib
+import dataclasses
+import functools
 import types
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Annotated, Any
 from urllib.parse import urlencode
@@ -22,8 +22,8 @@
     StoreError,
     Table,
     TablePage,
-    TableRecord,
 )
+from ..snapshot_pages import SnapshotPage, read_snapshot
 
 TOPICS: Mapping[Table, str] = types.MappingProxyType(
     {
@@ -38,9 +38,6 @@
 # Key of the operator's topic that holds the configuration.
 CONFIGURATION_KEY = 'config'
 PARTITION = 0
-# Pages of a snapshot at most: three times the records of the planned size, at
-# 500 a page.
-MAX_PAGES = 32
 # Several times the response time of a slow store (fifty times 4 ms). Bounds the
 # time to the first part of a response's body, and between two parts: a document
 # may be large, and the link of an entry slow.
@@ -56,15 +53,7 @@
     model_config = ConfigDict(strict=True)
 
 
-class _Item(_Answer):
-    key: str
-    # Base64-encoded value.
-    value: str
-    offset: Count
-
-
 class _NewestPage(_Answer):
-    # Decoded one by one, so that an odd one costs only itself.
     items: list[Any] = []
     more: Annotated[bool, Field(alias='hasMore')] = False
     end: Count
@@ -91,19 +80,10 @@
         self, table: Table, on_part: PartListener | None = None
     ) -> TablePage:
         """Reads the newest record of each key."""
-        page, era = await self._newest(table, {}, on_part)
-        end = page.end
-        records = _decode_items(table, page)
-        for _ in range(MAX_PAGES):
-            if not page.more or not page.items:
-                break
-            page = await self._next_page(table, records, era, on_part)
-            records.extend(_decode_items(table, page))
-        else:
-            raise StoreError(f'snapshot of more than {MAX_PAGES} pages')
-        relevant = [one for one in records if _is_relevant(table, one.key)]
-        relevant.sort(key=lambda record: record.offset)
-        return TablePage(tuple(relevant), end, era)
+        read_page = functools.partial(self._read_page, table, on_part)
+        page = await read_snapshot(TOPICS[table], read_page)
+        relevant = [one for one in page.records if _is_relevant(table, one.key)]
+        return dataclasses.replace(page, records=tuple(relevant))
 
     async def read(
         self,
@@ -163,37 +143,13 @@
         _require_ok(reply)
         return _era_of(reply)
 
-    async def _next_page(
-        self,
-        table: Table,
-        records: Sequence[TableRecord],
-        era: int,
-        on_part: PartListener | None,
-    ) -> _NewestPage:
-        """Returns the page of a snapshot that follows some records.
-
-        Raises:
-            StoreError: If the store does not answer, or has changed its era.
-        """
-        if not records:
-            raise StoreError('no item to continue a snapshot after', era)
-        after = {'after': records[-1].key}
-        page, page_era = await self._newest(table, after, on_part)
-        if page_era != era:
-            raise StoreError(
-                f'era {page_era} within a snapshot of era {era}',
-                max(era, page_era),
-            )
-        return page
-
-    async def _newest(
-        self,
-        table: Table,
-        extra_query: Mapping[str, str],
-        on_part: PartListener | None,
-    ) -> tuple[_NewestPage, int]:
-        """Returns a page of a snapshot and the era of the store."""
-        query = {'topic': TOPICS[table], 'part': PARTITION, **extra_query}
+    async def _read_page(
+        self, table: Table, on_part: PartListener | None, after: str
+    ) -> SnapshotPage:
+        """Returns the page of a snapshot that follows a key."""
+        query = {'topic': TOPICS[table], 'part': PARTITION}
+        if after:
+            query['after'] = after
         reply = await self._call(
             HttpCall(
                 self._address,
@@ -207,12 +163,13 @@
         )
         _require_ok(reply)
         source = TOPICS[table]
+        era = _era_of(reply)
         try:
             document = parse_json(reply.body, source)
             newest = check_document(_NewestPage, document, source)
         except DocumentError as error:
-            raise StoreError(str(error), _era_of(reply)) from error
-        return newest, _era_of(reply)
+            raise StoreError(str(error), era) from error
+        return SnapshotPage(newest.items, newest.more, newest.end, era)
 
     async def _call(self, call: HttpCall) -> HttpReply:
         try:
@@ -242,33 +199,6 @@
     return era
 
 
-def _decode_items(table: Table, page: _NewestPage) -> list[TableRecord]:
-    """Returns the records of a page; an item that can't be read is none."""
-    source = f'item of {TOPICS[table]}'
-    records = []
-    for fields in page.items:
-        try:
-            item = check_document(_Item, fields, source)
-        except DocumentError as error:
-            log_event(Event.PLATFORM_FAILED, reason=str(error))
-            continue
-        content = _decode_value(item.value)
-        records.append(TableRecord(item.offset, item.key, content))
-    return records
-
-
-def _decode_value(encoded: str) -> bytes | None:
-    """Returns the content of an item; None if its key was removed.
-
-    A value that is no base64 is returned as it is: the decoder of the record
-    refuses it.
-    """
-    decoded = b''
-    with contextlib.suppress(ValueError):
-        decoded = base64.b64decode(encoded)
-    return decoded or encoded.encode() or None
-
-
 def _decode_first(body: bytes) -> int:
     """Returns the first retained offset of a topic."""
     source = 'bounds of a topic'
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -22,11 +22,12 @@
 from borageyard.peer_codec import FrameError, read_payload
 from borageyard.piece_runner import CallFailedError, PieceRequest
 from borageyard.platform.answer_notices import AnswerNotices
-from borageyard.platform.store import MAX_PAGES, StoreTables
+from borageyard.platform.store import StoreTables
 from borageyard.platform.targets import HttpPieceRunner
 from borageyard.relayed_call import RelayedCall
 from borageyard.roster import RosterRow, TargetPhase
 from borageyard.shared_table import StoreError, Table
+from borageyard.snapshot_pages import MAX_PAGES
 from borageyard.target_departures import TargetDepartures
 from borageyard.target_limits import TargetLimits
 from tests.test_gateway import ALL_EVENTS, deployment, events
