--- a/borageyard/document_validation.py
+++ b/borageyard/document_validation.py
@@ -1,12 +1,10 @@
 """Validates external documents against their generated models."""
 
-import contextlib
 import dataclasses
 import json
 import pathlib
 import textwrap
 import traceback
-from collections.abc import Callable, Iterator
 from typing import TypeVar
 
 import pydantic
@@ -45,32 +43,24 @@
         self.problems = problems
 
 
-@contextlib.contextmanager
-def refusing_failures(source: str) -> Iterator[None]:
-    """Turns any failure of a decoder into the refusal of its document.
+def failure_of_decoder(source: str, error: Exception) -> DocumentError:
+    """Returns the refusal of a document on which its decoder failed.
 
     Designed for readers of what others wrote: the next read meets the same
     document again, so one that makes its decoder fail must not end the reader.
 
     Args:
         source: Name of the document in error messages.
-
-    Raises:
-        DocumentError: If the context fails.
+        error: Any error of the decoder.
     """
-    try:
-        yield
-    except DocumentError:
-        raise
-    except Exception as error:
-        # Formatted by a function that bears errors which can't be shown.
-        shown = ''.join(traceback.format_exception_only(error)).strip()
-        problem = Problem(
-            '$',
-            'content on which its decoder failed',
-            textwrap.shorten(shown, MAX_SHOWN_CHARS, placeholder='...'),
-        )
-        raise DocumentError(source, (problem,)) from error
+    # Formatted by a function that bears errors which can't be shown.
+    shown = ''.join(traceback.format_exception_only(error)).strip()
+    problem = Problem(
+        '$',
+        'content on which its decoder failed',
+        textwrap.shorten(shown, MAX_SHOWN_CHARS, placeholder='...'),
+    )
+    return DocumentError(source, (problem,))
 
 
 def abbreviate_json(found: object) -> str:
@@ -101,36 +91,33 @@
     Raises:
         DocumentError: If the document does not match the model.
     """
-    with refusing_failures(source):
-        try:
-            return model.model_validate(document)
-        except pydantic.ValidationError as error:
-            raise DocumentError(source, _problems_of(error)) from error
-
-
-def _problems_of(error: pydantic.ValidationError) -> tuple[Problem, ...]:
-    return tuple(
-        Problem(
-            path=json_path(details['loc']),
-            found=abbreviate_json(details['input']),
-            expected=details['msg'],
+    try:
+        return model.model_validate(document)
+    except pydantic.ValidationError as error:
+        problems = tuple(
+            Problem(
+                path=json_path(details['loc']),
+                found=abbreviate_json(details['input']),
+                expected=details['msg'],
+            )
+            for details in error.errors()
         )
-        for details in error.errors()
-    )
+        raise DocumentError(source, problems) from error
+    except Exception as error:
+        raise failure_of_decoder(source, error) from error
 
 
 def parse_json(
     text: str | bytes,
     source: str,
-    *,
-    parse_int: Callable[[str], int] | None = None,
+    decoder: json.JSONDecoder | None = None,
 ) -> object:
     """Decodes JSON text.
 
     Args:
         text: The JSON text.
         source: Name of the document in error messages.
-        parse_int: Decodes the digits of whole numbers; may raise ValueError.
+        decoder: Decodes the text; the standard one by default.
 
     Returns:
         The decoded document.
@@ -139,7 +126,11 @@
         DocumentError: If the text is not valid JSON.
     """
     try:
-        return json.loads(text, parse_int=parse_int)
+        if decoder is None:
+            return json.loads(text)
+        if isinstance(text, bytes):
+            text = text.decode(json.detect_encoding(text), 'surrogatepass')
+        return decoder.decode(text)
     except (ValueError, RecursionError) as error:
         problem = Problem('$', 'text that is not JSON', str(error))
         raise DocumentError(source, (problem,)) from error
--- a/borageyard/field_checks.py
+++ b/borageyard/field_checks.py
@@ -150,7 +150,7 @@
     return DocumentError(source, (problem,))
 
 
-ClampedInteger = Annotated[int, AfterValidator(clamp_integer)]
+Clamped = Annotated[int, AfterValidator(clamp_integer)]
 Address = Annotated[str, AfterValidator(require_address)]
 Count = Annotated[int, Field(ge=0, le=MAX_INTEGER)]
 Name = Annotated[str, AfterValidator(require_name)]
--- a/borageyard/fleet_state.py
+++ b/borageyard/fleet_state.py
@@ -344,8 +344,11 @@
     def _decode(self, record: TableRecord) -> RosterRow | None:
         if record.content is None:
             return None
-        with self.refused.skipping(Table.TARGETS, record):
+        try:
             return self._decoder.target(record.key, record.content)
+        except Exception as error:
+            # Whatever it is, the records after this one must be read.
+            self.refused.note(Table.TARGETS, record, error)
         return None
 
 
--- a/borageyard/platform/documents.py
+++ b/borageyard/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes records of the platform's store: configuration and targets."""
 
+import json
 from collections.abc import Mapping
 from typing import Annotated, Any, Literal
 
@@ -11,7 +12,7 @@
 from ..field_checks import (
     MAX_INTEGER,
     Address,
-    ClampedInteger,
+    Clamped,
     Count,
     Name,
     check_id,
@@ -35,6 +36,7 @@
 
 BYTES_PER_MB = 1_000_000
 CONFIGURATION_SOURCE = 'configuration'
+TARGET_DECODER = json.JSONDecoder(parse_int=parse_64_bits)
 
 
 class _Fields(BaseModel):
@@ -62,10 +64,10 @@
     kind: str
     timeout_ms: Annotated[float, Field(alias='timeoutMs')]
     target_latency_ms: Annotated[float, Field(alias='targetLatencyMs')] = 0
-    priority: ClampedInteger = 0
+    priority: Clamped = 0
     service: str = ''
     backends: Annotated[list[_Backend], Field(alias='weightedBackends')] = []
-    max_attempts: Annotated[ClampedInteger, Field(alias='maxAttempts')] = 1
+    max_attempts: Annotated[Clamped, Field(alias='maxAttempts')] = 1
     stages: list[_Stage] = []
     allow_anonymous: Annotated[bool, Field(alias='allowAnonymous')] = False
     # Set on routes whose requests declare the parts of their prompt.
@@ -75,10 +77,10 @@
 
 
 class _Pieces(_Fields):
-    slots: ClampedInteger = 1
-    queue: ClampedInteger = 0
+    slots: Clamped = 1
+    queue: Clamped = 0
     # Maximum number of pieces in a call.
-    size: Annotated[ClampedInteger, Field(alias='batch')] = 1
+    size: Annotated[Clamped, Field(alias='batch')] = 1
     call_ms: Annotated[float, Field(alias='callMs')] = 0
     piece_ms: Annotated[float, Field(alias='itemMs')] = 0
     # Memory available for results, not a reserve.
@@ -88,16 +90,14 @@
 
 
 class _Engine(_Fields):
-    slots: ClampedInteger = 0
+    slots: Clamped = 0
     # Number of tokens that fit in the memory of an engine.
-    memory_tokens: Annotated[ClampedInteger, Field(alias='kvCapacity')] = 0
+    memory_tokens: Annotated[Clamped, Field(alias='kvCapacity')] = 0
 
 
 class _Service(_Fields):
     name: str
-    max_connections: Annotated[
-        ClampedInteger, Field(alias='maxConnections')
-    ] = 0
+    max_connections: Annotated[Clamped, Field(alias='maxConnections')] = 0
     cold_s: Annotated[Lenient, Field(alias='coldStartS')] = None
     cold_per_s: Annotated[Lenient, Field(alias='coldPerS')] = None
     pieces: _Pieces | None = None
@@ -105,24 +105,16 @@
 
 
 class _Limits(_Fields):
-    max_header_bytes: Annotated[
-        ClampedInteger, Field(alias='maxHeaderBytes')
-    ] = 16384
-    max_body_bytes: Annotated[ClampedInteger, Field(alias='maxBodyBytes')] = (
-        4194304
-    )
-    header_timeout_ms: Annotated[
-        ClampedInteger, Field(alias='headerTimeoutMs')
-    ] = 3000
-    idle_timeout_ms: Annotated[ClampedInteger, Field(alias='idleTimeoutMs')] = (
-        15000
-    )
+    max_header_bytes: Annotated[Clamped, Field(alias='maxHeaderBytes')] = 16384
+    max_body_bytes: Annotated[Clamped, Field(alias='maxBodyBytes')] = 4194304
+    header_timeout_ms: Annotated[Clamped, Field(alias='headerTimeoutMs')] = 3000
+    idle_timeout_ms: Annotated[Clamped, Field(alias='idleTimeoutMs')] = 15000
 
 
 class _Tenant(_Fields):
     name: str
     keys: Annotated[list[str], Field(alias='apiKeys')] = []
-    priority: ClampedInteger | None = None
+    priority: Clamped | None = None
 
 
 class _Configuration(_Fields):
@@ -212,7 +204,7 @@
         source = f'target {target_id}'
         check_id(target_id, source)
         # Targets state no number beyond 64 bits, in any field.
-        fields = parse_json(content, source, parse_int=parse_64_bits)
+        fields = parse_json(content, source, TARGET_DECODER)
         document = check_document(_Target, fields, source)
         return RosterRow(
             target_id=target_id,
--- a/borageyard/refused_records.py
+++ b/borageyard/refused_records.py
@@ -4,7 +4,7 @@
 import contextlib
 from collections.abc import Iterator
 
-from .document_validation import DocumentError, refusing_failures
+from .document_validation import DocumentError, failure_of_decoder
 from .events import Event, log_event
 from .shared_table import Table, TableRecord
 
@@ -32,20 +32,27 @@
             record: Record that is decoded within the context.
         """
         try:
-            with refusing_failures(f'record {record.key} of {table.value}'):
-                yield
-        except DocumentError as error:
-            self._note(table, record, error)
-
-    def _note(
-        self, table: Table, record: TableRecord, error: DocumentError
-    ) -> None:
+            yield
+        except Exception as error:
+            self.note(table, record, error)
+
+    def note(self, table: Table, record: TableRecord, error: Exception) -> None:
+        """Counts and logs a record, unless it was noted before.
+
+        Args:
+            table: Table of the record.
+            record: Record that can't be used.
+            error: Any error of its decoder.
+        """
         key = (table, record.key)
         content_hash = hash(record.content)
         if self._contents.get(key) == content_hash:
             return
         self._contents[key] = content_hash
         self.counts[table.value] += 1
+        if not isinstance(error, DocumentError):
+            source = f'record {record.key} of {table.value}'
+            error = failure_of_decoder(source, error)
         reason = str(error)
         if table is Table.CONFIGURATION:
             log_event(Event.CONFIGURATION_REJECTED, reason=reason)
