--- a/borageyard/connection_ends.py
+++ b/borageyard/connection_ends.py
@@ -10,9 +10,10 @@
 
 from .clock import MS_PER_S
 
-# States of a socket in the first byte of its TCP information (tcp(7)).
+# First byte of the TCP information (tcp(7)) of a socket that was reset.
 TCP_CLOSE = 7
 TCP_INFO_BYTES = 1
+# Count of the bytes that the peer has not acknowledged.
 UNSENT_BYTES = struct.Struct('i')
 # Request from which on a server may have ended a response without having read
 # all of it, although all of it has arrived.
