Count looks at a connection's end, not the time between them

Cause: the wait for a reset after the end of a response without a length ended by the clock. If the process stood still for a moment, the reset came after the wait and before the next look, and part of an answer counted as whole.

Change: the client looks 50 times, 5 ms apart, however long that takes.

--- a/borageyard/connection_ends.py
+++ b/borageyard/connection_ends.py
@@ -18,8 +18,9 @@
 # Request from which on a server may have ended a response without having read
 # all of it, although all of it has arrived.
 LONG_REQUEST_BYTES = 65_536
-# Time in which such a server resets its connection.
-RESET_WAIT_MS = 250
+# Looks at the connection in which such a server resets it, and the time between
+# two of them. They are counted, as a process that stands still sees nothing.
+LOOKS_FOR_RESET = 50
 POLL_MS = 5
 
 
@@ -44,16 +45,14 @@
     if writer.get_extra_info('sslcontext') is not None:
         # TLS ends both directions at once.
         return
-    loop = asyncio.get_running_loop()
-    until_s = loop.time()
-    if request_bytes > LONG_REQUEST_BYTES:
-        until_s += RESET_WAIT_MS / MS_PER_S
+    looks = LOOKS_FOR_RESET if request_bytes > LONG_REQUEST_BYTES else 0
     while True:
         pending = _unacknowledged_bytes(writer)
         if _is_reset(writer):
             raise ConnectionResetError('reset after the end of the response')
-        if not pending and loop.time() >= until_s:
+        if not pending and not looks:
             return
+        looks = max(looks - 1, 0)
         await asyncio.sleep(POLL_MS / MS_PER_S)
 
 
--- a/tests/test_early_ends.py
+++ b/tests/test_early_ends.py
@@ -6,6 +6,7 @@
 import functools
 import itertools
 import socket
+import time
 
 import pytest
 
@@ -206,6 +207,18 @@
             body = await read(client, upload(target.address, body_bytes))
             assert body == PART
 
+    async def test_process_stands_still_before_the_reset(self, read):
+        """Time in which nothing is looked at does not count."""
+        loop = asyncio.get_running_loop()
+        answer = functools.partial(end_early, pause_s=PAUSES_S[-1])
+        async with (
+            OddTarget(answer).running() as target,
+            HttpClient() as client,
+        ):
+            loop.call_later(PAUSES_S[-1] / 2, time.sleep, 0.5)
+            with pytest.raises(HttpCallError):
+                await read(client, upload(target.address, SIZES[0]))
+
     async def test_request_that_is_never_read(self, read):
         """The timeout of the call ends the wait."""
         answer = functools.partial(end_early, pause_s=SAFETY_TIMEOUT_S)
