--- a/review/lib-3/rig.py
+++ b/review/lib-3/rig.py
@@ -12,6 +12,7 @@
 import os
 import pathlib
 import random
+import resource
 import shlex
 import signal
 import socket
@@ -20,6 +21,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PORT_RANGE = (10_000, 30_000)
@@ -351,6 +353,8 @@
         self.ready = f'{host}:{ports[1]}'
         self.directory = f'{host}:{ports[2]}'
         self._record = record
+        # The platform limits the descriptors of a process.
+        self._fds = limits.get('maxFds', 6150)
         self._path = folder / f'{name}.json'
         self._log = folder / f'{name}.log'
         self._path.write_text(json.dumps({
@@ -392,10 +396,18 @@
         }
         with self._log.open('ab') as log:
             self.process = await asyncio.create_subprocess_exec(
-                *command, cwd=ROOT, env=env, stdout=log, stderr=log
+                *command, cwd=ROOT, env=env, stdout=log, stderr=log,
+                preexec_fn=self._limit_descriptors,
             )
         self._record(f'{self.name} started')
 
+    def _limit_descriptors(self):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self._fds, self._fds))
+
+    def descriptors(self):
+        """Returns how many descriptors the process holds."""
+        return len(os.listdir(f'/proc/{self.process.pid}/fd'))
+
     def signal(self, number):
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
@@ -457,23 +469,19 @@
 
 
 async def call(
-    address, method, target, headers=None, body=b'', *, timeout_s=10,
-    read=None, sock=None,
+    address, method, target, headers=None, body=b'', *, timeout_s=10
 ):
     """Sends a request on a new connection and returns the answer."""
     host, port = address.rsplit(':', 1)
     answer = Answer()
-    if sock is None:
-        connecting = asyncio.open_connection(host, int(port), limit=1 << 22)
-    else:
-        connecting = asyncio.open_connection(sock=sock)
+    connecting = asyncio.open_connection(host, int(port), limit=1 << 22)
     reader, writer = await asyncio.wait_for(connecting, timeout_s)
     try:
         writer.write(encode_request(
             method, target, headers or {'host': address}, body
         ))
         async with asyncio.timeout(timeout_s):
-            await _receive(reader, answer, read or reader.read)
+            await receive(reader, answer)
     except TimeoutError:
         answer.error = 'timed out'
     except (OSError, asyncio.IncompleteReadError) as error:
@@ -483,7 +491,8 @@
     return answer
 
 
-async def _receive(reader, answer, read):
+async def receive(reader, answer):
+    """Reads an answer; it is whole if it arrived to its end."""
     head = await reader.readuntil(b'\r\n\r\n')
     lines = head.decode('latin-1').split('\r\n')
     answer.status = int(lines[0].split(' ')[1])
@@ -493,7 +502,11 @@
             answer.headers[name.strip().lower()] = text.strip()
     if answer.headers.get('transfer-encoding') == 'chunked':
         while True:
-            size = int((await reader.readline()).strip() or b'x', 16)
+            line = (await reader.readline()).strip()
+            if not line:
+                answer.error = 'the connection ended'
+                return
+            size = int(line, 16)
             part = await reader.readexactly(size + 2)
             answer.body += part[:-2]
             if not size:
@@ -501,7 +514,7 @@
                 return
     length = int(answer.headers.get('content-length', '0'))
     while len(answer.body) < length:
-        part = await read(min(65536, length - len(answer.body)))
+        part = await reader.read(min(65536, length - len(answer.body)))
         if not part:
             answer.error = 'the connection ended'
             return
@@ -543,7 +556,7 @@
 
     async def add_runner(self, runner):
         self._stack.push_async_callback(runner.stop)
-        await runner.start(f'{self.net}.{100 + len(self.runners)}')
+        await runner.start(f'{self.net}.{100 + len(self.runners) % 90}')
         self.runners.append(runner)
         return runner
 
@@ -584,8 +597,9 @@
 
     try:
         broken = asyncio.run(guarded())
-    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
-        print(f'could not run: {error!r}')
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        print('could not run')
         sys.exit(2)
     print(f'broken: {broken}' if broken else 'held')
     sys.exit(1 if broken else 0)
