--- a/review/lib-3/rig.py
+++ b/review/lib-3/rig.py
@@ -9,6 +9,7 @@
 import base64
 import contextlib
 import json
+import logging
 import os
 import pathlib
 import random
@@ -23,6 +24,8 @@
 import tomllib
 import traceback
 
+# Stand-ins write to connections that the other side has closed.
+logging.getLogger('asyncio').setLevel(logging.CRITICAL)
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PORT_RANGE = (10_000, 30_000)
 HEARTBEAT_S = 1.2
